--- /dev/null
+++ b/src/choice.rs
@@ -0,0 +1,837 @@
+//! All decisions of wheelfield. The types, events and actions stand in `src/interface.rs`.
+//!
+//! The ordinary path is FZ-D: a fuzzy controller moves, for each engine, a bound on the outstanding estimated
+//! work of this gateway; a query that fits under the bound of some engine is drawn to one, the rest is refused.
+
+use crate::interface::*;
+use crate::state::{Attempt, ClassView, Engine, KeyLine, Live};
+use std::collections::{BTreeMap, VecDeque};
+
+/// The sampling period of the controller.
+const PERIOD: Micros = Micros(1_000_000);
+/// Health is looked at so many times a period.
+const SWEEPS_PER_PERIOD: u32 = 4;
+/// Token of the sweep timer; larger tokens belong to queries that are held.
+const SWEEP: u64 = 0;
+/// Levels of the nine fuzzy sets run from -TOP to TOP (NVL to PVL).
+const TOP: i32 = 4;
+/// The input sets span this share of an aim to either side.
+const INPUT_SPAN: f64 = 0.5;
+/// The bound starts at this gateway's share of so many threads a core times the longest class's aim.
+const START_THREADS: f64 = 2.0;
+/// The ceiling of the bound, in starts.
+const CEILING: f64 = 4.0;
+/// The largest output centre, in ceilings.
+const LARGEST_STEP: f64 = 0.125;
+/// A time-out scores so many aims.
+const TIMEOUT_SCORE: f64 = 2.0;
+/// An engine whose report comes to this load is busy.
+const BUSY: f64 = 1.0;
+/// An engine this much slower than its best is under pressure.
+const FAR_ABOVE_BEST: f64 = 3.0;
+/// Weight of the newest sample in running means of health and pace.
+const NEWEST: f64 = 0.15;
+/// Share of failures at which an engine is set aside.
+const FAILING: f64 = 0.3;
+/// The longest an engine is set aside at once, in periods.
+const LONGEST_ASIDE: u32 = 8;
+
+/// The level of the output for the levels of the error and of its change: Table 2 in closed form.
+pub fn rule(error: i32, change: i32) -> i32 {
+    match error + change {
+        sum if sum >= 5 => TOP,
+        sum if sum <= -6 => -TOP,
+        sum => sum.clamp(-3, 3),
+    }
+}
+
+/// Membership of `x`, in steps between the centres of neighbouring sets, in the set of a level.
+fn membership(x: f64, level: i32) -> f64 {
+    (1.0 - (x.clamp(-f64::from(TOP), f64::from(TOP)) - f64::from(level)).abs()).max(0.0)
+}
+
+/// The controller's output in levels for an error and its change in aims: minimum strength, centre of gravity.
+pub fn fuzzy_output(error: f64, change: f64) -> f64 {
+    let step = INPUT_SPAN / f64::from(TOP);
+    let (mut weighted, mut total) = (0.0, 0.0);
+    for i in -TOP..=TOP {
+        for j in -TOP..=TOP {
+            let strength = membership(error / step, i).min(membership(change / step, j));
+            weighted += strength * f64::from(rule(i, j));
+            total += strength;
+        }
+    }
+    weighted / total
+}
+
+/// The decisions of one gateway.
+#[derive(Debug)]
+pub struct Gateway {
+    settings: Settings,
+    random: fastrand::Rng,
+    engines: BTreeMap<EngineId, Engine>,
+    queries: BTreeMap<QueryId, Live>,
+    classes: Vec<ClassView>,
+    keys: BTreeMap<String, KeyLine>,
+    taken: VecDeque<Micros>,
+    extras: VecDeque<Micros>,
+    tenant_credit: Vec<f64>,
+    tokens: BTreeMap<u64, QueryId>,
+    next_token: u64,
+    sweeps: u32,
+    arrivals: f64,
+    refusals: f64,
+    refused_share: f64,
+    subscribe_pause: u32,
+    subscribe_in: Option<u32>,
+    listed: bool,
+}
+
+impl Gateway {
+    /// A gateway with nothing known but its settings. `seed` feeds its only source of chance.
+    pub fn new(mut settings: Settings, seed: u64) -> Self {
+        settings.gateways = settings.gateways.max(1.0);
+        let view = |c: &Class| {
+            let mean = (c.aim.secs() / 2.0 * c.threads).max(1e-3);
+            ClassView { work: 4.0 * mean, hints: 4.0 * mean, count: 4.0 }
+        };
+        Gateway {
+            random: fastrand::Rng::with_seed(seed),
+            engines: BTreeMap::new(),
+            queries: BTreeMap::new(),
+            classes: settings.classes.iter().map(view).collect(),
+            keys: BTreeMap::new(),
+            taken: VecDeque::new(),
+            extras: VecDeque::new(),
+            tenant_credit: settings.allowances.iter().map(|a| a / settings.gateways).collect(),
+            tokens: BTreeMap::new(),
+            next_token: SWEEP + 1,
+            sweeps: 0,
+            arrivals: 0.0,
+            refusals: 0.0,
+            refused_share: 0.0,
+            subscribe_pause: 1,
+            subscribe_in: None,
+            listed: false,
+            settings,
+        }
+    }
+
+    /// Takes one event and appends the actions that answer it.
+    pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Started => {
+                let every = Micros(PERIOD.0 / i64::from(SWEEPS_PER_PERIOD));
+                out.push(Action::Timer { token: SWEEP, after: every });
+                if self.settings.subscribe {
+                    out.push(Action::Subscribe);
+                }
+            }
+            Event::EngineList(entries) => {
+                for engine in self.engines.values_mut() {
+                    if !entries.iter().any(|e| e.engine == engine.entry.engine) {
+                        engine.entry.status = Status::Removed;
+                    }
+                }
+                self.update_list(now, entries);
+            }
+            Event::EngineChanges(entries) => self.update_list(now, entries),
+            Event::ListUnavailable => {
+                self.subscribe_in = Some(self.subscribe_pause * SWEEPS_PER_PERIOD);
+                self.subscribe_pause = (self.subscribe_pause * 2).min(LONGEST_ASIDE);
+            }
+            Event::Arrived(query) => self.arrived(now, query, out),
+            Event::AnswerBegan(id) => {
+                if let Some(live) = self.queries.get_mut(&id) {
+                    live.over = true;
+                }
+            }
+            Event::Noted { query, attempt, note } => self.noted(now, query, attempt, note),
+            Event::Ended { query, attempt, outcome, last, took, billed_work, report } => {
+                self.ended(now, query, attempt, outcome, last, took, billed_work, report, out)
+            }
+            Event::Departed(id) => {
+                if let Some(live) = self.queries.get_mut(&id) {
+                    live.over = true;
+                    self.withdraw(id, out);
+                    self.settle(now, id, out);
+                }
+            }
+            Event::Probed { engine, outcome, report } => {
+                if let Some(e) = self.engines.get_mut(&engine) {
+                    e.probe_out = false;
+                    if outcome == Outcome::Served {
+                        e.take_report(now, report);
+                    }
+                }
+            }
+            Event::TimerDue(SWEEP) => self.sweep(now, out),
+            Event::TimerDue(token) => {
+                if let Some(id) = self.tokens.remove(&token) {
+                    self.held_due(now, id, out);
+                }
+            }
+        }
+    }
+
+    // --- engine view ---
+
+    fn update_list(&mut self, now: Micros, entries: Vec<EngineEntry>) {
+        let aim = self.settings.classes.iter().map(|c| c.aim.secs()).fold(0.0, f64::max);
+        let known_before = self.listed;
+        self.listed = true;
+        self.subscribe_pause = 1;
+        for entry in entries {
+            let cores = self.settings.cores.get(entry.kind).copied().unwrap_or(1.0).max(1.0);
+            let start = START_THREADS * cores * aim / self.settings.gateways;
+            let new = !self.engines.contains_key(&entry.engine);
+            let engine =
+                self.engines.entry(entry.engine).or_insert_with(|| Engine::new(entry.clone(), cores, start));
+            let back = engine.entry.status != Status::Up && entry.status == Status::Up;
+            let restarted = entry.started.is_some() && entry.started != engine.entry.started;
+            // Guards against a stale list: an engine that comes up without a start time counts as started now.
+            if restarted || (new && known_before) || back {
+                let since = entry.started.unwrap_or(now);
+                engine.cold_since = engine.cold_since.max(Some(since));
+                engine.warm.clear();
+                (engine.failing, engine.aside_until, engine.aside_for) = (0.0, now, 1);
+                (engine.pace, engine.best_pace) = (1.0, 1.0);
+            } else if new {
+                engine.cold_since = entry.started;
+            }
+            engine.entry = entry;
+        }
+    }
+
+    /// Share of its capacity that an engine surely has.
+    fn warmth(&self, engine: &Engine, now: Micros) -> f64 {
+        let Some(since) = engine.cold_since else { return 1.0 };
+        let age = (now - since).secs() / self.settings.cold_for.secs().max(1e-3);
+        if age >= 1.0 {
+            return 1.0;
+        }
+        let from = self.settings.cold_from.clamp(0.0, 1.0);
+        from + (1.0 - from) * 0.5 * age.max(0.0)
+    }
+
+    /// Threads a core, as reported plus sent since, else by our own share.
+    fn load(&self, engine: &Engine, now: Micros) -> f64 {
+        let own = engine.threads_out / engine.cores;
+        let fresh = engine.reported.is_some_and(|at| now - at < PERIOD + PERIOD + PERIOD);
+        let threads = engine.mean_threads();
+        let reported = match (engine.report.utilisation, engine.report.in_flight) {
+            (Some(u), _) => Some(u),
+            (None, Some(n)) => Some(n * threads / engine.cores),
+            _ => None,
+        };
+        match reported.filter(|_| fresh) {
+            Some(r) => (r + engine.threads_since / engine.cores).max(own),
+            None => own * self.settings.gateways,
+        }
+    }
+
+    /// Whether the bound binds: latency far above its best, a busy report, or a full refusal.
+    fn pressed(&self, engine: &Engine, now: Micros) -> bool {
+        let fresh = engine.reported.is_some_and(|at| now - at < PERIOD + PERIOD + PERIOD);
+        let over = |x: Option<f64>, limit: f64| fresh && x.is_some_and(|x| x >= limit);
+        engine.pace > FAR_ABOVE_BEST * engine.best_pace
+            || self.load(engine, now) >= BUSY
+            || over(engine.report.queue, 1.0)
+            || over(engine.report.disks, 0.95)
+            || over(engine.report.memory, 0.95)
+            || engine.full_at.is_some_and(|at| now - at < PERIOD)
+    }
+
+    // --- estimates ---
+
+    fn estimate(&self, query: &Query) -> f64 {
+        let view = &self.classes[query.class];
+        match query.work_hint {
+            Some(hint) => hint * view.work / view.hints,
+            None => view.work / view.count,
+        }
+    }
+
+    fn mean_work(&self, class: usize) -> f64 {
+        self.classes[class].work / self.classes[class].count
+    }
+
+    /// Learns from a served query: the billed work, else its run time on an engine that was not pressed.
+    fn learn(&mut self, class: usize, hint: Option<f64>, work: f64) {
+        const KEEP: f64 = 0.99;
+        let view = &mut self.classes[class];
+        view.work = view.work * KEEP + work;
+        view.hints = view.hints * KEEP + hint.unwrap_or(work);
+        view.count = view.count * KEEP + 1.0;
+    }
+
+    // --- arrival and choice ---
+
+    fn arrived(&mut self, now: Micros, query: Query, out: &mut Vec<Action>) {
+        let id = query.id;
+        self.taken.push_back(now);
+        self.arrivals += 1.0;
+        if query.class >= self.settings.classes.len() {
+            out.push(Action::Fail { query: id });
+            return;
+        }
+        let excess = match query.tenant.and_then(|t| self.tenant_credit.get_mut(t)) {
+            Some(credit) if *credit >= 1.0 => {
+                *credit -= 1.0;
+                false
+            }
+            Some(_) => true,
+            None => false,
+        };
+        let class = &self.settings.classes[query.class];
+        let work = self.estimate(&query);
+        let line = query.key.clone().filter(|_| class.in_order);
+        let due = query.due;
+        self.queries.insert(id, Live { query, work, attempts: Vec::new(), over: false, excess, priority: 1 });
+        if let Some(key) = line {
+            let line = self.keys.entry(key).or_default();
+            line.waiting.push_back(id);
+            if line.waiting.len() > 1 || line.rests_until > now {
+                let wake = if line.waiting.len() > 1 { due } else { line.rests_until.min(due) };
+                self.wake(now, id, wake, out);
+                return;
+            }
+        }
+        self.place(now, id, out);
+    }
+
+    /// Sends a query to an engine drawn among those it fits, or answers it at once.
+    fn place(&mut self, now: Micros, id: QueryId, out: &mut Vec<Action>) {
+        match self.choose(now, id) {
+            Some(engine) if self.send(now, id, engine, out) => {}
+            _ => self.give_up(now, id, out),
+        }
+    }
+
+    fn choose(&mut self, now: Micros, id: QueryId) -> Option<EngineId> {
+        let live = self.queries.get(&id)?;
+        let mut weights: Vec<(EngineId, f64)> = Vec::new();
+        for trusted in [true, false] {
+            let mut anyone_trusted = false;
+            for (engine_id, engine) in &self.engines {
+                if !self.may_send(now, live, engine) {
+                    continue;
+                }
+                let aside = engine.aside_until > now || (engine.on_trial && !engine.out.is_empty());
+                anyone_trusted |= !aside;
+                // With every engine set aside, one query at a time still goes to each: all of them failing may
+                // well have a cause that another engine does not cure.
+                let admitted =
+                    if aside { !trusted && engine.out.is_empty() } else { self.fits(now, live, engine) };
+                if admitted {
+                    weights.push((*engine_id, self.weight(now, live, engine)));
+                }
+            }
+            if anyone_trusted || !weights.is_empty() {
+                break;
+            }
+        }
+        let total: f64 = weights.iter().map(|(_, w)| w).sum();
+        let mut mark = self.random.f64() * total;
+        for (engine, weight) in &weights {
+            mark -= weight;
+            if mark < 0.0 {
+                return Some(*engine);
+            }
+        }
+        weights.last().map(|(engine, _)| *engine)
+    }
+
+    /// d(t) + n <= d_t(k), asked only under pressure, and never of the only query we have there.
+    fn fits(&self, now: Micros, live: &Live, engine: &Engine) -> bool {
+        if !self.pressed(engine, now) {
+            return true;
+        }
+        // What a tenant sends beyond its allowance is the first to go.
+        !live.excess && (engine.out.is_empty() || engine.backlog + live.work <= engine.bound)
+    }
+
+    /// The weight in the draw: capacity over load, leaning to the own zone and to warm tables.
+    fn weight(&self, now: Micros, live: &Live, engine: &Engine) -> f64 {
+        let capacity = engine.cores * self.warmth(engine, now);
+        let load = self.load(engine, now) / self.warmth(engine, now);
+        let mut weight = capacity / (0.1 + load).powi(3) / (engine.pace / engine.best_pace).max(0.5);
+        weight *= (1.0 - engine.failing).powi(4);
+        if self.settings.zone.is_some_and(|z| z != engine.entry.zone) {
+            weight /= 1.0 + 100.0 * self.settings.cross_zone_price;
+        }
+        let class = &self.settings.classes[live.query.class];
+        let tables = live.query.tables;
+        // A load holds its tables: other loads, and classes that wait, would stand still behind it.
+        if (class.is_load || class.waits_for_loads) && self.holds_load(engine, tables) {
+            return weight * 1e-3;
+        }
+        if !class.is_load && engine.warm.contains(&tables) {
+            weight *= 3.0;
+        }
+        weight.max(1e-9)
+    }
+
+    fn holds_load(&self, engine: &Engine, tables: u64) -> bool {
+        engine
+            .out
+            .iter()
+            .filter_map(|(q, _)| self.queries.get(q))
+            .any(|l| l.query.tables == tables && self.settings.classes[l.query.class].is_load)
+    }
+
+    // --- sending: every rule is held here ---
+
+    /// Whether the rules let this query go to this engine now.
+    fn may_send(&self, now: Micros, live: &Live, engine: &Engine) -> bool {
+        let s = &self.settings;
+        let class = &s.classes[live.query.class];
+        let entry = &engine.entry;
+        // Rule 1: nothing after the end. Rule 3: drained and gone engines get nothing, grace or not.
+        if live.over || now >= live.query.due || entry.status != Status::Up {
+            return false;
+        }
+        // Rule 6: placement.
+        let open = |list: &[usize], x: usize| list.is_empty() || list.contains(&x);
+        if class.nowhere || !open(&class.zones, entry.zone) || !open(&class.kinds, entry.kind) {
+            return false;
+        }
+        // Rule 2: effects and copies.
+        let first = live.attempts.is_empty();
+        if s.max_attempts > 0 && live.attempts.len() >= s.max_attempts {
+            return false;
+        }
+        if live.out() > 0 && (!s.second_copies || class.effect != Effect::Repeatable) {
+            return false;
+        }
+        if live.may_have_run() {
+            match class.effect {
+                Effect::Repeatable => {}
+                Effect::Once => return false,
+                Effect::ByKey => {
+                    let ran = live.attempts.iter().find(|a| !a.outcome.is_some_and(Outcome::never_ran));
+                    let within = ran.is_some_and(|a| {
+                        let group = self.engines.get(&a.engine).is_some_and(|e| match class.scope {
+                            DedupScope::All => true,
+                            DedupScope::Zone => e.entry.zone == entry.zone,
+                            DedupScope::Cell => e.entry.cell == entry.cell,
+                        });
+                        group && now - a.sent < class.window
+                    });
+                    if !within {
+                        return false;
+                    }
+                }
+            }
+        }
+        // Rule 5: order by key.
+        if let Some(key) = live.query.key.as_ref().filter(|_| class.in_order && first) {
+            let line = self.keys.get(key);
+            if !line.is_some_and(|l| l.waiting.front() == Some(&live.query.id) && l.rests_until <= now) {
+                return false;
+            }
+        }
+        // Rule 7: the budget of further attempts.
+        if let Some(budget) = s.attempt_budget.filter(|_| !first) {
+            let from = now - budget.span;
+            let taken = self.taken.iter().filter(|t| **t > from).count() as f64;
+            let extra = self.extras.iter().filter(|t| **t >= from).count() as f64 + 1.0;
+            if extra > budget.free + budget.share * taken {
+                return false;
+            }
+        }
+        // Rule 4: the cold budget.
+        let warmth = self.warmth(engine, now);
+        if warmth < 1.0 && s.fall_multiple > 0.0 {
+            const SLACK: f64 = 0.6;
+            let budget = s.fall_multiple * warmth * engine.cores * s.fall_span.secs() * SLACK / s.gateways;
+            let from = now - s.fall_span;
+            let sent: f64 = engine.sent_cold.iter().filter(|(t, _)| *t >= from).map(|(_, w)| w).sum();
+            if sent + self.mean_work(live.query.class).max(live.work.min(budget)) > budget {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// The only way to send.
+    fn send(&mut self, now: Micros, id: QueryId, to: EngineId, out: &mut Vec<Action>) -> bool {
+        let (Some(live), Some(engine)) = (self.queries.get(&id), self.engines.get(&to)) else { return false };
+        if !self.may_send(now, live, engine) {
+            return false;
+        }
+        let s = &self.settings;
+        let class = &s.classes[live.query.class];
+        let threads = class.threads;
+        let work = live.work;
+        let usual = self.mean_work(live.query.class).max(work.min(engine.cores));
+        let remaining = live.query.due - now;
+        let attempts_left = s.max_attempts == 0 || live.attempts.len() + 1 < s.max_attempts;
+        // Without notes a hang shows in nothing but time: half the time left, then another engine.
+        let blind = s.note_every.0 == 0 && class.effect == Effect::Repeatable && attempts_left;
+        let time_out = if blind { Micros(remaining.0 / 2) } else { Micros(0) };
+        let priority = self.priority(live);
+        if s.priorities {
+            out.push(Action::Terms { query: id, grant_mb: 0.0, priority });
+        }
+        out.push(Action::Send { query: id, engine: to, time_out });
+        let (Some(live), Some(engine)) = (self.queries.get_mut(&id), self.engines.get_mut(&to)) else {
+            return false;
+        };
+        if !live.attempts.is_empty() {
+            self.extras.push_back(now);
+        }
+        live.priority = priority;
+        engine.out.insert((id, live.attempts.len()));
+        live.attempts.push(Attempt {
+            engine: to,
+            sent: now,
+            work,
+            heard: now,
+            outcome: None,
+            cancelled: false,
+        });
+        if engine.out.len() == 1 {
+            engine.heard = now;
+        }
+        engine.backlog += work;
+        engine.threads_out += threads;
+        engine.threads_since += threads;
+        engine.sent_cold.push_back((now, usual));
+        engine.touch(live.query.tables);
+        true
+    }
+
+    /// Short work first: it takes little from the long work beside it.
+    fn priority(&self, live: &Live) -> u8 {
+        let total: f64 = self.classes.iter().map(|c| c.work).sum();
+        let count: f64 = self.classes.iter().map(|c| c.count).sum();
+        if live.work < total / count.max(1.0) {
+            2
+        } else {
+            1
+        }
+    }
+
+    // --- the life of an attempt ---
+
+    fn noted(&mut self, now: Micros, id: QueryId, attempt: usize, _note: Note) {
+        let Some(a) = self.queries.get_mut(&id).and_then(|l| l.attempts.get_mut(attempt)) else { return };
+        a.heard = now;
+        if let Some(engine) = self.engines.get_mut(&a.engine) {
+            engine.heard = now;
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn ended(
+        &mut self,
+        now: Micros,
+        id: QueryId,
+        attempt: usize,
+        outcome: Outcome,
+        last: bool,
+        took: Micros,
+        billed: Option<f64>,
+        report: Report,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(live) = self.queries.get_mut(&id) else { return };
+        let Some(a) = live.attempts.get_mut(attempt).filter(|a| a.outcome.is_none()) else { return };
+        a.outcome = Some(outcome);
+        live.over |= last || outcome == Outcome::Served;
+        let (engine_id, booked, cancelled) = (a.engine, a.work, a.cancelled);
+        let (class_index, hint, due, key) =
+            (live.query.class, live.query.work_hint, live.query.due, live.query.key.clone());
+        let (work, owed) = (live.work, !live.over);
+        let class = &self.settings.classes[class_index];
+        let (threads, aim) = (class.threads, class.aim);
+        if let Some(key) = key.filter(|_| class.in_order) {
+            if matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled) {
+                self.keys.entry(key).or_default().rests_until = now + self.settings.order_pause;
+            }
+        }
+        let mut inferred = None;
+        let bills = self.settings.bills;
+        if let Some(engine) = self.engines.get(&engine_id) {
+            if outcome == Outcome::Served && self.load(engine, now) < 0.8 {
+                inferred = Some(took.secs() * threads);
+            }
+        }
+        if let Some(engine) = self.engines.get_mut(&engine_id) {
+            engine.release((id, attempt), booked, threads);
+            engine.take_report(now, report);
+            match outcome {
+                Outcome::Served => {
+                    engine.sample(took.secs() / aim.secs().max(1e-3));
+                    engine.ran_at(took.secs() * threads / work.max(1e-3));
+                    engine.well(now);
+                }
+                Outcome::TimedOut if !cancelled => {
+                    engine.sample(TIMEOUT_SCORE);
+                    engine.failed(now, NEWEST);
+                }
+                Outcome::Cancelled if cancelled => engine.sample(TIMEOUT_SCORE),
+                Outcome::Error => engine.failed(now, NEWEST),
+                // A dead process: it comes back cold, and the list says so late.
+                Outcome::Reset | Outcome::ConnectFailed => {
+                    engine.failed(now, FAILING);
+                    engine.cold_since = Some(now);
+                    engine.warm.clear();
+                }
+                Outcome::Full => engine.full_at = Some(now),
+                _ => {}
+            }
+        }
+        if outcome == Outcome::Served {
+            if let Some(work) = if bills { billed } else { inferred } {
+                self.learn(class_index, hint, work);
+            }
+        }
+        if owed && self.queries.get(&id).is_some_and(|l| l.out() == 0) {
+            if now < due {
+                self.place(now, id, out);
+            } else {
+                self.give_up(now, id, out);
+            }
+        }
+        self.settle(now, id, out);
+    }
+
+    /// Final answer to a query that is given up, at once: refused where that is true, else failed.
+    fn give_up(&mut self, now: Micros, id: QueryId, out: &mut Vec<Action>) {
+        let Some(live) = self.queries.get_mut(&id).filter(|l| !l.over) else { return };
+        live.over = true;
+        let class = &self.settings.classes[live.query.class];
+        let harmless = match class.effect {
+            Effect::Repeatable => true,
+            Effect::Once => !live.may_have_run(),
+            Effect::ByKey => !live.may_have_run() || class.scope == DedupScope::All,
+        };
+        if harmless {
+            self.refusals += 1.0;
+            let share = self.refused_share.max(self.refusals / self.arrivals.max(1.0));
+            let retry_after =
+                Micros::from_secs(share.min(1.0) * PERIOD.secs()).min(self.settings.max_retry_after);
+            out.push(Action::Refuse { query: id, retry_after });
+        } else {
+            out.push(Action::Fail { query: id });
+        }
+        self.withdraw(id, out);
+        self.settle(now, id, out);
+    }
+
+    fn withdraw(&mut self, id: QueryId, out: &mut Vec<Action>) {
+        let cancel = self.settings.cancel;
+        let Some(live) = self.queries.get_mut(&id).filter(|_| cancel) else { return };
+        for (i, a) in
+            live.attempts.iter_mut().enumerate().filter(|(_, a)| a.outcome.is_none() && !a.cancelled)
+        {
+            a.cancelled = true;
+            out.push(Action::Cancel { query: id, attempt: i });
+        }
+    }
+
+    /// Forgets a query that is over and has nothing out, and lets the next of its key go.
+    fn settle(&mut self, now: Micros, id: QueryId, out: &mut Vec<Action>) {
+        if !self.queries.get(&id).is_some_and(|l| l.over && l.out() == 0) {
+            return;
+        }
+        let Some(live) = self.queries.remove(&id) else { return };
+        let Some(key) = live.query.key.filter(|_| self.settings.classes[live.query.class].in_order) else {
+            return;
+        };
+        let Some(line) = self.keys.get_mut(&key) else { return };
+        line.waiting.retain(|q| *q != id);
+        match line.waiting.front().copied() {
+            Some(next) if self.queries.get(&next).is_some_and(|l| l.attempts.is_empty()) => {
+                let rest = line.rests_until;
+                if rest > now {
+                    self.wake(now, next, rest, out);
+                } else {
+                    self.place(now, next, out);
+                }
+            }
+            None if line.rests_until <= now => {
+                self.keys.remove(&key);
+            }
+            _ => {}
+        }
+    }
+
+    /// Asks to be woken for a query that is held in the line of its key.
+    fn wake(&mut self, now: Micros, id: QueryId, at: Micros, out: &mut Vec<Action>) {
+        let token = self.next_token;
+        self.next_token += 1;
+        self.tokens.insert(token, id);
+        out.push(Action::Timer { token, after: (at - now).max(Micros(0)) });
+    }
+
+    fn held_due(&mut self, now: Micros, id: QueryId, out: &mut Vec<Action>) {
+        let Some(live) = self.queries.get(&id).filter(|l| !l.over && l.attempts.is_empty()) else { return };
+        let due = live.query.due;
+        let line = live.query.key.as_ref().and_then(|k| self.keys.get(k));
+        let (first, rest) = line.map_or((true, now), |l| (l.waiting.front() == Some(&id), l.rests_until));
+        if now >= due || (first && rest <= now) {
+            self.place(now, id, out);
+        } else {
+            self.wake(now, id, if first { rest.min(due) } else { due }, out);
+        }
+    }
+
+    // --- each quarter period: silence, the controller, the list ---
+
+    fn sweep(&mut self, now: Micros, out: &mut Vec<Action>) {
+        let every = Micros(PERIOD.0 / i64::from(SWEEPS_PER_PERIOD));
+        out.push(Action::Timer { token: SWEEP, after: every });
+        self.sweeps += 1;
+        self.look_for_silence(now, out);
+        if let Some(left) = self.subscribe_in {
+            self.subscribe_in = left.checked_sub(1);
+            if left == 0 {
+                out.push(Action::Subscribe);
+            }
+        }
+        if self.sweeps % SWEEPS_PER_PERIOD != 0 {
+            return;
+        }
+        for engine in self.engines.values_mut() {
+            engine.control();
+            if self.settings.probes && self.settings.reports_by_probe && engine.entry.status == Status::Up {
+                engine.probe_out = true;
+                out.push(Action::Probe(engine.entry.engine));
+            }
+        }
+        self.refused_share = self.refusals / self.arrivals.max(1.0);
+        (self.refusals, self.arrivals) = (0.0, 0.0);
+        for (credit, allowance) in self.tenant_credit.iter_mut().zip(&self.settings.allowances) {
+            let rate = allowance / self.settings.gateways;
+            *credit = (*credit + rate).min(2.0 * rate.max(1.0));
+        }
+        let longest = self.settings.attempt_budget.map_or(Micros(0), |b| b.span);
+        while self.taken.front().is_some_and(|t| *t < now - longest) {
+            self.taken.pop_front();
+        }
+        while self.extras.front().is_some_and(|t| *t < now - longest) {
+            self.extras.pop_front();
+        }
+        let span = self.settings.fall_span;
+        for engine in self.engines.values_mut() {
+            while engine.sent_cold.front().is_some_and(|(t, _)| *t < now - span) {
+                engine.sent_cold.pop_front();
+            }
+        }
+    }
+
+    /// An engine none of whose attempts gives word any more hangs, is cut off, or has died unseen. It is set
+    /// aside, and what may run again elsewhere is withdrawn and sent anew.
+    fn look_for_silence(&mut self, now: Micros, out: &mut Vec<Action>) {
+        let notes = self.settings.note_every;
+        if notes.0 == 0 {
+            return;
+        }
+        let patience = Micros(notes.0 * 3 / 2 + PERIOD.0 / 4);
+        let mut stuck = Vec::new();
+        for engine in self.engines.values_mut().filter(|e| !e.out.is_empty() && now - e.heard > patience) {
+            let heard = |(q, a): &(QueryId, usize)| {
+                self.queries.get(q).and_then(|l| l.attempts.get(*a)).is_some_and(|a| now - a.heard > patience)
+            };
+            let silent: Vec<_> = engine.out.iter().copied().filter(heard).collect();
+            if silent.is_empty() {
+                continue;
+            }
+            if engine.aside_until <= now {
+                engine.failed(now, FAILING);
+                out.push(Action::Log(format!("engine silent with {} queries out", engine.out.len())));
+            }
+            engine.aside_until = engine.aside_until.max(now + PERIOD);
+            stuck.extend(engine.out.iter().copied());
+        }
+        if !self.settings.cancel {
+            return;
+        }
+        for (id, attempt) in stuck {
+            let Some(live) = self.queries.get_mut(&id) else { continue };
+            let class = &self.settings.classes[live.query.class];
+            let more = self.settings.max_attempts == 0 || live.attempts.len() < self.settings.max_attempts;
+            if class.effect != Effect::Repeatable || live.over || !more {
+                continue;
+            }
+            if let Some(a) = live.attempts.get_mut(attempt).filter(|a| !a.cancelled) {
+                a.cancelled = true;
+                out.push(Action::Cancel { query: id, attempt });
+            }
+        }
+    }
+}
+
+impl Engine {
+    /// The ceiling of the bound, max-data in the paper.
+    fn ceiling(&self) -> f64 {
+        CEILING * self.start
+    }
+
+    /// d_t(k) = d_t(k-1) + fuzzy output, clamped; an empty period steps back toward the start.
+    fn control(&mut self) {
+        let step = self.ceiling() * LARGEST_STEP / f64::from(TOP);
+        if self.samples > 0.0 {
+            let error = 1.0 - self.delays / self.samples;
+            let change = error - self.last_error.unwrap_or(error);
+            self.bound += fuzzy_output(error, change) * step;
+            self.last_error = Some(error);
+        } else {
+            self.bound += (self.start - self.bound).clamp(-step, step);
+            self.last_error = None;
+        }
+        self.bound = self.bound.clamp(0.0, self.ceiling());
+        (self.delays, self.samples) = (0.0, 0.0);
+    }
+
+    /// A report that differs from the last one is new: what was sent before it is in it.
+    fn take_report(&mut self, now: Micros, report: Report) {
+        if report == Report::default() {
+            return;
+        }
+        if report != self.report {
+            self.threads_since = 0.0;
+            self.report = report;
+        }
+        self.reported = Some(now);
+    }
+
+    fn ran_at(&mut self, pace: f64) {
+        self.pace += NEWEST * (pace.min(20.0) - self.pace);
+        if self.pace < self.best_pace {
+            self.best_pace = self.pace.max(0.1);
+        } else {
+            self.best_pace += 0.002 * (self.pace - self.best_pace);
+        }
+    }
+
+    fn well(&mut self, now: Micros) {
+        self.heard = now;
+        self.failing *= 1.0 - NEWEST;
+        if self.on_trial && self.aside_until <= now {
+            (self.on_trial, self.aside_for) = (false, 1);
+        }
+    }
+
+    /// Counts a failure; past the limit the engine is set aside, each time for longer, then tried with one query.
+    fn failed(&mut self, now: Micros, weight: f64) {
+        self.failing += weight * (1.0 - self.failing);
+        if self.failing >= FAILING * 0.99 || self.on_trial {
+            if self.aside_until <= now {
+                self.aside_until = now + Micros(PERIOD.0 * i64::from(self.aside_for));
+                self.aside_for = (self.aside_for * 2).min(LONGEST_ASIDE);
+            }
+            self.on_trial = true;
+        }
+    }
+
+    fn touch(&mut self, tables: u64) {
+        const KEPT_WARM: usize = 4;
+        self.warm.retain(|t| *t != tables);
+        self.warm.push_front(tables);
+        self.warm.truncate(KEPT_WARM);
+    }
+}
--- /dev/null
+++ b/tests/fuzzy.rs
@@ -0,0 +1,50 @@
+//! The rule base and the controller's output against the paper.
+
+use wheelfield::choice::{fuzzy_output, rule};
+
+/// Table 2 of the paper: rows are the error, columns its change, both from NVL to PVL.
+const TABLE_2: [&str; 9] = [
+    "NVL NVL NVL NL NL NL NM NS ZE",
+    "NVL NVL NL NL NL NM NS ZE PS",
+    "NVL NL NL NL NM NS ZE PS PM",
+    "NL NL NL NM NS ZE PS PM PL",
+    "NL NL NM NS ZE PS PM PL PL",
+    "NL NM NS ZE PS PM PL PL PVL",
+    "NM NS ZE PS PM PL PL PVL PVL",
+    "NS ZE PS PM PL PL PVL PVL PVL",
+    "ZE PS PM PL PL PVL PVL PVL PVL",
+];
+
+fn level(name: &str) -> i32 {
+    ["NVL", "NL", "NM", "NS", "ZE", "PS", "PM", "PL", "PVL"].iter().position(|n| *n == name).unwrap() as i32
+        - 4
+}
+
+#[test]
+fn all_81_rules_are_those_of_table_2() {
+    for (row, error) in TABLE_2.iter().zip(-4..) {
+        for (name, change) in row.split(' ').zip(-4..) {
+            assert_eq!(rule(error, change), level(name), "rule({error}, {change})");
+        }
+    }
+}
+
+/// The paper's example: error -0.2 s and change -0.4 s on a range of 1 s give
+/// (-75*0.6 - 50*0.4 - 50*0.2 - 25*0.2) / 1.4 with centres 25 apart.
+#[test]
+fn the_papers_example_comes_out() {
+    let output = fuzzy_output(-0.2 * 0.5, -0.4 * 0.5);
+    let expected = (-3.0 * 0.6 - 2.0 * 0.4 - 2.0 * 0.2 - 0.2) / 1.4;
+    assert!((output - expected).abs() < 1e-9, "{output} for {expected}");
+}
+
+#[test]
+fn the_output_has_the_sign_of_the_error_and_keeps_its_limits() {
+    for e in [0.1, 0.3, 0.5, 2.0, 100.0] {
+        assert!(fuzzy_output(e, 0.0) > 0.0 && fuzzy_output(-e, 0.0) < 0.0);
+        assert!(fuzzy_output(e, e) <= 4.0 && fuzzy_output(-e, -e) >= -4.0);
+    }
+    assert_eq!(fuzzy_output(0.0, 0.0), 0.0);
+    assert_eq!(fuzzy_output(1e9, 1e9), 4.0);
+    assert_eq!(fuzzy_output(-1e9, -1e9), -4.0);
+}
