--- a/src/choice.rs
+++ b/src/choice.rs
@@ -239,7 +239,7 @@
             || over(engine.report.queue, 1.0)
             || over(engine.report.disks, 0.95)
             || over(engine.report.memory, 0.95)
-            || engine.full_at.is_some_and(|at| now - at < PERIOD)
+            || now - engine.full_until < PERIOD
     }
 
     // --- estimates ---
@@ -314,7 +314,7 @@
         for trusted in [true, false] {
             let mut anyone_trusted = false;
             for (engine_id, engine) in &self.engines {
-                if !self.may_send(now, live, engine) {
+                if engine.full_until > now || !self.may_send(now, live, engine) {
                     continue;
                 }
                 let aside = engine.aside_until > now || (engine.on_trial && !engine.out.is_empty());
@@ -579,7 +579,7 @@
                     engine.cold_since = Some(now);
                     engine.warm.clear();
                 }
-                Outcome::Full => engine.full_at = Some(now),
+                Outcome::Full => engine.filled(now),
                 _ => {}
             }
         }
@@ -692,7 +692,7 @@
                 out.push(Action::Subscribe);
             }
         }
-        if self.sweeps % SWEEPS_PER_PERIOD != 0 {
+        if !self.sweeps.is_multiple_of(SWEEPS_PER_PERIOD) {
             return;
         }
         for engine in self.engines.values_mut() {
@@ -811,11 +811,22 @@
     fn well(&mut self, now: Micros) {
         self.heard = now;
         self.failing *= 1.0 - NEWEST;
+        self.full_pause = 1;
         if self.on_trial && self.aside_until <= now {
             (self.on_trial, self.aside_for) = (false, 1);
         }
     }
 
+    /// Guards against the storm on a full engine: with nothing of ours there it looks free, and it answers at
+    /// once. Each refusal in a row doubles the pause. Holds against any quick refusal; it may hurt when an engine
+    /// is full for a moment only, by at most a period.
+    fn filled(&mut self, now: Micros) {
+        if self.full_until <= now {
+            self.full_until = now + Micros(PERIOD.0 / 16 * self.full_pause);
+            self.full_pause = (self.full_pause * 2).min(16);
+        }
+    }
+
     /// Counts a failure; past the limit the engine is set aside, each time for longer, then tried with one query.
     fn failed(&mut self, now: Micros, weight: f64) {
         self.failing += weight * (1.0 - self.failing);
