Anti-windup, and the mean delay weighted by work

The bound now moves only in periods under pressure, else steps to its start; delays weigh by booked work.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -309,8 +309,15 @@
     }
 
     fn choose(&mut self, now: Micros, id: QueryId) -> Option<EngineId> {
-        let live = self.queries.get(&id)?;
         let mut weights: Vec<(EngineId, f64)> = Vec::new();
+        let pressed: Vec<EngineId> =
+            self.engines.values().filter(|e| self.pressed(e, now)).map(|e| e.entry.engine).collect();
+        for id in &pressed {
+            if let Some(engine) = self.engines.get_mut(id) {
+                engine.was_pressed = true;
+            }
+        }
+        let live = self.queries.get(&id)?;
         for trusted in [true, false] {
             let mut anyone_trusted = false;
             for (engine_id, engine) in &self.engines {
@@ -563,15 +570,15 @@
             engine.take_report(now, report);
             match outcome {
                 Outcome::Served => {
-                    engine.sample(took.secs() / aim.secs().max(1e-3));
+                    engine.sample(took.secs() / aim.secs().max(1e-3), booked);
                     engine.ran_at(took.secs() * threads / work.max(1e-3));
                     engine.well(now);
                 }
                 Outcome::TimedOut if !cancelled => {
-                    engine.sample(TIMEOUT_SCORE);
+                    engine.sample(TIMEOUT_SCORE, booked);
                     engine.failed(now, NEWEST);
                 }
-                Outcome::Cancelled if cancelled => engine.sample(TIMEOUT_SCORE),
+                Outcome::Cancelled if cancelled => engine.sample(TIMEOUT_SCORE, booked),
                 Outcome::Error => engine.failed(now, NEWEST),
                 // A dead process: it comes back cold, and the list says so late.
                 Outcome::Reset | Outcome::ConnectFailed => {
@@ -774,7 +781,8 @@
     /// d_t(k) = d_t(k-1) + fuzzy output, clamped; an empty period steps back toward the start.
     fn control(&mut self) {
         let step = self.ceiling() * LARGEST_STEP / f64::from(TOP);
-        if self.samples > 0.0 {
+        // Guards against wind-up: while the bound did not bind, short delays say nothing about it.
+        if self.samples > 0.0 && self.was_pressed {
             let error = 1.0 - self.delays / self.samples;
             let change = error - self.last_error.unwrap_or(error);
             self.bound += fuzzy_output(error, change) * step;
@@ -784,7 +792,7 @@
             self.last_error = None;
         }
         self.bound = self.bound.clamp(0.0, self.ceiling());
-        (self.delays, self.samples) = (0.0, 0.0);
+        (self.delays, self.samples, self.was_pressed) = (0.0, 0.0, false);
     }
 
     /// A report that differs from the last one is new: what was sent before it is in it.
--- a/src/state.rs
+++ b/src/state.rs
@@ -58,6 +58,7 @@
     pub best_pace: f64,
     pub full_until: Micros,
     pub full_pause: i64,
+    pub was_pressed: bool,
     pub failing: f64,
     pub aside_until: Micros,
     pub aside_for: u32,
@@ -105,6 +106,7 @@
             best_pace: 1.0,
             full_until: Micros(i64::MIN),
             full_pause: 1,
+            was_pressed: false,
             failing: 0.0,
             aside_until: Micros(i64::MIN),
             aside_for: 1,
@@ -117,9 +119,9 @@
         }
     }
 
-    pub fn sample(&mut self, delay_in_aims: f64) {
-        self.delays += delay_in_aims;
-        self.samples += 1.0;
+    pub fn sample(&mut self, delay_in_aims: f64, work: f64) {
+        self.delays += delay_in_aims * work;
+        self.samples += work;
     }
 
     pub fn mean_threads(&self) -> f64 {
