--- a/src/choice.rs
+++ b/src/choice.rs
@@ -29,6 +29,8 @@
 const BUSY: f64 = 1.0;
 /// An engine this much slower than its best is under pressure.
 const FAR_ABOVE_BEST: f64 = 3.0;
+/// What an engine grants by itself, over the estimated need.
+const USUAL_GRANT: f64 = 1.25;
 /// Weight of the newest sample in running means of health and pace.
 const NEWEST: f64 = 0.15;
 /// Share of failures at which an engine is set aside.
@@ -183,10 +185,13 @@
         self.subscribe_pause = 1;
         for entry in entries {
             let cores = self.settings.cores.get(entry.kind).copied().unwrap_or(1.0).max(1.0);
+            let memory = self.settings.memory_mb.get(entry.kind).copied().unwrap_or(0.0);
             let start = START_THREADS * cores * aim / self.settings.gateways;
             let new = !self.engines.contains_key(&entry.engine);
-            let engine =
-                self.engines.entry(entry.engine).or_insert_with(|| Engine::new(entry.clone(), cores, start));
+            let engine = self
+                .engines
+                .entry(entry.engine)
+                .or_insert_with(|| Engine::new(entry.clone(), cores, memory, start));
             let back = engine.entry.status != Status::Up && entry.status == Status::Up;
             let restarted = entry.started.is_some() && entry.started != engine.entry.started;
             // Guards against a stale list: an engine that comes up without a start time counts as started now.
@@ -230,6 +235,21 @@
         }
     }
 
+    /// Share of an engine's memory that is granted, as reported plus what was sent since.
+    fn memory_load(&self, engine: &Engine, now: Micros) -> f64 {
+        let fresh = engine.reported.is_some_and(|at| now - at < PERIOD + PERIOD + PERIOD);
+        engine.report.memory.filter(|_| fresh).map_or(0.0, |m| m + engine.memory_since)
+    }
+
+    /// Share of an engine's memory that a query will take: its hint, else what the queries there take each.
+    fn memory_share(&self, live: &Live, engine: &Engine) -> f64 {
+        match (live.query.memory_hint, engine.report.memory, engine.report.in_flight) {
+            (Some(mb), _, _) if engine.memory_mb > 0.0 => mb * USUAL_GRANT / engine.memory_mb,
+            (_, Some(m), Some(n)) if n >= 1.0 => m / n,
+            _ => 0.0,
+        }
+    }
+
     /// Whether the bound binds: latency far above its best, a busy report, or a full refusal.
     fn pressed(&self, engine: &Engine, now: Micros) -> bool {
         let fresh = engine.reported.is_some_and(|at| now - at < PERIOD + PERIOD + PERIOD);
@@ -351,6 +371,12 @@
 
     /// d(t) + n <= d_t(k), asked only under pressure, and never of the only query we have there.
     fn fits(&self, now: Micros, live: &Live, engine: &Engine) -> bool {
+        // Where a short engine pages, one query too many slows all that run there. The bound on work is blind to
+        // memory, so this holds beside it. It may hurt where memory is granted but not used.
+        let full = self.memory_load(engine, now) + self.memory_share(live, engine) > 1.0;
+        if self.settings.pages && full && !engine.out.is_empty() {
+            return false;
+        }
         if !self.pressed(engine, now) {
             return true;
         }
@@ -470,6 +496,7 @@
         let s = &self.settings;
         let class = &s.classes[live.query.class];
         let threads = class.threads;
+        let memory = self.memory_share(live, engine);
         let work = live.work;
         let usual = self.mean_work(live.query.class).max(work.min(engine.cores));
         let remaining = live.query.due - now;
@@ -504,6 +531,7 @@
         engine.backlog += work;
         engine.threads_out += threads;
         engine.threads_since += threads;
+        engine.memory_since += memory;
         engine.sent_cold.push_back((now, usual));
         engine.touch(live.query.tables);
         true
@@ -801,7 +829,7 @@
             return;
         }
         if report != self.report {
-            self.threads_since = 0.0;
+            (self.threads_since, self.memory_since) = (0.0, 0.0);
             self.report = report;
         }
         self.reported = Some(now);
--- a/src/state.rs
+++ b/src/state.rs
@@ -41,6 +41,7 @@
 pub struct Engine {
     pub entry: EngineEntry,
     pub cores: f64,
+    pub memory_mb: f64,
     /// The bound d_t on our outstanding work there, in thread-seconds.
     pub bound: f64,
     pub start: f64,
@@ -53,6 +54,8 @@
     pub report: Report,
     pub reported: Option<Micros>,
     pub threads_since: f64,
+    /// Share of its memory that sends since the report want.
+    pub memory_since: f64,
     /// Run time over what the estimate gives, running mean, and the best it has been.
     pub pace: f64,
     pub best_pace: f64,
@@ -87,10 +90,11 @@
 
 impl Engine {
     /// An engine of which nothing has been seen.
-    pub fn new(entry: EngineEntry, cores: f64, start: f64) -> Self {
+    pub fn new(entry: EngineEntry, cores: f64, memory_mb: f64, start: f64) -> Self {
         Engine {
             entry,
             cores,
+            memory_mb,
             bound: start,
             start,
             last_error: None,
@@ -102,6 +106,7 @@
             report: Report::default(),
             reported: None,
             threads_since: 0.0,
+            memory_since: 0.0,
             pace: 1.0,
             best_pace: 1.0,
             full_until: Micros(i64::MIN),
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -182,6 +182,7 @@
             cores: reals(&info["cpu_of_kind"]),
             memory_mb: reals(&info["memory_by_kind_mb"]),
             max_grant_share: real(&info["max_grant_share"]),
+            pages: info["when_short"] == "page",
             grants: flag(&info["grants"]),
             priorities: flag(&info["lanes_count"]),
             bills: flag(&info["bills"]),
