--- a/src/choice.rs
+++ b/src/choice.rs
@@ -373,7 +373,7 @@
     fn fits(&self, now: Micros, live: &Live, engine: &Engine) -> bool {
         // Where a short engine pages, one query too many slows all that run there. The bound on work is blind to
         // memory, so this holds beside it. It may hurt where memory is granted but not used.
-        let full = self.memory_load(engine, now) + self.memory_share(live, engine) > 1.0;
+        let full = self.memory_load(engine, now) + self.memory_share(live, engine) > USUAL_GRANT;
         if self.settings.pages && full && !engine.out.is_empty() {
             return false;
         }
