--- a/src/choice.rs
+++ b/src/choice.rs
@@ -537,14 +537,17 @@
         true
     }
 
-    /// Short work first: it takes little from the long work beside it.
+    /// Priority by worth for each thread-second against the usual: short work first, as it takes little from the
+    /// long work beside it.
     fn priority(&self, live: &Live) -> u8 {
-        let total: f64 = self.classes.iter().map(|c| c.work).sum();
-        let count: f64 = self.classes.iter().map(|c| c.count).sum();
-        if live.work < total / count.max(1.0) {
-            2
-        } else {
-            1
+        let classes = self.settings.classes.iter().zip(&self.classes);
+        let (worth, work) = classes.fold((0.0, 0.0), |(w, s), (c, v)| (w + c.worth * v.count, s + v.work));
+        let density = self.settings.classes[live.query.class].worth / live.work.max(1e-3);
+        match density * work / worth.max(1e-9) {
+            x if x >= 1.0 => 3,
+            x if x >= 0.25 => 2,
+            x if x >= 0.0625 => 1,
+            _ => 0,
         }
     }
 
