--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,11 +1,12 @@
 //! All decisions of wheelfield. The types, events and actions stand in `src/interface.rs`.
 //!
 //! The ordinary path is FZ-D: a fuzzy controller moves, for each engine, a bound on the outstanding estimated
-//! work of this gateway; a query that fits under the bound of some engine is drawn to one, the rest is refused.
+//! work of this gateway; a query that fits under the bound of some engine is drawn to one, the rest is
+//! refused.
 
 use crate::interface::*;
-use crate::state::{Attempt, ClassView, Engine, KeyLine, Live};
-use std::collections::{BTreeMap, VecDeque};
+use crate::state::{Attempt, ClassView, Engine, KeyLine, Ledger, Live};
+use std::collections::BTreeMap;
 
 /// The sampling period of the controller.
 const PERIOD: Micros = Micros(1_000_000);
@@ -29,6 +30,8 @@
 const BUSY: f64 = 1.0;
 /// An engine this much slower than its best is under pressure.
 const FAR_ABOVE_BEST: f64 = 3.0;
+/// An attempt that by its own pace takes this many times its estimate has a bad plan.
+const BAD_PLAN: f64 = 7.0;
 /// What an engine grants by itself, over the estimated need.
 const USUAL_GRANT: f64 = 1.25;
 /// Weight of the newest sample in running means of health and pace.
@@ -52,7 +55,8 @@
     (1.0 - (x.clamp(-f64::from(TOP), f64::from(TOP)) - f64::from(level)).abs()).max(0.0)
 }
 
-/// The controller's output in levels for an error and its change in aims: minimum strength, centre of gravity.
+/// The controller's output in levels for an error and its change in aims: minimum strength, centre of
+/// gravity.
 pub fn fuzzy_output(error: f64, change: f64) -> f64 {
     let step = INPUT_SPAN / f64::from(TOP);
     let (mut weighted, mut total) = (0.0, 0.0);
@@ -75,18 +79,8 @@
     queries: BTreeMap<QueryId, Live>,
     classes: Vec<ClassView>,
     keys: BTreeMap<String, KeyLine>,
-    taken: VecDeque<Micros>,
-    extras: VecDeque<Micros>,
     tenant_credit: Vec<f64>,
-    tokens: BTreeMap<u64, QueryId>,
-    next_token: u64,
-    sweeps: u32,
-    arrivals: f64,
-    refusals: f64,
-    refused_share: f64,
-    subscribe_pause: u32,
-    subscribe_in: Option<u32>,
-    listed: bool,
+    ledger: Ledger,
 }
 
 impl Gateway {
@@ -95,7 +89,7 @@
         settings.gateways = settings.gateways.max(1.0);
         let view = |c: &Class| {
             let mean = (c.aim.secs() / 2.0 * c.threads).max(1e-3);
-            ClassView { work: 4.0 * mean, hints: 4.0 * mean, count: 4.0 }
+            ClassView { work: 4.0 * mean, hints: 4.0 * mean, count: 4.0, cured: 0, uncured: 0 }
         };
         Gateway {
             random: fastrand::Rng::with_seed(seed),
@@ -103,18 +97,8 @@
             queries: BTreeMap::new(),
             classes: settings.classes.iter().map(view).collect(),
             keys: BTreeMap::new(),
-            taken: VecDeque::new(),
-            extras: VecDeque::new(),
             tenant_credit: settings.allowances.iter().map(|a| a / settings.gateways).collect(),
-            tokens: BTreeMap::new(),
-            next_token: SWEEP + 1,
-            sweeps: 0,
-            arrivals: 0.0,
-            refusals: 0.0,
-            refused_share: 0.0,
-            subscribe_pause: 1,
-            subscribe_in: None,
-            listed: false,
+            ledger: Ledger::default(),
             settings,
         }
     }
@@ -139,8 +123,9 @@
             }
             Event::EngineChanges(entries) => self.update_list(now, entries),
             Event::ListUnavailable => {
-                self.subscribe_in = Some(self.subscribe_pause * SWEEPS_PER_PERIOD);
-                self.subscribe_pause = (self.subscribe_pause * 2).min(LONGEST_ASIDE);
+                let pause = (1 << self.ledger.list_failures.min(3)) * SWEEPS_PER_PERIOD;
+                self.ledger.subscribe_in = Some(pause);
+                self.ledger.list_failures += 1;
             }
             Event::Arrived(query) => self.arrived(now, query, out),
             Event::AnswerBegan(id) => {
@@ -149,9 +134,7 @@
                 }
             }
             Event::Noted { query, attempt, note } => self.noted(now, query, attempt, note),
-            Event::Ended { query, attempt, outcome, last, took, billed_work, report } => {
-                self.ended(now, query, attempt, outcome, last, took, billed_work, report, out)
-            }
+            Event::Ended(ending) => self.ended(now, ending, out),
             Event::Departed(id) => {
                 if let Some(live) = self.queries.get_mut(&id) {
                     live.over = true;
@@ -160,16 +143,13 @@
                 }
             }
             Event::Probed { engine, outcome, report } => {
-                if let Some(e) = self.engines.get_mut(&engine) {
-                    e.probe_out = false;
-                    if outcome == Outcome::Served {
-                        e.take_report(now, report);
-                    }
+                if let Some(e) = self.engines.get_mut(&engine).filter(|_| outcome == Outcome::Served) {
+                    e.take_report(now, report);
                 }
             }
             Event::TimerDue(SWEEP) => self.sweep(now, out),
             Event::TimerDue(token) => {
-                if let Some(id) = self.tokens.remove(&token) {
+                if let Some(id) = self.ledger.timers.remove(&token) {
                     self.held_due(now, id, out);
                 }
             }
@@ -180,9 +160,9 @@
 
     fn update_list(&mut self, now: Micros, entries: Vec<EngineEntry>) {
         let aim = self.settings.classes.iter().map(|c| c.aim.secs()).fold(0.0, f64::max);
-        let known_before = self.listed;
-        self.listed = true;
-        self.subscribe_pause = 1;
+        let known_before = self.ledger.listed;
+        self.ledger.listed = true;
+        self.ledger.list_failures = 0;
         for entry in entries {
             let cores = self.settings.cores.get(entry.kind).copied().unwrap_or(1.0).max(1.0);
             let memory = self.settings.memory_mb.get(entry.kind).copied().unwrap_or(0.0);
@@ -194,7 +174,8 @@
                 .or_insert_with(|| Engine::new(entry.clone(), cores, memory, start));
             let back = engine.entry.status != Status::Up && entry.status == Status::Up;
             let restarted = entry.started.is_some() && entry.started != engine.entry.started;
-            // Guards against a stale list: an engine that comes up without a start time counts as started now.
+            // Guards against a stale list: an engine that comes up without a start time counts as started
+            // now.
             if restarted || (new && known_before) || back {
                 let since = entry.started.unwrap_or(now);
                 engine.cold_since = engine.cold_since.max(Some(since));
@@ -222,7 +203,7 @@
     /// Threads a core, as reported plus sent since, else by our own share.
     fn load(&self, engine: &Engine, now: Micros) -> f64 {
         let own = engine.threads_out / engine.cores;
-        let fresh = engine.reported.is_some_and(|at| now - at < PERIOD + PERIOD + PERIOD);
+        let fresh = engine.report_is_fresh(now);
         let threads = engine.mean_threads();
         let reported = match (engine.report.utilisation, engine.report.in_flight) {
             (Some(u), _) => Some(u),
@@ -237,7 +218,7 @@
 
     /// Share of an engine's memory that is granted, as reported plus what was sent since.
     fn memory_load(&self, engine: &Engine, now: Micros) -> f64 {
-        let fresh = engine.reported.is_some_and(|at| now - at < PERIOD + PERIOD + PERIOD);
+        let fresh = engine.report_is_fresh(now);
         engine.report.memory.filter(|_| fresh).map_or(0.0, |m| m + engine.memory_since)
     }
 
@@ -252,7 +233,7 @@
 
     /// Whether the bound binds: latency far above its best, a busy report, or a full refusal.
     fn pressed(&self, engine: &Engine, now: Micros) -> bool {
-        let fresh = engine.reported.is_some_and(|at| now - at < PERIOD + PERIOD + PERIOD);
+        let fresh = engine.report_is_fresh(now);
         let over = |x: Option<f64>, limit: f64| fresh && x.is_some_and(|x| x >= limit);
         engine.pace > FAR_ABOVE_BEST * engine.best_pace
             || self.load(engine, now) >= BUSY
@@ -289,25 +270,23 @@
 
     fn arrived(&mut self, now: Micros, query: Query, out: &mut Vec<Action>) {
         let id = query.id;
-        self.taken.push_back(now);
-        self.arrivals += 1.0;
+        self.ledger.taken.push_back(now);
+        self.ledger.arrivals += 1.0;
         if query.class >= self.settings.classes.len() {
             out.push(Action::Fail { query: id });
             return;
         }
-        let excess = match query.tenant.and_then(|t| self.tenant_credit.get_mut(t)) {
-            Some(credit) if *credit >= 1.0 => {
-                *credit -= 1.0;
-                false
-            }
-            Some(_) => true,
-            None => false,
-        };
+        let credit = query.tenant.and_then(|t| self.tenant_credit.get_mut(t));
+        let excess = credit.is_some_and(|credit| {
+            let over = *credit < 1.0;
+            *credit -= if over { 0.0 } else { 1.0 };
+            over
+        });
         let class = &self.settings.classes[query.class];
         let work = self.estimate(&query);
         let line = query.key.clone().filter(|_| class.in_order);
         let due = query.due;
-        self.queries.insert(id, Live { query, work, attempts: Vec::new(), over: false, excess, priority: 1 });
+        self.queries.insert(id, Live { query, work, attempts: Vec::new(), over: false, excess });
         if let Some(key) = line {
             let line = self.keys.entry(key).or_default();
             line.waiting.push_back(id);
@@ -330,13 +309,6 @@
 
     fn choose(&mut self, now: Micros, id: QueryId) -> Option<EngineId> {
         let mut weights: Vec<(EngineId, f64)> = Vec::new();
-        let pressed: Vec<EngineId> =
-            self.engines.values().filter(|e| self.pressed(e, now)).map(|e| e.entry.engine).collect();
-        for id in &pressed {
-            if let Some(engine) = self.engines.get_mut(id) {
-                engine.was_pressed = true;
-            }
-        }
         let live = self.queries.get(&id)?;
         for trusted in [true, false] {
             let mut anyone_trusted = false;
@@ -346,8 +318,8 @@
                 }
                 let aside = engine.aside_until > now || (engine.on_trial && !engine.out.is_empty());
                 anyone_trusted |= !aside;
-                // With every engine set aside, one query at a time still goes to each: all of them failing may
-                // well have a cause that another engine does not cure.
+                // With every engine set aside, one query at a time still goes to each: all of them failing
+                // may well have a cause that another engine does not cure.
                 let admitted =
                     if aside { !trusted && engine.out.is_empty() } else { self.fits(now, live, engine) };
                 if admitted {
@@ -371,8 +343,8 @@
 
     /// d(t) + n <= d_t(k), asked only under pressure, and never of the only query we have there.
     fn fits(&self, now: Micros, live: &Live, engine: &Engine) -> bool {
-        // Where a short engine pages, one query too many slows all that run there. The bound on work is blind to
-        // memory, so this holds beside it. It may hurt where memory is granted but not used.
+        // Where a short engine pages, one query too many slows all that run there. The bound on work is blind
+        // to memory, so this holds beside it. It may hurt where memory is granted but not used.
         let full = self.memory_load(engine, now) + self.memory_share(live, engine) > USUAL_GRANT;
         if self.settings.pages && full && !engine.out.is_empty() {
             return false;
@@ -465,13 +437,8 @@
             }
         }
         // Rule 7: the budget of further attempts.
-        if let Some(budget) = s.attempt_budget.filter(|_| !first) {
-            let from = now - budget.span;
-            let taken = self.taken.iter().filter(|t| **t > from).count() as f64;
-            let extra = self.extras.iter().filter(|t| **t >= from).count() as f64 + 1.0;
-            if extra > budget.free + budget.share * taken {
-                return false;
-            }
+        if !first && !self.budget_left(now) {
+            return false;
         }
         // Rule 4: the cold budget.
         let warmth = self.warmth(engine, now);
@@ -513,18 +480,10 @@
             return false;
         };
         if !live.attempts.is_empty() {
-            self.extras.push_back(now);
+            self.ledger.extras.push_back(now);
         }
-        live.priority = priority;
         engine.out.insert((id, live.attempts.len()));
-        live.attempts.push(Attempt {
-            engine: to,
-            sent: now,
-            work,
-            heard: now,
-            outcome: None,
-            cancelled: false,
-        });
+        live.attempts.push(Attempt::new(to, now, work));
         if engine.out.len() == 1 {
             engine.heard = now;
         }
@@ -537,8 +496,8 @@
         true
     }
 
-    /// Priority by worth for each thread-second against the usual: short work first, as it takes little from the
-    /// long work beside it.
+    /// Priority by worth for each thread-second against the usual: short work first, as it takes little from
+    /// the long work beside it.
     fn priority(&self, live: &Live) -> u8 {
         let classes = self.settings.classes.iter().zip(&self.classes);
         let (worth, work) = classes.fold((0.0, 0.0), |(w, s), (c, v)| (w + c.worth * v.count, s + v.work));
@@ -553,35 +512,28 @@
 
     // --- the life of an attempt ---
 
-    fn noted(&mut self, now: Micros, id: QueryId, attempt: usize, _note: Note) {
+    fn noted(&mut self, now: Micros, id: QueryId, attempt: usize, note: Note) {
         let Some(a) = self.queries.get_mut(&id).and_then(|l| l.attempts.get_mut(attempt)) else { return };
         a.heard = now;
+        if let Note::Progress(share) = note {
+            a.done = share;
+        }
         if let Some(engine) = self.engines.get_mut(&a.engine) {
             engine.heard = now;
         }
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn ended(
-        &mut self,
-        now: Micros,
-        id: QueryId,
-        attempt: usize,
-        outcome: Outcome,
-        last: bool,
-        took: Micros,
-        billed: Option<f64>,
-        report: Report,
-        out: &mut Vec<Action>,
-    ) {
+    fn ended(&mut self, now: Micros, ending: Ending, out: &mut Vec<Action>) {
+        let Ending { query: id, attempt, outcome, last, took, billed_work, report } = ending;
         let Some(live) = self.queries.get_mut(&id) else { return };
         let Some(a) = live.attempts.get_mut(attempt).filter(|a| a.outcome.is_none()) else { return };
         a.outcome = Some(outcome);
         live.over |= last || outcome == Outcome::Served;
         let (engine_id, booked, cancelled) = (a.engine, a.work, a.cancelled);
-        let (class_index, hint, due, key) =
-            (live.query.class, live.query.work_hint, live.query.due, live.query.key.clone());
+        let (class_index, hint, key) = (live.query.class, live.query.work_hint, live.query.key.clone());
         let (work, owed) = (live.work, !live.over);
+        let cured = outcome == Outcome::Served && live.attempts.iter().any(|a| a.bad_plan);
+        self.classes[class_index].cured += u32::from(cured);
         let class = &self.settings.classes[class_index];
         let (threads, aim) = (class.threads, class.aim);
         if let Some(key) = key.filter(|_| class.in_order) {
@@ -589,13 +541,9 @@
                 self.keys.entry(key).or_default().rests_until = now + self.settings.order_pause;
             }
         }
-        let mut inferred = None;
-        let bills = self.settings.bills;
-        if let Some(engine) = self.engines.get(&engine_id) {
-            if outcome == Outcome::Served && self.load(engine, now) < 0.8 {
-                inferred = Some(took.secs() * threads);
-            }
-        }
+        let unhurried = self.engines.get(&engine_id).is_some_and(|e| self.load(e, now) < 0.8);
+        let inferred = unhurried.then_some(took.secs() * threads);
+        let ran = if self.settings.bills { billed_work } else { inferred };
         if let Some(engine) = self.engines.get_mut(&engine_id) {
             engine.release((id, attempt), booked, threads);
             engine.take_report(now, report);
@@ -611,27 +559,17 @@
                 }
                 Outcome::Cancelled if cancelled => engine.sample(TIMEOUT_SCORE, booked),
                 Outcome::Error => engine.failed(now, NEWEST),
-                // A dead process: it comes back cold, and the list says so late.
-                Outcome::Reset | Outcome::ConnectFailed => {
-                    engine.failed(now, FAILING);
-                    engine.cold_since = Some(now);
-                    engine.warm.clear();
-                }
+                Outcome::ConnectFailed => engine.restarts(now),
+                Outcome::Reset => engine.broke(now),
                 Outcome::Full => engine.filled(now),
                 _ => {}
             }
         }
-        if outcome == Outcome::Served {
-            if let Some(work) = if bills { billed } else { inferred } {
-                self.learn(class_index, hint, work);
-            }
+        if let Some(work) = ran.filter(|_| outcome == Outcome::Served) {
+            self.learn(class_index, hint, work);
         }
         if owed && self.queries.get(&id).is_some_and(|l| l.out() == 0) {
-            if now < due {
-                self.place(now, id, out);
-            } else {
-                self.give_up(now, id, out);
-            }
+            self.place(now, id, out);
         }
         self.settle(now, id, out);
     }
@@ -647,8 +585,8 @@
             Effect::ByKey => !live.may_have_run() || class.scope == DedupScope::All,
         };
         if harmless {
-            self.refusals += 1.0;
-            let share = self.refused_share.max(self.refusals / self.arrivals.max(1.0));
+            self.ledger.refusals += 1.0;
+            let share = self.ledger.refused_share.max(self.ledger.refusals / self.ledger.arrivals.max(1.0));
             let retry_after =
                 Micros::from_secs(share.min(1.0) * PERIOD.secs()).min(self.settings.max_retry_after);
             out.push(Action::Refuse { query: id, retry_after });
@@ -660,13 +598,8 @@
     }
 
     fn withdraw(&mut self, id: QueryId, out: &mut Vec<Action>) {
-        let cancel = self.settings.cancel;
-        let Some(live) = self.queries.get_mut(&id).filter(|_| cancel) else { return };
-        for (i, a) in
-            live.attempts.iter_mut().enumerate().filter(|(_, a)| a.outcome.is_none() && !a.cancelled)
-        {
-            a.cancelled = true;
-            out.push(Action::Cancel { query: id, attempt: i });
+        for attempt in 0..self.queries.get(&id).map_or(0, |l| l.attempts.len()) {
+            self.cancel(id, attempt, false, out);
         }
     }
 
@@ -699,9 +632,9 @@
 
     /// Asks to be woken for a query that is held in the line of its key.
     fn wake(&mut self, now: Micros, id: QueryId, at: Micros, out: &mut Vec<Action>) {
-        let token = self.next_token;
-        self.next_token += 1;
-        self.tokens.insert(token, id);
+        self.ledger.timers_set += 1;
+        let token = SWEEP + self.ledger.timers_set;
+        self.ledger.timers.insert(token, id);
         out.push(Action::Timer { token, after: (at - now).max(Micros(0)) });
     }
 
@@ -722,37 +655,36 @@
     fn sweep(&mut self, now: Micros, out: &mut Vec<Action>) {
         let every = Micros(PERIOD.0 / i64::from(SWEEPS_PER_PERIOD));
         out.push(Action::Timer { token: SWEEP, after: every });
-        self.sweeps += 1;
+        self.ledger.sweeps += 1;
+        let pressed: Vec<bool> = self.engines.values().map(|e| self.pressed(e, now)).collect();
+        for (engine, pressed) in self.engines.values_mut().zip(pressed) {
+            engine.was_pressed |= pressed;
+        }
         self.look_for_silence(now, out);
-        if let Some(left) = self.subscribe_in {
-            self.subscribe_in = left.checked_sub(1);
+        self.look_for_hopeless(now, out);
+        if let Some(left) = self.ledger.subscribe_in {
+            self.ledger.subscribe_in = left.checked_sub(1);
             if left == 0 {
                 out.push(Action::Subscribe);
             }
         }
-        if !self.sweeps.is_multiple_of(SWEEPS_PER_PERIOD) {
+        if !self.ledger.sweeps.is_multiple_of(SWEEPS_PER_PERIOD) {
             return;
         }
         for engine in self.engines.values_mut() {
             engine.control();
             if self.settings.probes && self.settings.reports_by_probe && engine.entry.status == Status::Up {
-                engine.probe_out = true;
                 out.push(Action::Probe(engine.entry.engine));
             }
         }
-        self.refused_share = self.refusals / self.arrivals.max(1.0);
-        (self.refusals, self.arrivals) = (0.0, 0.0);
+        self.ledger.refused_share = self.ledger.refusals / self.ledger.arrivals.max(1.0);
+        (self.ledger.refusals, self.ledger.arrivals) = (0.0, 0.0);
         for (credit, allowance) in self.tenant_credit.iter_mut().zip(&self.settings.allowances) {
             let rate = allowance / self.settings.gateways;
             *credit = (*credit + rate).min(2.0 * rate.max(1.0));
         }
         let longest = self.settings.attempt_budget.map_or(Micros(0), |b| b.span);
-        while self.taken.front().is_some_and(|t| *t < now - longest) {
-            self.taken.pop_front();
-        }
-        while self.extras.front().is_some_and(|t| *t < now - longest) {
-            self.extras.pop_front();
-        }
+        self.ledger.forget_before(now - longest);
         let span = self.settings.fall_span;
         for engine in self.engines.values_mut() {
             while engine.sent_cold.front().is_some_and(|(t, _)| *t < now - span) {
@@ -761,6 +693,74 @@
         }
     }
 
+    /// Guards against work that can no longer earn its worth: an attempt with a bad plan, which a fresh
+    /// attempt outruns, and, under pressure, a query that by its own pace ends after its worth is gone. Holds
+    /// against whatever made it slow; it wastes what was done where the pace told is far off.
+    fn look_for_hopeless(&mut self, now: Micros, out: &mut Vec<Action>) {
+        if !self.settings.cancel {
+            return;
+        }
+        let (mut retry, mut uncured, mut drop) = (Vec::new(), Vec::new(), Vec::new());
+        for engine in self.engines.values() {
+            let pressed = self.pressed(engine, now);
+            for (id, index) in &engine.out {
+                let Some(live) = self.queries.get(id).filter(|l| !l.over) else { continue };
+                let Some(a) = live.attempts.get(*index).filter(|a| !a.cancelled) else { continue };
+                let class = &self.settings.classes[live.query.class];
+                let elapsed = (now - a.sent).secs();
+                let total = if a.done > 0.0 { elapsed / a.done } else { 0.0 };
+                let pace = engine.pace.max(1.0);
+                let booked = live.work / class.threads;
+                let run = booked.max(total / pace);
+                let in_time = live.attempts[0].sent + class.aim + Micros::from_secs(class.aim_stretch * run);
+                let worthless =
+                    if class.late_value > 0.0 { live.query.due } else { in_time.min(live.query.due) };
+                let ends = now.max(a.sent + Micros::from_secs(total));
+                let afresh = Micros::from_secs(booked * pace);
+                let bad_plan = run > BAD_PLAN * booked;
+                let view = &self.classes[live.query.class];
+                let curable = self.may_try_again(now, live) && view.uncured <= view.cured + 1;
+                if bad_plan && live.attempts.iter().any(|a| a.bad_plan) {
+                    uncured.push((*id, run * class.threads));
+                } else if bad_plan && curable && now + afresh < live.query.due {
+                    retry.push((*id, *index));
+                } else if pressed && ends > worthless {
+                    drop.push(*id);
+                }
+            }
+        }
+        for (id, attempt) in retry {
+            self.cancel(id, attempt, true, out);
+        }
+        // A fresh attempt no better: the query itself is dear; where that is the rule nothing is resent.
+        for (id, work) in uncured {
+            if let Some(live) = self.queries.get_mut(&id) {
+                live.work = work;
+                self.classes[live.query.class].uncured += 1;
+            }
+        }
+        for id in drop {
+            self.give_up(now, id, out);
+        }
+    }
+
+    /// Whether what may have run can be sent again: the class, its attempts and the budget allow it.
+    fn may_try_again(&self, now: Micros, live: &Live) -> bool {
+        let (most, class) = (self.settings.max_attempts, &self.settings.classes[live.query.class]);
+        let left = most == 0 || live.attempts.len() < most;
+        left && class.effect == Effect::Repeatable && self.budget_left(now)
+    }
+
+    /// Whether the budget allows one more further attempt.
+    fn budget_left(&self, now: Micros) -> bool {
+        self.settings.attempt_budget.is_none_or(|budget| {
+            let from = now - budget.span;
+            let taken = self.ledger.taken.iter().filter(|t| **t > from).count() as f64;
+            let extra = self.ledger.extras.iter().filter(|t| **t >= from).count() as f64 + 1.0;
+            extra <= budget.free + budget.share * taken
+        })
+    }
+
     /// An engine none of whose attempts gives word any more hangs, is cut off, or has died unseen. It is set
     /// aside, and what may run again elsewhere is withdrawn and sent anew.
     fn look_for_silence(&mut self, now: Micros, out: &mut Vec<Action>) {
@@ -785,25 +785,27 @@
             engine.aside_until = engine.aside_until.max(now + PERIOD);
             stuck.extend(engine.out.iter().copied());
         }
-        if !self.settings.cancel {
-            return;
-        }
         for (id, attempt) in stuck {
-            let Some(live) = self.queries.get_mut(&id) else { continue };
-            let class = &self.settings.classes[live.query.class];
-            let more = self.settings.max_attempts == 0 || live.attempts.len() < self.settings.max_attempts;
-            if class.effect != Effect::Repeatable || live.over || !more {
-                continue;
-            }
-            if let Some(a) = live.attempts.get_mut(attempt).filter(|a| !a.cancelled) {
-                a.cancelled = true;
-                out.push(Action::Cancel { query: id, attempt });
+            if self.queries.get(&id).is_some_and(|l| !l.over && self.may_try_again(now, l)) {
+                self.cancel(id, attempt, false, out);
             }
         }
     }
+
+    fn cancel(&mut self, id: QueryId, attempt: usize, bad_plan: bool, out: &mut Vec<Action>) {
+        let a = self.queries.get_mut(&id).and_then(|l| l.attempts.get_mut(attempt));
+        if let Some(a) = a.filter(|a| self.settings.cancel && a.outcome.is_none() && !a.cancelled) {
+            (a.cancelled, a.bad_plan) = (true, bad_plan);
+            out.push(Action::Cancel { query: id, attempt });
+        }
+    }
 }
 
 impl Engine {
+    fn report_is_fresh(&self, now: Micros) -> bool {
+        self.reported.is_some_and(|at| now - at < PERIOD + PERIOD + PERIOD)
+    }
+
     /// The ceiling of the bound, max-data in the paper.
     fn ceiling(&self) -> f64 {
         CEILING * self.start
@@ -850,15 +852,15 @@
     fn well(&mut self, now: Micros) {
         self.heard = now;
         self.failing *= 1.0 - NEWEST;
-        self.full_pause = 1;
+        (self.full_pause, self.broken) = (1, 0);
         if self.on_trial && self.aside_until <= now {
             (self.on_trial, self.aside_for) = (false, 1);
         }
     }
 
     /// Guards against the storm on a full engine: with nothing of ours there it looks free, and it answers at
-    /// once. Each refusal in a row doubles the pause. Holds against any quick refusal; it may hurt when an engine
-    /// is full for a moment only, by at most a period.
+    /// once. Each refusal in a row doubles the pause. Holds against any quick refusal; it may hurt when an
+    /// engine is full for a moment only, by at most a period.
     fn filled(&mut self, now: Micros) {
         if self.full_until <= now {
             self.full_until = now + Micros(PERIOD.0 / 16 * self.full_pause);
@@ -866,7 +868,24 @@
         }
     }
 
-    /// Counts a failure; past the limit the engine is set aside, each time for longer, then tried with one query.
+    /// A dead process comes back cold, and the list says so late.
+    fn restarts(&mut self, now: Micros) {
+        self.failed(now, FAILING);
+        self.cold_since = Some(now);
+        self.warm.clear();
+    }
+
+    /// Guards against taking a broken connection for a dead engine: with every engine thought cold nearly all
+    /// is refused. Only when all that we had there breaks in a row is it taken for a restart.
+    fn broke(&mut self, now: Micros) {
+        self.broken += 1;
+        self.failed(now, NEWEST);
+        if self.out.is_empty() && self.broken > 1 {
+            self.restarts(now);
+        }
+    }
+
+    /// Counts a failure; past the limit the engine is set aside, each time longer, then tried with one query.
     fn failed(&mut self, now: Micros, weight: f64) {
         self.failing += weight * (1.0 - self.failing);
         if self.failing >= FAILING * 0.99 || self.on_trial {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -270,6 +270,25 @@
     Other,
 }
 
+/// The end of an attempt.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Ending {
+    /// Whose.
+    pub query: QueryId,
+    /// Which attempt, counted from 0.
+    pub attempt: usize,
+    /// How.
+    pub outcome: Outcome,
+    /// The query is over, by this or before.
+    pub last: bool,
+    /// Since it was sent.
+    pub took: Micros,
+    /// Work in seconds of one thread, where the answer tells.
+    pub billed_work: Option<f64>,
+    /// The engine's load.
+    pub report: Report,
+}
+
 /// What the module is told.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -295,22 +314,7 @@
         note: Note,
     },
     /// An attempt ended.
-    Ended {
-        /// Whose.
-        query: QueryId,
-        /// Which attempt, counted from 0.
-        attempt: usize,
-        /// How.
-        outcome: Outcome,
-        /// The query is over, by this or before.
-        last: bool,
-        /// Since it was sent.
-        took: Micros,
-        /// Work in seconds of one thread, where the answer tells.
-        billed_work: Option<f64>,
-        /// The engine's load.
-        report: Report,
-    },
+    Ended(Ending),
     /// The client left; nothing is owed.
     Departed(QueryId),
     /// A probe came back.
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,7 @@
 //! What a gateway keeps in mind: plain records, without decisions, tables or tuned values.
 
 use crate::interface::*;
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// One attempt of a query.
 #[derive(Debug)]
@@ -11,8 +11,12 @@
     /// Estimated work in thread-seconds, as booked to the engine's backlog.
     pub work: f64,
     pub heard: Micros,
+    /// Share done, as last told.
+    pub done: f64,
     pub outcome: Option<Outcome>,
     pub cancelled: bool,
+    /// Withdrawn for a bad plan.
+    pub bad_plan: bool,
 }
 
 /// A query that is not over, or has attempts out.
@@ -24,7 +28,6 @@
     pub over: bool,
     /// Beyond its tenant's allowance.
     pub excess: bool,
-    pub priority: u8,
 }
 
 impl Live {
@@ -61,6 +64,8 @@
     pub best_pace: f64,
     pub full_until: Micros,
     pub full_pause: i64,
+    /// Attempts in a row whose connection broke.
+    pub broken: u32,
     pub was_pressed: bool,
     pub failing: f64,
     pub aside_until: Micros,
@@ -70,7 +75,6 @@
     pub cold_since: Option<Micros>,
     pub sent_cold: VecDeque<(Micros, f64)>,
     pub warm: VecDeque<u64>,
-    pub probe_out: bool,
 }
 
 /// What is known of a class: decayed sums of work done, of hints, and of samples.
@@ -79,6 +83,9 @@
     pub work: f64,
     pub hints: f64,
     pub count: f64,
+    /// Bad plans that a fresh attempt cured, and those it did not.
+    pub cured: u32,
+    pub uncured: u32,
 }
 
 /// The line of queries of one key.
@@ -88,6 +95,45 @@
     pub rests_until: Micros,
 }
 
+impl Attempt {
+    /// An attempt just sent.
+    pub fn new(engine: EngineId, sent: Micros, work: f64) -> Self {
+        let (heard, done, outcome) = (sent, 0.0, None);
+        Attempt { engine, sent, work, heard, done, outcome, cancelled: false, bad_plan: false }
+    }
+}
+
+/// What a gateway counts and awaits.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    /// Arrivals and further attempts within the span of the attempt budget.
+    pub taken: VecDeque<Micros>,
+    pub extras: VecDeque<Micros>,
+    /// Queries taken and refused in this period, and the share refused in the last.
+    pub arrivals: f64,
+    pub refusals: f64,
+    pub refused_share: f64,
+    /// Whose timers run.
+    pub timers: BTreeMap<u64, QueryId>,
+    pub timers_set: u64,
+    pub sweeps: u32,
+    /// Failed subscriptions in a row, and the sweeps to the next one.
+    pub list_failures: u32,
+    pub subscribe_in: Option<u32>,
+    pub listed: bool,
+}
+
+impl Ledger {
+    /// Drops arrivals and further attempts from before a time.
+    pub fn forget_before(&mut self, from: Micros) {
+        for times in [&mut self.taken, &mut self.extras] {
+            while times.front().is_some_and(|t| *t < from) {
+                times.pop_front();
+            }
+        }
+    }
+}
+
 impl Engine {
     /// An engine of which nothing has been seen.
     pub fn new(entry: EngineEntry, cores: f64, memory_mb: f64, start: f64) -> Self {
@@ -111,6 +157,7 @@
             best_pace: 1.0,
             full_until: Micros(i64::MIN),
             full_pause: 1,
+            broken: 0,
             was_pressed: false,
             failing: 0.0,
             aside_until: Micros(i64::MIN),
@@ -120,7 +167,6 @@
             cold_since: None,
             sent_cold: VecDeque::new(),
             warm: VecDeque::new(),
-            probe_out: false,
         }
     }
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -283,7 +283,7 @@
                     _ => Note::Other,
                 },
             },
-            "done" => Event::Ended {
+            "done" => Event::Ended(Ending {
                 query: line.query_id()?,
                 attempt: line.number("leg")?,
                 outcome: outcome(line)?,
@@ -294,7 +294,7 @@
                     .filter(|used| *used > 0)
                     .map(|used| (used / 4096) as f64 / 1e3),
                 report: report(line)?,
-            },
+            }),
             "expired" => Event::Departed(line.query_id()?),
             "tick_due" => Event::TimerDue(line.number("handle")?),
             "status_back" => Event::Probed {
