--- /dev/null
+++ b/tests/failures.rs
@@ -0,0 +1,157 @@
+//! One small test for each failure found.
+
+mod common;
+use common::*;
+use wheelfield::interface::*;
+
+const BUSY: Report =
+    Report { utilisation: Some(1.5), in_flight: None, queue: Some(3.0), memory: None, disks: None };
+
+/// Incident i055f9d: a full engine looks free and turns hundreds away.
+#[test]
+fn a_full_engine_rests_before_it_is_tried_again() {
+    let mut rig = Rig::new(settings(vec![class(Effect::Repeatable)]), vec![engine(1)]);
+    let mut sends = 0;
+    for _ in 0..20 {
+        let (id, actions) = rig.arrive(0);
+        sends += sent(&actions).len();
+        if !sent(&actions).is_empty() {
+            sends += sent(&rig.end(id, 0, Outcome::Full)).len();
+        }
+    }
+    assert_eq!(sends, 1);
+    rig.now = rig.now + Micros::from_secs(1.0);
+    assert_eq!(sent(&rig.arrive(0).1).len(), 1);
+}
+
+/// Incident i055f9d: connections break everywhere, and every engine was thought cold.
+#[test]
+fn one_broken_connection_does_not_make_an_engine_cold() {
+    let mut rig = Rig::new(settings(vec![class(Effect::Repeatable)]), vec![engine(1)]);
+    let (broken, _) = rig.arrive(0);
+    let (other, _) = rig.arrive(0);
+    rig.tell(Event::Departed(broken));
+    rig.end(broken, 0, Outcome::Reset);
+    rig.end(other, 0, Outcome::Served);
+    let admitted = (0..60).filter(|_| !sent(&rig.arrive(0).1).is_empty()).count();
+    // The cold budget would hold 12.8 thread-seconds of 0.5 each, and less.
+    assert!(admitted > 14, "{admitted} admitted");
+}
+
+/// A process that died comes back cold, long before the list says so.
+#[test]
+fn a_refused_connection_makes_an_engine_cold() {
+    let mut rig = Rig::new(settings(vec![class(Effect::Repeatable)]), vec![engine(1)]);
+    let (id, _) = rig.arrive(0);
+    rig.end(id, 0, Outcome::ConnectFailed);
+    rig.now = rig.now + Micros::from_secs(1.1);
+    let (id, _) = rig.arrive(0);
+    rig.end(id, 0, Outcome::Served);
+    let admitted = (0..60).filter(|_| !sent(&rig.arrive(0).1).is_empty()).count();
+    assert!(admitted < 26, "{admitted} admitted");
+}
+
+/// Incidents i9505d2, ie0d6d2: an engine short of memory pages and all that runs there slows.
+#[test]
+fn a_paging_engine_gets_no_more_than_its_memory() {
+    for (pages, admitted) in [(true, false), (false, true)] {
+        let mut rig =
+            Rig::new(Settings { pages, ..settings(vec![class(Effect::Repeatable)]) }, vec![engine(1)]);
+        let report = Report { utilisation: Some(0.3), memory: Some(0.9), ..Report::default() };
+        let (first, _) = rig.arrive(0);
+        rig.arrive(0);
+        rig.end_with(first, 0, Outcome::Served, Micros(500_000), report);
+        let query = Query { memory_hint: Some(400.0), ..rig.query(0) };
+        assert_eq!(!sent(&rig.tell(Event::Arrived(query))).is_empty(), admitted);
+    }
+}
+
+/// Standard days of kigali-shared: attempts with a bad plan hold cores for 13 to 24 times their work.
+#[test]
+fn a_bad_plan_is_withdrawn_and_sent_anew_where_repeats_are_safe() {
+    for (effect, again) in [(Effect::Repeatable, true), (Effect::Once, false)] {
+        let mut rig = Rig::new(settings(vec![class(effect)]), vec![engine(1), engine(2)]);
+        let (id, _) = rig.arrive(0);
+        rig.now = rig.now + Micros::from_secs(1.0);
+        rig.tell(Event::Noted { query: id, attempt: 0, note: Note::Progress(0.05) });
+        let cancelled = rig.sweeps(1).contains(&Action::Cancel { query: id, attempt: 0 });
+        assert_eq!(cancelled, again);
+        if again {
+            assert_eq!(sent(&rig.end(id, 0, Outcome::Cancelled)).len(), 1);
+        }
+    }
+}
+
+/// Where fresh attempts are no better, dear queries are left alone.
+#[test]
+fn dear_queries_are_not_taken_for_bad_plans_for_ever() {
+    let mut rig = Rig::new(settings(vec![class(Effect::Repeatable)]), vec![engine(1), engine(2)]);
+    let mut resent = 0;
+    for _ in 0..6 {
+        let (id, _) = rig.arrive(0);
+        for attempt in 0..2 {
+            rig.now = rig.now + Micros::from_secs(0.8);
+            rig.tell(Event::Noted { query: id, attempt, note: Note::Progress(0.05) });
+            if rig.sweeps(1).contains(&Action::Cancel { query: id, attempt }) {
+                resent += 1;
+                rig.end(id, attempt, Outcome::Cancelled);
+            }
+        }
+        rig.tell(Event::Departed(id));
+        rig.end(id, 0, Outcome::Cancelled);
+        rig.end(id, 1, Outcome::Cancelled);
+    }
+    assert!((1..=3).contains(&resent), "{resent} resent");
+}
+
+/// A hang: an engine that gives no word is set aside, and what may run again goes elsewhere.
+#[test]
+fn a_silent_engine_is_left() {
+    let mut rig = Rig::new(settings(vec![class(Effect::Repeatable)]), vec![engine(1), engine(2)]);
+    let (id, first) = rig.arrive(0);
+    assert!(rig.sweeps(16).contains(&Action::Cancel { query: id, attempt: 0 }));
+    let again = rig.end(id, 0, Outcome::Cancelled);
+    assert_eq!(sent(&again).len(), 1);
+    assert_ne!(sent(&again), sent(&first));
+}
+
+/// Refusal is immediate under pressure once the bound is used up, and says when to come back.
+#[test]
+fn a_misfit_is_refused_at_once() {
+    let mut rig = Rig::new(settings(vec![class(Effect::Repeatable)]), vec![engine(1)]);
+    let (first, _) = rig.arrive(0);
+    rig.arrive(0);
+    rig.end_with(first, 0, Outcome::Served, Micros(500_000), BUSY);
+    // 2 threads a core, 8 cores, an aim of 1 s: 16 thread-seconds.
+    let query = Query { work_hint: Some(17.0), ..rig.query(0) };
+    let actions = rig.tell(Event::Arrived(query));
+    assert_eq!((refused(&actions), sent(&actions).len()), (1, 0));
+    assert!(actions.iter().any(|a| matches!(a, Action::Refuse { retry_after, .. } if retry_after.0 > 0)));
+    // Without pressure the same query enters.
+    let mut calm = Rig::new(settings(vec![class(Effect::Repeatable)]), vec![engine(1)]);
+    calm.arrive(0);
+    let query = Query { work_hint: Some(17.0), ..calm.query(0) };
+    assert_eq!(sent(&calm.tell(Event::Arrived(query))).len(), 1);
+}
+
+/// Settings that no site has: nothing optional, no classes, one attempt. Degrades plainly, never panics.
+#[test]
+fn bare_settings_do_no_harm() {
+    let mut rig = Rig::new(Settings::default(), vec![engine(1)]);
+    let (_, actions) = rig.arrive(3);
+    assert_eq!(failed(&actions), 1);
+    let mut bare = class(Effect::Repeatable);
+    bare.aim = Micros(0);
+    bare.threads = 0.0;
+    let mut rig =
+        Rig::new(Settings { classes: vec![bare], max_attempts: 1, ..Settings::default() }, vec![engine(1)]);
+    for _ in 0..50 {
+        let (id, actions) = rig.arrive(0);
+        rig.sweeps(3);
+        if !sent(&actions).is_empty() {
+            rig.end(id, 0, Outcome::Error);
+        }
+    }
+    rig.tell(Event::Noted { query: QueryId(9999), attempt: 7, note: Note::Progress(-1.0) });
+    rig.end(QueryId(9999), 3, Outcome::Served);
+}
