--- a/src/choice.rs
+++ b/src/choice.rs
@@ -224,9 +224,10 @@
 
     /// Share of an engine's memory that a query will take: its hint, else what the queries there take each.
     fn memory_share(&self, live: &Live, engine: &Engine) -> f64 {
+        let threads = self.settings.classes[live.query.class].threads;
         match (live.query.memory_hint, engine.report.memory, engine.report.in_flight) {
             (Some(mb), _, _) if engine.memory_mb > 0.0 => mb * USUAL_GRANT / engine.memory_mb,
-            (_, Some(m), Some(n)) if n >= 1.0 => m / n,
+            (_, Some(m), Some(n)) if n >= 1.0 => m / n * threads / engine.mean_threads(),
             _ => 0.0,
         }
     }
