--- a/src/choice.rs
+++ b/src/choice.rs
@@ -739,6 +739,7 @@
         for (id, work) in uncured {
             if let Some(live) = self.queries.get_mut(&id) {
                 live.work = work;
+                live.attempts.iter_mut().for_each(|a| a.bad_plan = false);
                 self.classes[live.query.class].uncured += 1;
             }
         }
