--- a/src/choice.rs
+++ b/src/choice.rs
@@ -321,7 +321,7 @@
                 if engine.full_until > now || !self.may_send(now, live, engine) {
                     continue;
                 }
-                let aside = engine.aside_until > now || (engine.on_trial && !engine.out.is_empty());
+                let aside = engine.aside_until > now || (engine.on_trial && now - engine.last_sent < PERIOD);
                 anyone_trusted |= !aside;
                 // With every engine set aside, one query at a time still goes to each: all of them failing
                 // may well have a cause that another engine does not cure.
@@ -490,6 +490,7 @@
         if engine.out.len() == 1 {
             engine.heard = now;
         }
+        engine.last_sent = now;
         engine.backlog += work;
         engine.threads_out += threads;
         engine.threads_since += threads;
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -173,3 +173,18 @@
     };
     assert!(admitted(9.0) < admitted(1.0), "{} and {}", admitted(9.0), admitted(1.0));
 }
+
+/// Incidents i9d57c6 and i055f9d: a stuck load kept an engine on trial, and unused, until its time-out.
+#[test]
+fn an_engine_on_trial_gets_a_query_though_something_is_stuck_there() {
+    let s = settings(vec![class(Effect::Once), class(Effect::Repeatable)]);
+    let mut rig = Rig::new(s, vec![engine(1), engine(2)]);
+    let (_, stuck) = rig.arrive(0);
+    rig.sweeps(9);
+    // Silence set the engine aside; two seconds after it is tried again, the stuck attempt still out.
+    rig.now = rig.now + Micros::from_secs(3.0);
+    let tried = (0..40).any(|_| sent(&rig.arrive(1).1) == sent(&stuck));
+    assert!(tried);
+    let again = (0..40).any(|_| sent(&rig.arrive(1).1) == sent(&stuck));
+    assert!(!again, "one query a period while on trial");
+}
--- /dev/null
+++ b/tests/transcripts.rs
@@ -0,0 +1,105 @@
+//! The adapter on the wire, as a process.
+
+use std::io::Write;
+use std::process::{Command, Output, Stdio};
+
+fn host(input: &str) -> Output {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_wheelfield-wirehost"))
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the adapter starts");
+    child.stdin.take().expect("piped").write_all(input.as_bytes()).expect("the adapter reads");
+    child.wait_with_output().expect("the adapter ends at the end of input")
+}
+
+fn reply(input: &str) -> String {
+    let output = host(input);
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    String::from_utf8(output.stdout).expect("text")
+}
+
+const ENV: &str = r#"env={"balancers":1,"grades":[{"name":"read","effect":"repeatable","on_time_us":1000000,"give_up_us":5000000,"gain":1.0}],"skus":["m"],"zones":["z"],"family_info":{"cpu_of_kind":[8],"parallelism":[1]},"ceilings":{"cancel":true,"send_cap":3},"unheard_of":[1]}"#;
+
+fn start(instance: u32) -> String {
+    format!(
+        "for controller={instance}\nup rng_seed=5 {ENV}\nlist bank=0 records=1\n\
+         entry model=m executor=e1 locality=z readiness=up bay=0 rating=1\nfleet mode=restored version=1 bank=0\n"
+    )
+}
+
+const QUERY: &str = "query job=00000000000000ff tier_class=read due_us=9000000 data_group=1 estimate_us=1000";
+
+#[test]
+fn an_empty_batch_gets_an_empty_reply() {
+    assert_eq!(reply("batch sim_time_us=1\nflush\n\nbatch sim_time_us=2\nflush\n"), "done\ndone\n");
+}
+
+#[test]
+fn a_query_is_sent_and_its_late_end_ignored() {
+    let input = format!(
+        "batch sim_time_us=4000000\n{}{QUERY}\nflush\nbatch sim_time_us=4100000\nfor controller=3\n\
+         done job=00000000000000ff code=done last=1 executor=e1 rtt_us=9 leg=0 health_info=cpu_share:0.5\n\
+         expired job=00000000000000ff\nnews from=afar\nflush\n",
+        start(3)
+    );
+    let text = reply(&input);
+    assert!(text.contains("context controller=3\n"), "{text}");
+    assert_eq!(text.matches("submit_to job=00000000000000ff executor=e1 ").count(), 1, "{text}");
+    assert!(text.ends_with("done\ndone\n"), "{text}");
+}
+
+#[test]
+fn a_restart_in_one_batch_forgets_everything() {
+    let fresh = format!("batch sim_time_us=4000000\n{}flush\n", start(3));
+    let again = format!("batch sim_time_us=4000000\n{}{QUERY}\nhalt\n{}flush\n", start(3), start(3));
+    assert_eq!(reply(&fresh), reply(&again));
+}
+
+#[test]
+fn a_list_number_is_reused_and_resolved_in_order() {
+    let input = format!(
+        "batch sim_time_us=4000000\n{}list bank=0 records=1\nentry model=m executor=e2 locality=z readiness=up bay=0\n\
+         for controller=4\nup rng_seed=5 {ENV}\nfleet mode=replace version=2 bank=0\n{QUERY}\nflush\n",
+        start(3)
+    );
+    assert!(reply(&input).contains("executor=e2"));
+}
+
+#[test]
+fn several_instances_act_as_if_alone() {
+    let alone = reply(&format!("batch sim_time_us=4000000\n{}{QUERY}\nflush\n", start(3)));
+    let both =
+        reply(&format!("batch sim_time_us=4000000\n{}{QUERY}\n{}{QUERY}\nflush\n", start(3), start(7)));
+    assert_eq!(
+        both,
+        format!("{}{}", alone.trim_end_matches("done\n"), alone.replace("controller=3", "controller=7"))
+    );
+}
+
+#[test]
+fn malformed_lines_are_named_and_end_the_adapter() {
+    let begun = format!("batch sim_time_us=4000000\n{}", start(3));
+    let cases = [
+        ("flush\n".to_string(), "line 1: expected a 'batch' line"),
+        ("batch sim_time_us=soon\n".to_string(), "'sim_time_us' is not a number"),
+        ("batch sim_time_us=1\nquery job=1\n".to_string(), "expected a 'for' line"),
+        (format!("{begun}query job=12\n"), "16 hex digits"),
+        (format!("{begun}{QUERY} oops\n"), "expected name=value"),
+        (
+            format!("{begun}query job=00000000000000ff tier_class=other due_us=1\n"),
+            "a class not in the settings",
+        ),
+        (format!("{begun}fleet mode=replace version=1 bank=9\n"), "no list numbered 9"),
+        (format!("{begun}list bank=1 records=1\nflush\n"), "expected an 'entry' line"),
+        ("batch sim_time_us=1\nfor controller=1\nup rng_seed=1 env={\n".to_string(), "not JSON"),
+        ("batch sim_time_us=1\n".to_string(), "input ended inside a batch"),
+    ];
+    for (input, message) in cases {
+        let output = host(&input);
+        let error = String::from_utf8_lossy(&output.stderr);
+        assert!(!output.status.success(), "{input}");
+        assert!(error.contains(message) && !error.contains("panicked"), "{error} for {message}");
+    }
+}
