--- a/src/choice.rs
+++ b/src/choice.rs
@@ -100,7 +100,7 @@
             classes: settings.classes.iter().map(view).collect(),
             keys: BTreeMap::new(),
             tenant_credit: settings.allowances.iter().map(|a| a / settings.gateways).collect(),
-            ledger: Ledger::default(),
+            ledger: Ledger { share: 1.0 / settings.gateways, ..Ledger::default() },
             settings,
         }
     }
@@ -116,10 +116,9 @@
                 }
             }
             Event::EngineList(entries) => {
-                for engine in self.engines.values_mut() {
-                    if !entries.iter().any(|e| e.engine == engine.entry.engine) {
-                        engine.entry.status = Status::Removed;
-                    }
+                let listed = |e: &&mut Engine| entries.iter().any(|x| x.engine == e.entry.engine);
+                for engine in self.engines.values_mut().filter(|e| !listed(e)) {
+                    engine.entry.status = Status::Removed;
                 }
                 self.update_list(now, entries);
             }
@@ -160,8 +159,7 @@
 
     fn update_list(&mut self, now: Micros, entries: Vec<EngineEntry>) {
         let aim = self.settings.classes.iter().map(|c| c.aim.secs()).fold(0.0, f64::max);
-        let known_before = self.ledger.listed;
-        self.ledger.listed = true;
+        let known_before = std::mem::replace(&mut self.ledger.listed, true);
         self.ledger.list_failures = 0;
         for entry in entries {
             let cores = self.settings.cores.get(entry.kind).copied().unwrap_or(1.0).max(1.0);
@@ -217,7 +215,7 @@
     }
 
     fn herd(&self) -> f64 {
-        self.settings.gateways.sqrt()
+        (1.0 / self.ledger.share.max(1.0 / self.settings.gateways)).sqrt()
     }
 
     /// Share of an engine's memory that is granted, as reported plus what was sent since.
@@ -681,6 +679,15 @@
                 out.push(Action::Probe(engine.entry.engine));
             }
         }
+        // Our part of the threads that run, as far as reports tell: a gateway that carries most of the
+        // traffic must not take itself for many.
+        let told = self.engines.values().filter(|e| e.report_is_fresh(now));
+        let (own, all) = told
+            .filter_map(|e| Some((e, e.report.utilisation?)))
+            .fold((0.0, 0.0), |sum, (e, u)| (sum.0 + e.threads_out, sum.1 + e.threads_out.max(u * e.cores)));
+        if all > 0.0 {
+            self.ledger.share += NEWEST * (own / all - self.ledger.share);
+        }
         self.ledger.refused_share = self.ledger.refusals / self.ledger.arrivals.max(1.0);
         (self.ledger.refusals, self.ledger.arrivals) = (0.0, 0.0);
         for (credit, allowance) in self.tenant_credit.iter_mut().zip(&self.settings.allowances) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -114,6 +114,8 @@
     pub arrivals: f64,
     pub refusals: f64,
     pub refused_share: f64,
+    /// Our part of the threads that the engines report, running mean.
+    pub share: f64,
     /// Whose timers run.
     pub timers: BTreeMap<u64, QueryId>,
     pub timers_set: u64,
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -188,3 +188,30 @@
     let again = (0..40).any(|_| sent(&rig.arrive(1).1) == sent(&stuck));
     assert!(!again, "one query a period while on trial");
 }
+
+/// Incident i742f49: with other gateways gone, this one carries all, and must not take itself for many.
+#[test]
+fn a_gateway_that_carries_all_the_traffic_admits_more() {
+    let admitted = |busy: f64| {
+        let s = Settings { gateways: 9.0, ..settings(vec![class(Effect::Repeatable)]) };
+        let mut rig = Rig::new(s, vec![engine(1)]);
+        let report = Report { utilisation: Some(busy), ..Report::default() };
+        // One query of ours is always out; the report tells how much runs there beside it.
+        let (mut out, _) = rig.arrive(0);
+        for i in 0..12 {
+            let (next, _) = rig.arrive(0);
+            let told = Report { utilisation: Some(busy + f64::from(i) * 1e-6), ..report };
+            rig.end_with(out, 0, Outcome::Served, Micros(500_000), told);
+            out = next;
+            rig.sweeps(4);
+        }
+        let query = |rig: &mut Rig| Query { work_hint: Some(3.0), ..rig.query(0) };
+        let fits = |rig: &mut Rig| {
+            let query = query(rig);
+            !sent(&rig.tell(Event::Arrived(query))).is_empty()
+        };
+        (0..100).take_while(|_| fits(&mut rig)).count()
+    };
+    // One thread of eight is ours alone, or one of four times as many.
+    assert!(admitted(0.125) > admitted(0.5) + 1, "{} and {}", admitted(0.125), admitted(0.5));
+}
