Order by key is gated in one place

Taking each guard of may_send out by hand showed every rule test fail but that of order, whose guard stood twice. Now turn_comes alone decides, for arrival, release and send; the test fails without either half of it.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -288,22 +288,20 @@
         let class = &self.settings.classes[query.class];
         let work = self.estimate(&query);
         let line = query.key.clone().filter(|_| class.in_order);
-        let due = query.due;
         self.queries.insert(id, Live { query, work, attempts: Vec::new(), over: false, excess });
         if let Some(key) = line {
             let line = self.keys.entry(key).or_default();
             line.waiting.push_back(id);
-            if line.waiting.len() > 1 || line.rests_until > now {
-                let wake = if line.waiting.len() > 1 { due } else { line.rests_until.min(due) };
-                self.wake(now, id, wake, out);
-                return;
-            }
         }
         self.place(now, id, out);
     }
 
     /// Sends a query to an engine drawn among those it fits, or answers it at once.
     fn place(&mut self, now: Micros, id: QueryId, out: &mut Vec<Action>) {
+        let held = self.queries.get(&id).filter(|l| now < l.query.due);
+        if let Some(at) = held.and_then(|l| self.turn_comes(now, l)) {
+            return self.wake(now, id, at, out);
+        }
         match self.choose(now, id) {
             Some(engine) if self.send(now, id, engine, out) => {}
             _ => self.give_up(now, id, out),
@@ -431,11 +429,8 @@
             }
         }
         // Rule 5: order by key.
-        if let Some(key) = live.query.key.as_ref().filter(|_| class.in_order && first) {
-            let line = self.keys.get(key);
-            if !line.is_some_and(|l| l.waiting.front() == Some(&live.query.id) && l.rests_until <= now) {
-                return false;
-            }
+        if self.turn_comes(now, live).is_some() {
+            return false;
         }
         // Rule 7: the budget of further attempts.
         if !first && !self.budget_left(now) {
@@ -618,12 +613,7 @@
         line.waiting.retain(|q| *q != id);
         match line.waiting.front().copied() {
             Some(next) if self.queries.get(&next).is_some_and(|l| l.attempts.is_empty()) => {
-                let rest = line.rests_until;
-                if rest > now {
-                    self.wake(now, next, rest, out);
-                } else {
-                    self.place(now, next, out);
-                }
+                self.place(now, next, out);
             }
             None if line.rests_until <= now => {
                 self.keys.remove(&key);
@@ -641,17 +631,22 @@
     }
 
     fn held_due(&mut self, now: Micros, id: QueryId, out: &mut Vec<Action>) {
-        let Some(live) = self.queries.get(&id).filter(|l| !l.over && l.attempts.is_empty()) else { return };
-        let due = live.query.due;
-        let line = live.query.key.as_ref().and_then(|k| self.keys.get(k));
-        let (first, rest) = line.map_or((true, now), |l| (l.waiting.front() == Some(&id), l.rests_until));
-        if now >= due || (first && rest <= now) {
+        if self.queries.get(&id).is_some_and(|l| !l.over && l.attempts.is_empty()) {
             self.place(now, id, out);
-        } else {
-            self.wake(now, id, if first { rest.min(due) } else { due }, out);
         }
     }
 
+    /// When to look again for a query that keeps the order of its key; none once its turn has come.
+    fn turn_comes(&self, now: Micros, live: &Live) -> Option<Micros> {
+        let in_order = self.settings.classes[live.query.class].in_order && live.attempts.is_empty();
+        let line = live.query.key.as_ref().filter(|_| in_order).and_then(|key| self.keys.get(key))?;
+        let due = live.query.due;
+        if line.waiting.front() != Some(&live.query.id) {
+            return Some(due);
+        }
+        (line.rests_until > now).then_some(line.rests_until.min(due))
+    }
+
     // --- each quarter period: silence, the controller, the list ---
 
     fn sweep(&mut self, now: Micros, out: &mut Vec<Action>) {
