--- /dev/null
+++ b/tests/draw.rs
@@ -0,0 +1,53 @@
+//! The draw among fitting engines.
+
+mod common;
+use common::*;
+use wheelfield::interface::*;
+
+/// Sends to each of two engines over 300 queries, each served before the next comes, with the given reports.
+fn shares(utilisation: [Option<f64>; 2], s: Settings) -> [usize; 2] {
+    let mut rig = Rig::new(s, vec![engine(1), EngineEntry { zone: 1, ..engine(2) }]);
+    let mut sends = [0, 0];
+    for i in 0..300 {
+        let (id, actions) = rig.arrive(0);
+        let to = (sent(&actions)[0].0 - 1) as usize;
+        sends[to] += 1;
+        // A little noise, as a report that does not change is no new one.
+        let report =
+            Report { utilisation: utilisation[to].map(|u| u + f64::from(i) * 1e-6), ..Report::default() };
+        rig.end_with(id, 0, Outcome::Served, Micros(500_000), report);
+    }
+    sends
+}
+
+#[test]
+fn the_draw_leans_to_the_engine_reported_less_busy_and_still_uses_both() {
+    let s = || settings(vec![class(Effect::Repeatable)]);
+    let [idle, busy] = shares([Some(0.2), Some(0.6)], s());
+    assert!(idle > 3 * busy && busy > 0, "{idle} and {busy}");
+    let [a, b] = shares([Some(0.4), Some(0.4)], s());
+    assert!(a.min(b) > 100, "{a} and {b}");
+}
+
+#[test]
+fn the_draw_leans_to_the_own_zone_by_what_crossing_costs() {
+    let s = |cross_zone_price| Settings {
+        zone: Some(0),
+        cross_zone_price,
+        ..settings(vec![class(Effect::Repeatable)])
+    };
+    let [_, across] = shares([Some(0.4), Some(0.4)], s(0.0));
+    let [_, dear] = shares([Some(0.4), Some(0.4)], s(0.04));
+    assert!(across > 2 * dear && dear > 0, "{across} and {dear}");
+}
+
+#[test]
+fn without_reports_the_draw_goes_by_outstanding_sends() {
+    let mut rig = Rig::new(settings(vec![class(Effect::Repeatable)]), vec![engine(1), engine(2)]);
+    let mut out = [0usize, 0];
+    for _ in 0..14 {
+        let (_, actions) = rig.arrive(0);
+        out[(sent(&actions)[0].0 - 1) as usize] += 1;
+    }
+    assert!(out[0].abs_diff(out[1]) <= 4, "{out:?}");
+}
