--- a/src/choice.rs
+++ b/src/choice.rs
@@ -665,14 +665,20 @@
                 out.push(Action::Subscribe);
             }
         }
-        if !self.ledger.sweeps.is_multiple_of(SWEEPS_PER_PERIOD) {
+        // Guards against late reports by probe: under pressure they admit or refuse wrongly.
+        let whole = self.ledger.sweeps.is_multiple_of(SWEEPS_PER_PERIOD);
+        let probing =
+            self.settings.probes && self.settings.reports_by_probe && self.ledger.sweeps.is_multiple_of(2);
+        for engine in self.engines.values().filter(|e| probing && e.entry.status == Status::Up) {
+            if whole || engine.was_pressed {
+                out.push(Action::Probe(engine.entry.engine));
+            }
+        }
+        if !whole {
             return;
         }
         for engine in self.engines.values_mut() {
             engine.control();
-            if self.settings.probes && self.settings.reports_by_probe && engine.entry.status == Status::Up {
-                out.push(Action::Probe(engine.entry.engine));
-            }
         }
         // Our part of the threads that run, as far as reports tell: a gateway that carries most of the
         // traffic must not take itself for many.
