--- a/src/choice.rs
+++ b/src/choice.rs
@@ -40,8 +40,11 @@
 const FULL_RESTS: [(i64, i64); 2] = [(1, 16), (16, 64)];
 /// Of the sum of many small bounds so much is used: queries spread unevenly, and the fullest engine jams.
 const POOLED: f64 = 0.3;
-/// A report counts in full for so many periods.
-const FRESH: u32 = 2;
+/// A report counts in full for so many periods; below one query a share, if better or worse than the mean:
+/// an idle engine is soon found by others, a jam outlasts its report.
+const FRESH: f64 = 2.0;
+const FRESH_GOOD: f64 = 0.5;
+const FRESH_BAD: f64 = 5.0;
 /// Each send since a report is reckoned with at most so many times.
 const MOST_HERD: f64 = 2.5;
 /// Levels of the nine fuzzy sets run from -TOP to TOP (NVL to PVL).
@@ -232,15 +235,22 @@
         (told + self.herd() * engine.threads_since / engine.cores).max(engine.threads_out / engine.cores)
     }
 
-    /// A figure of an engine's report, which counts in full for two periods and ever less from then on; the
+    /// A figure of an engine's report, which counts in full for some periods and ever less from then on; the
     /// rest is the mean over all engines. Guards against a gateway that hears of an engine too seldom taking
     /// it for idle or, by its own one query, for full. It may hurt where the engines differ much.
     fn aged(&self, engine: &Engine, now: Micros, mean: f64, figure: impl Fn(&Report) -> Option<f64>) -> f64 {
-        let fresh = f64::from(FRESH) * PERIOD.secs();
-        let trust = |at: Option<Micros>| at.map_or(0.0, |at| fresh / (now - at).secs().max(fresh));
+        let trust =
+            |at: Option<Micros>, fresh: f64| at.map_or(0.0, |at| fresh / (now - at).secs().max(fresh));
         // The mean fades too, when nothing of ours is out: a gateway that admits nothing hears nothing.
-        let mean = mean * trust(self.ledger.told);
-        figure(&engine.report).map_or(mean, |told| mean + trust(engine.reported) * (told - mean))
+        let mean = mean * trust(self.ledger.told, FRESH * PERIOD.secs());
+        figure(&engine.report).map_or(mean, |told| {
+            let fresh = match self.ledger.around.scarce {
+                false => FRESH,
+                true if told < mean => FRESH_GOOD,
+                true => FRESH_BAD,
+            };
+            mean + trust(engine.reported, fresh * PERIOD.secs()) * (told - mean)
+        })
     }
 
     /// How many of each send since a report to reckon with. Guards against the herd on a late report: the
--- a/tests/signals.rs
+++ b/tests/signals.rs
@@ -49,3 +49,53 @@
     assert!(admitted(16.0, false) < 15, "{}", admitted(16.0, false));
     assert!(admitted(10.0, true) < 15, "{}", admitted(10.0, true));
 }
+
+fn draws_to_first(rig: &mut Rig, n: usize) -> usize {
+    let mut draw = || {
+        let (id, actions) = rig.arrive(0);
+        let to = sent(&actions);
+        rig.end(id, 0, Outcome::Served);
+        to == [EngineId(1)]
+    };
+    (0..n).filter(|_| draw()).count()
+}
+
+/// montevideo-carga, big-2: engines full at twice their memory showed their cores idle and drew the most.
+/// Holds against whatever keeps cores idle while queries pile up.
+#[test]
+fn an_engine_with_idle_cores_and_no_memory_left_is_not_idle() {
+    let report = |utilisation, memory| Report {
+        utilisation: Some(utilisation),
+        memory: Some(memory),
+        ..Report::default()
+    };
+    let mut rig = Rig::new(many(1.0), engines(2));
+    let word = |n, report| Word { engine: EngineId(n), report };
+    rig.tell(Event::Told(vec![word(1, report(0.3, 2.2)), word(2, report(0.8, 0.6))]));
+    let to_jammed = draws_to_first(&mut rig, 200);
+    assert!(to_jammed < 20, "{to_jammed} of 200 to the jammed engine");
+}
+
+/// montevideo-carga, big-2: of what 300 gateways heard of an engine seconds ago, 'idle' was no longer true, but
+/// 'jammed' was. Where a share is below one query, bad news counts longer than good.
+#[test]
+fn of_old_reports_the_bad_ones_count_longer() {
+    let load = |u: f64| Report { utilisation: Some(u), ..Report::default() };
+    let draws = |first: f64, rest: f64| {
+        let mut rig = Rig::new(many(200.0), engines(4));
+        let word = |n: u64, u| Word { engine: EngineId(n), report: load(u) };
+        rig.tell(Event::Told(vec![word(1, first)]));
+        rig.now = rig.now + Micros::from_secs(4.0);
+        for i in 0..60 {
+            let u = rest + f64::from(i) * 1e-6;
+            rig.tell(Event::Told((2..=4).map(|n| word(n, u)).collect()));
+        }
+        draws_to_first(&mut rig, 400)
+    };
+    // An even draw of four sends 100 to each; at its word an idle engine would get 300 and a busy one 10.
+    let (idle, busy) = (draws(0.1, 0.5), draws(0.9, 0.3));
+    assert!(
+        (100..200).contains(&idle) && busy < 25,
+        "{idle} to the one once idle, {busy} to the one once busy"
+    );
+}
