Where engines let in what they have no memory for, the few not under pressure take their part of the draws only

Engines not under pressure asked no bound. Now they take one and a half times their part of the capacity out of all draws, the rest must fit the pooled bound. It may hurt where gateways disagree much on which engines are under pressure.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -127,6 +127,8 @@
     pub memory_mb: Vec<f64>,
     /// Share of an engine's memory one query gets at most.
     pub max_grant_share: f64,
+    /// Short of memory, an engine lets queries wait in its line.
+    pub waits: bool,
     /// Short of memory, an engine lets queries in and all run much slower.
     pub pages: bool,
     /// Memory grants are heeded.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -184,6 +184,7 @@
             cores: reals(&info["cpu_of_kind"]),
             memory_mb: reals(&info["memory_by_kind_mb"]),
             max_grant_share: real(&info["max_grant_share"]),
+            waits: info["when_short"] == "wait",
             pages: info["when_short"] == "page",
             grants: flag(&info["grants"]),
             priorities: flag(&info["lanes_count"]),
--- a/tests/many.rs
+++ b/tests/many.rs
@@ -86,7 +86,8 @@
 #[test]
 fn where_news_are_shared_idle_engines_are_not_rushed() {
     let refused_of = |peers: bool| {
-        let mut rig = Rig::new(Settings { peers, reports_by_probe: true, ..many(200.0) }, engines(20));
+        let mut rig =
+            Rig::new(Settings { peers, waits: !peers, reports_by_probe: true, ..many(200.0) }, engines(20));
         rig.sweeps(1);
         for i in 0..40 {
             let report = Report { utilisation: Some(4.0 + f64::from(i) * 1e-6), ..PRESSED };
--- a/tests/signals.rs
+++ b/tests/signals.rs
@@ -99,3 +99,26 @@
         "{idle} to the one once idle, {busy} to the one once busy"
     );
 }
+
+/// montevideo-carga, i5dcb0d: with most engines jammed all gateways leapt on the three that had just warmed up,
+/// and jammed them too. Where engines let in what they have no memory for, the few engines not under pressure
+/// take their part of the draws. Where queries wait in line for memory, an engine is not slowed and takes all.
+#[test]
+fn the_last_engines_not_under_pressure_are_not_sent_everything() {
+    let admitted = |waits: bool, pressed: u64| {
+        let mut rig = Rig::new(Settings { waits, ..many(4000.0) }, engines(30));
+        let calm = Report { utilisation: Some(0.5), memory: Some(0.5), ..Report::default() };
+        let jammed = Report { memory: Some(2.0), ..calm };
+        let report = |n| if n <= pressed { jammed } else { calm };
+        rig.tell(Event::Told((1..=30).map(|n| Word { engine: EngineId(n), report: report(n) }).collect()));
+        let mut admit = || {
+            let (id, actions) = rig.arrive(0);
+            rig.end(id, 0, Outcome::Served);
+            !sent(&actions).is_empty()
+        };
+        (0..100).filter(|_| admit()).count()
+    };
+    let few = admitted(false, 27);
+    assert!((5..35).contains(&few), "{few} of 100 to the last three");
+    assert_eq!((admitted(false, 5), admitted(true, 27)), (100, 100));
+}
