Where engines report, a few slow runs are no pressure to a share below one query; calm engines take just their part

An assumption that fitted few gateways only: that a period brings an engine enough samples of ours. With it engines not under pressure take their part of the draws, not one and a half times it, and in-hand reports are busy from 2.5 threads a core. It may hurt where reports are wrong while work is slow.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -40,8 +40,6 @@
 const FULL_RESTS: [(i64, i64); 2] = [(1, 16), (16, 64)];
 /// Of the sum of many small bounds so much is used: queries spread unevenly, and the fullest engine jams.
 const POOLED: f64 = 0.3;
-/// Of all draws, engines not under pressure take so many times their part of the capacity.
-const CALM: f64 = 1.5;
 /// A report counts in full for so many periods; below one query a share, if better or worse than the mean:
 /// an idle engine is soon found by others, a jam outlasts its report.
 const FRESH: f64 = 2.0;
@@ -64,7 +62,7 @@
 /// An engine whose report comes to this load is busy.
 const BUSY: f64 = 1.0;
 /// Where utilisation is not told, so many threads a core are busy: a part of each waits for the disks.
-const BUSY_THREADS: f64 = 2.0;
+const BUSY_THREADS: f64 = 2.5;
 /// So much of the disks or the memory is pressure; less where a share is below one query, as news come late.
 const NEARLY_FULL: f64 = 0.95;
 const NEARLY_FULL_SCARCE: f64 = 0.8;
@@ -284,12 +282,14 @@
         }
     }
 
-    /// Whether the bound binds: latency far above its best, a busy report, or a full refusal.
+    /// Whether the bound binds: latency far above its best, a busy report, or a full refusal. Of the few runs
+    /// that a share below one query brings, best and mean are chance: where engines report, reports tell.
     fn pressed(&self, engine: &Engine, now: Micros) -> bool {
         let report = engine.fresh_report(now);
         let over = |x: Option<f64>, limit: f64| x.is_some_and(|x| x >= limit);
         let memory = if self.ledger.around.scarce { NEARLY_FULL_SCARCE } else { NEARLY_FULL };
-        engine.pace > FAR_ABOVE_BEST * engine.best_pace
+        let slow = engine.pace > FAR_ABOVE_BEST * engine.best_pace;
+        (slow && !(self.ledger.around.scarce && self.settings.reports))
             || self.load(engine, now) >= self.busy()
             || over(report.queue, 1.0)
             || over(report.disks, NEARLY_FULL)
@@ -391,7 +391,7 @@
             (_, true) if !self.settings.waits => {
                 let able = |e: &&Engine| e.full_until <= now && !self.pressed(e, now);
                 let cores = |sum: f64, e: &Engine| sum + e.cores * self.warmth(e, now);
-                CALM * up().filter(able).fold(0.0, cores) / up().fold(0.0, cores).max(1e-6)
+                up().filter(able).fold(0.0, cores) / up().fold(0.0, cores).max(1e-6)
             }
             _ => 1.0,
         };
