--- a/src/choice.rs
+++ b/src/choice.rs
@@ -40,6 +40,9 @@
 const FULL_RESTS: [(i64, i64); 2] = [(1, 16), (16, 64)];
 /// Of the sum of many small bounds so much is used: queries spread unevenly, and the fullest engine jams.
 const POOLED: f64 = 0.3;
+/// Of all draws, engines not under pressure take so many times the square of their part of the capacity: all
+/// while few are under pressure, hardly any when most are.
+const CALM: f64 = 1.5;
 /// A report counts in full for so many periods; below one query a share, if better or worse than the mean:
 /// an idle engine is soon found by others, a jam outlasts its report.
 const FRESH: f64 = 2.0;
@@ -391,7 +394,8 @@
             (_, true) if !self.settings.waits => {
                 let able = |e: &&Engine| e.full_until <= now && !self.pressed(e, now);
                 let cores = |sum: f64, e: &Engine| sum + e.cores * self.warmth(e, now);
-                up().filter(able).fold(0.0, cores) / up().fold(0.0, cores).max(1e-6)
+                let part = up().filter(able).fold(0.0, cores) / up().fold(0.0, cores).max(1e-6);
+                CALM * part * part
             }
             _ => 1.0,
         };
