Where engines report nothing, the pace of our own runs stands in for their mean load

Notes that queries wait for memory or spill were dropped. Now the pace of served runs, of progress notes, and those two notes make a mean load of all engines, two fifths of the pace, and at most six fifths. The wire tells a wait for memory from one behind a load. Other deployments report and are not touched.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -71,6 +71,8 @@
 const NEARLY_FULL_SCARCE: f64 = 0.8;
 /// An engine this much slower than its best is under pressure.
 const FAR_ABOVE_BEST: f64 = 3.0;
+/// The load that a run at the pace of its estimate stands for, where engines report nothing.
+const LOAD_OF_PACE: f64 = 0.4;
 /// Of a run time told by progress, so much is relied on: early progress is rough.
 const SURELY: f64 = 0.6;
 /// An attempt that by its own pace takes this many times its estimate has a bad plan.
@@ -278,11 +280,7 @@
 
     /// The load from which an engine is busy.
     fn busy(&self) -> f64 {
-        if self.settings.reports_utilisation {
-            BUSY
-        } else {
-            BUSY_THREADS
-        }
+        [BUSY, BUSY_THREADS][usize::from(self.settings.reports && !self.settings.reports_utilisation)]
     }
 
     /// Whether the bound binds: latency far above its best, a busy report, or a full refusal. Of the few runs
@@ -561,13 +559,22 @@
     // --- the life of an attempt ---
 
     fn noted(&mut self, now: Micros, id: QueryId, attempt: usize, note: Note) {
-        let Some(a) = self.queries.get_mut(&id).and_then(|l| l.attempts.get_mut(attempt)) else { return };
+        let Some(live) = self.queries.get_mut(&id) else { return };
+        let threads = self.settings.classes[live.query.class].threads;
+        let work = live.work.max(1e-3);
+        let Some(a) = live.attempts.get_mut(attempt) else { return };
         a.heard = now;
         if let Note::Progress(share) = note {
             a.done = share;
         }
+        let pace = match note {
+            Note::Progress(share) if share > 0.0 => Some((now - a.sent).secs() / share * threads / work),
+            Note::WaitsForMemory | Note::Spills(_) => Some(FAR_ABOVE_BEST),
+            _ => None,
+        };
         if let Some(engine) = self.engines.get_mut(&a.engine) {
             engine.heard = now;
+            self.ledger.infer(now, pace.filter(|_| !self.settings.reports));
         }
     }
 
@@ -598,7 +605,9 @@
             match outcome {
                 Outcome::Served => {
                     engine.sample(took.secs() / aim.secs().max(1e-3), booked);
-                    engine.ran_at(took.secs() * threads / work.max(1e-3));
+                    let pace = took.secs() * threads / work.max(1e-3);
+                    self.ledger.infer(now, Some(pace).filter(|_| !self.settings.reports));
+                    engine.ran_at(pace);
                     engine.well(now);
                 }
                 Outcome::TimedOut if !cancelled => {
@@ -858,6 +867,18 @@
     }
 }
 
+impl Ledger {
+    /// Where engines report nothing, the pace of our own runs stands in for their mean load. Guards against taking
+    /// jammed engines for idle, and their run times for work. It may hurt where estimates are far off.
+    fn infer(&mut self, now: Micros, pace: Option<f64>) {
+        if let Some(pace) = pace {
+            let load = pace.min(FAR_ABOVE_BEST) * LOAD_OF_PACE;
+            self.mean_load += NEWEST * (load - self.mean_load);
+            self.told = Some(now);
+        }
+    }
+}
+
 impl Engine {
     /// The last report, or nothing told once it is old.
     fn fresh_report(&self, now: Micros) -> Report {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -287,8 +287,10 @@
     Progress(f64),
     /// It spills, for want of so many MB.
     Spills(f64),
-    /// It waits for memory or behind a load.
-    Waits,
+    /// It waits for memory.
+    WaitsForMemory,
+    /// It stands still behind a load.
+    WaitsForLoad,
     /// Some other word.
     Other,
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -287,7 +287,8 @@
                 note: match (line.number::<i64>("sort")?, line.real("x")?.unwrap_or(0.0)) {
                     (1, x) => Note::Progress(x),
                     (2, x) => Note::Spills(x),
-                    (3, _) => Note::Waits,
+                    (3, x) if x < 2.0 => Note::WaitsForMemory,
+                    (3, _) => Note::WaitsForLoad,
                     _ => Note::Other,
                 },
             },
--- a/tests/signals.rs
+++ b/tests/signals.rs
@@ -140,3 +140,33 @@
     };
     assert!(admitted(true) > 2 * admitted(false), "{} and {}", admitted(true), admitted(false));
 }
+
+/// reykjavik-bookings: engines that report nothing were taken for idle, and run times from jammed engines for the
+/// work of queries. How our own runs fare stands in for the mean of all engines. Holds against whatever slows all.
+#[test]
+fn where_engines_report_nothing_our_own_runs_tell_the_load() {
+    let refused_after = |reports: bool, note: Note| {
+        let mut rig = Rig::new(Settings { reports, waits: true, ..many(4000.0) }, engines(30));
+        for _ in 0..25 {
+            let (query, actions) = rig.arrive(0);
+            rig.now = rig.now + Micros(500_000);
+            if !sent(&actions).is_empty() {
+                rig.tell(Event::Noted { query, attempt: 0, note });
+                rig.tell(Event::Departed(query));
+                rig.end(query, 0, Outcome::Cancelled);
+            }
+        }
+        (0..20).map(|_| refused(&rig.arrive(0).1)).sum::<usize>()
+    };
+    // 0.5 s of work: half done after 0.5 s is a pace of 2, a twentieth one of 20.
+    for (note, jam) in [
+        (Note::Progress(0.5), false),
+        (Note::WaitsForLoad, false),
+        (Note::Progress(0.05), true),
+        (Note::WaitsForMemory, true),
+        (Note::Spills(10.0), true),
+    ] {
+        let (bare, reported) = (refused_after(false, note), refused_after(true, note));
+        assert_eq!((bare > 10, reported), (jam, 0), "{note:?}: {bare} refused");
+    }
+}
