--- a/src/choice.rs
+++ b/src/choice.rs
@@ -868,8 +868,8 @@
 }
 
 impl Ledger {
-    /// Where engines report nothing, the pace of our own runs stands in for their mean load. Guards against taking
-    /// jammed engines for idle, and their run times for work. It may hurt where estimates are far off.
+    /// Where engines report nothing, the pace of our own runs stands in for their mean load. Guards against
+    /// taking jammed engines for idle, and their run times for work. It may hurt where estimates are far off.
     fn infer(&mut self, now: Micros, pace: Option<f64>) {
         if let Some(pace) = pace {
             let load = pace.min(FAR_ABOVE_BEST) * LOAD_OF_PACE;
