--- a/src/choice.rs
+++ b/src/choice.rs
@@ -236,7 +236,9 @@
 
     /// Threads a core: as reported, drawn toward the mean of all engines as the report ages, plus sent since.
     fn load(&self, engine: &Engine, now: Micros) -> f64 {
-        let told = self.aged(engine, now, self.ledger.mean_load, |r| r.load(engine));
+        let threads = self.aged(engine, now, self.ledger.mean_load, |r| r.load(engine));
+        // Guards against taking a jammed engine for idle: its cores idle while what it holds lacks memory.
+        let told = if self.ledger.around.scarce { threads.max(self.memory(engine, now)) } else { threads };
         (told + self.herd() * engine.threads_since / engine.cores).max(engine.threads_out / engine.cores)
     }
 
@@ -569,7 +571,7 @@
         }
         let pace = match note {
             Note::Progress(share) if share > 0.0 => Some((now - a.sent).secs() / share * threads / work),
-            Note::WaitsForMemory | Note::Spills(_) => Some(FAR_ABOVE_BEST),
+            Note::WaitsForMemory => Some(FAR_ABOVE_BEST),
             _ => None,
         };
         if let Some(engine) = self.engines.get_mut(&a.engine) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -177,11 +177,9 @@
 }
 
 impl Report {
-    /// Threads a core, as told or counted by the queries in hand, or the share of memory granted if that is more.
+    /// Threads a core, as told or counted by the queries in hand.
     pub fn load(&self, engine: &Engine) -> Option<f64> {
-        let threads =
-            self.utilisation.or(self.in_flight.map(|n| n * engine.mean_threads() / engine.cores))?;
-        Some(threads.max(self.memory.unwrap_or(0.0)))
+        self.utilisation.or(self.in_flight.map(|n| n * engine.mean_threads() / engine.cores))
     }
 }
 
