--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -51,6 +51,26 @@
         ("no notes", Settings { note_every: Micros(0), gateways: 90.0, ..s() }, 5),
         ("no cancel", Settings { cancel: false, gateways: 90.0, ..s() }, 5),
         ("no cold figures", Settings { fall_span: Micros(0), fall_multiple: 0.0, ..s() }, 5),
+        ("no reports", Settings { reports: false, gateways: 90.0, ..s() }, 5),
+        ("no utilisation in reports", Settings { reports_utilisation: false, gateways: 90.0, ..s() }, 5),
+        ("no retry-after", Settings { max_retry_after: Micros(0), gateways: 90.0, ..s() }, 5),
+        ("queries wait for memory", Settings { waits: true, gateways: 90.0, ..s() }, 5),
+        ("priorities and grants", Settings { priorities: true, grants: true, ..s() }, 5),
+        (
+            "hardly any signal or means",
+            Settings {
+                reports: false,
+                reports_utilisation: false,
+                cancel: false,
+                note_every: Micros(0),
+                max_retry_after: Micros(0),
+                memory_mb: Vec::new(),
+                gateways: 300.0,
+                index: 299.0,
+                ..s()
+            },
+            5,
+        ),
         ("probes without price", Settings { probes: true, reports_by_probe: true, peers: true, ..s() }, 5),
         ("no cores known", Settings { cores: Vec::new(), memory_mb: Vec::new(), pages: true, ..s() }, 5),
     ];
