--- a/src/choice.rs
+++ b/src/choice.rs
@@ -251,11 +251,8 @@
         // The mean fades too, when nothing of ours is out: a gateway that admits nothing hears nothing.
         let mean = mean * trust(self.ledger.told, FRESH * PERIOD.secs());
         figure(&engine.report).map_or(mean, |told| {
-            let fresh = match self.ledger.around.scarce {
-                false => FRESH,
-                true if told < mean => FRESH_GOOD,
-                true => FRESH_BAD,
-            };
+            let known = if told < mean { FRESH_GOOD } else { FRESH_BAD };
+            let fresh = if self.ledger.around.scarce { known } else { FRESH };
             mean + trust(engine.reported, fresh * PERIOD.secs()) * (told - mean)
         })
     }
@@ -437,6 +434,7 @@
         let drawn = if shared { self.room(engine, now) } else { (0.1 + load).powi(-3) };
         let mut weight = capacity * drawn / (engine.pace / engine.best_pace).max(0.5);
         weight *= (1.0 - engine.failing).powi(4);
+        weight *= self.cold_budget(now, engine).map_or(1.0, |(_, draws_for)| draws_for);
         if self.settings.zone.is_some_and(|z| z != engine.entry.zone) {
             weight /= 1.0 + 100.0 * self.settings.cross_zone_price;
         }
@@ -487,19 +485,9 @@
             return false;
         }
         // Rule 4: the cold budget.
-        let warmth = self.warmth(engine, now);
-        if warmth < 1.0 && s.fall_multiple > 0.0 {
-            const SLACK: f64 = 0.9;
-            let all = s.fall_multiple * warmth * engine.cores * s.fall_span.secs() * SLACK;
-            let mut budget = all / s.gateways;
-            if budget < self.ledger.around.heaviest && s.gateways > MANY {
-                // A share below one query: the gateways take turns of a span, half the budget in each, as
-                // any span may touch two of them.
-                let takers = (all / 2.0 / self.ledger.around.heaviest).floor().max(1.0);
-                budget = if self.my_turn(engine, now, takers) { all / 2.0 / takers } else { 0.0 };
-            }
-            let from = now - s.fall_span;
-            let sent: f64 = engine.sent_cold.iter().filter(|(t, _)| *t >= from).map(|(_, w)| w).sum();
+        if let Some((budget, _)) = self.cold_budget(now, engine) {
+            let lately = engine.sent_cold.iter().filter(|(t, _)| *t >= now - s.fall_span);
+            let sent: f64 = lately.map(|(_, w)| w).sum();
             if sent + self.mean_work(live.query.class).max(live.work.min(budget)) > budget {
                 return false;
             }
@@ -507,6 +495,21 @@
         true
     }
 
+    /// What we may send in a span to a cold engine, and for how many gateways we draw, lest it stand idle:
+    /// equal shares or, below one query, turns of a span with half the budget, as any span may touch two.
+    fn cold_budget(&self, now: Micros, engine: &Engine) -> Option<(f64, f64)> {
+        const SLACK: f64 = 0.9;
+        let s = &self.settings;
+        let warmth = Some(self.warmth(engine, now)).filter(|w| *w < 1.0 && s.fall_multiple > 0.0)?;
+        let all = s.fall_multiple * warmth * engine.cores * s.fall_span.secs() * SLACK;
+        if all / s.gateways >= self.ledger.around.heaviest || s.gateways <= MANY {
+            return Some((all / s.gateways, 1.0));
+        }
+        let takers = (all / 2.0 / self.ledger.around.heaviest).floor().max(1.0);
+        let part = (all / 2.0 / takers, s.gateways / takers);
+        Some(if self.my_turn(engine, now, takers) { part } else { (0.0, 1.0) })
+    }
+
     /// Whether it is our turn at an engine: in each span so many gateways have theirs, by their index.
     fn my_turn(&self, engine: &Engine, now: Micros, takers: f64) -> bool {
         let span = self.settings.fall_span.0.max(1);
@@ -562,21 +565,21 @@
 
     fn noted(&mut self, now: Micros, id: QueryId, attempt: usize, note: Note) {
         let Some(live) = self.queries.get_mut(&id) else { return };
-        let threads = self.settings.classes[live.query.class].threads;
-        let work = live.work.max(1e-3);
+        let (threads, work) = (self.settings.classes[live.query.class].threads, live.work.max(1e-3));
         let Some(a) = live.attempts.get_mut(attempt) else { return };
         a.heard = now;
         if let Note::Progress(share) = note {
             a.done = share;
         }
         let pace = match note {
+            _ if self.settings.reports => None,
             Note::Progress(share) if share > 0.0 => Some((now - a.sent).secs() / share * threads / work),
             Note::WaitsForMemory => Some(FAR_ABOVE_BEST),
             _ => None,
         };
         if let Some(engine) = self.engines.get_mut(&a.engine) {
             engine.heard = now;
-            self.ledger.infer(now, pace.filter(|_| !self.settings.reports));
+            pace.into_iter().for_each(|pace| self.ledger.infer(now, pace));
         }
     }
 
@@ -608,7 +611,9 @@
                 Outcome::Served => {
                     engine.sample(took.secs() / aim.secs().max(1e-3), booked);
                     let pace = took.secs() * threads / work.max(1e-3);
-                    self.ledger.infer(now, Some(pace).filter(|_| !self.settings.reports));
+                    if !self.settings.reports {
+                        self.ledger.infer(now, pace);
+                    }
                     engine.ran_at(pace);
                     engine.well(now);
                 }
@@ -872,12 +877,9 @@
 impl Ledger {
     /// Where engines report nothing, the pace of our own runs stands in for their mean load. Guards against
     /// taking jammed engines for idle, and their run times for work. It may hurt where estimates are far off.
-    fn infer(&mut self, now: Micros, pace: Option<f64>) {
-        if let Some(pace) = pace {
-            let load = pace.min(FAR_ABOVE_BEST) * LOAD_OF_PACE;
-            self.mean_load += NEWEST * (load - self.mean_load);
-            self.told = Some(now);
-        }
+    fn infer(&mut self, now: Micros, pace: f64) {
+        self.mean_load += NEWEST * (pace.min(FAR_ABOVE_BEST) * LOAD_OF_PACE - self.mean_load);
+        self.told = Some(now);
     }
 }
 
--- a/tests/many.rs
+++ b/tests/many.rs
@@ -140,6 +140,28 @@
     }
 }
 
+/// montevideo-carga, i22fa3d: a zone came back cold and got a hundredth of the sends, as a gateway with its turn
+/// hardly ever drew it among the warm engines. Who has its turn draws for the others, within the same budget.
+#[test]
+fn a_cold_engine_is_used_beside_warm_ones() {
+    let (gateways, steps) = (100usize, 60);
+    let (mut to_cold, mut all) = (0, 0);
+    for i in 0..gateways {
+        let s = Settings { index: i as f64, ..many(gateways as f64) };
+        let cold = EngineEntry { started: Some(Micros::from_secs(100.0)), ..engine(1) };
+        let mut rig = Rig::new(s, std::iter::once(cold).chain((2..=20).map(engine)).collect());
+        for step in 0..steps {
+            rig.now = Micros::from_secs(100.0 + f64::from(step) * 0.1);
+            let (id, actions) = rig.arrive(0);
+            let to = sent(&actions);
+            (to_cold, all) = (to_cold + usize::from(to == [EngineId(1)]), all + to.len());
+            rig.end(id, 0, Outcome::Served);
+        }
+    }
+    // Eleven turns of one query in each of three spans; without drawing for others hardly any is used.
+    assert!((25..60).contains(&to_cold) && all == gateways * 60, "{to_cold} of {all}");
+}
+
 /// Incident i89d783: look-ups were refused for memory that only reports could have overrun.
 #[test]
 fn when_memory_is_nearly_gone_small_queries_still_get_in() {
