Less of the pooled bound is used where an overfull engine jams: 0.15 for 0.3, unless queries wait for memory

It should hold against any overload that nothing can be withdrawn from; it may hurt in short bursts.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -38,8 +38,8 @@
 const TRIERS: f64 = 4.0;
 /// First and longest rest of a full engine, in sixteenths of a period; then for a share below one query.
 const FULL_RESTS: [(i64, i64); 2] = [(1, 16), (16, 64)];
-/// Of the sum of many small bounds so much is used: queries spread unevenly, and the fullest engine jams.
-const POOLED: f64 = 0.3;
+/// Of the sum of many small bounds so much is used, as the fullest engine jams; more if queries can wait.
+const POOLED: [f64; 2] = [0.15, 0.3];
 /// Of all draws, engines not under pressure take so many times the square of their part of the capacity: all
 /// while few are under pressure, hardly any when most are.
 const CALM: f64 = 1.5;
@@ -380,7 +380,8 @@
         let up = || self.engines.values().filter(|e| e.entry.status == Status::Up);
         let heaviest = self.classes.iter().map(|v| v.work / v.count).fold(0.0, f64::max);
         let scarce = up().any(|e| e.start < heaviest);
-        let slack = up().map(|e| POOLED * e.bound - e.backlog).sum();
+        let pooled = POOLED[usize::from(self.settings.waits)];
+        let slack = up().map(|e| pooled * e.bound - e.backlog).sum();
         // What comes meanwhile: what the engines can end or, in a storm of retries, our draws everywhere.
         let ends = self.ledger.turnover * up().map(|e| e.cores).sum::<f64>();
         let comes = ends.max(self.ledger.rate * self.settings.gateways * self.ledger.stay);
@@ -401,8 +402,7 @@
 
     /// d(t) + n <= d_t(k), asked only under pressure, and never of the only query we have there.
     fn fits(&self, now: Micros, live: &Live, engine: &Engine) -> bool {
-        // A share below one query: the bounds are one, and what is left of it admits a query at that chance.
-        // Guards against every gateway putting one query on every engine.
+        // Guards against each gateway putting a query on each engine: the bounds are one and admit by draw.
         let around = &self.ledger.around;
         // Where a short engine pages, one query too many slows all that run there, and the bound on work is
         // blind to memory. It may hurt where memory is granted but not used.
