--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -126,3 +126,29 @@
 pub fn failed(actions: &[Action]) -> usize {
     actions.iter().filter(|a| matches!(a, Action::Fail { .. })).count()
 }
+
+/// One repeatable class and so many gateways.
+pub fn many(gateways: f64) -> Settings {
+    Settings { gateways, ..settings(vec![class(Effect::Repeatable)]) }
+}
+
+/// So many engines that have long been up.
+pub fn engines(n: u64) -> Vec<EngineEntry> {
+    (1..=n).map(engine).collect()
+}
+
+/// Another gateway tells the same of the first `n` engines.
+pub fn told(n: u64, report: Report) -> Event {
+    Event::Told((1..=n).map(|e| Word { engine: EngineId(e), report }).collect())
+}
+
+/// How many of `n` queries, each served at once, go to the first engine.
+pub fn draws_to_first(rig: &mut Rig, n: usize) -> usize {
+    let mut draw = || {
+        let (id, actions) = rig.arrive(0);
+        let to = sent(&actions);
+        rig.end(id, 0, Outcome::Served);
+        to == [EngineId(1)]
+    };
+    (0..n).filter(|_| draw()).count()
+}
--- a/tests/many.rs
+++ b/tests/many.rs
@@ -7,18 +7,6 @@
 const PRESSED: Report =
     Report { utilisation: Some(1.5), in_flight: None, queue: None, memory: None, disks: None };
 
-fn many(gateways: f64) -> Settings {
-    Settings { gateways, ..settings(vec![class(Effect::Repeatable)]) }
-}
-
-fn engines(n: u64) -> Vec<EngineEntry> {
-    (1..=n).map(engine).collect()
-}
-
-fn told(n: u64, report: Report) -> Event {
-    Event::Told((1..=n).map(|e| Word { engine: EngineId(e), report }).collect())
-}
-
 /// aarhus-main-later big-2: every gateway put one query on every engine, and the bound bound nowhere.
 #[test]
 fn under_pressure_the_bounds_hold_where_a_share_is_below_one_query() {
@@ -39,15 +27,6 @@
     let mut rig = Rig::new(many(200.0), engines(2));
     rig.tell(Event::Told(vec![Word { engine: EngineId(1), report: PRESSED }]));
     let calm = Report { utilisation: Some(0.2), ..PRESSED };
-    let sends_to_first = |rig: &mut Rig| {
-        let to_first = |_: &usize| {
-            let (id, actions) = rig.arrive(0);
-            let to = sent(&actions);
-            rig.end(id, 0, Outcome::Served);
-            to == [EngineId(1)]
-        };
-        (0..200usize).filter(to_first).count()
-    };
     let fresh = |rig: &mut Rig| {
         for i in 0..40 {
             let report = Report { utilisation: Some(0.2 + f64::from(i) * 1e-6), ..calm };
@@ -55,10 +34,10 @@
         }
     };
     fresh(&mut rig);
-    let at_once = sends_to_first(&mut rig);
+    let at_once = draws_to_first(&mut rig, 200);
     rig.now = rig.now + Micros::from_secs(30.0);
     fresh(&mut rig);
-    let later = sends_to_first(&mut rig);
+    let later = draws_to_first(&mut rig, 200);
     assert!(at_once < 5 && later > 15, "{at_once} at once, {later} later");
 }
 
--- a/tests/signals.rs
+++ b/tests/signals.rs
@@ -4,18 +4,6 @@
 use common::*;
 use wheelfield::interface::*;
 
-fn many(gateways: f64) -> Settings {
-    Settings { gateways, ..settings(vec![class(Effect::Repeatable)]) }
-}
-
-fn engines(n: u64) -> Vec<EngineEntry> {
-    (1..=n).map(engine).collect()
-}
-
-fn told(n: u64, report: Report) -> Event {
-    Event::Told((1..=n).map(|e| Word { engine: EngineId(e), report }).collect())
-}
-
 /// vysledky-druzstvo, quiet day and rough-2: without notes attempts timed out at half the time left, though the
 /// engines run on what nobody waits for; the repeats jammed them. Holds against any repeat of work still running.
 #[test]
@@ -50,16 +38,6 @@
     assert!(admitted(10.0, true) < 15, "{}", admitted(10.0, true));
 }
 
-fn draws_to_first(rig: &mut Rig, n: usize) -> usize {
-    let mut draw = || {
-        let (id, actions) = rig.arrive(0);
-        let to = sent(&actions);
-        rig.end(id, 0, Outcome::Served);
-        to == [EngineId(1)]
-    };
-    (0..n).filter(|_| draw()).count()
-}
-
 /// montevideo-carga, big-2: engines full at twice their memory showed their cores idle and drew the most.
 /// Holds against whatever keeps cores idle while queries pile up.
 #[test]
