--- a/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,11 +15,10 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-#[doc = include_str!("../README.md")]
+#[doc = include_str!("../../../README.md")]
 #[cfg(doctest)]
 pub struct ReadmeDoctests;
 
 pub mod choice;
 pub mod interface;
 mod state;
-pub mod wire;
--- a/src/bin/wheelfield-wirehost.rs
+++ b/crates/wirehost/src/main.rs
@@ -1,10 +1,12 @@
 //! Hosts many instances of the decision module on the simulator's wire, standard input to standard output.
 
+mod wire;
+
 use std::collections::BTreeMap;
 use std::io::{BufRead, Write};
 use wheelfield::choice::Gateway;
 use wheelfield::interface::{Action, Event, Micros};
-use wheelfield::wire::{Line, ListEntry, Names};
+use wire::{Line, ListEntry, Names};
 
 struct Instance {
     names: Names,
--- a/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -1,9 +1,9 @@
 //! Reading and printing the wire. No decision is made here and no figure of the mechanism stands here.
 
-use crate::interface::*;
 use base64::{engine::general_purpose::STANDARD, Engine as _};
 use serde_json::Value;
 use std::collections::BTreeMap;
+use wheelfield::interface::*;
 
 /// The parts of one line: its first word and its `name=value` fields.
 pub struct Line<'a> {
