driver: the one path to the module, with the books of what is out

Need: controller, replay and checks must decide alike, so the numbers, timers and books stand in one place without I/O. Change: inputs from the wire become the module's events, its actions become instructions; endings of settled attempts are dropped by number; what no byte was written of is taken back when its engine drains, known not to have run; an answer that broke after its first row is a failure.

--- /dev/null
+++ b/crates/driver/src/lib.rs
@@ -0,0 +1,490 @@
+//! The one path to the decision module, for the controller, the replay and every checker.
+//!
+//! A [`Driver`] owns one [`Gateway`] and the books around it: the numbers of queries and attempts, the timers, the
+//! seed, what is out and what was answered. It is told what happened on the wire as [`Input`]s, turns them into the
+//! module's events, and turns the module's actions into [`Instruction`]s. It reads no clock, does no I/O and decides
+//! nothing: where a query goes, whether it is tried again and how it is given up is the module's.
+//!
+//! What the driver does by itself is arithmetic that has one answer only:
+//!
+//! - an ending that names an attempt already settled is dropped, by number;
+//! - an attempt whose time is up is settled as timed out (as never connected, if not a byte of it was written);
+//! - an attempt not yet on the wire when its engine drains or goes is taken back, known not to have run;
+//! - an answer that broke after its first row went to the client is a failure, as nothing else is left.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod books;
+
+pub use books::{AttemptId, Counts};
+
+use books::{Books, Settled, Wake};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use wheelfield::choice::Gateway;
+use wheelfield::interface::{
+    Action, Ending, EngineEntry, EngineId, Event, Micros, Note, Outcome, Query, QueryId, Report, Settings,
+    Status, Word,
+};
+
+/// Memory and priority of an attempt.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Terms {
+    /// Memory grant in MB; zero leaves it to the engine.
+    pub grant_mb: f64,
+    /// 0 to 3; 1 is usual.
+    pub priority: u8,
+}
+
+impl Default for Terms {
+    fn default() -> Self {
+        Terms { grant_mb: 0.0, priority: 1 }
+    }
+}
+
+/// A query as the wire hands it in; its number is given by the driver.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Arrival {
+    /// Its class, by position in the settings.
+    pub class: usize,
+    /// Its tenant, by position, where there are any.
+    pub tenant: Option<usize>,
+    /// The key whose order it keeps.
+    pub key: Option<String>,
+    /// When it must have its answer.
+    pub due: Micros,
+    /// Estimated work in seconds of one thread.
+    pub work_hint: Option<f64>,
+    /// Estimated memory in MB.
+    pub memory_hint: Option<f64>,
+    /// The group of tables that it reads or writes.
+    pub tables: u64,
+}
+
+/// Something that happened outside.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Input {
+    /// The controller starts; comes first, once.
+    Started,
+    /// The engine list: whole, or the changed lines alone.
+    Engines {
+        /// An engine that is missing is gone.
+        whole: bool,
+        /// The lines.
+        entries: Vec<EngineEntry>,
+    },
+    /// The engine list could not be had.
+    ListUnavailable,
+    /// The first byte of an attempt is about to be written.
+    Dispatched(AttemptId),
+    /// The first byte of its answer is about to go to the client.
+    Began(AttemptId),
+    /// Word on an attempt.
+    Noted(AttemptId, Note),
+    /// An attempt ended on the wire.
+    Ended {
+        /// Which.
+        attempt: AttemptId,
+        /// How.
+        outcome: Outcome,
+        /// Work in seconds of one thread, where the answer tells.
+        billed_work: Option<f64>,
+        /// The engine's load, where told.
+        report: Report,
+    },
+    /// The client left, or withdrew its query: no answer is owed.
+    Departed(QueryId),
+    /// A probe came back.
+    Probed {
+        /// From.
+        engine: EngineId,
+        /// How it went.
+        outcome: Outcome,
+        /// The engine's load.
+        report: Report,
+    },
+    /// Another controller tells of engines.
+    Told(Vec<Word>),
+}
+
+/// A final answer that the wire must give. A served query needs none: its rows are the answer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Answer {
+    /// Nothing of it ran, or repeats do no harm: trying again is harmless.
+    Refused {
+        /// When to come back; zero for no advice.
+        retry_after: Micros,
+    },
+    /// Nothing is promised.
+    Failed {
+        /// An attempt of it may have run.
+        may_have_run: bool,
+    },
+    /// The answer broke off after its first row had gone to the client.
+    Broken,
+}
+
+/// Something to be done outside.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Instruction {
+    /// Start an attempt. Tell `Dispatched` as its first byte is written.
+    Start {
+        /// Which.
+        attempt: AttemptId,
+        /// Where.
+        engine: EngineId,
+        /// On which terms.
+        terms: Terms,
+    },
+    /// Change the terms of an attempt that is out.
+    SetTerms(AttemptId, Terms),
+    /// Withdraw an attempt: end it at the engine if it was written, forget it if not.
+    Withdraw(AttemptId),
+    /// Give a query its final answer, at once.
+    Answer(QueryId, Answer),
+    /// Probe an engine.
+    Probe(EngineId),
+    /// Tell all other controllers.
+    Tell(Vec<Word>),
+    /// Ask for the changes of the engine list.
+    Subscribe,
+    /// A line for the operators.
+    Log(String),
+}
+
+/// The driver holds as many queries as it may.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Crowded;
+
+/// What the driver itself is bounded by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    /// Queries held at once; one more is [`Crowded`].
+    pub queries: usize,
+    /// A withdrawn attempt that the engine does not confirm is settled after this.
+    pub withdraw_wait: Micros,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Bounds { queries: 20_000, withdraw_wait: Micros(250_000) }
+    }
+}
+
+/// One module with its books.
+#[derive(Debug)]
+pub struct Driver {
+    gateway: Gateway,
+    books: Books,
+    engines: BTreeMap<EngineId, Status>,
+    bounds: Bounds,
+    events: VecDeque<Event>,
+    actions: Vec<Action>,
+    counts: Counts,
+}
+
+impl Driver {
+    /// A driver around a fresh module. The same settings, seed and inputs give the same instructions.
+    pub fn new(settings: Settings, seed: u64, bounds: Bounds) -> Self {
+        Driver {
+            gateway: Gateway::new(settings, seed),
+            books: Books::default(),
+            engines: BTreeMap::new(),
+            bounds,
+            events: VecDeque::new(),
+            actions: Vec::new(),
+            counts: Counts::default(),
+        }
+    }
+
+    /// Takes a query. Its number is the answer; what is to be done for it is appended to `out`.
+    ///
+    /// # Errors
+    /// [`Crowded`] when as many queries are held as the bounds allow; the query was not taken then.
+    pub fn arrive(
+        &mut self,
+        now: Micros,
+        arrival: Arrival,
+        out: &mut Vec<Instruction>,
+    ) -> Result<QueryId, Crowded> {
+        if self.books.held() >= self.bounds.queries {
+            self.counts.crowded += 1;
+            return Err(Crowded);
+        }
+        let id = self.books.open(arrival.due);
+        self.counts.taken += 1;
+        let Arrival { class, tenant, key, due, work_hint, memory_hint, tables } = arrival;
+        self.events.push_back(Event::Arrived(Query {
+            id,
+            class,
+            tenant,
+            key,
+            due,
+            work_hint,
+            memory_hint,
+            tables,
+        }));
+        self.run(now, out);
+        Ok(id)
+    }
+
+    /// Takes one input and appends what is to be done.
+    pub fn tell(&mut self, now: Micros, input: Input, out: &mut Vec<Instruction>) {
+        match input {
+            Input::Started => self.events.push_back(Event::Started),
+            Input::Engines { whole, entries } => self.engines_changed(now, whole, entries, out),
+            Input::ListUnavailable => self.events.push_back(Event::ListUnavailable),
+            Input::Dispatched(attempt) => self.books.dispatched(attempt),
+            Input::Began(attempt) => {
+                if self.books.begin(attempt) {
+                    self.events.push_back(Event::AnswerBegan(attempt.query));
+                }
+            }
+            Input::Noted(attempt, note) => {
+                if self.books.is_out(attempt) {
+                    self.events.push_back(Event::Noted {
+                        query: attempt.query,
+                        attempt: attempt.number,
+                        note,
+                    });
+                }
+            }
+            Input::Ended { attempt, outcome, billed_work, report } => {
+                self.ended(now, attempt, outcome, billed_work, report, out);
+            }
+            Input::Departed(query) => {
+                if self.books.answer(query) {
+                    self.counts.departed += 1;
+                    self.events.push_back(Event::Departed(query));
+                }
+            }
+            Input::Probed { engine, outcome, report } => {
+                self.events.push_back(Event::Probed { engine, outcome, report });
+            }
+            Input::Told(words) => {
+                let known = |w: &Word| self.engines.contains_key(&w.engine);
+                let words: Vec<Word> = words.into_iter().filter(known).collect();
+                self.events.push_back(Event::Told(words));
+            }
+        }
+        self.run(now, out);
+    }
+
+    /// When [`Driver::due`] is next wanted.
+    pub fn next_due(&self) -> Option<Micros> {
+        self.books.next_due()
+    }
+
+    /// Lets the time pass: timers that ran out, attempts whose time is up, withdrawals without an echo.
+    /// A timer asked for meanwhile waits for the next call, however short it is.
+    pub fn due(&mut self, now: Micros, out: &mut Vec<Instruction>) {
+        for wake in self.books.ripe(now) {
+            match wake {
+                Wake::Module(token) => self.events.push_back(Event::TimerDue(token)),
+                Wake::Limit(attempt) => {
+                    if self.books.is_out(attempt) && !self.books.began(attempt) {
+                        let written = self.books.written(attempt);
+                        let outcome = if written { Outcome::TimedOut } else { Outcome::ConnectFailed };
+                        out.push(Instruction::Withdraw(attempt));
+                        self.ended(now, attempt, outcome, None, Report::default(), out);
+                    }
+                }
+                Wake::Unconfirmed(attempt) => {
+                    if self.books.is_out(attempt) {
+                        self.ended(now, attempt, Outcome::Cancelled, None, Report::default(), out);
+                    }
+                }
+            }
+            self.run(now, out);
+        }
+    }
+
+    /// Whether an attempt still counts: it was started and has had no outcome. The wire asks before it writes
+    /// the attempt, and before it lets any byte of its answer through to the client.
+    pub fn is_out(&self, attempt: AttemptId) -> bool {
+        self.books.is_out(attempt)
+    }
+
+    /// Whether an attempt's answer may go to the client: it is out and its query has had no answer.
+    pub fn may_answer(&self, attempt: AttemptId) -> bool {
+        self.books.may_answer(attempt)
+    }
+
+    /// Whether an attempt may be written: it is out, not withdrawn, and its engine takes work.
+    pub fn may_write(&self, attempt: AttemptId) -> bool {
+        let up = |e: EngineId| self.engines.get(&e) == Some(&Status::Up);
+        self.books.engine_to_write(attempt).is_some_and(up)
+    }
+
+    /// Whether a query waits for its final answer.
+    pub fn owes(&self, query: QueryId) -> bool {
+        self.books.owes(query)
+    }
+
+    /// When a query must have its answer; none once it is forgotten.
+    pub fn due_of(&self, query: QueryId) -> Option<Micros> {
+        self.books.due_of(query)
+    }
+
+    /// Queries held, answered ones with an attempt out among them.
+    pub fn held(&self) -> usize {
+        self.books.held()
+    }
+
+    /// What was counted since the start.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Whether the list has named an engine.
+    pub fn knows(&self, engine: EngineId) -> bool {
+        self.engines.contains_key(&engine)
+    }
+
+    fn engines_changed(
+        &mut self,
+        now: Micros,
+        whole: bool,
+        entries: Vec<EngineEntry>,
+        out: &mut Vec<Instruction>,
+    ) {
+        let named: BTreeSet<EngineId> = entries.iter().map(|e| e.engine).collect();
+        for (engine, status) in &mut self.engines {
+            if whole && !named.contains(engine) {
+                *status = Status::Removed;
+            }
+        }
+        for entry in &entries {
+            self.engines.insert(entry.engine, entry.status);
+        }
+        let gone = |e: &EngineId| self.engines.get(e) != Some(&Status::Up);
+        let back = self.books.unwritten_at(gone);
+        self.events.push_back(if whole { Event::EngineList(entries) } else { Event::EngineChanges(entries) });
+        for attempt in back {
+            out.push(Instruction::Withdraw(attempt));
+            self.settle(now, attempt, Outcome::Skipped, None, Report::default(), out);
+        }
+    }
+
+    fn ended(
+        &mut self,
+        now: Micros,
+        attempt: AttemptId,
+        outcome: Outcome,
+        billed_work: Option<f64>,
+        report: Report,
+        out: &mut Vec<Instruction>,
+    ) {
+        if self.books.is_out(attempt) {
+            self.settle(now, attempt, outcome, billed_work, report, out);
+        } else {
+            self.counts.late += 1;
+        }
+    }
+
+    fn settle(
+        &mut self,
+        now: Micros,
+        attempt: AttemptId,
+        outcome: Outcome,
+        billed_work: Option<f64>,
+        report: Report,
+        out: &mut Vec<Instruction>,
+    ) {
+        let Some(Settled { sent, began, owed }) = self.books.settle(attempt, outcome) else { return };
+        let mut last = !owed;
+        if owed && outcome == Outcome::Served {
+            self.books.answer(attempt.query);
+            self.counts.served += 1;
+            last = true;
+        } else if owed && began {
+            self.books.answer(attempt.query);
+            self.counts.failed += 1;
+            out.push(Instruction::Answer(attempt.query, Answer::Broken));
+            last = true;
+        }
+        let took = (now - sent).max(Micros(0));
+        let (query, attempt) = (attempt.query, attempt.number);
+        self.events.push_back(Event::Ended(Ending {
+            query,
+            attempt,
+            outcome,
+            last,
+            took,
+            billed_work,
+            report,
+        }));
+    }
+
+    /// Hands the module what waits, and carries out what it answers.
+    fn run(&mut self, now: Micros, out: &mut Vec<Instruction>) {
+        while let Some(event) = self.events.pop_front() {
+            let about = match &event {
+                Event::Ended(e) => Some(e.query),
+                Event::Departed(q) => Some(*q),
+                _ => None,
+            };
+            let mut actions = std::mem::take(&mut self.actions);
+            self.gateway.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.carry_out(now, action, out);
+            }
+            self.actions = actions;
+            if let Some(query) = about {
+                self.books.close(query);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, now: Micros, action: Action, out: &mut Vec<Instruction>) {
+        match action {
+            Action::Send { query, engine, time_out } => {
+                if let Some((attempt, terms)) = self.books.start(now, query, engine, time_out) {
+                    self.counts.attempts += 1;
+                    self.counts.further += u64::from(attempt.number > 0);
+                    out.push(Instruction::Start { attempt, engine, terms });
+                }
+            }
+            Action::Terms { query, grant_mb, priority } => {
+                let terms = Terms { grant_mb, priority };
+                self.books.set_terms(query, terms);
+                for attempt in self.books.written_out(query) {
+                    out.push(Instruction::SetTerms(attempt, terms));
+                }
+            }
+            Action::Cancel { query, attempt: number } => {
+                let attempt = AttemptId { query, number };
+                if !self.books.withdraw(attempt, now + self.bounds.withdraw_wait) {
+                    return;
+                }
+                out.push(Instruction::Withdraw(attempt));
+                if !self.books.written(attempt) {
+                    self.settle(now, attempt, Outcome::Skipped, None, Report::default(), out);
+                }
+            }
+            Action::Refuse { query, retry_after } => {
+                if self.books.answer(query) {
+                    self.counts.refused += 1;
+                    out.push(Instruction::Answer(query, Answer::Refused { retry_after }));
+                }
+            }
+            Action::Fail { query } => {
+                if self.books.answer(query) {
+                    self.counts.failed += 1;
+                    let may_have_run = self.books.may_have_run(query);
+                    out.push(Instruction::Answer(query, Answer::Failed { may_have_run }));
+                }
+            }
+            Action::Timer { token, after } => {
+                self.books.wake_at(now + after, Wake::Module(token));
+            }
+            Action::Probe(engine) => out.push(Instruction::Probe(engine)),
+            Action::Tell(words) => out.push(Instruction::Tell(words)),
+            Action::Subscribe => out.push(Instruction::Subscribe),
+            Action::Log(text) => out.push(Instruction::Log(text)),
+        }
+        // An answer may be the last that was wanted of a query with nothing out.
+        if let Some(query) = self.books.last_answered() {
+            self.books.close(query);
+        }
+    }
+}
