pg: PostgreSQL v3 without I/O, the client's side and the engine's side

Need: clients and engines speak PostgreSQL; the protocol must be testable without sockets and safe against any input. Change: messages are framed and their shape checked before the pgwire codec sees them, as it trusts inner counts and would panic; a client session turns messages into units for an engine (a batch up to its Sync is one), prepares statements anew without a name wherever a unit goes, answers the chatter of drivers itself; a backend session streams one answer, holds back what comes before the first row, passes long rows in parts, and reads out what nobody wants. Weighed: replaying named statements on each engine was left, as unnamed ones need no table per engine session.

--- /dev/null
+++ b/crates/pg/src/client.rs
@@ -0,0 +1,742 @@
+//! A client's session: from its first byte to units of work for an engine, and back to its next message.
+//!
+//! A unit is what goes to one engine in one piece: a simple query, or the messages of a batch up to its Sync. It is
+//! one query to the module, as the server runs it as one implicit transaction. Statements are kept here and prepared
+//! anew, without a name, on whichever engine a unit goes to. While a unit runs, the session reads no further
+//! messages, except those of a batch that was flushed and is still open.
+
+use crate::back::{self, Trouble};
+use crate::chatter::Settings;
+use crate::frame::Malformed;
+use crate::front::{self, Front, Opening};
+use crate::sql::{self, Hints, Kind};
+use bytes::{Bytes, BytesMut};
+use pgwire::messages::extendedquery::{Bind, Close, Describe, Execute, Parse};
+use pgwire::messages::startup::Startup;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// What one session may hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Bytes of one message.
+    pub message: usize,
+    /// Prepared statements.
+    pub statements: usize,
+    /// Bytes of prepared statements, and of a batch.
+    pub held: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { message: 1 << 20, statements: 256, held: 4 << 20 }
+    }
+}
+
+/// Packets before the startup that a client may send.
+const MOST_OPENINGS: u32 = 4;
+/// Portals of a batch.
+const MOST_PORTALS: usize = 64;
+
+/// Who a client says it is.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Identity {
+    /// The login, which names its tenant.
+    pub user: String,
+    /// The database, which names its route.
+    pub database: String,
+    /// A label.
+    pub application: String,
+}
+
+/// A statement that was prepared.
+#[derive(Debug)]
+pub struct Statement {
+    text: String,
+    /// Its Parse, without a name.
+    frame: Bytes,
+    kind: Kind,
+}
+
+#[derive(Debug)]
+struct Portal {
+    statement: Arc<Statement>,
+    /// Its Bind, of the unnamed statement.
+    frame: Bytes,
+    formats: Vec<i16>,
+    /// The engine has it.
+    sent: bool,
+}
+
+/// A query for an engine, or the first part of one.
+#[derive(Debug)]
+pub struct Unit {
+    /// What to write to the engine.
+    pub frames: Bytes,
+    /// For each `ParseComplete` or `BindComplete` in turn, whether it is kept from the client.
+    pub swallow: Vec<bool>,
+    /// More of it will come.
+    pub open: bool,
+    /// It asks for descriptions and runs nothing.
+    pub describes: bool,
+    text: Text,
+}
+
+#[derive(Debug)]
+enum Text {
+    Frame,
+    Statement(Arc<Statement>),
+}
+
+impl Unit {
+    /// The text of its first statement.
+    pub fn text(&self) -> &str {
+        match &self.text {
+            Text::Frame => front::query_text(&self.frames).unwrap_or(""),
+            Text::Statement(statement) => &statement.text,
+        }
+    }
+}
+
+/// What a session asks of its host.
+#[derive(Debug)]
+pub enum Ask {
+    /// The client has introduced itself.
+    Started(Identity),
+    /// Run a unit, and tell its end.
+    Run(Unit),
+    /// More of the open unit.
+    More {
+        /// What to write to the engine.
+        frames: Bytes,
+        /// As in [`Unit::swallow`], for what is added.
+        swallow: Vec<bool>,
+        /// Nothing more will come.
+        sealed: bool,
+    },
+    /// End the query of another session; this connection is done.
+    Cancel {
+        /// Its process number.
+        pid: i32,
+        /// Its key.
+        key: Bytes,
+    },
+    /// The client said good-bye.
+    Closed,
+}
+
+#[derive(Debug)]
+enum Then {
+    /// The client waits for `ReadyForQuery`.
+    Ready,
+    /// The batch goes on.
+    Resume,
+    /// The batch ends in an error of our own.
+    Trouble(Trouble),
+}
+
+#[derive(Debug)]
+enum Phase {
+    Opening(u32),
+    Ready,
+    Running {
+        open: bool,
+        then: Then,
+    },
+    /// After an error in a batch, up to its Sync.
+    Skipping,
+    Closed,
+}
+
+#[derive(Debug, Default)]
+struct Batch {
+    frames: BytesMut,
+    swallow: Vec<bool>,
+    /// Something in it needs an engine, so that all answers must come in its turn.
+    engine: bool,
+    runs: bool,
+    /// What the engine has as its unnamed statement.
+    current: Option<Arc<Statement>>,
+    portals: BTreeMap<String, Portal>,
+    first: Option<Arc<Statement>>,
+    /// A Parse of our own waits for its acknowledgement behind the unit.
+    acknowledge: bool,
+}
+
+impl Batch {
+    fn statement(&mut self, statement: &Arc<Statement>, swallow: bool) {
+        if swallow && self.current.as_ref().is_some_and(|c| Arc::ptr_eq(c, statement)) {
+            return;
+        }
+        self.frames.extend_from_slice(&statement.frame);
+        self.swallow.push(swallow);
+        self.current = Some(statement.clone());
+    }
+
+    fn portal(&mut self, name: &str) {
+        let Some(portal) = self.portals.get_mut(name).filter(|p| !p.sent) else { return };
+        portal.sent = true;
+        let (statement, frame) = (portal.statement.clone(), portal.frame.clone());
+        self.statement(&statement, true);
+        self.frames.extend_from_slice(&frame);
+        self.swallow.push(true);
+    }
+
+    fn needs_engine(&mut self, statement: &Arc<Statement>, runs: bool) {
+        self.engine = true;
+        if self.first.is_none() || (runs && !self.runs) {
+            self.first = Some(statement.clone());
+        }
+        self.runs |= runs;
+    }
+}
+
+enum Step {
+    Done,
+    /// What is pending must be over before this message.
+    Barrier(Front),
+    Ask(Ask),
+}
+
+/// The state of one client's session.
+#[derive(Debug)]
+pub struct Session {
+    limits: Limits,
+    pid: i32,
+    key: i32,
+    phase: Phase,
+    identity: Identity,
+    settings: Settings,
+    statements: BTreeMap<String, Arc<Statement>>,
+    statement_bytes: usize,
+    batch: Batch,
+    pending: Option<Front>,
+}
+
+impl Session {
+    /// A session that has seen nothing; `pid` and `key` are what its client needs to cancel.
+    pub fn new(limits: Limits, pid: i32, key: i32) -> Session {
+        Session {
+            limits,
+            pid,
+            key,
+            phase: Phase::Opening(0),
+            identity: Identity::default(),
+            settings: Settings::new("", "", pid, std::iter::empty()),
+            statements: BTreeMap::new(),
+            statement_bytes: 0,
+            batch: Batch::default(),
+            pending: None,
+        }
+    }
+
+    /// Who the client is.
+    pub fn identity(&self) -> &Identity {
+        &self.identity
+    }
+
+    /// The client has introduced itself.
+    pub fn started(&self) -> bool {
+        !matches!(self.phase, Phase::Opening(_))
+    }
+
+    /// A unit of this session runs.
+    pub fn running(&self) -> bool {
+        matches!(self.phase, Phase::Running { .. })
+    }
+
+    /// The session is over.
+    pub fn closed(&self) -> bool {
+        matches!(self.phase, Phase::Closed)
+    }
+
+    /// The hints of a text, with the session's settings where it gives none.
+    pub fn hints<'a>(&'a self, text: &'a str) -> Hints<'a> {
+        let (own, set) = (sql::hints(text), self.settings.hints());
+        Hints {
+            class: own.class.or(set.class),
+            id: own.id.or(set.id),
+            key: own.key.or(set.key),
+            work_ms: own.work_ms.or(set.work_ms),
+            memory_mb: own.memory_mb.or(set.memory_mb),
+            due_ms: own.due_ms.or(set.due_ms),
+            tables: own.tables.or(set.tables),
+            ignored: own.ignored,
+        }
+    }
+
+    /// Takes what it can off `input`, and appends to `out` what the client is answered. Stops at the first thing
+    /// that the host must do. Call it again after that, or when more has come.
+    ///
+    /// # Errors
+    /// [`Malformed`] for what is not of the protocol; the client was told, and the session is closed.
+    pub fn feed(&mut self, input: &mut BytesMut, out: &mut BytesMut) -> Result<Option<Ask>, Malformed> {
+        self.read(input, out).inspect_err(|fault| {
+            let state = if matches!(fault, Malformed::TooLong { .. }) { "54000" } else { "08P01" };
+            Trouble::fatal(state, fault.to_string()).put(out);
+            self.phase = Phase::Closed;
+        })
+    }
+
+    fn read(&mut self, input: &mut BytesMut, out: &mut BytesMut) -> Result<Option<Ask>, Malformed> {
+        loop {
+            match self.phase {
+                Phase::Closed | Phase::Running { open: false, .. } => return Ok(None),
+                Phase::Opening(seen) => {
+                    let Some(packet) = crate::frame::take_startup(input)? else { return Ok(None) };
+                    if seen >= MOST_OPENINGS {
+                        return Err(Malformed::Unexpected("a startup without end"));
+                    }
+                    self.phase = Phase::Opening(seen + 1);
+                    match front::opening(&packet)? {
+                        Opening::Ssl | Opening::Gss => out.extend_from_slice(b"N"),
+                        Opening::Cancel { pid, key } => {
+                            self.phase = Phase::Closed;
+                            return Ok(Some(Ask::Cancel { pid, key }));
+                        }
+                        Opening::Startup(startup) => return Ok(self.start(startup, out)),
+                    }
+                }
+                Phase::Ready | Phase::Skipping | Phase::Running { .. } => {
+                    let message = match self.pending.take() {
+                        Some(message) => message,
+                        None => match front::take(input, self.limits.message)? {
+                            Some(message) => message,
+                            None => return Ok(None),
+                        },
+                    };
+                    if let Some(ask) = self.message(message, out) {
+                        return Ok(Some(ask));
+                    }
+                }
+            }
+        }
+    }
+
+    fn start(&mut self, startup: Startup, out: &mut BytesMut) -> Option<Ask> {
+        let get = |name: &str| startup.parameters.get(name).cloned().unwrap_or_default();
+        let user = get("user");
+        let fault = if user.is_empty() {
+            Some(Trouble::fatal("28000", "no user name in the startup packet"))
+        } else if startup.parameters.contains_key("replication") {
+            Some(Trouble::fatal("0A000", "replication is not spoken here"))
+        } else {
+            None
+        };
+        if let Some(fault) = fault {
+            fault.put(out);
+            self.phase = Phase::Closed;
+            return Some(Ask::Closed);
+        }
+        let database = Some(get("database")).filter(|d| !d.is_empty()).unwrap_or_else(|| user.clone());
+        let unknown: Vec<String> =
+            startup.parameters.keys().filter(|k| k.starts_with("_pq_.")).cloned().collect();
+        if startup.protocol_number_minor > 0 || !unknown.is_empty() {
+            back::negotiate(0, unknown, out);
+        }
+        let own = ["user", "database", "options"];
+        let given = startup.parameters.iter().map(|(k, v)| (k.as_str(), v.as_str()));
+        let given = given.filter(|(k, _)| !own.contains(k) && !k.starts_with("_pq_."));
+        self.settings = Settings::new(&user, &database, self.pid, given);
+        self.identity = Identity { user, database, application: get("application_name") };
+        back::authentication_ok(out);
+        for (name, value) in self.settings.reported() {
+            back::parameter(&name, &value, out);
+        }
+        back::key_data(self.pid, self.key, out);
+        back::ready(b'I', out);
+        self.phase = Phase::Ready;
+        Some(Ask::Started(self.identity.clone()))
+    }
+
+    fn message(&mut self, message: Front, out: &mut BytesMut) -> Option<Ask> {
+        if matches!(message, Front::Terminate) {
+            self.phase = Phase::Closed;
+            return Some(Ask::Closed);
+        }
+        if matches!(self.phase, Phase::Skipping) {
+            if matches!(message, Front::Sync) {
+                back::ready(b'I', out);
+                self.batch = Batch::default();
+                self.phase = Phase::Ready;
+            }
+            return None;
+        }
+        let step = match message {
+            Front::Query(frame) if !self.batch.engine => Ok(self.simple(frame, out)),
+            Front::Query(_) => Ok(Step::Barrier(message)),
+            Front::Parse(parse) => self.parse(parse, out),
+            Front::Bind(bind) => self.bind(bind, out),
+            Front::Describe(describe) => self.describe(describe, out),
+            Front::Execute(execute) => self.execute(execute, out),
+            Front::Close(close) => self.close(close, out),
+            Front::Flush => Ok(self.flush()),
+            Front::Sync => Ok(self.sync(out)),
+            Front::Copy | Front::Terminate => Ok(Step::Done),
+            Front::FunctionCall => {
+                Err(Trouble::error("0A000", "calls of functions by number are not spoken here"))
+            }
+        };
+        match step {
+            Ok(Step::Done) => None,
+            Ok(Step::Ask(ask)) => Some(ask),
+            Ok(Step::Barrier(message)) => {
+                self.pending = Some(message);
+                Some(self.seal(Then::Resume))
+            }
+            Err(trouble) if self.batch.engine => Some(self.seal(Then::Trouble(trouble))),
+            Err(trouble) => {
+                trouble.put(out);
+                self.phase = Phase::Skipping;
+                None
+            }
+        }
+    }
+
+    /// Ends the unit at hand with a Sync of our own.
+    fn seal(&mut self, then: Then) -> Ask {
+        back::put_bare(b'S', &mut self.batch.frames);
+        self.hand_over(false, then)
+    }
+
+    /// Hands over what the batch holds, as a unit or as more of the one that runs.
+    fn hand_over(&mut self, open: bool, then: Then) -> Ask {
+        let more = matches!(self.phase, Phase::Running { .. });
+        self.phase = Phase::Running { open, then };
+        let frames = self.batch.frames.split().freeze();
+        let swallow = std::mem::take(&mut self.batch.swallow);
+        if more {
+            return Ask::More { frames, swallow, sealed: !open };
+        }
+        let text = self.batch.first.clone().map_or(Text::Frame, Text::Statement);
+        Ask::Run(Unit { frames, swallow, open, describes: !self.batch.runs, text })
+    }
+
+    fn simple(&mut self, frame: Bytes, out: &mut BytesMut) -> Step {
+        let text = front::query_text(&frame).unwrap_or("");
+        let kind = sql::kind(text);
+        self.batch = Batch::default();
+        match kind {
+            Kind::Engine => {
+                self.phase = Phase::Running { open: false, then: Then::Ready };
+                let (swallow, text) = (Vec::new(), Text::Frame);
+                return Step::Ask(Ask::Run(Unit {
+                    frames: frame,
+                    swallow,
+                    open: false,
+                    describes: false,
+                    text,
+                }));
+            }
+            Kind::Empty => back::empty_query(out),
+            Kind::Local => {
+                for statement in sql::statements(text) {
+                    if let Err(trouble) = self.answer(statement, &[], true, out) {
+                        trouble.put(out);
+                        break;
+                    }
+                }
+            }
+            other => unsupported(other).put(out),
+        }
+        back::ready(b'I', out);
+        Step::Done
+    }
+
+    /// Answers a statement of the controller's own.
+    fn answer(
+        &mut self,
+        statement: &str,
+        formats: &[i16],
+        describe: bool,
+        out: &mut BytesMut,
+    ) -> Result<(), Trouble> {
+        let reply = self.settings.answer(statement)?;
+        if sql::folded(statement).starts_with("deallocate") || sql::folded(statement) == "discard all" {
+            self.statements.clear();
+            self.statement_bytes = 0;
+        }
+        reply.notices.iter().for_each(|n| n.put(out));
+        if describe && !reply.columns.is_empty() {
+            back::row_description(&reply.columns, formats, out);
+        }
+        for row in &reply.rows {
+            back::row(row.iter().map(|v| Some(v.as_bytes())), out);
+        }
+        back::complete(&reply.tag, out);
+        if let Some((name, value)) = &reply.reported {
+            back::parameter(name, value, out);
+        }
+        Ok(())
+    }
+
+    // --- batches ---
+
+    fn parse(&mut self, parse: Parse, out: &mut BytesMut) -> Result<Step, Trouble> {
+        let name = parse.name.clone().unwrap_or_default();
+        if !name.is_empty() && self.statements.contains_key(&name) {
+            return Err(Trouble::error("42P05", format!("prepared statement \"{name}\" already exists")));
+        }
+        let kind = sql::kind(&parse.query);
+        match kind {
+            Kind::Engine | Kind::Empty => {}
+            Kind::Local if sql::statements(&parse.query).len() == 1 => {}
+            Kind::Local => {
+                let message = "cannot insert multiple commands into a prepared statement";
+                return Err(Trouble::error("42601", message));
+            }
+            other => return Err(unsupported(other)),
+        }
+        let (mut frame, text) = (BytesMut::new(), parse.query.clone());
+        front::put(&Parse::new(None, parse.query, parse.type_oids), &mut frame);
+        let size = frame.len() + text.len();
+        let replaced = self.statements.get(&name).map_or(0, |s| s.frame.len() + s.text.len());
+        if self.statement_bytes - replaced + size > self.limits.held
+            || self.statements.len() >= self.limits.statements
+        {
+            let Limits { statements, held, .. } = self.limits;
+            let message =
+                format!("over {statements} prepared statements, or {held} bytes of them, in one session");
+            return Err(Trouble::error("53400", message).hint("DEALLOCATE some of them"));
+        }
+        self.statement_bytes = self.statement_bytes - replaced + size;
+        let statement = Arc::new(Statement { text, frame: frame.freeze(), kind });
+        self.statements.insert(name, statement.clone());
+        if self.batch.engine && kind == Kind::Engine {
+            self.batch.statement(&statement, false);
+            self.bounded()?;
+        } else if self.batch.engine {
+            // An own statement amid those of an engine: its acknowledgement would overtake them.
+            return Ok(Step::Ask(self.seal_and_acknowledge()));
+        } else {
+            back::parse_complete(out);
+        }
+        Ok(Step::Done)
+    }
+
+    /// Runs what is pending; the acknowledgement of the Parse at hand follows it.
+    fn seal_and_acknowledge(&mut self) -> Ask {
+        self.batch.acknowledge = true;
+        self.seal(Then::Resume)
+    }
+
+    fn bind(&mut self, bind: Bind, out: &mut BytesMut) -> Result<Step, Trouble> {
+        let name = bind.statement_name.clone().unwrap_or_default();
+        let statement = self.known(&name)?;
+        if self.batch.engine && statement.kind != Kind::Engine {
+            return Ok(Step::Barrier(Front::Bind(bind)));
+        }
+        let portal = bind.portal_name.clone().unwrap_or_default();
+        if self.batch.portals.len() >= MOST_PORTALS && !self.batch.portals.contains_key(&portal) {
+            return Err(Trouble::error("53400", format!("over {MOST_PORTALS} portals in one batch")));
+        }
+        let formats = bind.result_column_format_codes.clone();
+        let mut frame = BytesMut::new();
+        let mut bind = bind;
+        bind.statement_name = None;
+        front::put(&bind, &mut frame);
+        let frame = frame.freeze();
+        let sent = self.batch.engine;
+        if sent {
+            self.batch.statement(&statement, true);
+            self.batch.frames.extend_from_slice(&frame);
+            self.batch.swallow.push(false);
+        } else {
+            back::bind_complete(out);
+        }
+        self.batch.portals.insert(portal, Portal { statement, frame, formats, sent });
+        self.bounded()?;
+        Ok(Step::Done)
+    }
+
+    fn known(&self, name: &str) -> Result<Arc<Statement>, Trouble> {
+        let found = self.statements.get(name).cloned();
+        found.ok_or_else(|| Trouble::error("26000", format!("prepared statement \"{name}\" does not exist")))
+    }
+
+    fn bound(&self, name: &str) -> Result<&Portal, Trouble> {
+        let found = self.batch.portals.get(name);
+        found.ok_or_else(|| Trouble::error("34000", format!("portal \"{name}\" does not exist")))
+    }
+
+    fn describe(&mut self, describe: Describe, out: &mut BytesMut) -> Result<Step, Trouble> {
+        let name = describe.name.clone().unwrap_or_default();
+        let of_statement = describe.target_type == b'S';
+        let (statement, formats) = if of_statement {
+            (self.known(&name)?, Vec::new())
+        } else {
+            let portal = self.bound(&name)?;
+            (portal.statement.clone(), portal.formats.clone())
+        };
+        if statement.kind != Kind::Engine {
+            if self.batch.engine {
+                return Ok(Step::Barrier(Front::Describe(describe)));
+            }
+            if of_statement {
+                back::parameter_description(&[], out);
+            }
+            let columns = match statement.kind {
+                Kind::Local => self.settings.columns(&statement.text),
+                _ => Vec::new(),
+            };
+            if columns.is_empty() {
+                back::no_data(out);
+            } else {
+                back::row_description(&columns, &formats, out);
+            }
+            return Ok(Step::Done);
+        }
+        self.batch.needs_engine(&statement, false);
+        if of_statement {
+            self.batch.statement(&statement, true);
+            front::put(&Describe::new(b'S', None), &mut self.batch.frames);
+        } else {
+            self.batch.portal(&name);
+            front::put(&describe, &mut self.batch.frames);
+        }
+        self.bounded()?;
+        Ok(Step::Done)
+    }
+
+    fn execute(&mut self, execute: Execute, out: &mut BytesMut) -> Result<Step, Trouble> {
+        let name = execute.name.clone().unwrap_or_default();
+        let portal = self.bound(&name)?;
+        let (statement, formats) = (portal.statement.clone(), portal.formats.clone());
+        match statement.kind {
+            Kind::Engine => {
+                self.batch.needs_engine(&statement, true);
+                self.batch.portal(&name);
+                front::put(&execute, &mut self.batch.frames);
+                self.bounded()?;
+            }
+            _ if self.batch.engine => return Ok(Step::Barrier(Front::Execute(execute))),
+            Kind::Local => self.answer(&statement.text, &formats, false, out)?,
+            _ => back::empty_query(out),
+        }
+        Ok(Step::Done)
+    }
+
+    fn close(&mut self, close: Close, out: &mut BytesMut) -> Result<Step, Trouble> {
+        let name = close.name.clone().unwrap_or_default();
+        if close.target_type == b'S' {
+            if let Some(statement) = self.statements.remove(&name) {
+                self.statement_bytes -= statement.frame.len() + statement.text.len();
+            }
+            if self.batch.engine {
+                front::put(&Close::new(b'S', None), &mut self.batch.frames);
+                self.batch.current = None;
+            }
+        } else {
+            self.batch.portals.remove(&name);
+            if self.batch.engine {
+                front::put(&close, &mut self.batch.frames);
+            }
+        }
+        if !self.batch.engine {
+            back::close_complete(out);
+        }
+        self.bounded()?;
+        Ok(Step::Done)
+    }
+
+    fn bounded(&self) -> Result<(), Trouble> {
+        let binds: usize = self.batch.portals.values().map(|p| p.frame.len()).sum();
+        if self.batch.frames.len() + binds > self.limits.held {
+            let message = format!("a batch of over {} bytes", self.limits.held);
+            return Err(Trouble::error("54000", message).hint("send a Sync more often"));
+        }
+        Ok(())
+    }
+
+    fn flush(&mut self) -> Step {
+        if !self.batch.engine || self.batch.frames.is_empty() {
+            return Step::Done;
+        }
+        if !self.batch.runs {
+            // Descriptions alone hold no state at the engine: they are a unit of their own.
+            return Step::Ask(self.seal(Then::Resume));
+        }
+        back::put_bare(b'H', &mut self.batch.frames);
+        Step::Ask(self.hand_over(true, Then::Ready))
+    }
+
+    fn sync(&mut self, out: &mut BytesMut) -> Step {
+        if self.batch.engine {
+            return Step::Ask(self.seal(Then::Ready));
+        }
+        back::ready(b'I', out);
+        self.batch = Batch::default();
+        Step::Done
+    }
+
+    // --- the end of a unit ---
+
+    /// The unit was served: what the engine sent has gone to `out`, but for its `ReadyForQuery`. `errored` tells
+    /// whether an error of the engine was part of it.
+    pub fn served(&mut self, errored: bool, out: &mut BytesMut) {
+        let Phase::Running { then, .. } = std::mem::replace(&mut self.phase, Phase::Ready) else { return };
+        match then {
+            Then::Ready => {
+                back::ready(b'I', out);
+                self.batch = Batch::default();
+            }
+            _ if errored => self.skip(),
+            Then::Trouble(trouble) => {
+                trouble.put(out);
+                self.skip();
+            }
+            Then::Resume => {
+                let batch = &mut self.batch;
+                (batch.engine, batch.runs, batch.current, batch.first) = (false, false, None, None);
+                // Portals went with the Sync; their values are kept, and bound again where they are used.
+                batch.portals.values_mut().for_each(|p| p.sent = false);
+                if std::mem::take(&mut batch.acknowledge) {
+                    back::parse_complete(out);
+                }
+            }
+        }
+    }
+
+    /// The unit was refused, failed or cancelled: the client is told so.
+    pub fn unserved(&mut self, trouble: &Trouble, out: &mut BytesMut) {
+        let Phase::Running { open, then } = std::mem::replace(&mut self.phase, Phase::Ready) else { return };
+        trouble.put(out);
+        if !open && matches!(then, Then::Ready) {
+            back::ready(b'I', out);
+            self.batch = Batch::default();
+        } else {
+            self.skip();
+        }
+    }
+
+    fn skip(&mut self) {
+        self.phase = Phase::Skipping;
+        self.batch = Batch::default();
+        // A message that waited for the unit is of the batch that is skipped.
+        self.pending = None;
+    }
+
+    /// The session ends with this error, as on a time-out of the startup or a stop of the controller.
+    pub fn end(&mut self, trouble: &Trouble, out: &mut BytesMut) {
+        if !self.closed() {
+            trouble.put(out);
+            self.phase = Phase::Closed;
+        }
+    }
+}
+
+fn unsupported(kind: Kind) -> Trouble {
+    let (message, hint) = match kind {
+        Kind::Transaction => (
+            "transaction blocks are not supported: each statement runs by itself",
+            "turn autocommit on, or send the statements without BEGIN",
+        ),
+        Kind::Copy => ("COPY is not supported", "use INSERT or SELECT"),
+        Kind::SessionState => (
+            "statements that keep state on one engine are not supported",
+            "use the protocol's own prepared statements and plain queries",
+        ),
+        _ => ("SET, SHOW and the like can't share a text with queries", "send them one by one"),
+    };
+    Trouble::error("0A000", message).hint(hint)
+}
