--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -206,7 +206,11 @@
             return Err(self.wrong(at, format!("a {what} without a name"), "give it one"));
         }
         if names.contains(at.get_ref()) {
-            return Err(self.wrong(at, format!("the {what} `{}` is named twice", at.get_ref()), "rename one"));
+            return Err(self.wrong(
+                at,
+                format!("the {what} `{}` is named twice", at.get_ref()),
+                "rename one",
+            ));
         }
         names.push(at.get_ref().clone());
         Ok(())
--- /dev/null
+++ b/crates/net/src/lib.rs
@@ -0,0 +1,14 @@
+//! Sockets, clock and timers: what the programs share of the outside world.
+//!
+//! All of it is non-blocking and bounded. Nothing here knows of queries.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod clock;
+pub mod http;
+mod stream;
+mod timers;
+
+pub use clock::Clock;
+pub use stream::{connect, datagrams, listen, Stream};
+pub use timers::{TimerKey, Timers};
--- /dev/null
+++ b/crates/net/src/stream.rs
@@ -0,0 +1,203 @@
+//! Non-blocking streams with bounded buffers.
+
+use bytes::{Buf, BytesMut};
+use mio::event::Event;
+use mio::net::{TcpListener, TcpStream, UdpSocket};
+use mio::{Interest, Registry, Token};
+use socket2::{Domain, Protocol, Socket, Type};
+use std::io::{self, Read, Write};
+use std::net::SocketAddr;
+
+/// Buffers of an idle stream keep no more than this.
+const KEPT: usize = 2048;
+
+/// A stream with what came and what is to go.
+#[derive(Debug)]
+pub struct Stream {
+    socket: TcpStream,
+    /// What came and was not taken yet.
+    pub input: BytesMut,
+    /// What is to go.
+    pub output: BytesMut,
+    readable: bool,
+    writable: bool,
+    closing: bool,
+    ended: bool,
+    connected: bool,
+}
+
+impl Stream {
+    /// Takes a socket over and registers it for all it does. `connected` is false for one still connecting.
+    ///
+    /// # Errors
+    /// As the system tells.
+    pub fn new(
+        mut socket: TcpStream,
+        connected: bool,
+        registry: &Registry,
+        token: Token,
+    ) -> io::Result<Stream> {
+        let _ = socket.set_nodelay(true);
+        registry.register(&mut socket, token, Interest::READABLE | Interest::WRITABLE)?;
+        Ok(Stream {
+            socket,
+            input: BytesMut::new(),
+            output: BytesMut::new(),
+            readable: connected,
+            writable: connected,
+            closing: false,
+            ended: false,
+            connected,
+        })
+    }
+
+    /// Takes note of what the system told.
+    pub fn on(&mut self, event: &Event) {
+        self.readable |= event.is_readable() || event.is_read_closed() || event.is_error();
+        self.writable |= event.is_writable() || event.is_error();
+        self.closing |= event.is_read_closed() || event.is_error();
+    }
+
+    /// Whether a connect under way is through.
+    ///
+    /// # Errors
+    /// Why it failed.
+    pub fn connected(&mut self) -> io::Result<bool> {
+        if self.connected || !self.writable {
+            return Ok(self.connected);
+        }
+        if let Some(error) = self.socket.take_error()? {
+            return Err(error);
+        }
+        match self.socket.peer_addr() {
+            Ok(_) => {
+                self.connected = true;
+                self.readable = true;
+                Ok(true)
+            }
+            Err(e) if e.kind() == io::ErrorKind::NotConnected => {
+                self.writable = false;
+                Ok(false)
+            }
+            Err(e) => Err(e),
+        }
+    }
+
+    /// Reads what there is, until `limit` bytes wait to be taken. `scratch` is shared by all streams, so that idle
+    /// ones hold nothing.
+    ///
+    /// # Errors
+    /// As the system tells; the stream is of no more use.
+    pub fn fill(&mut self, limit: usize, scratch: &mut [u8]) -> io::Result<usize> {
+        let mut got = 0;
+        while self.readable && !self.ended && self.input.len() < limit {
+            let room = scratch.len().min(limit - self.input.len());
+            match self.socket.read(&mut scratch[..room]) {
+                Ok(0) => self.ended = true,
+                Ok(n) => {
+                    self.input.extend_from_slice(&scratch[..n]);
+                    got += n;
+                    // A short read has emptied the socket, unless its end waits behind.
+                    self.readable = n == room || self.closing;
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.readable = false,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => {
+                    self.ended = true;
+                    return Err(e);
+                }
+            }
+        }
+        Ok(got)
+    }
+
+    /// Writes what it can; true once all has gone.
+    ///
+    /// # Errors
+    /// As the system tells; the stream is of no more use.
+    pub fn flush(&mut self) -> io::Result<bool> {
+        while self.writable && !self.output.is_empty() {
+            match self.socket.write(&self.output) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                Ok(n) => self.output.advance(n),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.writable = false,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+        if self.output.is_empty() && self.output.capacity() > KEPT {
+            self.output = BytesMut::new();
+        }
+        Ok(self.output.is_empty())
+    }
+
+    /// Gives back the memory of an emptied input.
+    pub fn relax(&mut self) {
+        if self.input.is_empty() {
+            self.input = BytesMut::new();
+        }
+    }
+
+    /// More could be read now.
+    pub fn readable(&self) -> bool {
+        self.readable && !self.ended
+    }
+
+    /// The other side will send no more, and all it sent was read.
+    pub fn ended(&self) -> bool {
+        self.ended
+    }
+
+    /// The other side has closed, though something it sent may still wait to be read.
+    pub fn closing(&self) -> bool {
+        self.closing
+    }
+
+    /// Whom it is connected to.
+    ///
+    /// # Errors
+    /// As the system tells.
+    pub fn peer(&self) -> io::Result<SocketAddr> {
+        self.socket.peer_addr()
+    }
+
+    /// Closes it: what is not read or written is lost. With `reset` the other side sees the connection break.
+    pub fn close(mut self, registry: &Registry, reset: bool) {
+        let _ = registry.deregister(&mut self.socket);
+        if reset {
+            let socket = socket2::SockRef::from(&self.socket);
+            let _ = socket.set_linger(Some(std::time::Duration::ZERO));
+        }
+    }
+}
+
+/// A listening socket on a loopback address; port 0 lets the system choose.
+///
+/// # Errors
+/// As the system tells.
+pub fn listen(address: SocketAddr, backlog: u32) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(i32::try_from(backlog).unwrap_or(i32::MAX))?;
+    Ok(TcpListener::from_std(socket.into()))
+}
+
+/// Starts a connect; [`Stream::connected`] tells when it is through.
+///
+/// # Errors
+/// As the system tells.
+pub fn connect(address: SocketAddr, registry: &Registry, token: Token) -> io::Result<Stream> {
+    Stream::new(TcpStream::connect(address)?, false, registry, token)
+}
+
+/// A datagram socket, registered.
+///
+/// # Errors
+/// As the system tells.
+pub fn datagrams(address: SocketAddr, registry: &Registry, token: Token) -> io::Result<UdpSocket> {
+    let mut socket = UdpSocket::bind(address)?;
+    registry.register(&mut socket, token, Interest::READABLE)?;
+    Ok(socket)
+}
