engine: the stand-ins' PostgreSQL face, registry, control port and log

Need: a controller needs engines that speak PostgreSQL, ail on command and tell what reached them. Change: wheelfield-engine hosts many engines in one process, each on its own port; answers any statement (literals and parameters with their types, rows as the hints ask); tells load, progress and work by ParameterStatus; a registry that lists late, by poll or by a call that waits; faults by HTTP: kill, hang, slow, errors, lost and half answers, full, drain.

--- /dev/null
+++ b/crates/engine/src/main.rs
@@ -0,0 +1,75 @@
+//! `wheelfield-engine`: stand-in engines for a controller to run against.
+
+use anyhow::{Context, Result};
+use clap::Parser;
+use std::io::Write;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::atomic::AtomicBool;
+use std::sync::Arc;
+use wheelfield_engine::host::Host;
+use wheelfield_engine::setup::Setup;
+
+/// Stand-in engines: PostgreSQL on loopback ports, a registry that lists them, and faults on command.
+///
+/// One line of JSON on standard output tells where everything listens. The process stops on SIGTERM or SIGINT.
+///
+/// Faults: POST /fault?engine=NAME&kind=KIND&value=X to the control port, where KIND is kill, start, hang, slow,
+/// errors, lose, half, full, flush, drain or shut. POST /registry?unavailable_ms=N silences the registry.
+#[derive(Parser)]
+#[command(name = "wheelfield-engine", version)]
+struct Args {
+    /// Engines, kinds and registry as TOML.
+    #[arg(long, value_name = "FILE", conflicts_with = "engines")]
+    config: Option<PathBuf>,
+    /// So many engines of the usual kind, without a file.
+    #[arg(long, value_name = "N", default_value_t = 8, value_parser = clap::value_parser!(u16).range(1..=1000))]
+    engines: u16,
+    /// Only check the file.
+    #[arg(long, requires = "config")]
+    check: bool,
+    /// Writes what each engine received, started, finished or dropped, as JSON lines.
+    #[arg(long, value_name = "FILE")]
+    log: Option<PathBuf>,
+    /// Seed of the chances of faults.
+    #[arg(long, value_name = "N", default_value_t = 1)]
+    seed: u64,
+}
+
+fn main() -> ExitCode {
+    let args = Args::parse();
+    let setup = match &args.config {
+        None => Ok(Setup::plain(usize::from(args.engines))),
+        Some(path) => std::fs::read_to_string(path)
+            .with_context(|| format!("cannot read {}", path.display()))
+            .and_then(|text| Ok(Setup::parse(&path.display().to_string(), &text)?)),
+    };
+    let setup = match setup {
+        Ok(setup) => setup,
+        Err(fault) => {
+            eprintln!("wheelfield-engine: {fault:#}");
+            return ExitCode::from(2);
+        }
+    };
+    if args.check {
+        return ExitCode::SUCCESS;
+    }
+    match run(setup, &args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            eprintln!("wheelfield-engine: {fault:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(setup: Setup, args: &Args) -> Result<()> {
+    let stop = Arc::new(AtomicBool::new(false));
+    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
+        signal_hook::flag::register(signal, stop.clone())?;
+    }
+    let mut host = Host::open(setup, args.log.as_deref(), args.seed)?;
+    println!("{}", host.addresses());
+    std::io::stdout().flush()?;
+    host.serve(&stop)
+}
--- /dev/null
+++ b/crates/engine/src/registry.rs
@@ -0,0 +1,137 @@
+//! A stand-in registry: it tells who is there, late, and at times not at all. No I/O and no clock.
+
+use serde::Serialize;
+use std::collections::BTreeMap;
+use wheelfield_net::Timers;
+
+/// Whether an engine takes work, as the registry knows it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Standing {
+    /// It does.
+    Up,
+    /// It finishes what it has.
+    Draining,
+    /// It is gone.
+    Removed,
+}
+
+/// A line of the list.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Line {
+    /// Its name.
+    pub id: String,
+    /// Where it listens.
+    pub address: String,
+    /// Its zone.
+    pub zone: String,
+    /// Its kind.
+    pub kind: String,
+    /// Its cell.
+    pub cell: i64,
+    /// Whether it takes work.
+    pub status: Standing,
+    /// When it started, in microseconds of the registry's clock, where that is recent.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub started_us: Option<i64>,
+}
+
+/// The list, and what of it is on its way.
+#[derive(Debug, Default)]
+pub struct Registry {
+    version: u64,
+    lines: BTreeMap<String, Line>,
+    coming: Timers<(String, Standing, Option<i64>)>,
+    unavailable_until: i64,
+}
+
+impl Registry {
+    /// A list at its first version.
+    pub fn new(lines: impl Iterator<Item = Line>) -> Registry {
+        let lines = lines.map(|line| (line.id.clone(), line)).collect();
+        Registry { version: 1, lines, coming: Timers::default(), unavailable_until: 0 }
+    }
+
+    /// The version of the list as it is told now.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// An engine changes; the list will say so at a time.
+    pub fn change(&mut self, at: i64, id: &str, standing: Standing, started: Option<i64>) {
+        self.coming.set(at, (id.to_string(), standing, started));
+    }
+
+    /// Nobody is answered until a time.
+    pub fn unavailable(&mut self, until: i64) {
+        self.unavailable_until = until;
+    }
+
+    /// Whether calls are answered.
+    pub fn available(&self, now: i64) -> bool {
+        now >= self.unavailable_until
+    }
+
+    /// When something changes next.
+    pub fn next(&self) -> Option<i64> {
+        self.coming.next()
+    }
+
+    /// Lets the time pass; true if the list changed.
+    pub fn advance(&mut self, now: i64) -> bool {
+        let before = self.version;
+        while let Some((id, standing, started)) = self.coming.pop(now) {
+            if let Some(line) = self.lines.get_mut(&id) {
+                line.status = standing;
+                line.started_us = started.or(line.started_us);
+                self.version += 1;
+            }
+        }
+        self.version != before
+    }
+
+    /// The list as it is told.
+    pub fn list(&self) -> String {
+        #[derive(Serialize)]
+        struct List<'a> {
+            version: u64,
+            engines: Vec<&'a Line>,
+        }
+        let list = List { version: self.version, engines: self.lines.values().collect() };
+        serde_json::to_string(&list).unwrap_or_default()
+    }
+
+    /// Engines that take no work, as told.
+    pub fn not_up(&self) -> Vec<(&str, Standing)> {
+        let all = self.lines.values().filter(|l| l.status != Standing::Up);
+        all.map(|l| (l.id.as_str(), l.status)).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn it_tells_late_and_in_order() {
+        let line = Line {
+            id: "e".into(),
+            address: "127.0.0.1:1".into(),
+            zone: String::new(),
+            kind: "std".into(),
+            cell: 0,
+            status: Standing::Up,
+            started_us: None,
+        };
+        let mut registry = Registry::new([line].into_iter());
+        registry.change(2_000, "e", Standing::Up, Some(1_500));
+        registry.change(1_000, "e", Standing::Removed, None);
+        assert!(!registry.advance(999));
+        assert!(registry.advance(1_000));
+        assert_eq!(registry.not_up(), [("e", Standing::Removed)]);
+        assert!(registry.advance(5_000) && registry.not_up().is_empty());
+        assert!(registry.list().contains("\"started_us\":1500"));
+        registry.unavailable(9_000);
+        assert!(!registry.available(8_999) && registry.available(9_000));
+    }
+}
--- a/crates/pg/src/sql.rs
+++ b/crates/pg/src/sql.rs
@@ -177,21 +177,35 @@
     words
 }
 
-/// A statement without comments, in lower case, blanks folded: for comparing short ones.
+/// A statement without comments, in lower case but for its strings, blanks folded: for comparing short ones.
 pub fn folded(statement: &str) -> String {
+    fold(statement, true)
+}
+
+/// A statement without comments, blanks folded.
+pub fn folded_as_written(statement: &str) -> String {
+    fold(statement, false)
+}
+
+fn fold(statement: &str, lower: bool) -> String {
     let bytes = statement.as_bytes();
     let (mut out, mut i) = (String::new(), 0);
     while i < bytes.len() {
         let (next, comment) = step(bytes, i);
-        let next = next.min(bytes.len());
+        let mut next = next.min(bytes.len());
+        // A character of several bytes stays whole.
+        while !statement.is_char_boundary(next) {
+            next += 1;
+        }
+        let part = &statement[i..next];
         if comment || bytes[i].is_ascii_whitespace() {
             if !out.is_empty() && !out.ends_with(' ') {
                 out.push(' ');
             }
-        } else if bytes[i] == b'\'' || bytes[i] == b'"' {
-            out.push_str(&String::from_utf8_lossy(&bytes[i..next]));
+        } else if lower && !matches!(bytes[i], b'\'' | b'"') {
+            out.push_str(&part.to_lowercase());
         } else {
-            out.push_str(&String::from_utf8_lossy(&bytes[i..next]).to_lowercase());
+            out.push_str(part);
         }
         i = next;
     }
@@ -257,33 +271,43 @@
     kind
 }
 
-/// The hints in the comment that a text ends with; none if it ends otherwise.
-pub fn hints(text: &str) -> Hints<'_> {
-    let mut hints = Hints::default();
+/// A name and its value.
+pub type Pair<'a> = (Cow<'a, str>, Cow<'a, str>);
+
+/// The names and values in the comment that a text ends with; none if it ends otherwise.
+pub fn pairs(text: &str) -> Vec<Pair<'_>> {
+    comment(text).0
+}
+
+/// The pairs of the trailing comment, and how many parts of it were ill-formed.
+fn comment(text: &str) -> (Vec<Pair<'_>>, u32) {
+    let mut pairs = Vec::new();
     let end = text.trim_end_matches(|c: char| c.is_ascii_whitespace() || c == ';');
-    let Some(body) = end.strip_suffix("*/").and_then(|t| Some(&t[t.rfind("/*")? + 2..])) else {
-        return hints;
+    let Some(body) = end.strip_suffix("*/").and_then(|t| Some(t[t.rfind("/*")? + 2..].trim())) else {
+        return (pairs, 0);
     };
-    let mut rest = body.trim();
+    let mut rest = body;
     while !rest.is_empty() {
         let Some((name, after)) = rest.split_once('=') else {
             // An ordinary comment, or the torn end of a list.
-            hints.ignored += u32::from(rest.len() < body.trim().len());
-            break;
-        };
-        let Some(quoted) = after.trim_start().strip_prefix('\'') else {
-            hints.ignored += 1;
-            break;
-        };
-        let Some(close) = closing_quote(quoted) else {
-            hints.ignored += 1;
-            break;
+            return (pairs, u32::from(rest.len() < body.len()));
         };
-        let name = decoded(name.trim());
-        hints.set(&name, decoded(&quoted[..close]));
+        let Some(quoted) = after.trim_start().strip_prefix('\'') else { return (pairs, 1) };
+        let Some(close) = closing_quote(quoted) else { return (pairs, 1) };
+        pairs.push((decoded(name.trim()), decoded(&quoted[..close])));
         rest = quoted[close + 1..].trim_start();
         rest = rest.strip_prefix(',').unwrap_or(rest).trim_start();
     }
+    (pairs, 0)
+}
+
+/// The hints in the comment that a text ends with; none if it ends otherwise.
+pub fn hints(text: &str) -> Hints<'_> {
+    let (pairs, ill_formed) = comment(text);
+    let mut hints = Hints { ignored: ill_formed, ..Hints::default() };
+    for (name, value) in pairs {
+        hints.set(&name, value);
+    }
     hints
 }
 
