controller: PostgreSQL clients through the module's decisions to engines and back

Change: wheelfield-controller, one mio loop. Results stream with backpressure; what is not yet written is taken back when its engine drains; a session is used again only when clean and when no cancel can still reach it; every table is bounded with a stated answer.

--- /dev/null
+++ b/crates/controller/src/list.rs
@@ -0,0 +1,213 @@
+//! The engine list as a registry tells it, and what has changed since the last. No I/O.
+
+use serde::Deserialize;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use wheelfield::interface::{EngineEntry, EngineId, Micros, Status};
+use wheelfield_config::{engine_id, Config, EngineAt, Names};
+
+/// Bytes of a list at most.
+pub const LONGEST: usize = 4 << 20;
+/// Engines of a list at most.
+pub const MOST: usize = 10_000;
+
+#[derive(Deserialize)]
+struct List {
+    version: u64,
+    engines: Vec<Line>,
+}
+
+#[derive(Deserialize)]
+struct Line {
+    id: String,
+    address: String,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    kind: String,
+    #[serde(default)]
+    cell: i64,
+    status: Standing,
+    #[serde(default)]
+    started_us: Option<i64>,
+}
+
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum Standing {
+    Up,
+    Draining,
+    Removed,
+}
+
+/// What is wrong with a list; the old one stays.
+#[derive(Debug, thiserror::Error)]
+pub enum ListError {
+    /// Not the JSON of a list.
+    #[error("not a list: {0}")]
+    Unreadable(#[from] serde_json::Error),
+    /// Too long.
+    #[error("{0} engines, {MOST} at most")]
+    TooMany(usize),
+    /// An address that is none, or not on loopback.
+    #[error("engine `{0}` has no loopback address: `{1}`")]
+    Address(String, String),
+    /// Two lines for one engine.
+    #[error("engine `{0}` is listed twice")]
+    Twice(String),
+}
+
+/// An engine as it is known.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Known {
+    /// Its name.
+    pub name: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// What the module is told.
+    pub entry: EngineEntry,
+}
+
+/// The list as it was last told.
+#[derive(Debug, Default)]
+pub struct Engines {
+    version: u64,
+    known: BTreeMap<EngineId, Known>,
+    told: bool,
+}
+
+/// What a new list comes to.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Change {
+    /// It is the first: whole.
+    pub whole: bool,
+    /// The lines that the module is told.
+    pub entries: Vec<EngineEntry>,
+}
+
+impl Engines {
+    /// The version last told.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// All that were ever named.
+    pub fn known(&self) -> &BTreeMap<EngineId, Known> {
+        &self.known
+    }
+
+    /// An engine's name, for logs.
+    pub fn name(&self, id: EngineId) -> &str {
+        self.known.get(&id).map_or("?", |k| k.name.as_str())
+    }
+
+    /// Takes a list as the registry tells it.
+    ///
+    /// # Errors
+    /// [`ListError`]; nothing of it was taken then.
+    pub fn take(&mut self, body: &[u8], names: &Names) -> Result<Change, ListError> {
+        let list: List = serde_json::from_slice(body)?;
+        if list.engines.len() > MOST {
+            return Err(ListError::TooMany(list.engines.len()));
+        }
+        let mut fresh = BTreeMap::new();
+        let position = |all: &[String], name: &str| all.iter().position(|n| n == name).unwrap_or(usize::MAX);
+        for line in list.engines {
+            let address = line.address.parse::<SocketAddr>().ok().filter(|a| a.ip().is_loopback());
+            let Some(address) = address else { return Err(ListError::Address(line.id, line.address)) };
+            let engine = engine_id(&line.id);
+            let entry = EngineEntry {
+                engine,
+                zone: position(&names.zones, &line.zone),
+                kind: position(&names.kinds, &line.kind),
+                cell: line.cell,
+                status: match line.status {
+                    Standing::Up => Status::Up,
+                    Standing::Draining => Status::Draining,
+                    Standing::Removed => Status::Removed,
+                },
+                started: line.started_us.map(Micros),
+            };
+            if let Some(twice) = fresh.insert(engine, Known { name: line.id, address, entry }) {
+                return Err(ListError::Twice(twice.name));
+            }
+        }
+        self.version = list.version;
+        Ok(self.replace(fresh))
+    }
+
+    /// Takes the engines that the configuration itself names.
+    pub fn fixed(&mut self, config: &Config) -> Change {
+        let known = |e: &EngineAt| {
+            let engine = engine_id(&e.name);
+            let entry = EngineEntry {
+                engine,
+                zone: e.zone,
+                kind: e.kind,
+                cell: e.cell,
+                status: Status::Up,
+                started: None,
+            };
+            (engine, Known { name: e.name.clone(), address: e.address, entry })
+        };
+        self.replace(config.engines.iter().map(known).collect())
+    }
+
+    fn replace(&mut self, fresh: BTreeMap<EngineId, Known>) -> Change {
+        let whole = !std::mem::replace(&mut self.told, true);
+        let changed = fresh.values().filter(|k| whole || self.known.get(&k.entry.engine) != Some(k));
+        let mut entries: Vec<EngineEntry> = changed.map(|k| k.entry.clone()).collect();
+        // What is missing is gone; it stays known, so that what is out there still has a name.
+        for (id, old) in &mut self.known {
+            if !fresh.contains_key(id) && old.entry.status != Status::Removed {
+                old.entry.status = Status::Removed;
+                entries.push(old.entry.clone());
+            }
+        }
+        self.known.extend(fresh);
+        Change { whole, entries }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn take(engines: &mut Engines, body: &str) -> Result<Change, ListError> {
+        engines.take(body.as_bytes(), &Names { kinds: vec!["std".into()], ..Names::default() })
+    }
+
+    #[test]
+    fn the_first_list_is_whole_and_later_ones_tell_what_changed() {
+        let mut engines = Engines::default();
+        let line = |id: &str, port: u16, status: &str| {
+            format!(r#"{{"id":"{id}","address":"127.0.0.1:{port}","kind":"std","status":"{status}"}}"#)
+        };
+        let list = |lines: &[String]| format!(r#"{{"version":2,"engines":[{}]}}"#, lines.join(","));
+        let both = list(&[line("a", 1, "up"), line("b", 2, "up")]);
+        let change = take(&mut engines, &both).expect("sound");
+        assert!(change.whole && change.entries.len() == 2 && change.entries.iter().all(|e| e.kind == 0));
+        assert!(take(&mut engines, &both).expect("sound").entries.is_empty());
+        let change = take(&mut engines, &list(&[line("a", 1, "draining")])).expect("sound");
+        let status =
+            |name: &str| change.entries.iter().find(|e| e.engine == engine_id(name)).map(|e| e.status);
+        assert_eq!((status("a"), status("b")), (Some(Status::Draining), Some(Status::Removed)));
+        assert!(take(&mut engines, &list(&[line("a", 1, "draining")])).expect("sound").entries.is_empty());
+    }
+
+    #[test]
+    fn a_bad_list_changes_nothing() {
+        let mut engines = Engines::default();
+        let good = r#"{"version":1,"engines":[{"id":"a","address":"127.0.0.1:1","status":"up"}]}"#;
+        take(&mut engines, good).expect("sound");
+        for bad in [
+            "{",
+            r#"{"version":9,"engines":[{"id":"a","address":"8.8.8.8:1","status":"up"}]}"#,
+            r#"{"version":9,"engines":[{"id":"a","address":"127.0.0.1:1","status":"asleep"}]}"#,
+            &good.replace("}]", "},{\"id\":\"a\",\"address\":\"127.0.0.1:2\",\"status\":\"up\"}]"),
+        ] {
+            assert!(take(&mut engines, bad).is_err(), "{bad}");
+            assert_eq!((engines.version(), engines.known().len()), (1, 1));
+        }
+    }
+}
--- /dev/null
+++ b/crates/controller/src/peers.rs
@@ -0,0 +1,207 @@
+//! Datagrams between controllers: bounded, checked, and lossy by nature. No I/O.
+//!
+//! A datagram is `WFP1`, the sender's number, its start, a sequence number, a count, the words, and a CRC-32 of all
+//! before it. What is garbled, old, doubled or from a stranger is dropped and counted.
+
+use std::collections::BTreeMap;
+use wheelfield::interface::{EngineId, Report, Word};
+
+/// Bytes of a datagram at most, to pass any loopback or Ethernet link whole.
+pub const LONGEST: usize = 1400;
+const MAGIC: &[u8; 4] = b"WFP1";
+const HEAD: usize = 4 + 4 + 8 + 4 + 2;
+const TAIL: usize = 4;
+
+/// Why a datagram was dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Dropped {
+    /// Too short, too long, of another kind, or with a wrong sum.
+    #[error("garbled")]
+    Garbled,
+    /// Of a controller that is not among the peers.
+    #[error("from a stranger")]
+    Stranger,
+    /// Not newer than the last of its sender.
+    #[error("old or doubled")]
+    Old,
+}
+
+fn figures(report: &Report) -> [Option<f64>; 5] {
+    [report.utilisation, report.in_flight, report.queue, report.memory, report.disks]
+}
+
+/// What one controller sends.
+#[derive(Debug)]
+pub struct Speaker {
+    index: u32,
+    start: u64,
+    sequence: u32,
+}
+
+impl Speaker {
+    /// A speaker of a controller, by its number and the time of its start.
+    pub fn new(index: u32, start: u64) -> Speaker {
+        Speaker { index, start, sequence: 0 }
+    }
+
+    /// The datagrams that carry some words: as many as they need.
+    pub fn datagrams(&mut self, words: &[Word]) -> Vec<Vec<u8>> {
+        let mut all = Vec::new();
+        let mut rest = words;
+        while !rest.is_empty() {
+            let mut body = Vec::new();
+            let mut count = 0u16;
+            while let Some((word, others)) = rest.split_first() {
+                let told = figures(&word.report);
+                let size = 9 + 4 * told.iter().flatten().count();
+                if HEAD + body.len() + size + TAIL > LONGEST {
+                    break;
+                }
+                let mask = told.iter().enumerate().fold(0u8, |m, (i, x)| m | (u8::from(x.is_some()) << i));
+                body.extend(word.engine.0.to_be_bytes());
+                body.push(mask);
+                told.iter().flatten().for_each(|x| body.extend((*x as f32).to_be_bytes()));
+                (rest, count) = (others, count + 1);
+            }
+            self.sequence = self.sequence.wrapping_add(1);
+            let mut datagram = MAGIC.to_vec();
+            datagram.extend(self.index.to_be_bytes());
+            datagram.extend(self.start.to_be_bytes());
+            datagram.extend(self.sequence.to_be_bytes());
+            datagram.extend(count.to_be_bytes());
+            datagram.extend(body);
+            datagram.extend(crc32fast::hash(&datagram).to_be_bytes());
+            all.push(datagram);
+        }
+        all
+    }
+}
+
+/// What one controller has heard of the others.
+#[derive(Debug, Default)]
+pub struct Listener {
+    controllers: u32,
+    own: u32,
+    heard: BTreeMap<u32, (u64, u32)>,
+}
+
+fn take<const N: usize>(rest: &mut &[u8]) -> Option<[u8; N]> {
+    let (first, others) = rest.split_first_chunk::<N>()?;
+    *rest = others;
+    Some(*first)
+}
+
+impl Listener {
+    /// A listener among so many controllers, of which it is number `own`.
+    pub fn new(controllers: u32, own: u32) -> Listener {
+        Listener { controllers, own, heard: BTreeMap::new() }
+    }
+
+    /// Reads a datagram.
+    ///
+    /// # Errors
+    /// Why it is [`Dropped`].
+    pub fn hear(&mut self, datagram: &[u8]) -> Result<Vec<Word>, Dropped> {
+        if datagram.len() > LONGEST || datagram.len() < HEAD + TAIL {
+            return Err(Dropped::Garbled);
+        }
+        let (body, sum) = datagram.split_at(datagram.len() - TAIL);
+        if crc32fast::hash(body).to_be_bytes() != sum {
+            return Err(Dropped::Garbled);
+        }
+        let mut rest = body;
+        let (index, start, sequence, words) = Self::parse(&mut rest).ok_or(Dropped::Garbled)?;
+        if index >= self.controllers || index == self.own {
+            return Err(Dropped::Stranger);
+        }
+        // Later starts come first, then later numbers; half the range is behind us.
+        let newer = self.heard.get(&index).is_none_or(|(s, n)| {
+            start > *s || (start == *s && sequence != *n && sequence.wrapping_sub(*n) < u32::MAX / 2)
+        });
+        if !newer {
+            return Err(Dropped::Old);
+        }
+        self.heard.insert(index, (start, sequence));
+        Ok(words)
+    }
+
+    fn parse(rest: &mut &[u8]) -> Option<(u32, u64, u32, Vec<Word>)> {
+        if &take::<4>(rest)? != MAGIC {
+            return None;
+        }
+        let index = u32::from_be_bytes(take(rest)?);
+        let start = u64::from_be_bytes(take(rest)?);
+        let sequence = u32::from_be_bytes(take(rest)?);
+        let count = u16::from_be_bytes(take(rest)?);
+        let mut words = Vec::new();
+        for _ in 0..count {
+            let engine = EngineId(u64::from_be_bytes(take(rest)?));
+            let [mask] = take::<1>(rest)?;
+            let mut told = [None; 5];
+            for (i, slot) in told.iter_mut().enumerate().filter(|(i, _)| mask & (1 << i) != 0) {
+                let x = f64::from(f32::from_be_bytes(take(rest)?));
+                // A figure that is none, or below zero, makes all of it doubtful.
+                if !x.is_finite() || x < 0.0 || i > 4 {
+                    return None;
+                }
+                *slot = Some(x);
+            }
+            let [utilisation, in_flight, queue, memory, disks] = told;
+            words.push(Word { engine, report: Report { utilisation, in_flight, queue, memory, disks } });
+        }
+        rest.is_empty().then_some((index, start, sequence, words))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn words(n: u64) -> Vec<Word> {
+        let report = Report { utilisation: Some(0.5), memory: Some(0.25), ..Report::default() };
+        (0..n).map(|e| Word { engine: EngineId(e), report }).collect()
+    }
+
+    #[test]
+    fn words_go_round_and_long_ones_are_split() {
+        let (mut speaker, mut listener) = (Speaker::new(3, 100), Listener::new(5, 0));
+        let all = speaker.datagrams(&words(200));
+        assert!(all.len() > 1 && all.iter().all(|d| d.len() <= LONGEST));
+        let heard: Vec<Word> = all.iter().flat_map(|d| listener.hear(d).expect("sound")).collect();
+        assert_eq!(heard, words(200));
+    }
+
+    #[test]
+    fn garbled_doubled_old_and_strange_ones_are_dropped() {
+        let (mut speaker, mut listener) = (Speaker::new(3, 100), Listener::new(5, 0));
+        let first = speaker.datagrams(&words(1)).remove(0);
+        let second = speaker.datagrams(&words(1)).remove(0);
+        for i in 0..first.len() {
+            let mut garbled = first.clone();
+            garbled[i] ^= 0x10;
+            assert_eq!(listener.hear(&garbled), Err(Dropped::Garbled), "byte {i}");
+        }
+        assert!(listener.hear(&second).is_ok());
+        assert_eq!(listener.hear(&second), Err(Dropped::Old), "doubled");
+        assert_eq!(listener.hear(&first), Err(Dropped::Old), "late");
+        assert!(listener.hear(&Speaker::new(3, 101).datagrams(&words(1))[0]).is_ok(), "restarted");
+        assert_eq!(listener.hear(&Speaker::new(9, 1).datagrams(&words(1))[0]), Err(Dropped::Stranger));
+        assert_eq!(
+            listener.hear(&Speaker::new(0, 1).datagrams(&words(1))[0]),
+            Err(Dropped::Stranger),
+            "our own"
+        );
+    }
+
+    proptest! {
+        #[test]
+        fn any_bytes_are_heard_or_dropped(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+            let mut with_sum = bytes.clone();
+            with_sum.extend(crc32fast::hash(&bytes).to_be_bytes());
+            let mut listener = Listener::new(5, 0);
+            let _ = listener.hear(&bytes);
+            let _ = listener.hear(&with_sum);
+        }
+    }
+}
--- a/crates/driver/src/lib.rs
+++ b/crates/driver/src/lib.rs
@@ -289,7 +289,8 @@
                     }
                 }
                 Wake::Unconfirmed(attempt) => {
-                    if self.books.is_out(attempt) {
+                    // An answer that crossed the withdrawal and has begun is the client's.
+                    if self.books.is_out(attempt) && !self.books.began(attempt) {
                         self.ended(now, attempt, Outcome::Cancelled, None, Report::default(), out);
                     }
                 }
--- a/crates/pg/src/backend.rs
+++ b/crates/pg/src/backend.rs
@@ -300,6 +300,9 @@
         if self.dropped {
             input.advance(there);
             self.passing = whole - there;
+        } else if self.begun && there < whole && whole <= HELD {
+            // A short row goes whole, so that an engine lost in its middle leaves the client a place for the error.
+            return Some(Heard::Nothing);
         } else if self.begun {
             sink.extend_from_slice(&input[..there]);
             input.advance(there);
@@ -412,6 +415,11 @@
         }
     }
 
+    /// A long row has gone to the client in part: nothing else can be told it before the rest.
+    pub fn amid_row(&self) -> bool {
+        self.passing > 0 && !self.dropped
+    }
+
     /// A trouble that the engine told before it closed the connection.
     pub fn last_words(&mut self) -> Option<(String, String)> {
         self.trouble.take()
