--- a/crates/engine/src/answer.rs
+++ b/crates/engine/src/answer.rs
@@ -49,6 +49,9 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct ItemOf(Item);
 
+/// An attempt with a bad plan takes so many times as long.
+pub const BAD_PLAN: f64 = 10.0;
+
 /// What the stand-in reads from a statement's trailing comment, beside what a controller does.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Wanted {
@@ -70,6 +73,8 @@
     pub memory_mb: f64,
     /// Group of tables.
     pub tables: u64,
+    /// The chance that an attempt gets a bad plan, and takes [`BAD_PLAN`] times as long.
+    pub bad: f64,
     /// It is a load.
     pub load: bool,
     /// It waits for loads.
@@ -100,6 +105,7 @@
             io: number("io").unwrap_or(0.0).min(1.0),
             memory_mb: number("memory_mb").unwrap_or(0.0),
             tables: get("tables").and_then(|v| v.parse().ok()).unwrap_or(0),
+            bad: number("bad").unwrap_or(0.0).min(1.0),
             load: flag("load"),
             waits: flag("waits"),
             rows: get("rows").and_then(|v| v.parse().ok()),
--- a/crates/engine/src/host.rs
+++ b/crates/engine/src/host.rs
@@ -112,6 +112,8 @@
     registry: Registry,
     notice: i64,
     listed_after: i64,
+    /// Added to both for a while.
+    stale: i64,
     journal: Journal,
     chance: Pcg64Mcg,
     next_job: u64,
@@ -177,6 +179,7 @@
             gone: Vec::new(),
             notice: setup.notice,
             listed_after: setup.listed_after,
+            stale: 0,
             journal: Journal(file.map(std::io::BufWriter::new)),
             chance: Pcg64Mcg::seed_from_u64(seed),
             next_job: 0,
@@ -372,9 +375,11 @@
                 let load = self.engines[engine].model.load();
                 let now = self.clock.now();
                 self.next_job += 1;
+                let unlucky = wanted.bad > 0.0 && self.chance.random::<f64>() < wanted.bad;
+                let plan = if unlucky { crate::answer::BAD_PLAN } else { 1.0 };
                 let job = Job {
                     id: self.next_job,
-                    work: wanted.run_ms.unwrap_or(wanted.work_ms) / 1e3,
+                    work: wanted.run_ms.unwrap_or(wanted.work_ms) / 1e3 * plan,
                     threads: wanted.threads,
                     io: wanted.io,
                     memory_mb: wanted.memory_mb,
@@ -557,7 +562,7 @@
         for id in std::mem::take(&mut self.engines[engine].connections) {
             self.close(id, true);
         }
-        self.registry.change(now + self.notice, &name, Standing::Removed, None);
+        self.registry.change(now + self.notice + self.stale, &name, Standing::Removed, None);
     }
 
     fn start(&mut self, engine: usize, now: i64) -> Result<()> {
@@ -571,7 +576,7 @@
         e.model.start(now);
         let name = e.name.clone();
         self.journal.write(&json!({"t": now, "engine": name, "event": "restarted"}));
-        self.registry.change(now + self.listed_after, &name, Standing::Up, Some(now));
+        self.registry.change(now + self.listed_after + self.stale, &name, Standing::Up, Some(now));
         Ok(())
     }
 
@@ -690,7 +695,11 @@
                 Ok(json!({"t": now, "version": self.registry.version(), "engines": engines}).to_string())
             }
             ("POST", "/registry") => {
-                let ms = request.value("unavailable_ms").context("expected unavailable_ms=N")?;
+                if let Some(ms) = request.value("stale_ms") {
+                    self.stale = ms.parse::<i64>().context("stale_ms is no number")?.clamp(0, 60_000) * 1000;
+                    return Ok("{}".into());
+                }
+                let ms = request.value("unavailable_ms").context("expected unavailable_ms=N or stale_ms=N")?;
                 let ms: i64 = ms.parse().context("unavailable_ms is no number")?;
                 self.registry.unavailable(now + ms * 1000);
                 self.journal.write(&json!({"t": now, "event": "registry_unavailable", "ms": ms}));
--- a/crates/engine/src/setup.rs
+++ b/crates/engine/src/setup.rs
@@ -52,6 +52,7 @@
 #[serde(default, deny_unknown_fields)]
 struct Kind {
     name: String,
+    listed_as: Option<String>,
     cores: Option<f64>,
     speed: Option<f64>,
     disks: Option<f64>,
@@ -152,11 +153,12 @@
                 let fault = format!("kind `{}` has no cores, speed, disks, memory or sessions", kind.name);
                 return Err(Fault::at(name, text, at(&kind.name), fault, "write numbers above 0"));
             }
-            kinds.insert(kind.name, spec);
+            let listed = kind.listed_as.unwrap_or_else(|| kind.name.clone());
+            kinds.insert(kind.name, (listed, spec));
         }
         let mut engines: Vec<Hosted> = Vec::new();
         for e in file.engines {
-            let Some(spec) = kinds.get(&e.kind) else {
+            let Some((listed, spec)) = kinds.get(&e.kind) else {
                 let known: Vec<&str> = kinds.keys().map(String::as_str).collect();
                 let fault = format!("engine `{}` is of kind `{}`, which is not named", e.id, e.kind);
                 return Err(Fault::at(
@@ -176,7 +178,13 @@
                     "rename one",
                 ));
             }
-            engines.push(Hosted { name: e.id, kind: e.kind, zone: e.zone, cell: e.cell, spec: spec.clone() });
+            engines.push(Hosted {
+                name: e.id,
+                kind: listed.clone(),
+                zone: e.zone,
+                cell: e.cell,
+                spec: spec.clone(),
+            });
         }
         if engines.is_empty() {
             return Err(Fault::at(name, text, 0, "no engine is named", "add [[engines]]"));
--- /dev/null
+++ b/crates/lab/src/judge.rs
@@ -0,0 +1,528 @@
+//! The seven rules, judged from what crossed the sockets: the tries of the clients, the log of the stand-ins, and the
+//! lives of the controllers. What a controller believes of itself is not asked. No I/O and no clock.
+
+use crate::crowd::{End, Try};
+use crate::day::Day;
+use crate::plan::Plan;
+use crate::stage::Life;
+use anyhow::{Context, Result};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use wheelfield::interface::{DedupScope, Effect, Micros, Settings};
+
+/// An answer counts as in time up to so long after its client's limit, as the clocks of the log are read by a busy
+/// process, in microseconds.
+pub const SLACK: i64 = 20_000;
+/// An attempt received so shortly after an answer was sent off before it.
+const CROSSING: i64 = 500_000;
+/// Windows of the budget are judged this much to the controller's favour, as its clock is not that of the log.
+const EDGE: i64 = 100_000;
+/// Queries of one key sent within this of each other have no known order.
+const UNORDERED: i64 = 30_000;
+
+/// A line of the stand-ins' log.
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct Line {
+    /// When, in microseconds of the wall clock.
+    pub t: i64,
+    /// What.
+    pub event: String,
+    /// At which engine.
+    #[serde(default)]
+    pub engine: String,
+    /// Which query, by the name its client gave it.
+    #[serde(default)]
+    pub query: Option<String>,
+    /// Sent by whom.
+    #[serde(default)]
+    pub by: String,
+    /// The share of its work that the engine could do.
+    #[serde(default)]
+    pub warmth: f64,
+    /// Its zone.
+    #[serde(default)]
+    pub zone: String,
+    /// Its kind.
+    #[serde(default)]
+    pub kind: String,
+    /// Its cell.
+    #[serde(default)]
+    pub cell: i64,
+    /// Told by the registry to whom.
+    #[serde(default)]
+    pub who: String,
+    /// Engines that take no work, as told.
+    #[serde(default)]
+    pub not_up: Vec<NotUp>,
+    /// The figure of a fault.
+    #[serde(default)]
+    pub value: f64,
+}
+
+/// An engine that takes no work.
+#[derive(Clone, Debug, Deserialize)]
+pub struct NotUp {
+    /// Its name.
+    pub engine: String,
+    /// `draining` or `removed`.
+    pub status: String,
+}
+
+/// Reads the stand-ins' log.
+///
+/// # Errors
+/// With the number of a line that can't be read.
+pub fn read_log(text: &str) -> Result<Vec<Line>> {
+    let line = |(n, line): (usize, &str)| {
+        serde_json::from_str(line).with_context(|| format!("line {} of the engines' log", n + 1))
+    };
+    text.lines().enumerate().filter(|(_, l)| !l.trim().is_empty()).map(line).collect()
+}
+
+/// The names of the rules, in their order.
+pub const RULES: [&str; 7] = ["lost", "twice", "drain", "cold", "order", "placement", "budget"];
+
+/// A broken rule.
+#[derive(Clone, Debug, Serialize)]
+pub struct Breach {
+    /// Which rule.
+    pub rule: &'static str,
+    /// When, in microseconds from the day's start.
+    pub at: i64,
+    /// What was seen.
+    pub what: String,
+}
+
+/// What is judged.
+pub struct Evidence<'a> {
+    /// The script.
+    pub day: &'a Day,
+    /// What its controllers were told of the rules.
+    pub settings: &'a Settings,
+    /// The day as drawn.
+    pub plan: &'a Plan,
+    /// When it began, in microseconds of the wall clock.
+    pub start: i64,
+    /// All tries.
+    pub tries: &'a [Try],
+    /// The stand-ins' log.
+    pub log: &'a [Line],
+    /// The lives of the controllers.
+    pub lives: &'a [Life],
+}
+
+/// An attempt as the stand-ins saw it.
+#[derive(Clone, Debug)]
+struct Attempt<'a> {
+    received: &'a Line,
+    /// When it ended there, and whether it was turned away unseen.
+    ended: i64,
+    refused: bool,
+}
+
+struct Judge<'a> {
+    e: &'a Evidence<'a>,
+    attempts: BTreeMap<&'a str, Vec<Attempt<'a>>>,
+    tries: BTreeMap<&'a str, &'a Try>,
+    /// Spans in which an engine hung: what it reads at their end was sent before.
+    hangs: BTreeMap<&'a str, Vec<(i64, i64)>>,
+    breaches: Vec<Breach>,
+}
+
+/// Judges a day.
+pub fn judge(evidence: &Evidence<'_>) -> Vec<Breach> {
+    let mut judge = Judge {
+        e: evidence,
+        attempts: BTreeMap::new(),
+        tries: evidence.tries.iter().map(|t| (t.id.as_str(), t)).collect(),
+        hangs: BTreeMap::new(),
+        breaches: Vec::new(),
+    };
+    judge.gather();
+    judge.lost();
+    judge.twice();
+    judge.drain();
+    judge.cold();
+    judge.order();
+    judge.placement();
+    judge.budget();
+    judge.breaches.sort_by_key(|b| b.at);
+    judge.breaches
+}
+
+fn controller_of(by: &str) -> Option<usize> {
+    by.strip_prefix("wheelfield/")?.parse().ok()
+}
+
+impl<'a> Judge<'a> {
+    fn breach(&mut self, rule: &'static str, at: i64, what: String) {
+        self.breaches.push(Breach { rule, at: at - self.e.start, what });
+    }
+
+    fn gather(&mut self) {
+        for line in self.e.log {
+            let query = line.query.as_deref();
+            match (line.event.as_str(), query) {
+                ("received", Some(query)) => {
+                    let attempt = Attempt { received: line, ended: i64::MAX, refused: false };
+                    self.attempts.entry(query).or_default().push(attempt);
+                }
+                ("finished" | "dropped" | "refused" | "errored", Some(query)) => {
+                    let all = self.attempts.entry(query).or_default();
+                    let same = |a: &&mut Attempt<'_>| {
+                        a.received.engine == line.engine && a.received.by == line.by && a.ended == i64::MAX
+                    };
+                    if let Some(a) = all.iter_mut().find(same) {
+                        (a.ended, a.refused) = (line.t, line.event == "refused");
+                    }
+                }
+                ("fault", _) if line.kind == "hang" => {
+                    let spans = self.hangs.entry(line.engine.as_str()).or_default();
+                    match spans.last_mut() {
+                        Some(last) if line.value == 0.0 => last.1 = line.t,
+                        _ if line.value > 0.0 => spans.push((line.t, i64::MAX)),
+                        _ => {}
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Whether an engine stood still at some time in a span.
+    fn hung(&self, engine: &str, from: i64, to: i64) -> bool {
+        let spans = self.hangs.get(engine).map(Vec::as_slice).unwrap_or(&[]);
+        spans.iter().any(|(a, b)| *a <= to && *b >= from)
+    }
+
+    fn class(&self, t: &Try) -> usize {
+        self.e.plan.arrivals[t.arrival].class
+    }
+
+    /// Whether a controller ran without a break in a span.
+    fn ran(&self, controller: usize, from: i64, to: i64) -> bool {
+        let lives = self.e.lives.iter().filter(|l| l.controller == controller);
+        lives.clone().any(|l| l.from <= from && l.killed.is_none_or(|k| k > to))
+    }
+
+    fn stood_still(&self, controller: usize, from: i64, to: i64) -> bool {
+        let mut lives = self.e.lives.iter().filter(|l| l.controller == controller);
+        lives.any(|l| l.stalls.iter().any(|(a, b)| *a <= to && *b >= from))
+    }
+
+    /// Rule 1: one final answer before the client gives up, and nothing after.
+    fn lost(&mut self) {
+        for t in self.e.tries {
+            let answered = matches!(t.end, Some(End::Served | End::Refused | End::Failed));
+            if t.answers > 1 {
+                self.breach("lost", t.ended, format!("{} got {} answers", t.id, t.answers));
+            }
+            if t.after {
+                self.breach("lost", t.ended, format!("{} got something after its answer", t.id));
+            }
+            // A controller that stood still could not answer; it is judged by what it does when it goes on.
+            let excused = !self.ran(t.controller, t.sent, t.ended.min(t.due) + 1)
+                || self.stood_still(t.controller, t.sent, t.due);
+            if answered && t.ended > t.due + SLACK && !excused {
+                let late = (t.ended - t.due) / 1000;
+                self.breach(
+                    "lost",
+                    t.ended,
+                    format!("{} was answered {late} ms after its client gave up", t.id),
+                );
+            }
+            if matches!(t.end, Some(End::NoAnswer)) && !excused {
+                self.breach(
+                    "lost",
+                    t.due,
+                    format!("{} got no answer from controller {}", t.id, t.controller),
+                );
+            }
+            if matches!(t.end, Some(End::Broke)) && !excused {
+                self.breach(
+                    "lost",
+                    t.ended,
+                    format!("the connection of {} broke at controller {}", t.id, t.controller),
+                );
+            }
+            if t.end.is_none() {
+                self.breach("lost", t.sent, format!("{} did not end", t.id));
+            }
+            if !answered && t.end != Some(End::Left) {
+                continue;
+            }
+            let attempts = self.attempts.get(t.id.as_str()).cloned().unwrap_or_default();
+            for a in attempts {
+                let r = a.received;
+                if r.t > t.ended + CROSSING && !self.hung(&r.engine, t.ended, r.t) {
+                    let after = (r.t - t.ended) / 1000;
+                    self.breach(
+                        "lost",
+                        r.t,
+                        format!("{} was sent to {} {after} ms after its end", t.id, r.engine),
+                    );
+                }
+            }
+        }
+    }
+
+    /// Rule 2: nothing runs twice that must not, and a refusal is true.
+    fn twice(&mut self) {
+        for t in self.e.tries {
+            let class = &self.e.settings.classes[self.class(t)];
+            let ran: Vec<Attempt<'_>> = self
+                .attempts
+                .get(t.id.as_str())
+                .into_iter()
+                .flatten()
+                .filter(|a| !a.refused)
+                .cloned()
+                .collect();
+            match class.effect {
+                Effect::Repeatable => {}
+                Effect::Once => {
+                    if ran.len() > 1 {
+                        let where_: Vec<&str> = ran.iter().map(|a| a.received.engine.as_str()).collect();
+                        self.breach(
+                            "twice",
+                            ran[1].received.t,
+                            format!("{} ran at {}", t.id, where_.join(" and ")),
+                        );
+                    }
+                    if t.end == Some(End::Refused) && !ran.is_empty() {
+                        self.breach(
+                            "twice",
+                            t.ended,
+                            format!("{} was refused, but ran at {}", t.id, ran[0].received.engine),
+                        );
+                    }
+                }
+                Effect::ByKey => {
+                    let Some((first, others)) = ran.split_first() else { continue };
+                    for a in others {
+                        let (one, other) = (first.received, a.received);
+                        let inside = match class.scope {
+                            DedupScope::All => true,
+                            DedupScope::Zone => one.zone == other.zone,
+                            DedupScope::Cell => one.cell == other.cell,
+                        };
+                        let late = other.t - one.t > class.window.0 + EDGE
+                            && !self.hung(&other.engine, one.t, other.t);
+                        if !inside || late {
+                            let why = if inside { "after its window" } else { "outside of its group" };
+                            self.breach("twice", other.t, format!("{} went to {} {why}", t.id, other.engine));
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    /// Rule 3: nothing new later than the grace after a controller was told.
+    fn drain(&mut self) {
+        let grace = self.e.day.drain_grace.0 .0;
+        let mut told: BTreeMap<(usize, &str), i64> = BTreeMap::new();
+        let mut found = Vec::new();
+        for line in self.e.log {
+            if line.event == "told" {
+                let Ok(who) = line.who.parse::<usize>() else { continue };
+                let named: BTreeSet<&str> = line.not_up.iter().map(|n| n.engine.as_str()).collect();
+                told.retain(|(w, engine), _| *w != who || named.contains(engine));
+                for engine in named {
+                    told.entry((who, engine)).or_insert(line.t);
+                }
+            }
+            if line.event == "received" {
+                let Some(who) = controller_of(&line.by) else { continue };
+                let Some(at) = told.get(&(who, line.engine.as_str())) else { continue };
+                if line.t > at + grace
+                    && !self.hung(&line.engine, *at, line.t)
+                    && !self.stood_still(who, *at, line.t)
+                {
+                    let query = line.query.as_deref().unwrap_or("?");
+                    let after = (line.t - at) / 1000;
+                    found.push((
+                        line.t,
+                        format!(
+                            "controller {who} sent {query} to {} {after} ms after it was told",
+                            line.engine
+                        ),
+                    ));
+                }
+            }
+        }
+        for (at, what) in found {
+            self.breach("drain", at, what);
+        }
+    }
+
+    /// The usual work of a class, in seconds of one thread.
+    fn usual_work(&self, class: usize) -> f64 {
+        self.e.day.classes[class].work.0 .0 as f64 / 1e6
+    }
+
+    /// Rule 4: all controllers together don't push over a cold engine.
+    fn cold(&mut self) {
+        let s = self.e.settings;
+        let Micros(span) = s.fall_span;
+        if s.fall_multiple <= 0.0 || span <= 0 {
+            return;
+        }
+        let mut sent: BTreeMap<&str, VecDeque<(i64, f64)>> = BTreeMap::new();
+        let mut over: BTreeSet<&str> = BTreeSet::new();
+        let mut found = Vec::new();
+        for line in self.e.log {
+            let engine = line.engine.as_str();
+            match line.event.as_str() {
+                "fell_over" => {
+                    found.push((line.t, format!("{engine} was sent too much while cold and fell over")))
+                }
+                "restarted" => {
+                    sent.remove(engine);
+                    over.remove(engine);
+                }
+                "received" if line.warmth < 1.0 && line.warmth > 0.0 => {
+                    let tried = line.query.as_deref().and_then(|q| self.tries.get(q));
+                    let Some(class) = tried.map(|t| self.class(t)) else { continue };
+                    let window = sent.entry(engine).or_default();
+                    window.push_back((line.t, self.usual_work(class)));
+                    while window.front().is_some_and(|(t, _)| *t < line.t - span) {
+                        window.pop_front();
+                    }
+                    let total: f64 = window.iter().map(|(_, w)| w).sum();
+                    let kind = self.e.day.fleet.kinds.iter().find(|k| k.name == line.kind);
+                    let cores = kind.map_or(1.0, |k| k.cores * k.speed[0]);
+                    let able = s.fall_multiple * cores * line.warmth * span as f64 / 1e6;
+                    // One query alone is no flood, and one breach tells of the engine.
+                    if total > able && window.len() > 1 && over.insert(engine) {
+                        found.push((
+                            line.t,
+                            format!(
+                                "{engine} at {:.2} of its work was sent {total:.1} of {able:.1} s",
+                                line.warmth
+                            ),
+                        ));
+                    }
+                }
+                _ => {}
+            }
+        }
+        for (at, what) in found {
+            self.breach("cold", at, what);
+        }
+    }
+
+    /// Rule 5: queries of one key one at a time, in turn.
+    fn order(&mut self) {
+        let mut lines: BTreeMap<(usize, u64), Vec<&Try>> = BTreeMap::new();
+        for t in self.e.tries {
+            let a = &self.e.plan.arrivals[t.arrival];
+            if let Some(key) = a.key.filter(|_| self.e.settings.classes[a.class].in_order) {
+                lines.entry((t.controller, key)).or_default().push(t);
+            }
+        }
+        let mut found = Vec::new();
+        for ((controller, key), tries) in &lines {
+            for (i, t) in tries.iter().enumerate() {
+                for earlier in &tries[..i] {
+                    // What another process of the controller took, this one never heard of.
+                    if !self.ran(*controller, earlier.sent, t.sent) {
+                        continue;
+                    }
+                    let all = |t: &Try| self.attempts.get(t.id.as_str()).map(Vec::as_slice).unwrap_or(&[]);
+                    for a in all(t) {
+                        for b in all(earlier) {
+                            let overlaps = a.received.t < b.ended && a.received.t > b.received.t;
+                            let overtakes =
+                                b.received.t > a.received.t + EDGE && t.sent - earlier.sent > UNORDERED;
+                            let hung = self.hung(&b.received.engine, b.received.t, a.received.t)
+                                || self.hung(
+                                    &a.received.engine,
+                                    b.received.t.min(a.received.t),
+                                    a.received.t.max(b.received.t),
+                                );
+                            if (overlaps || overtakes) && !hung {
+                                found.push((
+                                    a.received.t,
+                                    format!("{} ran before {} of key {key} was over", t.id, earlier.id),
+                                ));
+                            }
+                        }
+                    }
+                }
+            }
+        }
+        for (at, what) in found {
+            self.breach("order", at, what);
+        }
+    }
+
+    /// Rule 6: a bound class goes only where it may.
+    fn placement(&mut self) {
+        let mut found = Vec::new();
+        for line in self.e.log.iter().filter(|l| l.event == "received") {
+            let Some(t) = line.query.as_deref().and_then(|q| self.tries.get(q)) else { continue };
+            let class = &self.e.day.classes[self.class(t)];
+            let open = |names: &[String], is: &str| names.is_empty() || names.iter().any(|n| n == is);
+            if !open(&class.zones, &line.zone) || !open(&class.kinds, &line.kind) {
+                found.push((
+                    line.t,
+                    format!(
+                        "{} of class {} went to {} in zone {:?}",
+                        t.id, class.name, line.engine, line.zone
+                    ),
+                ));
+            }
+        }
+        for (at, what) in found {
+            self.breach("placement", at, what);
+        }
+    }
+
+    /// Rule 7: further attempts within the budget.
+    fn budget(&mut self) {
+        let Some(budget) = self.e.settings.attempt_budget else { return };
+        let span = budget.span.0;
+        let mut found = Vec::new();
+        for controller in 0..self.e.day.controllers {
+            let taken: Vec<i64> = {
+                let mut all: Vec<i64> =
+                    self.e.tries.iter().filter(|t| t.controller == controller).map(|t| t.sent).collect();
+                all.sort_unstable();
+                all
+            };
+            let mut seen: BTreeSet<&str> = BTreeSet::new();
+            let mut further: VecDeque<i64> = VecDeque::new();
+            let mine = self
+                .e
+                .log
+                .iter()
+                .filter(|l| l.event == "received" && controller_of(&l.by) == Some(controller));
+            for line in mine {
+                let Some(query) = line.query.as_deref() else { continue };
+                if seen.insert(query) || self.stood_still(controller, line.t - span, line.t) {
+                    continue;
+                }
+                further.push_back(line.t);
+                while further.front().is_some_and(|t| *t <= line.t - span + EDGE) {
+                    further.pop_front();
+                }
+                let from = taken.partition_point(|t| *t < line.t - span - EDGE);
+                let to = taken.partition_point(|t| *t <= line.t + EDGE);
+                let allowed = budget.free + budget.share * (to - from) as f64;
+                if further.len() as f64 > allowed {
+                    found.push((
+                        line.t,
+                        format!(
+                            "controller {controller}: {} further attempts, {allowed:.1} allowed",
+                            further.len()
+                        ),
+                    ));
+                }
+            }
+        }
+        for (at, what) in found {
+            self.breach("budget", at, what);
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,18 @@
+//! The laboratory: a day of traffic and troubles is drawn from a script and a seed, played on real processes (controllers,
+//! stand-in engines, clients), and judged from what crossed their sockets.
+//!
+//! - [`day`]: the script, as TOML.
+//! - [`plan`]: the day drawn from it, by seed; no I/O.
+//! - [`stage`]: the processes.
+//! - [`crowd`]: the clients, in an open loop.
+//! - [`judge`]: the seven rules, from the logs alone; no I/O.
+//! - [`play`]: all of it together, and the report.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod crowd;
+pub mod day;
+pub mod judge;
+pub mod plan;
+pub mod play;
+pub mod stage;
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,188 @@
+//! `wheelfield-lab`: scripted days on real processes, judged from their logs.
+
+use anyhow::{Context, Result};
+use clap::{Args, Parser, Subcommand};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::atomic::AtomicBool;
+use std::sync::Arc;
+use wheelfield_lab::day::{Day, KINDS};
+use wheelfield_lab::play::{self, Options};
+
+/// Scripted days of traffic and troubles on real processes, judged from what crossed their sockets.
+///
+/// Exit codes: 0 all rules kept, 1 a rule broken or the day fell through, 2 bad use.
+#[derive(Parser)]
+#[command(name = "wheelfield-lab", version)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Plays a day and judges the seven rules; without a file, a bad day of about 30 s.
+    Day(DayArgs),
+    /// Starts stand-in engines and one controller, and stays until ^C.
+    Up(UpArgs),
+    /// Lists the kinds of trouble, or the days that are built in.
+    List {
+        /// `troubles` or `days`.
+        #[arg(value_parser = ["troubles", "days"])]
+        what: String,
+    },
+}
+
+#[derive(Args)]
+struct DayArgs {
+    /// The script, or the name of a day that is built in.
+    file: Option<PathBuf>,
+    /// Seed of the day; the same script and seed draw the same traffic and troubles.
+    #[arg(long, value_name = "N", default_value_t = 1)]
+    seed: u64,
+    /// Engines, in place of the script's.
+    #[arg(long, value_name = "N")]
+    engines: Option<usize>,
+    /// Controllers, in place of the script's.
+    #[arg(long, value_name = "N")]
+    controllers: Option<usize>,
+    /// Connections of clients at most, in place of the script's.
+    #[arg(long, value_name = "N")]
+    clients: Option<usize>,
+    /// Queries a second, in place of the script's.
+    #[arg(long, value_name = "X")]
+    rate: Option<f64>,
+    /// Keeps logs, configurations and the report here; else they go when the day is over.
+    #[arg(long, value_name = "DIR")]
+    out: Option<PathBuf>,
+    /// Prints the report as one JSON object.
+    #[arg(long)]
+    json: bool,
+    /// Only checks the script.
+    #[arg(long)]
+    check: bool,
+    /// What controllers log: error, warn, info or debug.
+    #[arg(long, value_name = "LEVEL", default_value = "info")]
+    log: String,
+    /// A fault planted in the controllers, in builds that have them.
+    #[arg(long, value_name = "FAULT", hide = true)]
+    plant: Option<String>,
+}
+
+#[derive(Args)]
+struct UpArgs {
+    /// Where the controller listens.
+    #[arg(long, value_name = "ADDR", default_value = "127.0.0.1:6432")]
+    listen: SocketAddr,
+    /// Engines.
+    #[arg(long, value_name = "N", default_value_t = 4)]
+    engines: usize,
+}
+
+/// The days that are built in.
+const DAYS: [(&str, &str); 8] = [
+    ("bad", include_str!("../days/bad.toml")),
+    ("crashes", include_str!("../days/crashes.toml")),
+    ("hangs", include_str!("../days/hangs.toml")),
+    ("slow", include_str!("../days/slow.toml")),
+    ("drains", include_str!("../days/drains.toml")),
+    ("controllers", include_str!("../days/controllers.toml")),
+    ("answers", include_str!("../days/answers.toml")),
+    ("short", include_str!("../days/short.toml")),
+];
+
+fn read(file: Option<&PathBuf>) -> Result<Day> {
+    let name = file.map_or("bad".to_string(), |f| f.display().to_string());
+    let built_in = DAYS.iter().find(|(n, _)| *n == name).map(|(_, text)| (*text).to_string());
+    let text = match built_in {
+        Some(text) => text,
+        None => std::fs::read_to_string(&name).with_context(|| format!("cannot read the day {name}"))?,
+    };
+    Ok(Day::parse(&name, &text)?)
+}
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let done = match cli.command {
+        Command::List { what } => {
+            if what == "days" {
+                DAYS.iter().for_each(|(name, text)| {
+                    println!("{name:<12} {}", text.lines().next().unwrap_or("").trim_start_matches("# "))
+                });
+            } else {
+                KINDS.iter().for_each(|(kind, what)| println!("{kind:<16} {what}"));
+            }
+            return ExitCode::SUCCESS;
+        }
+        Command::Day(args) => {
+            let mut day = match read(args.file.as_ref()) {
+                Ok(day) => day,
+                Err(fault) => return bad_use(&fault),
+            };
+            day.engines = args.engines.unwrap_or(day.engines);
+            day.controllers = args.controllers.unwrap_or(day.controllers);
+            day.clients = args.clients.unwrap_or(day.clients);
+            day.rate = args.rate.unwrap_or(day.rate);
+            let sound = day.engines > 0 && day.controllers > 0 && day.clients > 0 && day.rate > 0.0;
+            if !sound || day.engines > 1000 || day.controllers > 1000 || day.clients > 18_000 {
+                return bad_use(&anyhow::anyhow!(
+                    "engines and controllers from 1 to 1000, clients to 18000, a rate above 0"
+                ));
+            }
+            if args.check {
+                return ExitCode::SUCCESS;
+            }
+            one_day(&day, &args)
+        }
+        Command::Up(args) => up(&args),
+    };
+    match done {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(fault) => {
+            eprintln!("wheelfield-lab: {fault:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn bad_use(fault: &anyhow::Error) -> ExitCode {
+    eprintln!("wheelfield-lab: {fault:#}");
+    ExitCode::from(2)
+}
+
+fn one_day(day: &Day, args: &DayArgs) -> Result<bool> {
+    let kept = tempfile::tempdir()?;
+    let dir = args.out.clone().unwrap_or_else(|| kept.path().to_path_buf());
+    std::fs::create_dir_all(&dir).with_context(|| format!("cannot make {}", dir.display()))?;
+    let options = Options {
+        seed: args.seed,
+        dir,
+        plant: args.plant.clone(),
+        log_level: args.log.clone(),
+        quiet: false,
+    };
+    let report = play::play(day, &options)?;
+    let mut out = std::io::stdout().lock();
+    if args.json {
+        serde_json::to_writer(&mut out, &report)?;
+        std::io::Write::write_all(&mut out, b"\n")?;
+    } else {
+        play::print(&report, &mut out)?;
+    }
+    Ok(report.kept())
+}
+
+fn up(args: &UpArgs) -> Result<bool> {
+    let mut day = read(None)?;
+    (day.engines, day.controllers, day.troubles) = (args.engines.clamp(1, 1000), 1, Vec::new());
+    let stop = Arc::new(AtomicBool::new(false));
+    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
+        signal_hook::flag::register(signal, stop.clone())?;
+    }
+    let dir = tempfile::tempdir()?;
+    let options = Options { seed: 1, dir: dir.path().to_path_buf(), ..Options::default() };
+    play::stay(&day, &options, args.listen, &stop)?;
+    Ok(true)
+}
--- /dev/null
+++ b/crates/lab/src/play.rs
@@ -0,0 +1,332 @@
+//! A day from its script to its verdict.
+
+use crate::crowd::{Crowd, End, Manners, Try};
+use crate::day::Day;
+use crate::judge::{judge, read_log, Breach, Evidence, RULES};
+use crate::plan::Plan;
+use crate::stage::{Setting, Stage};
+use anyhow::{anyhow, Context, Result};
+use hdrhistogram::Histogram;
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::sync::mpsc::channel;
+use std::time::Duration;
+use wheelfield_net::Clock;
+
+/// The stage is set this long before the first query.
+const LEAD: i64 = 500_000;
+
+/// How a day is to be played.
+#[derive(Clone, Debug, Default)]
+pub struct Options {
+    /// Seed of the day.
+    pub seed: u64,
+    /// Where logs go.
+    pub dir: PathBuf,
+    /// A fault planted in the controllers.
+    pub plant: Option<String>,
+    /// What controllers log.
+    pub log_level: String,
+    /// Progress on standard error.
+    pub quiet: bool,
+}
+
+/// What became of a class.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct OfClass {
+    /// Its name.
+    pub class: String,
+    /// Queries, further tries not counted.
+    pub queries: u64,
+    /// Share of its worth that was answered in time.
+    pub service: f64,
+    /// Queries whose last try was served,
+    pub served: u64,
+    /// refused,
+    pub refused: u64,
+    /// failed.
+    pub failed: u64,
+    /// Latency of served tries, in milliseconds: the half,
+    pub p50_ms: f64,
+    /// ninety-nine in a hundred.
+    pub p99_ms: f64,
+}
+
+/// What became of a day.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Report {
+    /// The day's name.
+    pub day: String,
+    /// Its seed.
+    pub seed: u64,
+    /// Tries sent to controllers.
+    pub queries: u64,
+    /// Final answers that came.
+    pub answers: u64,
+    /// Of them served,
+    pub served: u64,
+    /// refused,
+    pub refused: u64,
+    /// failed.
+    pub failed: u64,
+    /// Tries without an answer: their clients left, or their controller was killed or not there.
+    pub unanswered: u64,
+    /// Share of all worth that was answered in time.
+    pub service: f64,
+    /// Breaches of each rule.
+    pub rules: BTreeMap<&'static str, u64>,
+    /// By class.
+    pub classes: Vec<OfClass>,
+    /// So late the crowd sent, in milliseconds: ninety-nine in a hundred.
+    pub sent_late_p99_ms: f64,
+    /// Processor seconds of all controllers.
+    pub controller_cpu_s: f64,
+    /// The first breaches.
+    pub breaches: Vec<Breach>,
+}
+
+impl Report {
+    /// All rules were kept.
+    pub fn kept(&self) -> bool {
+        self.rules.values().all(|n| *n == 0)
+    }
+}
+
+/// Plays a day.
+///
+/// # Errors
+/// If the stage can't be set, or comes down by itself.
+pub fn play(day: &Day, options: &Options) -> Result<Report> {
+    let plan = Plan::draw(day, options.seed);
+    let clock = Clock::start();
+    let setting = Setting {
+        dir: options.dir.clone(),
+        seed: options.seed,
+        plant: options.plant.clone(),
+        log_level: options.log_level.clone(),
+    };
+    let mut stage = Stage::set(day, &plan, setting, clock)?;
+    let start = clock.now() + LEAD;
+    let (sender, receiver) = channel();
+    for change in stage.doors() {
+        sender.send(change).map_err(|_| anyhow!("no crowd"))?;
+    }
+    let manners = Manners {
+        classes: day.classes.clone(),
+        tenants: day.tenants.iter().map(|t| t.name.clone()).collect(),
+        habits: day.habits.clone(),
+        connections: day.clients,
+        seed: options.seed,
+    };
+    let crowd = Crowd::new(&plan, manners, day.controllers, receiver, clock, start)?;
+    let longest = day.classes.iter().map(|c| c.deadline.0 .0).max().unwrap_or(0);
+    let end = start + day.length.0 .0 + 2 * longest + 5_000_000;
+    let (length, quiet) = (day.length.0 .0, options.quiet);
+    let progress = move |at: i64, t: crate::crowd::Tally| {
+        if !quiet {
+            eprint!(
+                "\r{:>3} of {} s: {} sent, {} served, {} refused, {} failed, {} other ",
+                at / 1_000_000,
+                length / 1_000_000,
+                t.sent,
+                t.served,
+                t.refused,
+                t.failed,
+                t.other
+            );
+        }
+    };
+    // The blows fall from a thread of their own, as a process that starts must not hold up the clients.
+    let (tries, directed) = std::thread::scope(|scope| {
+        let director = scope.spawn(|| -> Result<()> {
+            for (at, act) in &plan.acts {
+                std::thread::sleep(clock.until(start + at));
+                for change in stage.act(act).with_context(|| format!("{act:?}"))? {
+                    // The crowd may be through already.
+                    let _ = sender.send(change);
+                }
+            }
+            Ok(())
+        });
+        let tries = crowd.play(end, progress);
+        let directed = director.join().map_err(|_| anyhow!("the director panicked")).and_then(|r| r);
+        (tries, directed)
+    });
+    if !options.quiet {
+        eprintln!();
+    }
+    let tries = tries?;
+    directed?;
+    stage.end()?;
+    let log_file = options.dir.join("engines.jsonl");
+    let text =
+        std::fs::read_to_string(&log_file).with_context(|| format!("cannot read {}", log_file.display()))?;
+    let log = read_log(&text)?;
+    let settings = day.settings()?;
+    let evidence = Evidence {
+        day,
+        settings: &settings,
+        plan: &plan,
+        start,
+        tries: &tries,
+        log: &log,
+        lives: &stage.lives,
+    };
+    let breaches = judge(&evidence);
+    let mut report = sum_up(day, &plan, start, &tries, breaches);
+    (report.seed, report.controller_cpu_s) = (options.seed, stage.spent);
+    let lines: Vec<String> = tries.iter().map(|t| serde_json::to_string(t).unwrap_or_default()).collect();
+    std::fs::write(options.dir.join("clients.jsonl"), lines.join("\n"))?;
+    std::fs::write(options.dir.join("report.json"), serde_json::to_string_pretty(&report)?)?;
+    Ok(report)
+}
+
+fn sum_up(day: &Day, plan: &Plan, start: i64, tries: &[Try], breaches: Vec<Breach>) -> Report {
+    let mut report = Report { day: day.name.clone(), ..Report::default() };
+    let mut latencies: Vec<Histogram<u64>> = day
+        .classes
+        .iter()
+        .map(|_| Histogram::new_with_bounds(1, 3_600_000_000, 3))
+        .filter_map(Result::ok)
+        .collect();
+    let mut late = Histogram::<u64>::new_with_bounds(1, 3_600_000_000, 3).ok();
+    let mut last: BTreeMap<usize, &Try> = BTreeMap::new();
+    for t in tries {
+        report.queries += 1;
+        match t.end {
+            Some(End::Served) => report.served += 1,
+            Some(End::Refused) => report.refused += 1,
+            Some(End::Failed) => report.failed += 1,
+            _ => report.unanswered += 1,
+        }
+        let class = plan.arrivals[t.arrival].class;
+        if t.end == Some(End::Served) {
+            if let Some(h) = latencies.get_mut(class) {
+                let _ = h.record((t.ended - t.sent).max(1) as u64);
+            }
+        }
+        if let Some(late) = &mut late {
+            let _ = late.record(t.late_us.max(1) as u64);
+        }
+        last.insert(t.arrival, t);
+    }
+    report.answers = report.served + report.refused + report.failed;
+    report.sent_late_p99_ms = late.map_or(0.0, |h| h.value_at_quantile(0.99) as f64 / 1e3);
+    let mut classes: Vec<OfClass> =
+        day.classes.iter().map(|c| OfClass { class: c.name.clone(), ..OfClass::default() }).collect();
+    let (mut worth, mut got) = (vec![0.0; classes.len()], vec![0.0; classes.len()]);
+    for (i, a) in plan.arrivals.iter().enumerate() {
+        let (c, of) = (&day.classes[a.class], &mut classes[a.class]);
+        of.queries += 1;
+        let Some(t) = last.get(&i) else { continue };
+        if t.end == Some(End::Left) {
+            // Nobody waits for it any more.
+            of.queries -= 1;
+            continue;
+        }
+        worth[a.class] += c.worth;
+        match t.end {
+            Some(End::Served) => {
+                of.served += 1;
+                // From when it was first wanted: further tries belong to the first.
+                let took = t.ended - (start + a.at);
+                let aim = c.aim.0 .0 as f64 + c.aim_stretch * a.work / c.threads * 1e6;
+                got[a.class] += if took as f64 <= aim { c.worth } else { c.worth * c.late_worth };
+            }
+            Some(End::Refused) => of.refused += 1,
+            _ => of.failed += 1,
+        }
+    }
+    for (i, of) in classes.iter_mut().enumerate() {
+        of.service = if worth[i] > 0.0 { got[i] / worth[i] } else { 1.0 };
+        if let Some(h) = latencies.get(i) {
+            of.p50_ms = h.value_at_quantile(0.5) as f64 / 1e3;
+            of.p99_ms = h.value_at_quantile(0.99) as f64 / 1e3;
+        }
+    }
+    report.service = got.iter().sum::<f64>() / worth.iter().sum::<f64>().max(1e-9);
+    report.classes = classes;
+    report.rules = RULES
+        .iter()
+        .map(|rule| (*rule, breaches.iter().filter(|b| b.rule == *rule).count() as u64))
+        .collect();
+    report.breaches = breaches.into_iter().take(50).collect();
+    report
+}
+
+/// The report for people.
+pub fn print(report: &Report, out: &mut impl std::io::Write) -> std::io::Result<()> {
+    writeln!(out, "{} (seed {})", report.day, report.seed)?;
+    writeln!(
+        out,
+        "{} tries: {} served, {} refused, {} failed, {} without an answer (client left, controller killed)",
+        report.queries, report.served, report.refused, report.failed, report.unanswered
+    )?;
+    writeln!(out, "service {:.3} of the worth asked for, in time", report.service)?;
+    writeln!(
+        out,
+        "{:<16} {:>8} {:>8} {:>8} {:>8} {:>8} {:>10} {:>10}",
+        "class", "queries", "service", "served", "refused", "failed", "p50 ms", "p99 ms"
+    )?;
+    for c in &report.classes {
+        writeln!(
+            out,
+            "{:<16} {:>8} {:>8.3} {:>8} {:>8} {:>8} {:>10.1} {:>10.1}",
+            c.class, c.queries, c.service, c.served, c.refused, c.failed, c.p50_ms, c.p99_ms
+        )?;
+    }
+    writeln!(
+        out,
+        "controllers used {:.2} s of processor; the crowd sent up to {:.1} ms late (p99)",
+        report.controller_cpu_s, report.sent_late_p99_ms
+    )?;
+    for (i, rule) in RULES.iter().enumerate() {
+        let n = report.rules.get(rule).copied().unwrap_or(0);
+        writeln!(
+            out,
+            "rule {} {:<10} {}",
+            i + 1,
+            rule,
+            if n == 0 { "kept".to_string() } else { format!("BROKEN {n} times") }
+        )?;
+    }
+    for b in report.breaches.iter().take(10) {
+        writeln!(out, "  {} at {:.2} s: {}", b.rule, b.at as f64 / 1e6, b.what)?;
+    }
+    Ok(())
+}
+
+/// Stays until a signal comes; gives the addresses of a controller and its stand-ins to whoever asks.
+///
+/// # Errors
+/// If the stage can't be set.
+pub fn stay(
+    day: &Day,
+    options: &Options,
+    listen: std::net::SocketAddr,
+    stop: &std::sync::atomic::AtomicBool,
+) -> Result<()> {
+    let plan = Plan::draw(day, options.seed);
+    let setting =
+        Setting { dir: options.dir.clone(), seed: options.seed, plant: None, log_level: "info".into() };
+    let mut stage = Stage::set_at(day, &plan, setting, Clock::start(), Some(listen))?;
+    for change in stage.doors() {
+        if let crate::stage::Change::Up(_, address) = change {
+            println!(
+                "a controller listens on {address}; try: psql 'host={} port={} user=me dbname=lab'",
+                address.ip(),
+                address.port()
+            );
+        }
+    }
+    println!("stand-in engines: {}", stage.engine_addresses().join(", "));
+    println!(
+        "hints ask for rows and work: select 1 /*rows='5',run_ms='200'*/; ^C ends it; logs in {}",
+        options.dir.display()
+    );
+    while !stop.load(std::sync::atomic::Ordering::Relaxed) {
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    stage.end()
+}
--- /dev/null
+++ b/crates/lab/src/stage.rs
@@ -0,0 +1,375 @@
+//! The processes of a day: stand-ins, controllers; started, hurt and ended by their ids.
+
+use crate::day::Day;
+use crate::plan::{Act, Plan};
+use anyhow::{bail, ensure, Context, Result};
+use rustix::process::{kill_process, Pid, Signal};
+use serde_json::Value;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+use wheelfield_net::Clock;
+
+/// A process must tell where it listens within this.
+const STARTS_WITHIN: Duration = Duration::from_secs(20);
+/// The processes that exist are asked to end, and killed after this.
+const ENDS_WITHIN: Duration = Duration::from_secs(40);
+
+/// A program that stands beside this one.
+///
+/// # Errors
+/// If it does not.
+pub fn program(name: &str) -> Result<PathBuf> {
+    let own = std::env::current_exe()?;
+    // Tests run from a folder below that of the programs.
+    let found = own.ancestors().skip(1).take(2).map(|dir| dir.join(name)).find(|path| path.is_file());
+    found.with_context(|| format!("{name} does not stand beside {}; build all programs first", own.display()))
+}
+
+/// A child process that is killed when it is dropped.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+    /// What it told on its first line.
+    pub told: Value,
+}
+
+impl Process {
+    /// Starts a program and waits for its first line.
+    ///
+    /// # Errors
+    /// If it does not start, or tells nothing in time.
+    pub fn start(program: &Path, args: &[String], log: Option<&Path>) -> Result<Process> {
+        let stderr = match log {
+            Some(path) => Stdio::from(std::fs::OpenOptions::new().create(true).append(true).open(path)?),
+            None => Stdio::null(),
+        };
+        let mut child = Command::new(program)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(stderr)
+            .spawn()
+            .with_context(|| format!("cannot start {}", program.display()))?;
+        let stdout = child.stdout.take().context("no standard output")?;
+        let (sender, receiver) = std::sync::mpsc::channel();
+        std::thread::spawn(move || {
+            let mut line = String::new();
+            let read = BufReader::new(stdout).read_line(&mut line);
+            let _ = sender.send(read.map(|_| line));
+        });
+        let line = receiver.recv_timeout(STARTS_WITHIN);
+        let mut process = Process { child, told: Value::Null };
+        let line = line.with_context(|| format!("{} told nothing in time", program.display()))??;
+        process.told = serde_json::from_str(&line).with_context(|| {
+            format!("{} told no addresses: {line:?}; its log may say why", program.display())
+        })?;
+        Ok(process)
+    }
+
+    fn address(&self, name: &str) -> Result<SocketAddr> {
+        let told = self.told[name].as_str().with_context(|| format!("no address `{name}` was told"))?;
+        Ok(told.parse()?)
+    }
+
+    fn signal(&self, signal: Signal) {
+        if let Some(pid) = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw) {
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// Asks it to end, and waits; its exit code, none if it had to be killed.
+    pub fn end(&mut self, within: Duration) -> Option<i32> {
+        self.signal(Signal::CONT);
+        self.signal(Signal::TERM);
+        let until = Instant::now() + within;
+        while Instant::now() < until {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return status.code();
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        None
+    }
+
+    /// Its processor time in seconds, and its memory in bytes, as the system counts them.
+    pub fn usage(&self) -> Option<(f64, u64)> {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).ok()?;
+        let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
+        let ticks: f64 = fields.get(11)?.parse::<f64>().ok()? + fields.get(12)?.parse::<f64>().ok()?;
+        let pages: u64 = fields.get(21)?.parse().ok()?;
+        Some((ticks / 100.0, pages * 4096))
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A span in which a controller ran.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Life {
+    /// Which controller.
+    pub controller: usize,
+    /// From, in microseconds of the wall clock,
+    pub from: i64,
+    /// to; none if it ran to the end.
+    pub killed: Option<i64>,
+    /// Spans in which it stood still.
+    pub stalls: Vec<(i64, i64)>,
+}
+
+/// A change that clients must know of.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Change {
+    /// A controller listens here.
+    Up(usize, SocketAddr),
+    /// A controller is gone.
+    Down(usize),
+}
+
+/// The processes of a day.
+#[derive(Debug)]
+pub struct Stage {
+    day: Day,
+    dir: PathBuf,
+    clock: Clock,
+    seed: u64,
+    plant: Option<String>,
+    log_level: String,
+    listen: Option<SocketAddr>,
+    engines: Process,
+    control: SocketAddr,
+    registry: SocketAddr,
+    controllers: Vec<Option<Process>>,
+    peers: Vec<String>,
+    /// The lives of all controllers.
+    pub lives: Vec<Life>,
+    /// Processor seconds of controllers that are gone.
+    pub spent: f64,
+}
+
+/// How a stage is set.
+#[derive(Clone, Debug, Default)]
+pub struct Setting {
+    /// Where logs go.
+    pub dir: PathBuf,
+    /// Seed of the programs' own chance.
+    pub seed: u64,
+    /// A fault planted in the controllers.
+    pub plant: Option<String>,
+    /// What controllers log.
+    pub log_level: String,
+}
+
+impl Stage {
+    /// Starts the stand-ins and the controllers of a day.
+    ///
+    /// # Errors
+    /// If one does not start.
+    pub fn set(day: &Day, plan: &Plan, setting: Setting, clock: Clock) -> Result<Stage> {
+        Stage::set_at(day, plan, setting, clock, None)
+    }
+
+    /// The same, with the first controller on an address of the caller's.
+    ///
+    /// # Errors
+    /// If one does not start.
+    pub fn set_at(
+        day: &Day,
+        plan: &Plan,
+        setting: Setting,
+        clock: Clock,
+        listen: Option<SocketAddr>,
+    ) -> Result<Stage> {
+        let settings = day.settings()?;
+        let Setting { dir, seed, plant, log_level } = setting;
+        let config = dir.join("engines.toml");
+        std::fs::write(&config, day.stand_ins(&settings, &plan.engines))?;
+        let args = [
+            "--config",
+            &path(&config),
+            "--log",
+            &path(&dir.join("engines.jsonl")),
+            "--seed",
+            &seed.to_string(),
+        ]
+        .map(str::to_string);
+        let engines = Process::start(&program("wheelfield-engine")?, &args, Some(&dir.join("engines.err")))?;
+        let (control, registry) = (engines.address("control")?, engines.address("registry")?);
+        // Ports for messages are the system's too: taken once, so that a restarted controller keeps its own.
+        let messages = day.means.get("messages").and_then(toml::Value::as_bool) == Some(true);
+        let sockets: Vec<_> = (0..if messages { day.controllers } else { 0 })
+            .map(|_| std::net::UdpSocket::bind("127.0.0.1:0"))
+            .collect::<std::io::Result<_>>()?;
+        let peers =
+            sockets.iter().map(|s| Ok(s.local_addr()?.to_string())).collect::<Result<Vec<String>>>()?;
+        drop(sockets);
+        let mut stage = Stage {
+            day: day.clone(),
+            dir,
+            clock,
+            seed,
+            plant,
+            log_level,
+            listen,
+            engines,
+            control,
+            registry,
+            controllers: (0..day.controllers).map(|_| None).collect(),
+            peers,
+            lives: Vec::new(),
+            spent: 0.0,
+        };
+        for i in 0..day.controllers {
+            stage.start_controller(i)?;
+        }
+        Ok(stage)
+    }
+
+    fn start_controller(&mut self, i: usize) -> Result<()> {
+        let config = self.dir.join(format!("controller-{i}.toml"));
+        let peer = self.peers.get(i).map_or("127.0.0.1:0", String::as_str);
+        std::fs::write(&config, self.day.controller(i, &self.registry.to_string(), peer, &self.peers))?;
+        let life = self.lives.iter().filter(|l| l.controller == i).count() as u64;
+        let seed = self.seed.wrapping_mul(1_000_003).wrapping_add(i as u64 * 1_009 + life);
+        let mut args: Vec<String> = [
+            "--config",
+            &path(&config),
+            "--seed",
+            &seed.to_string(),
+            "--log-format",
+            "json",
+            "--log",
+            &self.log_level,
+        ]
+        .map(str::to_string)
+        .to_vec();
+        if let Some(listen) = self.listen.filter(|_| i == 0) {
+            args.extend(["--listen".to_string(), listen.to_string()]);
+        }
+        if let Some(plant) = &self.plant {
+            args.extend(["--plant".to_string(), plant.clone()]);
+        }
+        let log = self.dir.join(format!("controller-{i}.jsonl"));
+        let process = Process::start(&program("wheelfield-controller")?, &args, Some(&log))?;
+        self.lives.push(Life { controller: i, from: self.clock.now(), killed: None, stalls: Vec::new() });
+        self.controllers[i] = Some(process);
+        Ok(())
+    }
+
+    /// Where the controllers that run listen.
+    pub fn doors(&self) -> Vec<Change> {
+        let up = |(i, p): (usize, &Option<Process>)| Some(Change::Up(i, p.as_ref()?.address("listen").ok()?));
+        self.controllers.iter().enumerate().filter_map(up).collect()
+    }
+
+    /// Where the stand-ins listen.
+    pub fn engine_addresses(&self) -> Vec<String> {
+        let all = self.engines.told["engines"].as_array().cloned().unwrap_or_default();
+        all.iter().filter_map(|e| e["address"].as_str().map(str::to_string)).collect()
+    }
+
+    /// Processor seconds and memory of a controller.
+    pub fn usage(&self, controller: usize) -> Option<(f64, u64)> {
+        self.controllers.get(controller)?.as_ref()?.usage()
+    }
+
+    /// Does something to the stage, and tells what clients must know.
+    ///
+    /// # Errors
+    /// If the stand-ins don't do as they are told, or a controller does not start.
+    pub fn act(&mut self, act: &Act) -> Result<Vec<Change>> {
+        match act {
+            Act::Fault { engine, kind, value } => {
+                self.call(&format!("/fault?engine=engine-{engine:02}&kind={kind}&value={value}"))?;
+            }
+            Act::RegistryDown(ms) => self.call(&format!("/registry?unavailable_ms={ms}"))?,
+            Act::RegistryStale(ms) => self.call(&format!("/registry?stale_ms={ms}"))?,
+            Act::KillController(i) => {
+                if let Some(process) = self.controllers[*i].take() {
+                    self.spent += process.usage().map_or(0.0, |(cpu, _)| cpu);
+                    let now = self.clock.now();
+                    drop(process);
+                    if let Some(life) = self.lives.iter_mut().rev().find(|l| l.controller == *i) {
+                        life.killed = Some(now);
+                    }
+                    return Ok(vec![Change::Down(*i)]);
+                }
+            }
+            Act::StartController(i) => {
+                if self.controllers[*i].is_none() {
+                    self.start_controller(*i)?;
+                    return Ok(self
+                        .doors()
+                        .into_iter()
+                        .filter(|c| matches!(c, Change::Up(n, _) if n == i))
+                        .collect());
+                }
+            }
+            Act::StallController(i) | Act::ResumeController(i) => {
+                let stall = matches!(act, Act::StallController(_));
+                if let Some(process) = &self.controllers[*i] {
+                    process.signal(if stall { Signal::STOP } else { Signal::CONT });
+                    let now = self.clock.now();
+                    if let Some(life) = self.lives.iter_mut().rev().find(|l| l.controller == *i) {
+                        match life.stalls.last_mut() {
+                            Some(last) if !stall => last.1 = now,
+                            _ if stall => life.stalls.push((now, i64::MAX)),
+                            _ => {}
+                        }
+                    }
+                }
+            }
+        }
+        Ok(Vec::new())
+    }
+
+    /// A call to the control port of the stand-ins.
+    fn call(&self, path: &str) -> Result<()> {
+        let mut stream = TcpStream::connect_timeout(&self.control, Duration::from_secs(5))?;
+        stream.set_read_timeout(Some(Duration::from_secs(10)))?;
+        write!(stream, "POST {path} HTTP/1.1\r\ncontent-length: 0\r\n\r\n")?;
+        let mut answer = [0; 512];
+        let n = stream.read(&mut answer)?;
+        let answer = String::from_utf8_lossy(&answer[..n]);
+        ensure!(answer.starts_with("HTTP/1.1 200"), "the stand-ins refuse {path}: {answer}");
+        Ok(())
+    }
+
+    /// Ends all processes: the controllers first, which answer what they have; then the stand-ins, whose log is
+    /// whole then.
+    ///
+    /// # Errors
+    /// If a controller does not end well.
+    pub fn end(&mut self) -> Result<()> {
+        let mut fault = None;
+        for process in self.controllers.iter().flatten() {
+            process.signal(Signal::CONT);
+            process.signal(Signal::TERM);
+        }
+        for (i, slot) in self.controllers.iter_mut().enumerate() {
+            if let Some(mut process) = slot.take() {
+                self.spent += process.usage().map_or(0.0, |(cpu, _)| cpu);
+                match process.end(ENDS_WITHIN) {
+                    Some(0) => {}
+                    code => fault = fault.or(Some(format!("controller {i} ended with {code:?}"))),
+                }
+            }
+        }
+        self.engines.end(ENDS_WITHIN);
+        match fault {
+            Some(fault) => bail!(fault),
+            None => Ok(()),
+        }
+    }
+}
+
+fn path(path: &Path) -> String {
+    path.display().to_string()
+}
