--- a/crates/engine/src/answer.rs
+++ b/crates/engine/src/answer.rs
@@ -65,6 +65,8 @@
     pub work_ms: f64,
     /// Its true work, where it differs from the estimate.
     pub run_ms: Option<f64>,
+    /// The usual work of its kind, where it differs from the estimate: what it weighs on a cold engine.
+    pub usual_ms: Option<f64>,
     /// Threads.
     pub threads: f64,
     /// Part of the work that reads or writes.
@@ -101,6 +103,7 @@
             key: get("key"),
             work_ms: number("work_ms").unwrap_or(0.0),
             run_ms: number("run_ms"),
+            usual_ms: number("usual_ms"),
             threads: number("threads").unwrap_or(1.0).clamp(1.0, 1024.0),
             io: number("io").unwrap_or(0.0).min(1.0),
             memory_mb: number("memory_mb").unwrap_or(0.0),
--- a/crates/engine/src/host.rs
+++ b/crates/engine/src/host.rs
@@ -380,6 +380,7 @@
                 let job = Job {
                     id: self.next_job,
                     work: wanted.run_ms.unwrap_or(wanted.work_ms) / 1e3 * plan,
+                    usual: wanted.usual_ms.unwrap_or(wanted.work_ms) / 1e3,
                     threads: wanted.threads,
                     io: wanted.io,
                     memory_mb: wanted.memory_mb,
--- a/crates/engine/src/model.rs
+++ b/crates/engine/src/model.rs
@@ -109,6 +109,8 @@
     pub id: u64,
     /// Work of all its threads, in seconds of one.
     pub work: f64,
+    /// What it weighs on a cold engine: the usual work of its kind, in seconds of one thread.
+    pub usual: f64,
     /// Threads it runs on.
     pub threads: f64,
     /// Part of its work that is reading or writing.
@@ -132,6 +134,7 @@
         Job {
             id: 0,
             work: 0.0,
+            usual: 0.0,
             threads: 1.0,
             io: 0.0,
             memory_mb: 0.0,
@@ -345,7 +348,7 @@
         if self.down || self.in_hand() >= self.spec.sessions {
             return Err(Full);
         }
-        self.received.push_back((now, job.work));
+        self.received.push_back((now, job.usual));
         self.weigh_down(now, out);
         if self.fell {
             return Err(Full);
--- a/crates/engine/tests/model.rs
+++ b/crates/engine/tests/model.rs
@@ -8,7 +8,7 @@
 }
 
 fn job(id: u64, work: f64) -> Job {
-    Job { id, work, ..Job::default() }
+    Job { id, work, usual: work, ..Job::default() }
 }
 
 /// When each query ended, in seconds.
