--- a/crates/lab/src/crowd.rs
+++ b/crates/lab/src/crowd.rs
@@ -188,7 +188,7 @@
         let _ = write!(out, ",key='k{key}'");
     }
     let _ = write!(out, ",run_ms='{:.2}',threads='{}',io='{}'", arrival.work * 1e3, class.threads, class.io);
-    let _ = write!(out, ",usual_ms='{:.1}'", class.work.0.0 as f64 / 1e3);
+    let _ = write!(out, ",usual_ms='{:.1}'", class.work.0 .0 as f64 / 1e3);
     if class.bad_plans > 0.0 {
         let _ = write!(out, ",bad='{}'", class.bad_plans);
     }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -81,7 +81,7 @@
 }
 
 /// The days that are built in.
-const DAYS: [(&str, &str); 8] = [
+const DAYS: [(&str, &str); 10] = [
     ("bad", include_str!("../days/bad.toml")),
     ("crashes", include_str!("../days/crashes.toml")),
     ("hangs", include_str!("../days/hangs.toml")),
@@ -89,6 +89,8 @@
     ("drains", include_str!("../days/drains.toml")),
     ("controllers", include_str!("../days/controllers.toml")),
     ("answers", include_str!("../days/answers.toml")),
+    ("keys", include_str!("../days/keys.toml")),
+    ("everything", include_str!("../days/everything.toml")),
     ("short", include_str!("../days/short.toml")),
 ];
 
--- a/crates/pg/src/client.rs
+++ b/crates/pg/src/client.rs
@@ -272,7 +272,9 @@
     /// [`Malformed`] for what is not of the protocol; the client was told, and the session is closed.
     pub fn feed(&mut self, input: &mut BytesMut, out: &mut BytesMut) -> Result<Option<Ask>, Malformed> {
         self.read(input, out).inspect_err(|fault| {
-            let state = if matches!(fault, Malformed::TooLong { .. }) { "54000" } else { "08P01" };
+            // What is no startup packet at all mostly shows as one far too long.
+            let too_long = matches!(fault, Malformed::TooLong { tag, .. } if *tag != '-');
+            let state = if too_long { "54000" } else { "08P01" };
             Trouble::fatal(state, fault.to_string()).put(out);
             self.phase = Phase::Closed;
         })
