controller: what has its final answer gets nothing more, withdrawn or not

An attempt withdrawn once (its engine silent) began to answer as the withdrawal crossed; then its client cancelled, the module had nothing left to withdraw, and rows flowed on behind the final answer. The same held wherever nothing can be withdrawn. Change: the controller detaches every attempt of a query as the final answer is given, whatever becomes of the attempt. Measured: a test without cancels that failed before (rows behind 57014) holds now.

--- a/crates/controller/src/app.rs
+++ b/crates/controller/src/app.rs
@@ -571,6 +571,7 @@
     /// The client's query ends here; nobody else answers it.
     fn give_up(&mut self, id: usize, query: QueryId, trouble: &Trouble) {
         self.queries.remove(&query);
+        self.detach(query);
         self.tell(Input::Departed(query));
         if let Some(c) = self.clients.get_mut(id) {
             c.running = None;
@@ -603,6 +604,7 @@
 
     fn answer(&mut self, query: QueryId, answer: Answer) {
         let Some(id) = self.queries.remove(&query) else { return };
+        self.detach(query);
         let Some(c) = self.clients.get_mut(id) else { return };
         let Some(running) = c.running.take() else { return };
         let class = &self.config.names.classes[running.class];
@@ -668,6 +670,7 @@
         self.dead.push(Token(CLIENT + id));
         if let Some(running) = running {
             self.queries.remove(&running.query);
+            self.detach(running.query);
             self.tell(Input::Departed(running.query));
         }
     }
--- a/crates/controller/src/links.rs
+++ b/crates/controller/src/links.rs
@@ -7,7 +7,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use tracing::{debug, info};
-use wheelfield::interface::{Effect, EngineId, Note, Outcome, Report, Status};
+use wheelfield::interface::{Effect, EngineId, Note, Outcome, QueryId, Report, Status};
 use wheelfield_driver::{AttemptId, Input, Terms};
 use wheelfield_net::{connect, Stream, TimerKey};
 use wheelfield_pg::backend::{self, Backend, Heard};
@@ -539,12 +539,20 @@
         }
     }
 
+    /// A query has its final answer: whatever still comes for it goes to nobody, withdrawn or not.
+    pub(crate) fn detach(&mut self, query: QueryId) {
+        let of = AttemptId { query, number: 0 }..=AttemptId { query, number: usize::MAX };
+        let carrying: Vec<usize> = self.flights.range(of).map(|(_, l)| *l).collect();
+        carrying.into_iter().for_each(|l| self.discard(l));
+    }
+
     /// Nobody wants a session's answer any more.
     fn discard(&mut self, l: usize) {
         let heeded = self.config.settings.cancel;
         let Some(link) = self.links.get_mut(l).filter(|l| !l.gone) else { return };
         if let Some(Job::Attempt { client, .. }) = &mut link.job {
-            if let Some(c) = client.take().and_then(|c| self.clients.get_mut(c)) {
+            let Some(client) = client.take() else { return };
+            if let Some(c) = self.clients.get_mut(client) {
                 c.pauses = c.pauses.filter(|paused| *paused != l);
             }
         }
--- a/crates/controller/tests/end_to_end.rs
+++ b/crates/controller/tests/end_to_end.rs
@@ -464,3 +464,19 @@
     assert!(TcpStream::connect(controller.address).is_err(), "no new clients");
     controller.join();
 }
+
+#[test]
+fn where_nothing_can_be_withdrawn_rows_stop_with_the_answer_all_the_same() {
+    let engines = Engines::start(1);
+    let body = BODY.replace("cancel = true", "cancel = false");
+    let controller = Controller::start(&format!("{HEAD}{body}{}", engines.list()));
+    let mut raw = controller.raw();
+    raw.query("select * from t /*rows='300000',row_bytes='1000'*/");
+    while raw.next().0 != b'D' {}
+    raw.cancel();
+    assert_eq!(raw.answer(), ("DE".into(), "57014".into()));
+    for n in 0..50 {
+        raw.query(&format!("select {n}"));
+        assert_eq!(raw.answer(), ("TDC".into(), String::new()), "and nothing of the first");
+    }
+}
