--- a/crates/lab/src/crowd.rs
+++ b/crates/lab/src/crowd.rs
@@ -69,8 +69,8 @@
     pub rows: u64,
     /// Final answers that came: ends of a statement, and errors.
     pub answers: u32,
-    /// Something came on the connection after the answer was whole.
-    pub after: bool,
+    /// What came on the connection after the answer was whole, by its type.
+    pub after: Option<char>,
     /// Advice on when to come back, in milliseconds.
     pub advice_ms: Option<u64>,
     /// So late it was sent, as this process had other things to do, in microseconds.
@@ -365,7 +365,7 @@
             state: String::new(),
             rows: 0,
             answers: 0,
-            after: false,
+            after: None,
             advice_ms: None,
             late_us: if number == 0 { now - planned } else { 0 },
         });
@@ -504,7 +504,7 @@
             // On a connection at rest nothing may come but word that it ends.
             let fatal = tag == b'E' && back::trouble(message).is_ok_and(|(state, _)| state == "57P01");
             if let Some(last) = c.last.filter(|_| !fatal && !matches!(tag, b'S' | b'N')) {
-                self.tries[last].after = true;
+                self.tries[last].after = Some(tag as char);
             }
             return;
         };
@@ -563,6 +563,10 @@
     fn bury(&mut self, id: usize) {
         if let Some(c) = self.connections.get_mut(id).filter(|c| !c.gone) {
             c.gone = true;
+            // Its number will be another's.
+            if let Some(idle) = self.idle.get_mut(&(c.controller, c.tenant)) {
+                idle.retain(|i| *i != id);
+            }
             self.dead.push(id);
         }
     }
--- a/crates/lab/src/judge.rs
+++ b/crates/lab/src/judge.rs
@@ -217,8 +217,8 @@
             if t.answers > 1 {
                 self.breach("lost", t.ended, format!("{} got {} answers", t.id, t.answers));
             }
-            if t.after {
-                self.breach("lost", t.ended, format!("{} got something after its answer", t.id));
+            if let Some(tag) = t.after {
+                self.breach("lost", t.ended, format!("{} got a message '{tag}' after its answer", t.id));
             }
             // A controller that stood still could not answer; it is judged by what it does when it goes on.
             let excused = !self.ran(t.controller, t.sent, t.ended.min(t.due) + 1)
@@ -498,12 +498,9 @@
             };
             let mut seen: BTreeSet<&str> = BTreeSet::new();
             let mut further: VecDeque<i64> = VecDeque::new();
-            let mine = self
-                .e
-                .log
-                .iter()
-                .filter(|l| l.event == "received" && controller_of(&l.by) == Some(controller));
-            for line in mine {
+            let received =
+                |l: &&Line| l.event == "received" && controller_of(&l.by) == Some(controller) && mine(l.t);
+            for line in self.e.log.iter().filter(received) {
                 let Some(query) = line.query.as_deref() else { continue };
                 if seen.insert(query) || self.stood_still(controller, line.t - span, line.t) {
                     continue;
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -203,7 +203,8 @@
         let class = plan.arrivals[t.arrival].class;
         if t.end == Some(End::Served) {
             if let Some(h) = latencies.get_mut(class) {
-                let _ = h.record((t.ended - t.sent).max(1) as u64);
+                // From when it was to be sent, whatever held it up.
+                let _ = h.record((t.ended - t.sent + t.late_us).max(1) as u64);
             }
         }
         if let Some(late) = &mut late {
--- a/crates/lab/tests/judge.rs
+++ b/crates/lab/tests/judge.rs
@@ -113,7 +113,7 @@
             state: String::new(),
             rows: 0,
             answers,
-            after: false,
+            after: None,
             advice_ms: None,
             late_us: 0,
         });
@@ -183,7 +183,7 @@
     assert_eq!(s.rules(), ["lost"], "two");
     let mut s = clean();
     s.query(0, None, 20_000, 21_000, End::Served);
-    s.tries.last_mut().expect("one").after = true;
+    s.tries.last_mut().expect("one").after = Some('D');
     assert_eq!(s.rules(), ["lost"], "more after");
     let mut s = clean();
     let id = s.query(0, None, 20_000, 21_000, End::Refused);
