lab: figures of a controller, the grown size, and what a hung engine reads late

The judge counted what a hung engine read as its hang ended as a further attempt of that moment, though it was sent before (one false breach of the budget); now as the earlier one it was.

--- a/crates/lab/src/judge.rs
+++ b/crates/lab/src/judge.rs
@@ -496,11 +496,17 @@
                 all.sort_unstable();
                 all
             };
-            let mut seen: BTreeSet<&str> = BTreeSet::new();
             let mut further: VecDeque<i64> = VecDeque::new();
             let received =
                 |l: &&Line| l.event == "received" && controller_of(&l.by) == Some(controller) && mine(l.t);
-            for line in self.e.log.iter().filter(received) {
+            // What an engine read as its hang ended was sent before: that was an earlier attempt, whenever it was.
+            let read_late = |l: &Line| {
+                let sent = l.query.as_deref().and_then(|q| self.tries.get(q)).map_or(l.t, |t| t.sent);
+                self.hung(&l.engine, sent, l.t)
+            };
+            let late = self.e.log.iter().filter(received).filter(|l| read_late(l));
+            let mut seen: BTreeSet<&str> = late.filter_map(|l| l.query.as_deref()).collect();
+            for line in self.e.log.iter().filter(received).filter(|l| !read_late(l)) {
                 let Some(query) = line.query.as_deref() else { continue };
                 if seen.insert(query) || self.stood_still(controller, line.t - span, line.t) {
                     continue;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`stage`]: the processes.
 //! - [`crowd`]: the clients, in an open loop.
 //! - [`judge`]: the seven rules, from the logs alone; no I/O.
+//! - [`measure`]: what a controller costs.
 //! - [`play`]: all of it together, and the report.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
@@ -13,6 +14,7 @@
 pub mod crowd;
 pub mod day;
 pub mod judge;
+pub mod measure;
 pub mod plan;
 pub mod play;
 pub mod stage;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
 use wheelfield_lab::day::{Day, KINDS};
+use wheelfield_lab::measure;
 use wheelfield_lab::play::{self, Options};
 
 /// Scripted days of traffic and troubles on real processes, judged from what crossed their sockets.
@@ -26,6 +27,8 @@
     Day(DayArgs),
     /// Starts stand-in engines and one controller, and stays until ^C.
     Up(UpArgs),
+    /// Measures what a controller costs: latency added, queries a second of a core, memory of idle clients.
+    Measure(MeasureArgs),
     /// Lists the kinds of trouble, or the days that are built in.
     List {
         /// `troubles` or `days`.
@@ -80,8 +83,27 @@
     engines: usize,
 }
 
+#[derive(Args)]
+struct MeasureArgs {
+    /// Pairs of queries for the latency.
+    #[arg(long, value_name = "N", default_value_t = 20_000)]
+    pairs: usize,
+    /// Seconds of full load.
+    #[arg(long, value_name = "N", default_value_t = 5)]
+    seconds: u64,
+    /// Connections of full load.
+    #[arg(long, value_name = "N", default_value_t = 64)]
+    connections: usize,
+    /// Idle connections.
+    #[arg(long, value_name = "N", default_value_t = 10_000)]
+    idle: usize,
+    /// Prints the figures as one JSON object.
+    #[arg(long)]
+    json: bool,
+}
+
 /// The days that are built in.
-const DAYS: [(&str, &str); 10] = [
+const DAYS: [(&str, &str); 11] = [
     ("bad", include_str!("../days/bad.toml")),
     ("crashes", include_str!("../days/crashes.toml")),
     ("hangs", include_str!("../days/hangs.toml")),
@@ -91,6 +113,7 @@
     ("answers", include_str!("../days/answers.toml")),
     ("keys", include_str!("../days/keys.toml")),
     ("everything", include_str!("../days/everything.toml")),
+    ("grown", include_str!("../days/grown.toml")),
     ("short", include_str!("../days/short.toml")),
 ];
 
@@ -138,6 +161,7 @@
             one_day(&day, &args)
         }
         Command::Up(args) => up(&args),
+        Command::Measure(args) => figures(&args),
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
@@ -188,3 +212,22 @@
     play::stay(&day, &options, args.listen, &stop)?;
     Ok(true)
 }
+
+fn figures(args: &MeasureArgs) -> Result<bool> {
+    let plans = measure::Plans {
+        pairs: args.pairs.clamp(1, 10_000_000),
+        seconds: args.seconds.clamp(1, 600),
+        connections: args.connections.clamp(1, 10_000),
+        idle: args.idle.min(18_000),
+    };
+    let dir = tempfile::tempdir()?;
+    let figures = measure::measure(&read(None)?, dir.path(), plans)?;
+    let mut out = std::io::stdout().lock();
+    if args.json {
+        serde_json::to_writer(&mut out, &figures)?;
+        std::io::Write::write_all(&mut out, b"\n")?;
+    } else {
+        measure::print(&figures, &mut out)?;
+    }
+    Ok(true)
+}
--- /dev/null
+++ b/crates/lab/src/measure.rs
@@ -0,0 +1,288 @@
+//! What a controller costs: latency it adds, queries a second of one core, memory of idle clients. Each in one run, as
+//! figures of different runs on a shared machine can't be compared.
+
+use crate::day::Day;
+use crate::plan::Plan;
+use crate::stage::{Change, Setting, Stage};
+use anyhow::{ensure, Context, Result};
+use bytes::BytesMut;
+use hdrhistogram::Histogram;
+use mio::{Events, Poll, Token};
+use serde::Serialize;
+use slab::Slab;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::{Duration, Instant};
+use wheelfield_net::{connect, Clock, Stream};
+use wheelfield_pg::{frame, front};
+
+/// What is measured, and how long.
+#[derive(Clone, Copy, Debug)]
+pub struct Plans {
+    /// Pairs of queries for the latency.
+    pub pairs: usize,
+    /// Seconds of full load.
+    pub seconds: u64,
+    /// Connections of full load.
+    pub connections: usize,
+    /// Idle connections.
+    pub idle: usize,
+}
+
+/// What was measured.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Figures {
+    /// Latency straight to the stand-in, in microseconds: the half, and ninety-nine in a hundred,
+    pub direct_us: [f64; 2],
+    /// and through the controller.
+    pub through_us: [f64; 2],
+    /// What the controller adds.
+    pub added_us: [f64; 2],
+    /// Queries a second through the controller under full load,
+    pub rate: f64,
+    /// and for each second of its processor.
+    pub rate_of_core: f64,
+    /// Extended protocol, prepared once: queries for each second of its processor.
+    pub rate_of_core_prepared: f64,
+    /// Connections that were held idle,
+    pub idle: usize,
+    /// the controller's memory without them, in MB,
+    pub empty_mb: f64,
+    /// and with them.
+    pub idle_mb: f64,
+    /// Queries a second straight to the stand-in under the same load.
+    pub direct_rate: f64,
+}
+
+/// One connection that sends its next query as it has its answer.
+struct Caller {
+    stream: Stream,
+    ready: bool,
+    sent: Instant,
+}
+
+/// What a caller sends at its start, and then again and again.
+struct Script {
+    prepare: BytesMut,
+    query: BytesMut,
+}
+
+fn simple() -> Script {
+    let mut query = BytesMut::new();
+    front::put_query("select 1", &mut query);
+    Script { prepare: BytesMut::new(), query }
+}
+
+fn prepared() -> Script {
+    use pgwire::messages::extendedquery::{Bind, Execute, Parse, Sync};
+    let (mut prepare, mut query) = (BytesMut::new(), BytesMut::new());
+    front::put(&Parse::new(Some("s".into()), "select 1".into(), Vec::new()), &mut prepare);
+    front::put(&Sync::new(), &mut prepare);
+    front::put(&Bind::new(None, Some("s".into()), Vec::new(), Vec::new(), Vec::new()), &mut query);
+    front::put(&Execute::new(None, 0), &mut query);
+    front::put(&Sync::new(), &mut query);
+    Script { prepare, query }
+}
+
+struct Callers {
+    poll: Poll,
+    events: Events,
+    all: Slab<Caller>,
+    scratch: Vec<u8>,
+}
+
+impl Callers {
+    fn new() -> Result<Callers> {
+        Ok(Callers {
+            poll: Poll::new()?,
+            events: Events::with_capacity(4096),
+            all: Slab::new(),
+            scratch: vec![0; 64 << 10],
+        })
+    }
+
+    fn call(&mut self, address: SocketAddr, script: &Script) -> Result<usize> {
+        let entry = self.all.vacant_entry();
+        let id = entry.key();
+        let mut stream = connect(address, self.poll.registry(), Token(id))?;
+        front::put_startup(&[("user", "lab"), ("database", "lab")], &mut stream.output);
+        stream.output.extend_from_slice(&script.prepare);
+        entry.insert(Caller { stream, ready: false, sent: Instant::now() });
+        Ok(id)
+    }
+
+    /// Waits once, and tells which callers have a whole answer.
+    fn turn(&mut self, wait: Duration, answered: &mut Vec<usize>) -> Result<()> {
+        self.poll.poll(&mut self.events, Some(wait))?;
+        for event in &self.events {
+            let Token(id) = event.token();
+            let Some(c) = self.all.get_mut(id) else { continue };
+            c.stream.on(event);
+            if !c.stream.connected()? {
+                continue;
+            }
+            c.stream.flush()?;
+            c.stream.fill(64 << 10, &mut self.scratch)?;
+            while let Some((tag, message)) = frame::take(&mut c.stream.input, 1 << 20)? {
+                ensure!(tag != b'E', "refused: {:?}", wheelfield_pg::back::trouble(&message));
+                if tag == b'Z' {
+                    answered.push(id);
+                }
+            }
+            c.stream.relax();
+            ensure!(!c.stream.ended(), "a connection was closed");
+        }
+        Ok(())
+    }
+
+    /// Opens so many, a few at a time, and waits until each was let in.
+    fn open(&mut self, n: usize, address: SocketAddr, script: &Script) -> Result<()> {
+        let mut answered = Vec::new();
+        let until = Instant::now() + Duration::from_secs(60);
+        // The end of the startup, and that of the preparation.
+        let ends = if script.prepare.is_empty() { 1 } else { 2 };
+        let (mut begun, mut seen) = (0, 0);
+        while seen < n * ends {
+            while begun < n && begun < seen / ends + 200 {
+                self.call(address, script)?;
+                begun += 1;
+            }
+            self.turn(Duration::from_millis(20), &mut answered)?;
+            seen += answered.len();
+            answered.clear();
+            ensure!(Instant::now() < until, "{seen} of {n} connections within a minute");
+        }
+        self.all.iter_mut().for_each(|(_, c)| c.ready = true);
+        Ok(())
+    }
+
+    fn send(&mut self, id: usize, script: &Script) -> Result<()> {
+        let c = &mut self.all[id];
+        c.stream.output.extend_from_slice(&script.query);
+        c.sent = Instant::now();
+        c.stream.flush()?;
+        Ok(())
+    }
+
+    /// Each caller sends as fast as it is answered; queries a second.
+    fn load(&mut self, seconds: u64, script: &Script) -> Result<(u64, f64)> {
+        let ids: Vec<usize> = self.all.iter().map(|(id, _)| id).collect();
+        for id in ids {
+            self.send(id, script)?;
+        }
+        let start = Instant::now();
+        let until = start + Duration::from_secs(seconds);
+        let (mut answered, mut done) = (Vec::new(), 0u64);
+        while Instant::now() < until {
+            self.turn(Duration::from_millis(100), &mut answered)?;
+            done += answered.len() as u64;
+            for id in answered.drain(..) {
+                self.send(id, script)?;
+            }
+        }
+        Ok((done, start.elapsed().as_secs_f64()))
+    }
+
+    /// One query, and how long it took.
+    fn once(&mut self, id: usize, script: &Script) -> Result<Duration> {
+        self.send(id, script)?;
+        let mut answered = Vec::new();
+        let until = Instant::now() + Duration::from_secs(10);
+        while answered.is_empty() {
+            self.turn(Duration::from_millis(100), &mut answered)?;
+            ensure!(Instant::now() < until, "no answer within 10 s");
+        }
+        Ok(self.all[id].sent.elapsed())
+    }
+}
+
+/// Measures a controller before stand-ins that answer at once.
+///
+/// # Errors
+/// If the stage can't be set, or an answer is not what it should be.
+pub fn measure(day: &Day, dir: &Path, plans: Plans) -> Result<Figures> {
+    let mut day = day.clone();
+    (day.engines, day.controllers, day.troubles) = (4, 1, Vec::new());
+    for (name, value) in [("clients", 60_000), ("sessions", 1000)] {
+        day.limits.insert(name.into(), toml::Value::Integer(value));
+    }
+    let plan = Plan::draw(&day, 1);
+    let setting = Setting { dir: dir.to_path_buf(), seed: 1, plant: None, log_level: "warn".into() };
+    let mut stage = Stage::set(&day, &plan, setting, Clock::start())?;
+    let Some(Change::Up(_, controller)) = stage.doors().first().cloned() else {
+        anyhow::bail!("no controller")
+    };
+    let engine: SocketAddr = stage.engine_addresses().first().context("no engine")?.parse()?;
+    let memory = |stage: &Stage| stage.usage(0).map_or(0.0, |(_, bytes)| bytes as f64 / 1_048_576.0);
+    let cpu = |stage: &Stage| stage.usage(0).map_or(0.0, |(cpu, _)| cpu);
+    let mut figures = Figures { empty_mb: memory(&stage), ..Figures::default() };
+    let script = simple();
+
+    // Idle clients first, before load has grown any table.
+    let mut idle = Callers::new()?;
+    idle.open(plans.idle, controller, &script)?;
+    (figures.idle, figures.idle_mb) = (plans.idle, memory(&stage));
+    drop(idle);
+
+    // Latency: one query at a time, straight and through in turn.
+    let mut callers = Callers::new()?;
+    callers.open(1, engine, &script)?;
+    let direct = 0;
+    callers.open(1, controller, &script)?;
+    let through = 1;
+    let mut histograms = [Histogram::<u64>::new(3)?, Histogram::<u64>::new(3)?];
+    for n in 0..plans.pairs + 500 {
+        for (i, id) in [direct, through].into_iter().enumerate() {
+            let took = callers.once(id, &script)?;
+            if n >= 500 {
+                histograms[i].record(took.as_nanos() as u64)?;
+            }
+        }
+    }
+    let of = |h: &Histogram<u64>| [0.5, 0.99].map(|q| h.value_at_quantile(q) as f64 / 1e3);
+    (figures.direct_us, figures.through_us) = (of(&histograms[0]), of(&histograms[1]));
+    figures.added_us = [0, 1].map(|i| figures.through_us[i] - figures.direct_us[i]);
+    drop(callers);
+
+    // Full load: straight, through, and through with a prepared statement.
+    let mut callers = Callers::new()?;
+    callers.open(plans.connections, engine, &script)?;
+    let (done, took) = callers.load(plans.seconds, &script)?;
+    figures.direct_rate = done as f64 / took;
+    drop(callers);
+    for (script, is_prepared) in [(simple(), false), (prepared(), true)] {
+        let mut callers = Callers::new()?;
+        callers.open(plans.connections, controller, &script)?;
+        let before = cpu(&stage);
+        let (done, took) = callers.load(plans.seconds, &script)?;
+        let used = (cpu(&stage) - before).max(0.01);
+        if is_prepared {
+            figures.rate_of_core_prepared = done as f64 / used;
+        } else {
+            (figures.rate, figures.rate_of_core) = (done as f64 / took, done as f64 / used);
+        }
+    }
+    stage.end()?;
+    Ok(figures)
+}
+
+/// The figures for people.
+pub fn print(f: &Figures, out: &mut impl std::io::Write) -> std::io::Result<()> {
+    writeln!(out, "latency of a query that costs nothing, one at a time, in turn (p50, p99, us):")?;
+    writeln!(out, "  straight to the stand-in   {:>8.1} {:>8.1}", f.direct_us[0], f.direct_us[1])?;
+    writeln!(out, "  through the controller     {:>8.1} {:>8.1}", f.through_us[0], f.through_us[1])?;
+    writeln!(out, "  added                      {:>8.1} {:>8.1}", f.added_us[0], f.added_us[1])?;
+    writeln!(out, "full load, queries a second:")?;
+    writeln!(out, "  straight to one stand-in   {:>8.0}", f.direct_rate)?;
+    writeln!(out, "  through the controller     {:>8.0}", f.rate)?;
+    writeln!(
+        out,
+        "  for a second of its processor: simple {:.0}, prepared {:.0}",
+        f.rate_of_core, f.rate_of_core_prepared
+    )?;
+    writeln!(
+        out,
+        "memory of the controller: {:.1} MB empty, {:.1} MB with {} idle clients",
+        f.empty_mb, f.idle_mb, f.idle
+    )
+}
--- a/crates/lab/tests/judge.rs
+++ b/crates/lab/tests/judge.rs
@@ -317,6 +317,27 @@
     }
 }
 
+#[test]
+fn what_an_engine_reads_as_its_hang_ends_was_sent_before() {
+    let hang = |t: i64, value: u8| {
+        format!(r#"{{"t":{t}000,"event":"fault","engine":"engine-00","kind":"hang","value":{value}}}"#)
+    };
+    // Six queries to an engine that hangs, each sent anew elsewhere long before the hang ends:
+    // only the later ones are further attempts, at their own times.
+    for (step, kept) in [(6_000, true), (100, false)] {
+        let mut s = clean();
+        s.line(&hang(20_000, 1));
+        for i in 0..6 {
+            let at = 20_100 + i * step;
+            let id = s.query(0, None, at, at + 1_900, End::Served);
+            s.ran(&id, 1, at + 1_000, at + 1_800, "finished");
+            s.ran(&id, 0, 58_000, 58_001, "dropped");
+        }
+        s.line(&hang(58_000, 0));
+        assert_eq!(s.rules().is_empty(), kept, "one every {step} ms");
+    }
+}
+
 #[test]
 fn a_log_that_cannot_be_read_is_told_by_its_line() {
     let fault = read_log("{\"t\":1,\"event\":\"x\"}\n{torn").expect_err("torn");
