--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -103,7 +103,7 @@
 }
 
 /// The days that are built in.
-const DAYS: [(&str, &str); 11] = [
+const DAYS: [(&str, &str); 12] = [
     ("bad", include_str!("../days/bad.toml")),
     ("crashes", include_str!("../days/crashes.toml")),
     ("hangs", include_str!("../days/hangs.toml")),
@@ -114,6 +114,7 @@
     ("keys", include_str!("../days/keys.toml")),
     ("everything", include_str!("../days/everything.toml")),
     ("grown", include_str!("../days/grown.toml")),
+    ("compared", include_str!("../days/compared.toml")),
     ("short", include_str!("../days/short.toml")),
 ];
 
