--- a/crates/controller/src/app.rs
+++ b/crates/controller/src/app.rs
@@ -14,7 +14,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tracing::{debug, info, warn};
-use wheelfield::interface::{EngineId, Micros, QueryId};
+use wheelfield::interface::{EngineId, Micros, Outcome, QueryId, Report};
 use wheelfield_config::Config;
 use wheelfield_driver::{Answer, AttemptId, Bounds, Driver, Input, Instruction, Terms};
 use wheelfield_net::{listen, Clock, Stream, TimerKey, Timers};
@@ -106,6 +106,8 @@
     pub cancels: u64,
     pub datagrams_dropped: u64,
     pub lists_refused: u64,
+    pub probes_answered: u64,
+    pub probes_lost: u64,
 }
 
 /// A controller on its sockets.
@@ -353,6 +355,14 @@
         }
     }
 
+    /// A probe came back, or did not.
+    pub(crate) fn probed(&mut self, engine: EngineId, outcome: Outcome, report: Report) {
+        let served = outcome == Outcome::Served;
+        self.counts.probes_answered += u64::from(served);
+        self.counts.probes_lost += u64::from(!served);
+        self.tell(Input::Probed { engine, outcome, report });
+    }
+
     /// Tells the driver, and keeps what it wants done.
     pub(crate) fn tell(&mut self, input: Input) {
         self.driver.tell(Micros(self.now), input, &mut self.fresh);
--- a/crates/controller/src/links.rs
+++ b/crates/controller/src/links.rs
@@ -182,7 +182,7 @@
     fn none_for_waiting(&mut self, engine: EngineId, outcome: Outcome) {
         let Some(pool) = self.pools.get_mut(&engine) else { return };
         if std::mem::take(&mut pool.probing) {
-            self.tell(Input::Probed { engine, outcome, report: Report::default() });
+            self.probed(engine, outcome, Report::default());
         }
         let Some(pool) = self.pools.get_mut(&engine) else { return };
         while pool.waiting.len() > pool.connecting {
@@ -414,7 +414,7 @@
                     }
                     Some(Job::Probe) => {
                         let report = report(load);
-                        self.tell(Input::Probed { engine, outcome: Outcome::Served, report });
+                        self.probed(engine, Outcome::Served, report);
                     }
                     Some(Job::Aside) | None => {}
                 }
@@ -435,7 +435,7 @@
                         info!(query = id.query.0, id = %self.label(id.query), engine = name, reason = %message, state, "attempt ended by its engine");
                         self.ended(id, outcome, Some(load));
                     }
-                    Some(Job::Probe) => self.tell(Input::Probed { engine, outcome, report: report(load) }),
+                    Some(Job::Probe) => self.probed(engine, outcome, report(load)),
                     Some(Job::Aside) | None => {}
                 }
                 self.over(l, clean);
@@ -488,7 +488,7 @@
                 }
                 self.ended(id, outcome, None);
             }
-            Some(Job::Probe) => self.tell(Input::Probed { engine, outcome, report: Report::default() }),
+            Some(Job::Probe) => self.probed(engine, outcome, Report::default()),
             Some(Job::Aside) | None => {}
         }
     }
@@ -687,7 +687,7 @@
             return self.put_probe(l);
         }
         if pool.probing || pool.links >= most {
-            return self.tell(Input::Probed { engine, outcome: Outcome::Skipped, report: Report::default() });
+            return self.probed(engine, Outcome::Skipped, Report::default());
         }
         pool.probing = true;
         self.open_link(engine);
--- a/crates/controller/src/side.rs
+++ b/crates/controller/src/side.rs
@@ -281,6 +281,8 @@
             ("hints_ignored", c.hints_ignored),
             ("messages_dropped", c.datagrams_dropped),
             ("lists_refused", c.lists_refused),
+            ("probes_answered", c.probes_answered),
+            ("probes_lost", c.probes_lost),
         ]
     }
 
--- a/crates/controller/tests/end_to_end.rs
+++ b/crates/controller/tests/end_to_end.rs
@@ -480,3 +480,42 @@
         assert_eq!(raw.answer(), ("TDC".into(), String::new()), "and nothing of the first");
     }
 }
+
+#[test]
+fn engines_are_probed_where_reports_come_by_probe_alone() {
+    let engines = Engines::start(2);
+    let body = BODY.replace("[signals]\nbills = true", "[signals]\nreports = \"probe\"");
+    let body = body.replace("cancel = true", "cancel = true\nprobes = true");
+    let controller =
+        Controller::start(&format!("{HEAD}{body}[timing]\nprobe = \"100ms\"\n{}", engines.list()));
+    let mut raw = controller.raw();
+    raw.query("select 1");
+    assert_eq!(raw.answer().0, "TDC");
+    // A round goes to every engine, and opens a session with the one that has had no query.
+    controller.await_figure("engine_sessions", |n| n >= 2);
+    let before = controller.figure("probes_answered");
+    controller.await_figure("probes_answered", |n| n >= before + 4);
+    // An engine that does not answer costs its probe, and no query.
+    engines.fault(1, "hang", 1.0);
+    controller.await_figure("probes_lost", |n| n >= 1);
+    engines.fault(1, "hang", 0.0);
+    raw.query("select 2");
+    assert_eq!(raw.answer().0, "TDC");
+}
+
+#[test]
+fn where_the_list_must_be_asked_for_it_is_and_again_after_a_failure() {
+    let engines = Engines::start(2);
+    let control = engines.address("control");
+    common::http(&control, "POST", "/registry?unavailable_ms=300");
+    let body = BODY.replace("cancel = true", "cancel = true\nsubscribe = true");
+    let registry = engines.address("registry");
+    let controller = Controller::start(&format!("{HEAD}{body}[registry]\naddress = {registry:?}\n"));
+    // The first call fails; the module asks again in its own time.
+    controller.await_figure("list_version", |v| v == 1);
+    let mut raw = controller.raw();
+    raw.query("select 1");
+    assert_eq!(raw.answer().0, "TDC");
+    engines.fault(1, "drain", 1.0);
+    controller.await_figure("list_version", |v| v == 2);
+}
