capture and replay, first parts: format, writer off the decision path, reader, player

Need: when a silent engine caused a bad hour, nobody could say why the controllers chose as they did. Change: a capture is numbered blocks of records with sums, written by a thread behind a bounded queue; what is dropped shows by the numbers. Each file begins with the settings and a checkpoint of the whole driver, for which the module's records derive Serialize (its source of chance goes on from its seed); a replay feeds the controller's own driver. Weighed for entering in the middle: replay from the start, a compacted prefix, a dump of the state; the dump is exact and cheap, and the others cost the whole past or a proof. Not yet: the controller writes none, the program replays none.

--- /dev/null
+++ b/crates/capture/src/writer.rs
@@ -0,0 +1,354 @@
+//! Writing: a buffer on the decision thread, a bounded queue, a thread that compresses and writes.
+
+use crate::format::{Head, RecordRef, Start, Told, MAGIC, VERSION};
+use std::fs::File;
+use std::io::Write;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::mpsc::{sync_channel, Receiver, SyncSender, TrySendError};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use wheelfield::interface::{EngineId, Micros, QueryId};
+use wheelfield_driver::{Driver, Instruction};
+
+/// What a recorder is bounded by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Bytes of records that are handed over at a time.
+    pub block: usize,
+    /// Blocks that wait to be written; one more is dropped.
+    pub queue: usize,
+    /// Bytes of a file, after which the next one begins.
+    pub segment: u64,
+    /// Bytes of all files together, after which the oldest goes.
+    pub keep: u64,
+    /// A checkpoint is written so often.
+    pub checkpoint: Micros,
+    /// What was written is made durable so often.
+    pub sync: Micros,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            block: 64 << 10,
+            queue: 64,
+            segment: 256 << 20,
+            keep: 4 << 30,
+            checkpoint: Micros(60_000_000),
+            sync: Micros(1_000_000),
+        }
+    }
+}
+
+/// What became of the records so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct State {
+    /// Records handed to the writer.
+    pub recorded: u64,
+    /// Records lost: the queue was full, or the disk did not take them.
+    pub lost: u64,
+    /// Bytes written.
+    pub bytes: u64,
+    /// The writer ended, or can't write.
+    pub failing: bool,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    lost: AtomicU64,
+    bytes: AtomicU64,
+    /// Bytes of the file at hand.
+    segment: AtomicU64,
+    failing: AtomicBool,
+}
+
+enum Message {
+    Block(Head, Vec<u8>),
+    /// The next block begins a file.
+    Segment,
+}
+
+/// The decision thread's side.
+#[derive(Debug)]
+pub struct Recorder {
+    start: Start,
+    limits: Limits,
+    sender: Option<SyncSender<Message>>,
+    writer: Option<JoinHandle<()>>,
+    shared: Arc<Shared>,
+    buffer: Vec<u8>,
+    head: Head,
+    names: Vec<(EngineId, String)>,
+    recorded: u64,
+    lost: u64,
+    /// Lost by the writer, as far as told in a gap.
+    told_lost: u64,
+    gap: u64,
+    last_checkpoint: Micros,
+    last_flush: Micros,
+}
+
+impl Recorder {
+    /// Begins a capture at `path`; later files of it are named after it.
+    ///
+    /// # Errors
+    /// If the first file can't be made.
+    pub fn begin(
+        path: &Path,
+        start: Start,
+        limits: Limits,
+        driver: &Driver,
+        now: Micros,
+    ) -> std::io::Result<Recorder> {
+        let file = Segment::create(path.to_path_buf())?;
+        let (sender, receiver) = sync_channel(limits.queue.max(2));
+        let shared = Arc::new(Shared::default());
+        let theirs = shared.clone();
+        let path = path.to_path_buf();
+        let writer = std::thread::Builder::new()
+            .name("capture".into())
+            .spawn(move || write_all(&receiver, file, &path, limits, &theirs))?;
+        let mut recorder = Recorder {
+            start,
+            limits,
+            sender: Some(sender),
+            writer: Some(writer),
+            shared,
+            buffer: Vec::with_capacity(limits.block * 2),
+            head: Head::default(),
+            names: Vec::new(),
+            recorded: 0,
+            lost: 0,
+            told_lost: 0,
+            gap: 0,
+            last_checkpoint: now,
+            last_flush: now,
+        };
+        recorder.open(driver, now);
+        Ok(recorder)
+    }
+
+    /// The records that a file, or what follows a loss, begins with.
+    fn open(&mut self, driver: &Driver, now: Micros) {
+        let start = self.start.clone();
+        self.put(now, &RecordRef::Start(&start));
+        if self.gap > 0 {
+            let lost = std::mem::take(&mut self.gap);
+            self.put(now, &RecordRef::Gap { at: now, lost });
+        }
+        let names = self.names.clone();
+        self.put(now, &RecordRef::Engines(&names));
+        self.put(now, &RecordRef::Checkpoint { at: now, driver });
+        self.last_checkpoint = now;
+    }
+
+    fn put(&mut self, at: Micros, record: &RecordRef<'_>) {
+        let from = self.buffer.len();
+        self.buffer.extend([0; 8]);
+        // Serializing into memory fails only for types that can't be, of which there are none here.
+        let buffer = std::mem::take(&mut self.buffer);
+        match postcard::to_extend(record, buffer) {
+            Ok(buffer) => self.buffer = buffer,
+            Err(_) => {
+                self.lost += 1;
+                self.gap += 1;
+                return;
+            }
+        }
+        let length = (self.buffer.len() - from - 8) as u32;
+        let crc = crc32fast::hash(&self.buffer[from + 8..]);
+        self.buffer[from..from + 4].copy_from_slice(&length.to_be_bytes());
+        self.buffer[from + 4..from + 8].copy_from_slice(&crc.to_be_bytes());
+        if self.head.records == 0 {
+            (self.head.first, self.head.low) = (at.0, u64::MAX);
+        }
+        self.head.last = at.0;
+        self.head.records += 1;
+    }
+
+    /// Records a step: what the driver was told, and what it answered.
+    pub fn step(&mut self, at: Micros, told: &Told, taken: Option<QueryId>, out: &[Instruction]) {
+        self.put(at, &RecordRef::Step { at, told, taken, out });
+        if let Some(QueryId(query)) = taken {
+            self.head.low = self.head.low.min(query);
+            self.head.high = self.head.high.max(query);
+        }
+    }
+
+    /// Records names of engines.
+    pub fn engines(&mut self, at: Micros, names: impl Iterator<Item = (EngineId, String)>) {
+        let fresh: Vec<(EngineId, String)> = names.filter(|n| !self.names.contains(n)).collect();
+        if !fresh.is_empty() {
+            self.put(at, &RecordRef::Engines(&fresh));
+            self.names.extend(fresh);
+        }
+    }
+
+    /// Hands over what is due. To be called between steps, as a checkpoint may be taken of the driver.
+    pub fn tend(&mut self, driver: &Driver, now: Micros) {
+        let by_writer = self.shared.lost.load(Ordering::Relaxed);
+        if by_writer > self.told_lost {
+            self.gap += by_writer - self.told_lost;
+            self.told_lost = by_writer;
+        }
+        let full = self.shared.segment.load(Ordering::Relaxed) >= self.limits.segment;
+        if full && self.buffer.len() < self.limits.block && self.head.records == 0 {
+            if let Some(Ok(())) = self.sender.as_ref().map(|s| s.try_send(Message::Segment)) {
+                self.shared.segment.store(0, Ordering::Relaxed);
+                self.open(driver, now);
+            }
+        } else if self.gap > 0 && self.head.records == 0 {
+            self.open(driver, now);
+        } else if now - self.last_checkpoint >= self.limits.checkpoint {
+            self.put(now, &RecordRef::Checkpoint { at: now, driver });
+            self.last_checkpoint = now;
+        }
+        if self.buffer.len() >= self.limits.block
+            || (now - self.last_flush >= self.limits.sync && self.head.records > 0)
+        {
+            self.flush(now);
+        }
+    }
+
+    fn flush(&mut self, now: Micros) {
+        self.last_flush = now;
+        let mut head = std::mem::take(&mut self.head);
+        self.head.number = head.number + 1;
+        if head.records == 0 {
+            self.head.number = head.number;
+            return;
+        }
+        let buffer = std::mem::replace(&mut self.buffer, Vec::with_capacity(self.limits.block * 2));
+        if head.low == u64::MAX {
+            (head.low, head.high) = (0, 0);
+        }
+        let records = u64::from(head.records);
+        let sent = self.sender.as_ref().map(|s| s.try_send(Message::Block(head, buffer)));
+        match sent {
+            Some(Ok(())) => self.recorded += records,
+            Some(Err(TrySendError::Full(_) | TrySendError::Disconnected(_))) | None => {
+                // Whole records are dropped, and what follows says so.
+                self.lost += records;
+                self.gap += records;
+            }
+        }
+    }
+
+    /// What became of the records so far.
+    pub fn state(&self) -> State {
+        let by_writer = self.shared.lost.load(Ordering::Relaxed);
+        State {
+            recorded: self.recorded.saturating_sub(by_writer),
+            lost: self.lost + by_writer,
+            bytes: self.shared.bytes.load(Ordering::Relaxed),
+            failing: self.shared.failing.load(Ordering::Relaxed),
+        }
+    }
+
+    /// Hands over the rest and waits until it is written.
+    pub fn end(mut self, now: Micros) -> State {
+        self.flush(now);
+        self.sender = None;
+        if let Some(writer) = self.writer.take() {
+            if writer.join().is_err() {
+                self.shared.failing.store(true, Ordering::Relaxed);
+            }
+        }
+        self.state()
+    }
+}
+
+/// A file that is being written.
+struct Segment {
+    path: PathBuf,
+    file: File,
+    length: u64,
+}
+
+impl Segment {
+    fn create(path: PathBuf) -> std::io::Result<Segment> {
+        let mut file = File::create(&path)?;
+        file.write_all(MAGIC)?;
+        file.write_all(&VERSION.to_be_bytes())?;
+        Ok(Segment { path, file, length: MAGIC.len() as u64 + 2 })
+    }
+
+    /// Writes a block whole, or leaves the file as it was.
+    fn write(&mut self, head: &[u8], packed: &[u8]) -> std::io::Result<()> {
+        let written = self.file.write_all(head).and_then(|()| self.file.write_all(packed));
+        if written.is_err() {
+            // Half a block would end every reading here.
+            self.file.set_len(self.length)?;
+            use std::io::Seek;
+            self.file.seek(std::io::SeekFrom::End(0))?;
+            return written;
+        }
+        self.length += (head.len() + packed.len()) as u64;
+        Ok(())
+    }
+}
+
+/// The name of the n-th file of a capture: `x.wfcap`, `x.0001.wfcap` and so on.
+fn nth(path: &Path, n: u32) -> PathBuf {
+    if n == 0 {
+        return path.to_path_buf();
+    }
+    let stem = path.file_stem().map_or_else(String::new, |s| s.to_string_lossy().into_owned());
+    path.with_file_name(format!("{stem}.{n:04}.wfcap"))
+}
+
+fn write_all(receiver: &Receiver<Message>, first: Segment, path: &Path, limits: Limits, shared: &Shared) {
+    let mut files = vec![(first.path.clone(), 0u64)];
+    let (mut segment, mut n) = (Some(first), 0u32);
+    let mut synced = std::time::Instant::now();
+    let every = std::time::Duration::from_micros(limits.sync.0.max(1) as u64);
+    while let Ok(message) = receiver.recv() {
+        let (mut head, raw) = match message {
+            Message::Block(head, raw) => (head, raw),
+            Message::Segment => {
+                n += 1;
+                if let Some(old) = segment.take() {
+                    let _ = old.file.sync_data();
+                    if let Some(last) = files.last_mut() {
+                        last.1 = old.length;
+                    }
+                }
+                segment = Segment::create(nth(path, n)).ok();
+                shared.failing.store(segment.is_none(), Ordering::Relaxed);
+                files.extend(segment.as_ref().map(|s| (s.path.clone(), 0)));
+                // The oldest files go; the one at hand stays.
+                while files.len() > 1 && files.iter().map(|(_, bytes)| bytes).sum::<u64>() > limits.keep {
+                    let _ = std::fs::remove_file(files.remove(0).0);
+                }
+                continue;
+            }
+        };
+        let written = zstd::bulk::compress(&raw, 1).and_then(|packed| {
+            (head.raw, head.packed) = (raw.len() as u32, packed.len() as u32);
+            let file = segment.as_mut().ok_or(std::io::ErrorKind::NotFound)?;
+            file.write(&head.bytes(&packed), &packed)?;
+            Ok(file.length)
+        });
+        match written {
+            Ok(length) => {
+                shared.segment.store(length, Ordering::Relaxed);
+                shared.bytes.fetch_add(u64::from(head.packed), Ordering::Relaxed);
+                shared.failing.store(false, Ordering::Relaxed);
+            }
+            Err(_) => {
+                shared.lost.fetch_add(u64::from(head.records), Ordering::Relaxed);
+                shared.failing.store(true, Ordering::Relaxed);
+            }
+        }
+        if synced.elapsed() >= every {
+            if let Some(s) = &segment {
+                let _ = s.file.sync_data();
+            }
+            synced = std::time::Instant::now();
+        }
+    }
+    if let Some(s) = segment {
+        let _ = s.file.sync_data();
+    }
+}
--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -118,9 +118,10 @@
 }
 
 /// The decisions of one gateway.
-#[derive(Debug)]
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
 pub struct Gateway {
     settings: Settings,
+    #[serde(with = "crate::state::chance")]
     random: fastrand::Rng,
     engines: BTreeMap<EngineId, Engine>,
     queries: BTreeMap<QueryId, Live>,
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -1,8 +1,10 @@
 //! The module's surface: the settings it is handed, the events it sees and the actions it takes.
 //! Nothing in this file decides anything.
 
+use serde::{Deserialize, Serialize};
+
 /// A point in time or a span, in microseconds.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Micros(pub i64);
 
 impl Micros {
@@ -31,15 +33,15 @@
 }
 
 /// An engine, the same number at every gateway.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct EngineId(pub u64);
 
 /// A query taken from a client.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct QueryId(pub u64);
 
 /// Whether a query may run more than once.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Effect {
     /// Any number of runs does no harm.
     #[default]
@@ -51,7 +53,7 @@
 }
 
 /// The engines that drop repeats of a keyed query.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum DedupScope {
     /// All engines together.
     #[default]
@@ -63,7 +65,7 @@
 }
 
 /// One class of query.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Class {
     /// Wanted within this time ...
     pub aim: Micros,
@@ -98,7 +100,7 @@
 }
 
 /// A budget for attempts beyond each query's first.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct AttemptBudget {
     /// Allowed however little is taken.
     pub free: f64,
@@ -109,7 +111,7 @@
 }
 
 /// What a deployment hands the module at start. The default is one bare gateway with nothing optional.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Settings {
     /// How many gateways share the engines.
     pub gateways: f64,
@@ -180,7 +182,7 @@
 }
 
 /// Whether an engine takes work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Status {
     /// It does.
     Up,
@@ -191,7 +193,7 @@
 }
 
 /// One line of the engine list.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct EngineEntry {
     /// Which engine.
     pub engine: EngineId,
@@ -208,7 +210,7 @@
 }
 
 /// What an engine says of its load. Each field may be missing.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Report {
     /// Share of its cores busy.
     pub utilisation: Option<f64>,
@@ -223,7 +225,7 @@
 }
 
 /// What one gateway tells another of an engine.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Word {
     /// Which engine.
     pub engine: EngineId,
@@ -232,7 +234,7 @@
 }
 
 /// A query from a client.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Query {
     /// Its id.
     pub id: QueryId,
@@ -253,7 +255,7 @@
 }
 
 /// How an attempt or a probe ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
     /// Served.
     Served,
@@ -281,7 +283,7 @@
 }
 
 /// Word on an attempt that is out.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Note {
     /// Share of it done.
     Progress(f64),
@@ -296,7 +298,7 @@
 }
 
 /// The end of an attempt.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Ending {
     /// Whose.
     pub query: QueryId,
@@ -315,7 +317,7 @@
 }
 
 /// What the module is told.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Event {
     /// The gateway starts.
     Started,
@@ -358,7 +360,7 @@
 }
 
 /// What the module wants done.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Action {
     /// Start an attempt.
     Send {
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -1,10 +1,11 @@
 //! What a gateway keeps in mind: plain records, without decisions, tables or tuned values.
 
 use crate::interface::*;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// One attempt of a query.
-#[derive(Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Attempt {
     pub engine: EngineId,
     pub sent: Micros,
@@ -20,7 +21,7 @@
 }
 
 /// A query that is not over, or has attempts out.
-#[derive(Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Live {
     pub query: Query,
     pub work: f64,
@@ -41,7 +42,7 @@
 }
 
 /// What is known of an engine.
-#[derive(Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Engine {
     pub entry: EngineEntry,
     pub cores: f64,
@@ -80,7 +81,7 @@
 }
 
 /// What is known of a class: decayed sums of work done, of hints, and of samples.
-#[derive(Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct ClassView {
     pub work: f64,
     pub hints: f64,
@@ -91,7 +92,7 @@
 }
 
 /// Sums over the queries of all classes.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Sums {
     pub worth: f64,
     pub work: f64,
@@ -112,7 +113,7 @@
 }
 
 /// The line of queries of one key.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct KeyLine {
     pub waiting: VecDeque<QueryId>,
     pub rests_until: Micros,
@@ -127,7 +128,7 @@
 }
 
 /// What a query is weighed by beyond its engine.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Around {
     /// This gateway's share of an engine is below one query of the heaviest class.
     pub scarce: bool,
@@ -144,7 +145,7 @@
 }
 
 /// What a gateway counts and awaits.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Ledger {
     /// Arrivals and further attempts within the span of the attempt budget.
     pub taken: VecDeque<Micros>,
@@ -307,3 +308,16 @@
         self.reported = Some(now);
     }
 }
+
+/// The source of chance, kept by its seed: it goes on from there as it would have.
+pub mod chance {
+    use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+    pub fn serialize<S: Serializer>(random: &fastrand::Rng, to: S) -> Result<S::Ok, S::Error> {
+        random.get_seed().serialize(to)
+    }
+
+    pub fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<fastrand::Rng, D::Error> {
+        u64::deserialize(from).map(fastrand::Rng::with_seed)
+    }
+}
--- a/crates/driver/src/books.rs
+++ b/crates/driver/src/books.rs
@@ -1,11 +1,12 @@
 //! The books: what is out, what was answered, and when to look again. Plain arithmetic, no decisions.
 
 use crate::Terms;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use wheelfield::interface::{EngineId, Micros, Outcome, QueryId};
 
 /// An attempt: its query and its number, counted from 0.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct AttemptId {
     /// Whose.
     pub query: QueryId,
@@ -20,7 +21,7 @@
 }
 
 /// Counted since the start.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Counts {
     /// Queries taken.
     pub taken: u64,
@@ -42,14 +43,14 @@
     pub late: u64,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub(crate) enum Wake {
     Module(u64),
     Limit(AttemptId),
     Unconfirmed(AttemptId),
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 struct Attempt {
     engine: EngineId,
     sent: Micros,
@@ -61,7 +62,7 @@
     wakes: Vec<WakeKey>,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 struct Taken {
     due: Micros,
     answered: bool,
@@ -81,7 +82,7 @@
     pub owed: bool,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Books {
     last_number: u64,
     queries: BTreeMap<QueryId, Taken>,
--- a/crates/driver/src/lib.rs
+++ b/crates/driver/src/lib.rs
@@ -19,6 +19,7 @@
 pub use books::{AttemptId, Counts};
 
 use books::{Books, Settled, Wake};
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use wheelfield::choice::Gateway;
 use wheelfield::interface::{
@@ -27,7 +28,7 @@
 };
 
 /// Memory and priority of an attempt.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Terms {
     /// Memory grant in MB; zero leaves it to the engine.
     pub grant_mb: f64,
@@ -42,7 +43,7 @@
 }
 
 /// A query as the wire hands it in; its number is given by the driver.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Arrival {
     /// Its class, by position in the settings.
     pub class: usize,
@@ -61,7 +62,7 @@
 }
 
 /// Something that happened outside.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Input {
     /// The controller starts; comes first, once.
     Started,
@@ -107,7 +108,7 @@
 }
 
 /// A final answer that the wire must give. A served query needs none: its rows are the answer.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Answer {
     /// Nothing of it ran, or repeats do no harm: trying again is harmless.
     Refused {
@@ -124,7 +125,7 @@
 }
 
 /// Something to be done outside.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Instruction {
     /// Start an attempt. Tell `Dispatched` as its first byte is written.
     Start {
@@ -152,11 +153,11 @@
 }
 
 /// The driver holds as many queries as it may.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Crowded;
 
 /// What the driver itself is bounded by.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Bounds {
     /// Queries held at once; one more is [`Crowded`].
     pub queries: usize,
@@ -171,7 +172,7 @@
 }
 
 /// One module with its books.
-#[derive(Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Driver {
     gateway: Gateway,
     books: Books,
@@ -275,9 +276,11 @@
     }
 
     /// Lets the time pass: timers that ran out, attempts whose time is up, withdrawals without an echo.
-    /// A timer asked for meanwhile waits for the next call, however short it is.
-    pub fn due(&mut self, now: Micros, out: &mut Vec<Instruction>) {
-        for wake in self.books.ripe(now) {
+    /// A timer asked for meanwhile waits for the next call, however short it is. False if nothing had come due.
+    pub fn due(&mut self, now: Micros, out: &mut Vec<Instruction>) -> bool {
+        let ripe = self.books.ripe(now);
+        let some = !ripe.is_empty();
+        for wake in ripe {
             match wake {
                 Wake::Module(token) => self.events.push_back(Event::TimerDue(token)),
                 Wake::Limit(attempt) => {
@@ -297,6 +300,7 @@
             }
             self.run(now, out);
         }
+        some
     }
 
     /// Whether an attempt still counts: it was started and has had no outcome. The wire asks before it writes
--- /dev/null
+++ b/crates/replay/src/lib.rs
@@ -0,0 +1,297 @@
+//! Feeds a capture to the same driver and compares what it decides.
+//!
+//! A replay is the controller's own [`Driver`], fed with what the controller's was told. Nothing here knows how a
+//! decision comes about: what is shown of one comes from what the module answered, or from feeding it again.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod shadow;
+pub mod words;
+
+use std::collections::VecDeque;
+use std::path::Path;
+use wheelfield::interface::{Micros, QueryId};
+use wheelfield_capture::{Entry, ReadError, Reader, Record, Start, Told};
+use wheelfield_driver::{Driver, Instruction};
+
+/// Steps shown before a difference.
+pub const CONTEXT: usize = 12;
+
+/// A step of a capture.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Step {
+    /// Its number in the capture, from 1.
+    pub number: u64,
+    /// When.
+    pub at: Micros,
+    /// What the driver was told.
+    pub told: Told,
+    /// The number of a query that was taken.
+    pub taken: Option<QueryId>,
+    /// What it answered.
+    pub out: Vec<Instruction>,
+}
+
+/// Why a replay ended before the end.
+#[derive(Debug, thiserror::Error)]
+pub enum ReplayError {
+    /// The capture can't be read.
+    #[error(transparent)]
+    Read(#[from] ReadError),
+    /// A part of it is lost, and going on was not asked for.
+    #[error("records are missing after step {after}; with --over-gaps the replay enters again at the next checkpoint")]
+    Gap {
+        /// The last step before.
+        after: u64,
+    },
+    /// It does not begin as a capture does.
+    #[error("a step before anything to start from")]
+    NoStart,
+}
+
+/// A decision that differs.
+#[derive(Debug, PartialEq)]
+pub struct Difference {
+    /// The step, as it was recorded.
+    pub recorded: Step,
+    /// What the replay answered.
+    pub replayed: Vec<Instruction>,
+    /// The number it gave a query.
+    pub taken: Option<QueryId>,
+    /// The steps before.
+    pub before: Vec<Step>,
+}
+
+/// What became of a replay.
+#[derive(Debug, Default)]
+pub struct Verdict {
+    /// Steps that were fed again.
+    pub steps: u64,
+    /// Decisions among them: instructions that were compared.
+    pub instructions: u64,
+    /// Checkpoints whose whole state was compared too.
+    pub checkpoints: u64,
+    /// The first decision that differs.
+    pub difference: Option<Box<Difference>>,
+    /// A checkpoint whose state differs, by the step before it, though all decisions until then were equal.
+    pub state_differs: Option<u64>,
+    /// Spans that could not be fed again: after this step, up to that one.
+    pub unvouched: Vec<(u64, u64)>,
+    /// The file ends amid a block: nothing is known after this step.
+    pub torn_after: Option<u64>,
+    /// First and last time.
+    pub times: Option<(Micros, Micros)>,
+}
+
+impl Verdict {
+    /// All that was fed again was decided alike.
+    pub fn equal(&self) -> bool {
+        self.difference.is_none() && self.state_differs.is_none()
+    }
+}
+
+/// How to replay.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Options {
+    /// Enter again at the next checkpoint after a loss, in place of ending there.
+    pub over_gaps: bool,
+    /// Enter at the last checkpoint before this time.
+    pub from: Option<Micros>,
+}
+
+/// A file as its steps, with a driver that stands before each.
+pub struct Player {
+    reader: Reader,
+    /// What the file begins with.
+    pub start: Option<Start>,
+    /// Names of engines, as far as they were told.
+    pub engines: Vec<(wheelfield::interface::EngineId, String)>,
+    driver: Option<Driver>,
+    number: u64,
+    over_gaps: bool,
+    /// A loss was met; nothing is fed until a checkpoint.
+    lost: bool,
+    verdict: Verdict,
+    lost_after: u64,
+}
+
+/// What a player met.
+pub enum Met {
+    /// A step, and the driver as it is before it; none within a loss.
+    Step(Step, Option<Box<Driver>>),
+    /// The end.
+    End,
+}
+
+impl Player {
+    /// Opens a file.
+    ///
+    /// # Errors
+    /// [`ReplayError`] if it can't be read.
+    pub fn open(path: &Path, options: Options) -> Result<Player, ReplayError> {
+        let mut reader = Reader::open(path)?;
+        if let Some(from) = options.from {
+            // A block that begins with a checkpoint can't be told from its head; blocks are unpacked from the last
+            // one that is certainly before, in ever larger steps back.
+            let headers = reader.headers()?;
+            let before = headers.iter().rposition(|h| h.times.0 <= from.0).unwrap_or(0);
+            let mut back = before.saturating_sub(1);
+            loop {
+                let (at, until) = (headers[back.min(headers.len().saturating_sub(1))].at, from);
+                if back == 0 || has_checkpoint(path, at, until)? {
+                    reader.go_to(at)?;
+                    break;
+                }
+                back = back.saturating_sub(1 + (before - back));
+            }
+        }
+        Ok(Player {
+            reader,
+            start: None,
+            engines: Vec::new(),
+            driver: None,
+            number: 0,
+            over_gaps: options.over_gaps,
+            lost: options.from.is_some(),
+            verdict: Verdict::default(),
+            lost_after: 0,
+        })
+    }
+
+    /// The driver as it stands.
+    pub fn driver(&self) -> Option<&Driver> {
+        self.driver.as_ref()
+    }
+
+    fn gap(&mut self) -> Result<(), ReplayError> {
+        if !self.over_gaps {
+            return Err(ReplayError::Gap { after: self.number });
+        }
+        if !self.lost {
+            (self.lost, self.lost_after) = (true, self.number);
+        }
+        Ok(())
+    }
+
+    /// The next step as recorded, without feeding it.
+    fn next_step(&mut self) -> Result<Option<Step>, ReplayError> {
+        loop {
+            let record = match self.reader.entry()? {
+                None => return Ok(None),
+                Some(Entry::Torn { .. }) => {
+                    self.verdict.torn_after = Some(self.number);
+                    return Ok(None);
+                }
+                Some(Entry::Missing { .. }) => {
+                    self.gap()?;
+                    continue;
+                }
+                Some(Entry::Record(record)) => *record,
+            };
+            match record {
+                Record::Start(start) => self.start = self.start.take().or(Some(*start)),
+                Record::Engines(names) => self.engines.extend(names),
+                Record::Gap { .. } => self.gap()?,
+                Record::Checkpoint { driver, .. } => self.at_checkpoint(*driver),
+                Record::Step { at, told, taken, out } => {
+                    self.number += 1;
+                    let (first, _) = self.verdict.times.unwrap_or((at, at));
+                    self.verdict.times = Some((first, at));
+                    return Ok(Some(Step { number: self.number, at, told, taken, out }));
+                }
+            }
+        }
+    }
+
+    fn at_checkpoint(&mut self, recorded: Driver) {
+        match &self.driver {
+            Some(own) if !self.lost => {
+                self.verdict.checkpoints += 1;
+                let same = postcard::to_stdvec(own).ok() == postcard::to_stdvec(&recorded).ok();
+                if !same && self.verdict.state_differs.is_none() {
+                    self.verdict.state_differs = Some(self.number);
+                }
+            }
+            _ => {
+                if self.lost && self.lost_after < self.number {
+                    self.verdict.unvouched.push((self.lost_after, self.number));
+                }
+                (self.driver, self.lost) = (Some(recorded), false);
+            }
+        }
+    }
+
+    /// Feeds the next step; both sides of it, or none at the end. Steps within a loss are passed over.
+    ///
+    /// # Errors
+    /// [`ReplayError`] where the capture can't be read, or is lost.
+    #[allow(clippy::type_complexity)]
+    pub fn feed(&mut self) -> Result<Option<(Step, Option<QueryId>, Vec<Instruction>)>, ReplayError> {
+        while let Some(step) = self.next_step()? {
+            if self.lost {
+                continue;
+            }
+            let Some(driver) = &mut self.driver else { return Err(ReplayError::NoStart) };
+            let mut out = Vec::new();
+            let taken = feed(driver, step.at, &step.told, &mut out);
+            self.verdict.steps += 1;
+            self.verdict.instructions += out.len() as u64;
+            return Ok(Some((step, taken, out)));
+        }
+        if self.lost && self.lost_after < self.number {
+            self.verdict.unvouched.push((self.lost_after, self.number));
+        }
+        Ok(None)
+    }
+}
+
+fn has_checkpoint(path: &Path, at: u64, until: Micros) -> Result<bool, ReplayError> {
+    let mut reader = Reader::open(path)?;
+    reader.go_to(at)?;
+    while let Some(entry) = reader.entry()? {
+        match entry {
+            Entry::Record(record) => match *record {
+                Record::Checkpoint { at, .. } => return Ok(at <= until),
+                Record::Step { at, .. } if at > until => return Ok(false),
+                _ => {}
+            },
+            Entry::Torn { .. } => return Ok(false),
+            Entry::Missing { .. } => {}
+        }
+    }
+    Ok(false)
+}
+
+/// Feeds one step to a driver.
+pub fn feed(driver: &mut Driver, at: Micros, told: &Told, out: &mut Vec<Instruction>) -> Option<QueryId> {
+    match told {
+        Told::Input(input) => driver.tell(at, input.clone(), out),
+        Told::Arrive { arrival, .. } => return driver.arrive(at, arrival.clone(), out).ok(),
+        Told::Due => {
+            driver.due(at, out);
+        }
+    }
+    None
+}
+
+/// Replays a file: equal, or the first decision that differs.
+///
+/// # Errors
+/// [`ReplayError`] where the capture can't be read, or is lost.
+pub fn run(path: &Path, options: Options) -> Result<Verdict, ReplayError> {
+    let mut player = Player::open(path, options)?;
+    let mut before: VecDeque<Step> = VecDeque::new();
+    while let Some((step, taken, out)) = player.feed()? {
+        if out != step.out || taken != step.taken {
+            let before = before.into();
+            player.verdict.difference =
+                Some(Box::new(Difference { recorded: step, replayed: out, taken, before }));
+            break;
+        }
+        if before.len() == CONTEXT {
+            before.pop_front();
+        }
+        before.push_back(step);
+    }
+    Ok(player.verdict)
+}
