controller and lab: captures written and replayed

Need: what a controller was told must be there after a bad hour, and replay to the same decisions. A replay enters at a checkpoint, compares the whole state at each, refuses a capture with a loss unless asked and says from where on it can't vouch. Disks that are full or slow are stand-ins behind a trait. Measured: 100 replays alike; a file torn at every byte and with a bit flipped at every byte; a changed setting flagged from the decision that brute force finds; a full and a slow disk cost records, are marked, and hold up no decision.

--- a/crates/capture/src/lib.rs
+++ b/crates/capture/src/lib.rs
@@ -16,4 +16,4 @@
 
 pub use format::{Record, Start, Told, VERSION};
 pub use reader::{repair, Entry, Header, Loss, ReadError, Reader};
-pub use writer::{Limits, Recorder, State};
+pub use writer::{Disk, Limits, Maker, Recorder, State};
--- a/crates/capture/src/writer.rs
+++ b/crates/capture/src/writer.rs
@@ -2,10 +2,10 @@
 
 use crate::format::{Head, RecordRef, Start, Told, MAGIC, VERSION};
 use std::fs::File;
-use std::io::Write;
+use std::io::{Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::mpsc::{sync_channel, Receiver, SyncSender, TrySendError};
+use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use wheelfield::interface::{EngineId, Micros, QueryId};
@@ -60,6 +60,8 @@
     bytes: AtomicU64,
     /// Bytes of the file at hand.
     segment: AtomicU64,
+    /// Files begun beyond the first.
+    begun: AtomicU64,
     failing: AtomicBool,
 }
 
@@ -85,6 +87,8 @@
     /// Lost by the writer, as far as told in a gap.
     told_lost: u64,
     gap: u64,
+    /// Files asked for beyond the first.
+    segments: u64,
     last_checkpoint: Micros,
     last_flush: Micros,
 }
@@ -101,14 +105,30 @@
         driver: &Driver,
         now: Micros,
     ) -> std::io::Result<Recorder> {
-        let file = Segment::create(path.to_path_buf())?;
+        let make = |path: &Path| Ok(Box::new(File::create(path)?) as Box<dyn Disk>);
+        Recorder::begin_on(Box::new(make), path, start, limits, driver, now)
+    }
+
+    /// The same, on files that `make` makes.
+    ///
+    /// # Errors
+    /// If the first can't be made.
+    pub fn begin_on(
+        mut make: Maker,
+        path: &Path,
+        start: Start,
+        limits: Limits,
+        driver: &Driver,
+        now: Micros,
+    ) -> std::io::Result<Recorder> {
+        let file = Segment::create(path.to_path_buf(), &mut make)?;
         let (sender, receiver) = sync_channel(limits.queue.max(2));
         let shared = Arc::new(Shared::default());
         let theirs = shared.clone();
         let path = path.to_path_buf();
         let writer = std::thread::Builder::new()
             .name("capture".into())
-            .spawn(move || write_all(&receiver, file, &path, limits, &theirs))?;
+            .spawn(move || write_all(&receiver, file, &path, limits, &theirs, &mut make))?;
         let mut recorder = Recorder {
             start,
             limits,
@@ -122,6 +142,7 @@
             lost: 0,
             told_lost: 0,
             gap: 0,
+            segments: 0,
             last_checkpoint: now,
             last_flush: now,
         };
@@ -192,47 +213,49 @@
             self.gap += by_writer - self.told_lost;
             self.told_lost = by_writer;
         }
-        let full = self.shared.segment.load(Ordering::Relaxed) >= self.limits.segment;
-        if full && self.buffer.len() < self.limits.block && self.head.records == 0 {
-            if let Some(Ok(())) = self.sender.as_ref().map(|s| s.try_send(Message::Segment)) {
-                self.shared.segment.store(0, Ordering::Relaxed);
+        // While the writer has not begun the last file asked for, what it tells is of the one before.
+        let begun = self.shared.begun.load(Ordering::Relaxed) == self.segments;
+        let full = begun && self.shared.segment.load(Ordering::Relaxed) >= self.limits.segment;
+        let waits = self.head.records > 0 && now - self.last_flush >= self.limits.sync;
+        if full || waits || self.buffer.len() >= self.limits.block {
+            let sent = self.flush(now);
+            if sent && full && self.sender.as_ref().is_some_and(|s| s.try_send(Message::Segment).is_ok()) {
+                self.segments += 1;
+                self.open(driver, now);
+            } else if sent && self.gap > 0 {
+                // Behind a loss a replay can enter again.
                 self.open(driver, now);
             }
-        } else if self.gap > 0 && self.head.records == 0 {
-            self.open(driver, now);
-        } else if now - self.last_checkpoint >= self.limits.checkpoint {
+        }
+        if now - self.last_checkpoint >= self.limits.checkpoint {
             self.put(now, &RecordRef::Checkpoint { at: now, driver });
             self.last_checkpoint = now;
         }
-        if self.buffer.len() >= self.limits.block
-            || (now - self.last_flush >= self.limits.sync && self.head.records > 0)
-        {
-            self.flush(now);
-        }
     }
 
-    fn flush(&mut self, now: Micros) {
+    /// Hands over what is there; false if it was dropped.
+    fn flush(&mut self, now: Micros) -> bool {
         self.last_flush = now;
         let mut head = std::mem::take(&mut self.head);
-        self.head.number = head.number + 1;
+        self.head.number = head.number;
         if head.records == 0 {
-            self.head.number = head.number;
-            return;
+            return true;
         }
+        self.head.number += 1;
         let buffer = std::mem::replace(&mut self.buffer, Vec::with_capacity(self.limits.block * 2));
         if head.low == u64::MAX {
             (head.low, head.high) = (0, 0);
         }
         let records = u64::from(head.records);
-        let sent = self.sender.as_ref().map(|s| s.try_send(Message::Block(head, buffer)));
-        match sent {
-            Some(Ok(())) => self.recorded += records,
-            Some(Err(TrySendError::Full(_) | TrySendError::Disconnected(_))) | None => {
-                // Whole records are dropped, and what follows says so.
-                self.lost += records;
-                self.gap += records;
-            }
+        let sent = self.sender.as_ref().is_some_and(|s| s.try_send(Message::Block(head, buffer)).is_ok());
+        if sent {
+            self.recorded += records;
+        } else {
+            // Whole records are dropped, and what follows says so.
+            self.lost += records;
+            self.gap += records;
         }
+        sent
     }
 
     /// What became of the records so far.
@@ -259,29 +282,62 @@
     }
 }
 
+/// What a capture is written to: a file, or what stands in for one that is slow or full.
+pub trait Disk: Send {
+    /// Writes all of it, at the end.
+    ///
+    /// # Errors
+    /// As the disk tells; a part may have been written.
+    fn append(&mut self, bytes: &[u8]) -> std::io::Result<()>;
+    /// Cuts it to a length.
+    ///
+    /// # Errors
+    /// As the disk tells.
+    fn cut(&mut self, length: u64) -> std::io::Result<()>;
+    /// Makes what was written durable.
+    ///
+    /// # Errors
+    /// As the disk tells.
+    fn sync(&mut self) -> std::io::Result<()>;
+}
+
+impl Disk for File {
+    fn append(&mut self, bytes: &[u8]) -> std::io::Result<()> {
+        self.write_all(bytes)
+    }
+    fn cut(&mut self, length: u64) -> std::io::Result<()> {
+        self.set_len(length)?;
+        self.seek(SeekFrom::End(0)).map(|_| ())
+    }
+    fn sync(&mut self) -> std::io::Result<()> {
+        self.sync_data()
+    }
+}
+
+/// Makes the files of a capture.
+pub type Maker = Box<dyn FnMut(&Path) -> std::io::Result<Box<dyn Disk>> + Send>;
+
 /// A file that is being written.
 struct Segment {
     path: PathBuf,
-    file: File,
+    file: Box<dyn Disk>,
     length: u64,
 }
 
 impl Segment {
-    fn create(path: PathBuf) -> std::io::Result<Segment> {
-        let mut file = File::create(&path)?;
-        file.write_all(MAGIC)?;
-        file.write_all(&VERSION.to_be_bytes())?;
+    fn create(path: PathBuf, make: &mut Maker) -> std::io::Result<Segment> {
+        let mut file = make(&path)?;
+        file.append(MAGIC)?;
+        file.append(&VERSION.to_be_bytes())?;
         Ok(Segment { path, file, length: MAGIC.len() as u64 + 2 })
     }
 
     /// Writes a block whole, or leaves the file as it was.
     fn write(&mut self, head: &[u8], packed: &[u8]) -> std::io::Result<()> {
-        let written = self.file.write_all(head).and_then(|()| self.file.write_all(packed));
+        let written = self.file.append(head).and_then(|()| self.file.append(packed));
         if written.is_err() {
             // Half a block would end every reading here.
-            self.file.set_len(self.length)?;
-            use std::io::Seek;
-            self.file.seek(std::io::SeekFrom::End(0))?;
+            self.file.cut(self.length)?;
             return written;
         }
         self.length += (head.len() + packed.len()) as u64;
@@ -298,7 +354,14 @@
     path.with_file_name(format!("{stem}.{n:04}.wfcap"))
 }
 
-fn write_all(receiver: &Receiver<Message>, first: Segment, path: &Path, limits: Limits, shared: &Shared) {
+fn write_all(
+    receiver: &Receiver<Message>,
+    first: Segment,
+    path: &Path,
+    limits: Limits,
+    shared: &Shared,
+    make: &mut Maker,
+) {
     let mut files = vec![(first.path.clone(), 0u64)];
     let (mut segment, mut n) = (Some(first), 0u32);
     let mut synced = std::time::Instant::now();
@@ -308,14 +371,16 @@
             Message::Block(head, raw) => (head, raw),
             Message::Segment => {
                 n += 1;
-                if let Some(old) = segment.take() {
-                    let _ = old.file.sync_data();
+                if let Some(mut old) = segment.take() {
+                    let _ = old.file.sync();
                     if let Some(last) = files.last_mut() {
                         last.1 = old.length;
                     }
                 }
-                segment = Segment::create(nth(path, n)).ok();
+                segment = Segment::create(nth(path, n), make).ok();
                 shared.failing.store(segment.is_none(), Ordering::Relaxed);
+                shared.segment.store(0, Ordering::Relaxed);
+                shared.begun.store(u64::from(n), Ordering::Relaxed);
                 files.extend(segment.as_ref().map(|s| (s.path.clone(), 0)));
                 // The oldest files go; the one at hand stays.
                 while files.len() > 1 && files.iter().map(|(_, bytes)| bytes).sum::<u64>() > limits.keep {
@@ -342,13 +407,13 @@
             }
         }
         if synced.elapsed() >= every {
-            if let Some(s) = &segment {
-                let _ = s.file.sync_data();
+            if let Some(s) = &mut segment {
+                let _ = s.file.sync();
             }
             synced = std::time::Instant::now();
         }
     }
-    if let Some(s) = segment {
-        let _ = s.file.sync_data();
+    if let Some(mut s) = segment {
+        let _ = s.file.sync();
     }
 }
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -33,6 +33,8 @@
     pub registry: Option<Registry>,
     /// The other controllers.
     pub peers: Option<Peers>,
+    /// Where all that the driver is told and answers is recorded, if at all.
+    pub capture: Option<Capture>,
     /// What is bounded by number and size.
     pub limits: Limits,
     /// What is bounded by time.
@@ -122,6 +124,23 @@
     pub addresses: Vec<SocketAddr>,
 }
 
+/// How a controller records what its driver is told and answers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Capture {
+    /// The first file; later ones are named after it.
+    pub file: std::path::PathBuf,
+    /// Bytes of a file, after which the next one begins.
+    pub segment: u64,
+    /// Bytes of all files together, after which the oldest goes.
+    pub keep: u64,
+    /// The whole state is written so often.
+    pub checkpoint: Micros,
+    /// What was written is made durable so often.
+    pub sync: Micros,
+    /// Blocks that wait to be written; one more is dropped.
+    pub queue: usize,
+}
+
 /// What is bounded by number and size.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
@@ -355,6 +374,35 @@
         })
     }
 
+    fn capture(&self, c: &file::Capture) -> Checked<Capture> {
+        let size = |at: &Option<Spanned<crate::units::Size>>, usual: u64| match at {
+            None => Ok(usual),
+            Some(at) if at.get_ref().0 >= 1 << 20 => Ok(at.get_ref().0),
+            Some(at) => Err(self.wrong(at, "under a megabyte", "write at least \"1MB\"")),
+        };
+        let time = |at: &Option<Spanned<Time>>, usual: i64, what: &str| match at {
+            None => Ok(Micros(usual)),
+            Some(at) => self.some(at, what),
+        };
+        if !c.file.get_ref().ends_with(".wfcap") {
+            let fault = format!("a capture named `{}`", c.file.get_ref());
+            return Err(self.wrong(&c.file, fault, "let its name end in .wfcap"));
+        }
+        let capture = Capture {
+            file: c.file.get_ref().into(),
+            segment: size(&c.segment, 256 << 20)?,
+            keep: size(&c.keep, 4 << 30)?,
+            checkpoint: time(&c.checkpoint, 60_000_000, "checkpoint")?,
+            sync: time(&c.sync, 1_000_000, "sync")?,
+            queue: c.queue.as_ref().map_or(64, |n| (*n.get_ref()).clamp(2, 65_536) as usize),
+        };
+        if capture.keep < capture.segment {
+            let mend = "make `keep` at least `segment`";
+            return Err(self.wrong(&c.file, "`keep` is less than one file", mend));
+        }
+        Ok(capture)
+    }
+
     fn timing(&self, t: &file::Timing) -> Checked<Timing> {
         let time = |at: &Option<Spanned<Time>>, usual_ms: i64, what: &str| match at {
             None => Ok(Micros(usual_ms * 1000)),
@@ -575,6 +623,7 @@
         engines,
         registry,
         peers,
+        capture: file.capture.as_ref().map(|at| c.capture(at.get_ref())).transpose()?,
         limits: c.limits(&file.limits)?,
         timing,
     })
--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -31,6 +31,7 @@
     pub engines: Vec<At<Engine>>,
     pub registry: Option<At<Registry>>,
     pub peers: Option<At<Peers>>,
+    pub capture: Option<At<Capture>>,
     #[serde(default)]
     pub limits: Limits,
     #[serde(default)]
@@ -276,3 +277,14 @@
     pub drain: Option<At<Time>>,
     pub probe: Option<At<Time>>,
 }
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Capture {
+    pub file: At<String>,
+    pub segment: Option<At<Size>>,
+    pub keep: Option<At<Size>>,
+    pub checkpoint: Option<At<Time>>,
+    pub sync: Option<At<Time>>,
+    pub queue: Option<At<u32>>,
+}
--- a/crates/controller/src/app.rs
+++ b/crates/controller/src/app.rs
@@ -15,6 +15,7 @@
 use std::time::Duration;
 use tracing::{debug, info, warn};
 use wheelfield::interface::{EngineId, Micros, Outcome, QueryId, Report};
+use wheelfield_capture::{Recorder, Start, Told};
 use wheelfield_config::Config;
 use wheelfield_driver::{Answer, AttemptId, Bounds, Driver, Input, Instruction, Terms};
 use wheelfield_net::{listen, Clock, Stream, TimerKey, Timers};
@@ -118,6 +119,7 @@
     pub(crate) poll: Poll,
     pub(crate) config: Config,
     pub(crate) driver: Driver,
+    pub(crate) recorder: Option<Recorder>,
     listener: Option<TcpListener>,
     pub(crate) admin: Option<TcpListener>,
     signal: Option<UnixStream>,
@@ -168,12 +170,14 @@
         let admin = config.admin.map(|address| bind(address, ADMIN)).transpose()?;
         let bounds = Bounds { queries: config.limits.queries, withdraw_wait: config.timing.withdraw };
         let driver = Driver::new(config.settings.clone(), seed, bounds);
+        let recorder = begin_capture(&config, seed, bounds, &driver, clock.now())?;
         let peering = Peering::open(&config, clock.now(), poll.registry())?;
         Ok(App {
             now: clock.now(),
             clock,
             poll,
             driver,
+            recorder,
             listener: Some(listener),
             admin,
             signal: None,
@@ -272,6 +276,10 @@
             self.settle();
             self.let_time_pass();
         }
+        if let Some(recorder) = self.recorder.take() {
+            let state = recorder.end(Micros(self.now));
+            info!(recorded = state.recorded, lost = state.lost, bytes = state.bytes, "capture ended");
+        }
         Ok(())
     }
 
@@ -334,8 +342,9 @@
     }
 
     fn let_time_pass(&mut self) {
-        self.driver.due(Micros(self.now), &mut self.fresh);
-        self.instructions.extend(self.fresh.drain(..));
+        if self.driver.due(Micros(self.now), &mut self.fresh) {
+            self.keep(Some(Told::Due), None);
+        }
         while let Some(wake) = self.timers.pop(self.now) {
             match wake {
                 Wake::Startup(id) => self.startup_late(id),
@@ -365,7 +374,17 @@
 
     /// Tells the driver, and keeps what it wants done.
     pub(crate) fn tell(&mut self, input: Input) {
+        let told = self.recorder.is_some().then(|| Told::Input(input.clone()));
         self.driver.tell(Micros(self.now), input, &mut self.fresh);
+        self.keep(told, None);
+    }
+
+    /// Records a step, and keeps what the driver wants done.
+    fn keep(&mut self, told: Option<Told>, taken: Option<QueryId>) {
+        if let (Some(recorder), Some(told)) = (&mut self.recorder, told) {
+            recorder.step(Micros(self.now), &told, taken, &self.fresh);
+            recorder.tend(&self.driver, Micros(self.now));
+        }
         self.instructions.extend(self.fresh.drain(..));
     }
 
@@ -404,6 +423,10 @@
         }
         let Change { whole, entries } = change;
         let changed: Vec<EngineId> = entries.iter().map(|e| e.engine).collect();
+        if let Some(recorder) = &mut self.recorder {
+            let names = self.engines.known().iter().map(|(id, k)| (*id, k.name.clone()));
+            recorder.engines(Micros(self.now), names);
+        }
         self.tell(Input::Engines { whole, entries });
         self.pools_changed(&changed);
     }
@@ -538,13 +561,17 @@
         self.counts.hints_ignored += u64::from(routed.ignored);
         let label = hints.id.as_deref().unwrap_or("").chars().take(64).collect::<String>();
         let class = routed.arrival.class;
+        let told = self
+            .recorder
+            .is_some()
+            .then(|| Told::Arrive { arrival: routed.arrival.clone(), label: label.clone() });
         match self.driver.arrive(now, routed.arrival, &mut self.fresh) {
             Ok(query) => {
                 self.queries.insert(query, id);
                 let sealed = !unit.open;
                 let (more, terms, since) = (Vec::new(), Terms::default(), self.now);
                 c.running = Some(Running { query, unit, more, sealed, terms, label, class, since });
-                self.instructions.extend(self.fresh.drain(..));
+                self.keep(told, Some(query));
             }
             Err(_) => {
                 info!(id = %label, reason = "the controller holds as many queries as it may", "refused");
@@ -552,6 +579,7 @@
                     .detail("retry_after_ms=1000")
                     .hint("nothing of it ran; come back in a second");
                 c.session.unserved(&trouble, &mut c.stream.output);
+                self.keep(told, None);
             }
         }
     }
@@ -805,3 +833,34 @@
         self.dead.push(token);
     }
 }
+
+/// Begins the capture that a configuration asks for.
+fn begin_capture(
+    config: &Config,
+    seed: u64,
+    bounds: Bounds,
+    driver: &Driver,
+    now: i64,
+) -> Result<Option<Recorder>> {
+    let Some(capture) = &config.capture else { return Ok(None) };
+    let start = Start {
+        build: format!("{} {}", env!("CARGO_PKG_NAME"), env!("CARGO_PKG_VERSION")),
+        index: config.settings.index as u32,
+        seed,
+        settings: config.settings.clone(),
+        bounds,
+        classes: config.names.classes.clone(),
+        tenants: config.names.tenants.clone(),
+    };
+    let limits = wheelfield_capture::Limits {
+        queue: capture.queue,
+        segment: capture.segment,
+        keep: capture.keep,
+        checkpoint: capture.checkpoint,
+        sync: capture.sync,
+        ..wheelfield_capture::Limits::default()
+    };
+    let recorder = Recorder::begin(&capture.file, start, limits, driver, Micros(now))
+        .with_context(|| format!("cannot write the capture {}", capture.file.display()))?;
+    Ok(Some(recorder))
+}
--- a/crates/controller/src/side.rs
+++ b/crates/controller/src/side.rs
@@ -260,7 +260,12 @@
     fn figures(&self) -> Vec<(&'static str, u64)> {
         let d = self.driver.counts();
         let c = &self.counts;
+        let capture = self.recorder.as_ref().map(wheelfield_capture::Recorder::state).unwrap_or_default();
         vec![
+            ("capture_recorded", capture.recorded),
+            ("capture_lost", capture.lost),
+            ("capture_bytes", capture.bytes),
+            ("capture_failing", u64::from(capture.failing)),
             ("clients", self.clients.len() as u64),
             ("engine_sessions", self.links.len() as u64),
             ("queries_held", self.driver.held() as u64),
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -62,6 +62,9 @@
     /// Prints the report as one JSON object.
     #[arg(long)]
     json: bool,
+    /// Controllers leave a capture each in the folder of --out, ending in .wfcap.
+    #[arg(long, requires = "out")]
+    capture: bool,
     /// Only checks the script.
     #[arg(long)]
     check: bool,
@@ -97,6 +100,9 @@
     /// Idle connections.
     #[arg(long, value_name = "N", default_value_t = 10_000)]
     idle: usize,
+    /// The controller records what its driver is told and answers.
+    #[arg(long)]
+    capture: bool,
     /// Prints the figures as one JSON object.
     #[arg(long)]
     json: bool,
@@ -188,6 +194,7 @@
         dir,
         plant: args.plant.clone(),
         log_level: args.log.clone(),
+        capture: args.capture,
         quiet: false,
     };
     let report = play::play(day, &options)?;
@@ -220,6 +227,7 @@
         seconds: args.seconds.clamp(1, 600),
         connections: args.connections.clamp(1, 10_000),
         idle: args.idle.min(18_000),
+        capture: args.capture,
     };
     let dir = tempfile::tempdir()?;
     let figures = measure::measure(&read(None)?, dir.path(), plans)?;
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -27,6 +27,8 @@
     pub connections: usize,
     /// Idle connections.
     pub idle: usize,
+    /// The controller records what its driver is told and answers.
+    pub capture: bool,
 }
 
 /// What was measured.
@@ -207,7 +209,13 @@
         day.limits.insert(name.into(), toml::Value::Integer(value));
     }
     let plan = Plan::draw(&day, 1);
-    let setting = Setting { dir: dir.to_path_buf(), seed: 1, plant: None, log_level: "warn".into() };
+    let setting = Setting {
+        dir: dir.to_path_buf(),
+        seed: 1,
+        plant: None,
+        log_level: "warn".into(),
+        capture: plans.capture,
+    };
     let mut stage = Stage::set(&day, &plan, setting, Clock::start())?;
     let Some(Change::Up(_, controller)) = stage.doors().first().cloned() else {
         anyhow::bail!("no controller")
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -28,6 +28,8 @@
     pub plant: Option<String>,
     /// What controllers log.
     pub log_level: String,
+    /// Controllers record what their drivers are told and answer, in files ending in .wfcap.
+    pub capture: bool,
     /// Progress on standard error.
     pub quiet: bool,
 }
@@ -105,6 +107,7 @@
         seed: options.seed,
         plant: options.plant.clone(),
         log_level: options.log_level.clone(),
+        capture: options.capture,
     };
     let mut stage = Stage::set(day, &plan, setting, clock)?;
     let start = clock.now() + LEAD;
@@ -309,8 +312,13 @@
     stop: &std::sync::atomic::AtomicBool,
 ) -> Result<()> {
     let plan = Plan::draw(day, options.seed);
-    let setting =
-        Setting { dir: options.dir.clone(), seed: options.seed, plant: None, log_level: "info".into() };
+    let setting = Setting {
+        dir: options.dir.clone(),
+        seed: options.seed,
+        plant: None,
+        log_level: "info".into(),
+        capture: false,
+    };
     let mut stage = Stage::set_at(day, &plan, setting, Clock::start(), Some(listen))?;
     for change in stage.doors() {
         if let crate::stage::Change::Up(_, address) = change {
--- a/crates/lab/src/stage.rs
+++ b/crates/lab/src/stage.rs
@@ -142,6 +142,7 @@
     seed: u64,
     plant: Option<String>,
     log_level: String,
+    capture: bool,
     listen: Option<SocketAddr>,
     engines: Process,
     control: SocketAddr,
@@ -165,6 +166,8 @@
     pub plant: Option<String>,
     /// What controllers log.
     pub log_level: String,
+    /// Controllers record what their drivers are told and answer.
+    pub capture: bool,
 }
 
 impl Stage {
@@ -188,7 +191,7 @@
         listen: Option<SocketAddr>,
     ) -> Result<Stage> {
         let settings = day.settings()?;
-        let Setting { dir, seed, plant, log_level } = setting;
+        let Setting { dir, seed, plant, log_level, capture } = setting;
         let config = dir.join("engines.toml");
         std::fs::write(&config, day.stand_ins(&settings, &plan.engines))?;
         let args = [
@@ -217,6 +220,7 @@
             seed,
             plant,
             log_level,
+            capture,
             listen,
             engines,
             control,
@@ -235,8 +239,18 @@
     fn start_controller(&mut self, i: usize) -> Result<()> {
         let config = self.dir.join(format!("controller-{i}.toml"));
         let peer = self.peers.get(i).map_or("127.0.0.1:0", String::as_str);
-        std::fs::write(&config, self.day.controller(i, &self.registry.to_string(), peer, &self.peers))?;
         let life = self.lives.iter().filter(|l| l.controller == i).count() as u64;
+        let mut text = self.day.controller(i, &self.registry.to_string(), peer, &self.peers);
+        if self.capture {
+            // Each process has a file of its own.
+            let name = if life == 0 {
+                format!("controller-{i}.wfcap")
+            } else {
+                format!("controller-{i}-{life}.wfcap")
+            };
+            text.push_str(&format!("[capture]\nfile = {:?}\n", path(&self.dir.join(name))));
+        }
+        std::fs::write(&config, text)?;
         let seed = self.seed.wrapping_mul(1_000_003).wrapping_add(i as u64 * 1_009 + life);
         let mut args: Vec<String> = [
             "--config",
--- a/crates/lab/tests/days.rs
+++ b/crates/lab/tests/days.rs
@@ -16,6 +16,7 @@
         plant: plant.map(str::to_string),
         log_level: "warn".into(),
         quiet: true,
+        capture: false,
     };
     play(&day, &options).unwrap_or_else(|fault| panic!("{fault:#}"))
 }
--- a/crates/replay/src/lib.rs
+++ b/crates/replay/src/lib.rs
@@ -107,6 +107,10 @@
     /// Names of engines, as far as they were told.
     pub engines: Vec<(wheelfield::interface::EngineId, String)>,
     driver: Option<Driver>,
+    /// The driver as it was before the last step, where wanted.
+    before: Option<Box<Driver>>,
+    /// A copy is kept before each arrival.
+    pub keep_before: bool,
     number: u64,
     over_gaps: bool,
     /// A loss was met; nothing is fed until a checkpoint.
@@ -115,14 +119,6 @@
     lost_after: u64,
 }
 
-/// What a player met.
-pub enum Met {
-    /// A step, and the driver as it is before it; none within a loss.
-    Step(Step, Option<Box<Driver>>),
-    /// The end.
-    End,
-}
-
 impl Player {
     /// Opens a file.
     ///
@@ -150,6 +146,8 @@
             start: None,
             engines: Vec::new(),
             driver: None,
+            before: None,
+            keep_before: false,
             number: 0,
             over_gaps: options.over_gaps,
             lost: options.from.is_some(),
@@ -158,9 +156,9 @@
         })
     }
 
-    /// The driver as it stands.
-    pub fn driver(&self) -> Option<&Driver> {
-        self.driver.as_ref()
+    /// The driver as it was before the last arrival, if copies are kept.
+    pub fn before(&self) -> Option<&Driver> {
+        self.before.as_deref()
     }
 
     fn gap(&mut self) -> Result<(), ReplayError> {
@@ -213,7 +211,7 @@
                 }
             }
             _ => {
-                if self.lost && self.lost_after < self.number {
+                if self.lost && self.number > 0 {
                     self.verdict.unvouched.push((self.lost_after, self.number));
                 }
                 (self.driver, self.lost) = (Some(recorded), false);
@@ -232,13 +230,16 @@
                 continue;
             }
             let Some(driver) = &mut self.driver else { return Err(ReplayError::NoStart) };
+            if self.keep_before && matches!(step.told, Told::Arrive { .. }) {
+                self.before = Some(Box::new(driver.clone()));
+            }
             let mut out = Vec::new();
             let taken = feed(driver, step.at, &step.told, &mut out);
             self.verdict.steps += 1;
             self.verdict.instructions += out.len() as u64;
             return Ok(Some((step, taken, out)));
         }
-        if self.lost && self.lost_after < self.number {
+        if self.lost && self.number > 0 {
             self.verdict.unvouched.push((self.lost_after, self.number));
         }
         Ok(None)
--- /dev/null
+++ b/crates/replay/tests/captures.rs
@@ -0,0 +1,465 @@
+//! Captures written and replayed: equal, torn, damaged, with gaps, entered in the middle, and under other settings.
+
+use proptest::prelude::*;
+use std::path::Path;
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, Mutex};
+use wheelfield::interface::*;
+use wheelfield_capture::{
+    repair, Disk, Entry, Limits, ReadError, Reader, Record, Recorder, Start, State, Told,
+};
+use wheelfield_driver::{Arrival, Bounds, Driver, Input, Instruction};
+use wheelfield_replay::{run, shadow, Options, ReplayError};
+
+fn settings() -> Settings {
+    let class = Class {
+        aim: Micros::from_secs(1.0),
+        deadline: Micros::from_secs(5.0),
+        worth: 1.0,
+        threads: 1.0,
+        ..Class::default()
+    };
+    Settings {
+        gateways: 2.0,
+        classes: vec![class.clone(), Class { effect: Effect::Once, ..class }],
+        cores: vec![4.0],
+        memory_mb: vec![1000.0],
+        cancel: true,
+        reports: true,
+        reports_utilisation: true,
+        max_attempts: 3,
+        note_every: Micros::from_secs(1.0),
+        max_retry_after: Micros::from_secs(1.0),
+        cold_from: 0.4,
+        cold_for: Micros::from_secs(5.0),
+        fall_multiple: 3.0,
+        fall_span: Micros::from_secs(1.0),
+        ..Settings::default()
+    }
+}
+
+fn start() -> Start {
+    Start {
+        build: "test 0".into(),
+        index: 0,
+        seed: 11,
+        settings: settings(),
+        bounds: Bounds::default(),
+        classes: vec!["fast".into(), "load".into()],
+        tenants: Vec::new(),
+    }
+}
+
+/// A driver with its recorder, and a wire that answers by a simple rule.
+struct Scene {
+    driver: Driver,
+    recorder: Recorder,
+    now: Micros,
+    out: Vec<(Micros, wheelfield_driver::AttemptId)>,
+    n: u64,
+    steps: u64,
+}
+
+impl Scene {
+    fn on(recorder: impl FnOnce(&Driver) -> Recorder) -> Scene {
+        let driver = Driver::new(settings(), 11, Bounds::default());
+        let recorder = recorder(&driver);
+        let mut scene = Scene { driver, recorder, now: Micros(1_000_000), out: Vec::new(), n: 0, steps: 0 };
+        scene.tell(Input::Started);
+        let engine = |n: u64| EngineEntry {
+            engine: EngineId(n),
+            zone: 0,
+            kind: 0,
+            cell: 0,
+            status: Status::Up,
+            started: None,
+        };
+        scene.tell(Input::Engines { whole: true, entries: (1..=4).map(engine).collect() });
+        scene
+    }
+
+    fn at(path: &Path, limits: Limits) -> Scene {
+        Scene::on(|driver| Recorder::begin(path, start(), limits, driver, Micros(1_000_000)).expect("a file"))
+    }
+
+    fn note(&mut self, told: Told, taken: Option<QueryId>, fresh: Vec<Instruction>) {
+        self.steps += 1;
+        self.recorder.step(self.now, &told, taken, &fresh);
+        self.recorder.tend(&self.driver, self.now);
+        for i in fresh {
+            if let Instruction::Start { attempt, .. } = i {
+                self.n += 1;
+                let after = 50_000 + (self.n * 7919 % 900_000) as i64;
+                self.out.push((self.now + Micros(after), attempt));
+            }
+        }
+    }
+
+    fn tell(&mut self, input: Input) {
+        let mut fresh = Vec::new();
+        self.driver.tell(self.now, input.clone(), &mut fresh);
+        self.note(Told::Input(input), None, fresh);
+    }
+
+    /// Lets so many milliseconds pass, with a query every five of them.
+    fn play(&mut self, ms: i64) {
+        for step in 0..ms / 5 {
+            self.now = self.now + Micros(5_000);
+            let mut fresh = Vec::new();
+            if self.driver.due(self.now, &mut fresh) {
+                self.note(Told::Due, None, fresh);
+            }
+            let now = self.now;
+            let (ripe, left): (Vec<_>, Vec<_>) =
+                std::mem::take(&mut self.out).into_iter().partition(|(t, _)| *t <= now);
+            self.out = left;
+            for (_, attempt) in ripe {
+                self.tell(Input::Dispatched(attempt));
+                let odd = attempt.query.0 % 13;
+                let outcome = [Outcome::Error, Outcome::Reset, Outcome::Full].get(odd as usize).copied();
+                let report = Report { utilisation: Some((self.n % 17) as f64 / 11.0), ..Report::default() };
+                let outcome = outcome.unwrap_or(Outcome::Served);
+                self.tell(Input::Ended { attempt, outcome, billed_work: Some(0.31), report });
+            }
+            let arrival = Arrival {
+                class: usize::from(step % 9 == 0),
+                due: self.now + Micros::from_secs(4.0),
+                work_hint: Some(0.1 + (step % 7) as f64 * 0.13),
+                ..Arrival::default()
+            };
+            let mut fresh = Vec::new();
+            let taken = self.driver.arrive(self.now, arrival.clone(), &mut fresh).ok();
+            self.note(Told::Arrive { arrival, label: format!("s{step}") }, taken, fresh);
+        }
+    }
+
+    fn end(self) -> (State, u64) {
+        (self.recorder.end(self.now), self.steps)
+    }
+}
+
+fn small() -> Limits {
+    Limits {
+        block: 2_000,
+        queue: 100_000,
+        checkpoint: Micros(500_000),
+        sync: Micros(100_000),
+        ..Limits::default()
+    }
+}
+
+fn folder() -> tempfile::TempDir {
+    tempfile::tempdir().expect("a folder")
+}
+
+#[test]
+fn a_capture_replays_to_the_same_decisions_a_hundred_times() {
+    let dir = folder();
+    let path = dir.path().join("a.wfcap");
+    let mut scene = Scene::at(&path, Limits::default());
+    scene.play(4_000);
+    let (state, steps) = scene.end();
+    assert_eq!(state.lost, 0);
+    for _ in 0..100 {
+        let verdict = run(&path, Options::default()).expect("whole");
+        assert!(verdict.equal(), "{:?}", verdict.difference);
+        assert_eq!(verdict.steps, steps);
+    }
+}
+
+#[test]
+fn checkpoints_hold_the_whole_state_and_a_replay_enters_at_one() {
+    let dir = folder();
+    let path = dir.path().join("a.wfcap");
+    let mut scene = Scene::at(&path, small());
+    scene.play(10_000);
+    let (_, steps) = scene.end();
+    let whole = run(&path, Options::default()).expect("whole");
+    assert!(whole.equal() && whole.checkpoints > 10, "{whole:?}");
+    let late = run(&path, Options { from: Some(Micros(8_000_000)), over_gaps: false }).expect("whole");
+    assert!(late.equal() && late.steps > 100 && late.steps < steps / 2, "{} of {steps}", late.steps);
+}
+
+#[test]
+fn a_deliberate_change_is_found_at_its_first_decision_and_only_there() {
+    let dir = folder();
+    let path = dir.path().join("a.wfcap");
+    let mut scene = Scene::at(&path, Limits::default());
+    scene.play(10_000);
+    scene.end();
+    let same = shadow::compare(&path, Settings::clone).expect("whole");
+    assert!(same.arrivals > 1_000 && same.altered.is_empty());
+    let fewer = |s: &Settings| shadow::alter(s, "cores.0", "1.0").expect("a setting");
+    let other = shadow::compare(&path, fewer).expect("whole");
+    assert!(!other.altered.is_empty());
+    // Brute force: two drivers side by side, compared by hand up to the first difference.
+    let mut reader = Reader::open(&path).expect("a capture");
+    let (mut one, mut two) = (
+        Driver::new(settings(), 11, Bounds::default()),
+        Driver::new(fewer(&settings()), 11, Bounds::default()),
+    );
+    let (mut first, mut number) = (None, 0);
+    while let Some(Entry::Record(record)) = reader.entry().expect("sound") {
+        if let Record::Step { at, told, .. } = *record {
+            number += 1;
+            let (mut a, mut b) = (Vec::new(), Vec::new());
+            wheelfield_replay::feed(&mut one, at, &told, &mut a);
+            wheelfield_replay::feed(&mut two, at, &told, &mut b);
+            let place = |out: &[Instruction]| {
+                out.iter().find_map(|i| match i {
+                    Instruction::Start { engine, .. } => Some(Some(*engine)),
+                    Instruction::Answer(..) => Some(None),
+                    _ => None,
+                })
+            };
+            if first.is_none() && matches!(told, Told::Arrive { .. }) && place(&a) != place(&b) {
+                first = Some(number);
+            }
+        }
+    }
+    assert_eq!(other.altered.first().map(|a| a.step), first);
+    assert!(shadow::alter(&settings(), "cores.7", "1").expect_err("none").contains("known: 0"));
+    assert!(shadow::alter(&settings(), "max_attempts", "\"two\"").is_err());
+}
+
+#[test]
+fn a_wall_clock_that_jumps_moves_no_decision_as_time_is_what_was_told() {
+    // The time of a step is the process's own; a replay reads no clock at all.
+    let dir = folder();
+    let (one, two) = (dir.path().join("a.wfcap"), dir.path().join("b.wfcap"));
+    for path in [&one, &two] {
+        let mut scene = Scene::at(path, Limits::default());
+        scene.play(2_000);
+        scene.end();
+    }
+    let steps = |path: &Path| {
+        let mut reader = Reader::open(path).expect("a capture");
+        let mut all = Vec::new();
+        while let Some(Entry::Record(record)) = reader.entry().expect("sound") {
+            if let Record::Step { at, out, .. } = *record {
+                all.push((at, out));
+            }
+        }
+        all
+    };
+    assert_eq!(steps(&one), steps(&two));
+}
+
+fn short_capture(dir: &Path) -> std::path::PathBuf {
+    let path = dir.join("a.wfcap");
+    let mut scene = Scene::at(&path, Limits { checkpoint: Micros::from_secs(9.0), ..small() });
+    scene.play(120);
+    scene.end();
+    path
+}
+
+/// Records before the end, and how the end was.
+fn read(path: &Path) -> (usize, Result<Option<u64>, ReadError>) {
+    let mut reader = match Reader::open(path) {
+        Ok(reader) => reader,
+        Err(fault) => return (0, Err(fault)),
+    };
+    let mut records = 0;
+    loop {
+        match reader.entry() {
+            Ok(None) => return (records, Ok(None)),
+            Ok(Some(Entry::Torn { at })) => return (records, Ok(Some(at))),
+            Ok(Some(_)) => records += 1,
+            Err(fault) => return (records, Err(fault)),
+        }
+    }
+}
+
+#[test]
+fn a_file_torn_at_any_byte_is_read_up_to_there_and_repaired() {
+    let dir = folder();
+    let path = short_capture(dir.path());
+    let whole = std::fs::read(&path).expect("a file");
+    let (all, end) = read(&path);
+    assert!(matches!(end, Ok(None)) && all > 20);
+    let torn = dir.path().join("torn.wfcap");
+    let mut most = 0;
+    for cut in 0..whole.len() {
+        std::fs::write(&torn, &whole[..cut]).expect("a file");
+        let (records, end) = read(&torn);
+        assert!(records <= all && records >= most, "never less for more bytes");
+        most = records;
+        if cut >= 8 {
+            assert!(end.is_ok(), "cut at {cut}: {end:?}");
+            repair(&torn).expect("repaired");
+            let (after, end) = read(&torn);
+            assert!(after == records && matches!(end, Ok(None)), "cut at {cut}");
+        }
+    }
+}
+
+#[test]
+fn a_flipped_bit_anywhere_is_found_and_named() {
+    let dir = folder();
+    let path = short_capture(dir.path());
+    let whole = std::fs::read(&path).expect("a file");
+    let flipped = dir.path().join("flipped.wfcap");
+    for at in 0..whole.len() {
+        let mut bytes = whole.clone();
+        bytes[at] ^= 1 << (at % 8);
+        std::fs::write(&flipped, &bytes).expect("a file");
+        let (_, end) = read(&flipped);
+        assert!(!matches!(end, Ok(None)), "a flip at byte {at} passes");
+    }
+}
+
+#[test]
+fn a_capture_of_a_newer_version_is_refused_by_name() {
+    let dir = folder();
+    let path = short_capture(dir.path());
+    let mut bytes = std::fs::read(&path).expect("a file");
+    bytes[7] = 200;
+    std::fs::write(&path, &bytes).expect("a file");
+    assert!(matches!(Reader::open(&path), Err(ReadError::Newer(200))));
+}
+
+/// A disk on command: it waits for a permit before each write, and fails while it is full.
+struct Odd {
+    to: Arc<Mutex<Vec<u8>>>,
+    full: Arc<Mutex<bool>>,
+    permits: Option<Receiver<()>>,
+}
+
+impl Disk for Odd {
+    fn append(&mut self, bytes: &[u8]) -> std::io::Result<()> {
+        if let Some(permits) = &self.permits {
+            let _ = permits.recv();
+        }
+        if *self.full.lock().expect("unpoisoned") {
+            // Half of it is written, as real disks do.
+            self.to.lock().expect("unpoisoned").extend(&bytes[..bytes.len() / 2]);
+            return Err(std::io::ErrorKind::StorageFull.into());
+        }
+        self.to.lock().expect("unpoisoned").extend(bytes);
+        Ok(())
+    }
+    fn cut(&mut self, length: u64) -> std::io::Result<()> {
+        self.to.lock().expect("unpoisoned").truncate(length as usize);
+        Ok(())
+    }
+    fn sync(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+struct Bench {
+    bytes: Arc<Mutex<Vec<u8>>>,
+    full: Arc<Mutex<bool>>,
+    permit: Option<Sender<()>>,
+}
+
+fn odd(limits: Limits, slow: bool) -> (Scene, Bench) {
+    let (bytes, full) = (Arc::new(Mutex::new(Vec::new())), Arc::new(Mutex::new(false)));
+    let (sender, receiver) = channel();
+    let mut receiver = slow.then_some(receiver);
+    let (to, is_full) = (bytes.clone(), full.clone());
+    if slow {
+        // What a file begins with is written before the thread starts.
+        sender.send(()).expect("open");
+        sender.send(()).expect("open");
+    }
+    let make = move |_: &Path| {
+        Ok(Box::new(Odd { to: to.clone(), full: is_full.clone(), permits: receiver.take() }) as Box<dyn Disk>)
+    };
+    let scene = Scene::on(|driver| {
+        Recorder::begin_on(Box::new(make), Path::new("x.wfcap"), start(), limits, driver, Micros(1_000_000))
+            .expect("made")
+    });
+    (scene, Bench { bytes, full, permit: slow.then_some(sender) })
+}
+
+/// What was written, as a file: refused where records are lost, and replayed around the loss when asked to.
+fn judged(bytes: &Arc<Mutex<Vec<u8>>>) -> wheelfield_replay::Verdict {
+    let dir = folder();
+    let path = dir.path().join("x.wfcap");
+    std::fs::write(&path, &*bytes.lock().expect("unpoisoned")).expect("a file");
+    assert!(
+        matches!(run(&path, Options::default()), Err(ReplayError::Gap { .. })),
+        "refused unless asked for"
+    );
+    let verdict = run(&path, Options { over_gaps: true, from: None }).expect("readable");
+    assert!(verdict.equal(), "{:?}", verdict.difference);
+    assert!(!verdict.unvouched.is_empty(), "and it says from where on it can't vouch");
+    verdict
+}
+
+#[test]
+fn a_full_disk_costs_records_and_is_told() {
+    let (mut scene, bench) = odd(small(), false);
+    scene.play(2_000);
+    *bench.full.lock().expect("unpoisoned") = true;
+    scene.play(2_000);
+    // The writer is behind: it must have met the full disk before that is over.
+    while !scene.recorder.state().failing {
+        std::thread::yield_now();
+    }
+    *bench.full.lock().expect("unpoisoned") = false;
+    while scene.recorder.state().failing {
+        scene.play(100);
+    }
+    scene.play(3_000);
+    let (state, steps) = scene.end();
+    assert!(state.lost > 0 && !state.failing);
+    let verdict = judged(&bench.bytes);
+    assert!(verdict.steps < steps && verdict.steps > 100);
+}
+
+#[test]
+fn a_slow_disk_holds_up_no_decision_and_the_loss_is_marked() {
+    let (mut scene, bench) = odd(Limits { queue: 2, ..small() }, true);
+    // The disk takes nothing at all, and the driver goes on.
+    scene.play(4_000);
+    let lost = scene.recorder.state().lost;
+    assert!(lost > 0);
+    // Then it is as fast as any.
+    drop(bench.permit);
+    while scene.recorder.state().lost == lost && scene.recorder.state().bytes == 0 {
+        std::thread::yield_now();
+    }
+    scene.play(4_000);
+    let (state, _) = scene.end();
+    assert!(state.lost >= lost);
+    judged(&bench.bytes);
+}
+
+#[test]
+fn files_follow_each_other_and_the_oldest_go() {
+    let dir = folder();
+    let path = dir.path().join("a.wfcap");
+    let limits = Limits { segment: 20_000, keep: 60_000, ..small() };
+    let mut scene = Scene::at(&path, limits);
+    for _ in 0..60 {
+        scene.play(500);
+        std::thread::yield_now();
+    }
+    scene.end();
+    let mut files: Vec<_> =
+        std::fs::read_dir(dir.path()).expect("a folder").flatten().map(|e| e.path()).collect();
+    files.sort();
+    assert!(files.len() >= 2, "{files:?}");
+    for file in &files {
+        // Each stands by itself.
+        let verdict = run(file, Options::default()).expect("whole");
+        assert!(verdict.equal(), "{file:?}");
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// The reader takes any bytes: no panic, bounded memory.
+    #[test]
+    fn any_bytes_are_read_or_told(bytes in prop::collection::vec(any::<u8>(), 0..400), sound_head in any::<bool>()) {
+        let dir = folder();
+        let path = dir.path().join("x.wfcap");
+        let mut all = if sound_head { b"WFCAP\0\0\x01WFBK".to_vec() } else { Vec::new() };
+        all.extend(bytes);
+        std::fs::write(&path, &all).expect("a file");
+        let _ = read(&path);
+    }
+}
