replay: diff against another build, cut, scrub, to-test; silent peers are found out

Need: a bad hour is handed on, made small, made nameless and kept as a regression case; and a half-open client must not hold its place for ever. Change: wheelfield-replay diff asks another build's program for its answers; cut writes a span that stands by itself; scrub feeds all anew with pseudonyms and holds every decision against the recorded one; to-test writes a test with its capture. Streams ask a silent peer after a minute whether it is there.

--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -8,6 +8,8 @@
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
 
+/// A silent peer is asked after so long whether it is there.
+const KEEPALIVE: std::time::Duration = std::time::Duration::from_secs(60);
 /// Buffers of an idle stream keep no more than this.
 const KEPT: usize = 2048;
 
@@ -38,6 +40,9 @@
         token: Token,
     ) -> io::Result<Stream> {
         let _ = socket.set_nodelay(true);
+        // A peer that vanished without a word is found out, and gives its place free.
+        let keepalive = socket2::TcpKeepalive::new().with_time(KEEPALIVE).with_interval(KEEPALIVE / 4);
+        let _ = socket2::SockRef::from(&socket).set_tcp_keepalive(&keepalive);
         registry.register(&mut socket, token, Interest::READABLE | Interest::WRITABLE)?;
         Ok(Stream {
             socket,
--- a/crates/replay/src/lib.rs
+++ b/crates/replay/src/lib.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod rewrite;
 pub mod shadow;
 pub mod words;
 
@@ -109,8 +110,10 @@
     driver: Option<Driver>,
     /// The driver as it was before the last step, where wanted.
     before: Option<Box<Driver>>,
-    /// A copy is kept before each arrival.
+    /// A copy is kept before each arrival,
     pub keep_before: bool,
+    /// or before every step.
+    pub keep_all: bool,
     number: u64,
     over_gaps: bool,
     /// A loss was met; nothing is fed until a checkpoint.
@@ -148,6 +151,7 @@
             driver: None,
             before: None,
             keep_before: false,
+            keep_all: false,
             number: 0,
             over_gaps: options.over_gaps,
             lost: options.from.is_some(),
@@ -156,6 +160,11 @@
         })
     }
 
+    /// The driver as it stands after the last step.
+    pub fn driver(&self) -> Option<&Driver> {
+        self.driver.as_ref()
+    }
+
     /// The driver as it was before the last arrival, if copies are kept.
     pub fn before(&self) -> Option<&Driver> {
         self.before.as_deref()
@@ -230,7 +239,7 @@
                 continue;
             }
             let Some(driver) = &mut self.driver else { return Err(ReplayError::NoStart) };
-            if self.keep_before && matches!(step.told, Told::Arrive { .. }) {
+            if self.keep_all || (self.keep_before && matches!(step.told, Told::Arrive { .. })) {
                 self.before = Some(Box::new(driver.clone()));
             }
             let mut out = Vec::new();
--- a/crates/replay/src/main.rs
+++ b/crates/replay/src/main.rs
@@ -10,7 +10,7 @@
 use wheelfield_capture::{Reader, Told};
 use wheelfield_driver::{Input, Instruction};
 use wheelfield_replay::words::{self, Names};
-use wheelfield_replay::{run, shadow, Options, Player, Step, Verdict};
+use wheelfield_replay::{rewrite, run, shadow, Options, Player, Step, Verdict};
 
 /// Feeds a capture to the same driver and compares the decisions.
 ///
@@ -66,6 +66,53 @@
     Export {
         /// The capture.
         file: PathBuf,
+        /// The answers of this build, in place of those recorded.
+        #[arg(long)]
+        replayed: bool,
+    },
+    /// Which decisions another build takes otherwise: a table by kind, class and engine, and the list.
+    Diff {
+        /// The capture.
+        file: PathBuf,
+        /// The other build's wheelfield-replay.
+        #[arg(long, value_name = "PROGRAM")]
+        against: PathBuf,
+        /// Decisions shown one by one.
+        #[arg(long, value_name = "N", default_value_t = 20)]
+        most: usize,
+    },
+    /// A smaller capture that still replays.
+    Cut {
+        /// The capture.
+        file: PathBuf,
+        /// In seconds from its first step,
+        #[arg(long, value_name = "S", default_value_t = 0.0)]
+        from: f64,
+        /// to.
+        #[arg(long, value_name = "S")]
+        to: f64,
+        /// Where it goes.
+        #[arg(short, long, value_name = "FILE")]
+        out: PathBuf,
+    },
+    /// The same without names: tenants, names of queries and keys become stable pseudonyms; no decision changes.
+    Scrub {
+        /// The capture.
+        file: PathBuf,
+        /// Where it goes.
+        #[arg(short, long, value_name = "FILE")]
+        out: PathBuf,
+    },
+    /// Writes a regression case: a scrubbed copy and a test that replays it.
+    ToTest {
+        /// The capture.
+        file: PathBuf,
+        /// Its name, of letters, digits and underscores.
+        #[arg(long, value_name = "NAME")]
+        name: String,
+        /// The folder of the tests.
+        #[arg(short, long, value_name = "DIR")]
+        out: PathBuf,
     },
     /// Cuts the torn end off a file, as a crash leaves it.
     Repair {
@@ -80,7 +127,11 @@
         Command::Explain { file, query } => explain(&file, &query).map(|()| true),
         Command::WhatIf { file, set, most } => what_if(&file, &set, most).map(|()| true),
         Command::Stats { file } => stats(&file).map(|()| true),
-        Command::Export { file } => export(&file).map(|()| true),
+        Command::Export { file, replayed } => export(&file, replayed).map(|()| true),
+        Command::Diff { file, against, most } => diff(&file, &against, most),
+        Command::Cut { file, from, to, out } => cut(&file, from, to, &out).map(|()| true),
+        Command::Scrub { file, out } => scrub(&file, &out).map(|()| true),
+        Command::ToTest { file, name, out } => to_test(&file, &name, &out).map(|()| true),
         Command::Repair { file } => repair(&file).map(|()| true),
     };
     match done {
@@ -418,18 +469,104 @@
     Ok(())
 }
 
-fn export(file: &Path) -> Result<()> {
+fn export(file: &Path, replayed: bool) -> Result<()> {
     let mut player = Player::open(file, Options { over_gaps: true, from: None })?;
     let mut out = std::io::BufWriter::new(std::io::stdout().lock());
-    while let Some((step, _, _)) = player.feed()? {
+    while let Some((step, taken, answered)) = player.feed()? {
+        let (taken, answered) = if replayed { (taken, answered) } else { (step.taken, step.out) };
         let line = serde_json::json!({
-            "step": step.number, "at": step.at, "told": step.told, "taken": step.taken, "out": step.out,
+            "step": step.number, "at": step.at, "told": step.told, "taken": taken, "out": answered,
         });
         writeln!(out, "{line}")?;
     }
     Ok(out.flush()?)
 }
 
+/// Another build is asked for its answers, and they are held against this one's.
+fn diff(file: &Path, against: &Path, most: usize) -> Result<bool> {
+    use std::io::BufRead;
+    let names = all_names(file)?;
+    let mut child = std::process::Command::new(against)
+        .args(["export", "--replayed"])
+        .arg(file)
+        .stdout(std::process::Stdio::piped())
+        .spawn()
+        .with_context(|| format!("cannot start {}", against.display()))?;
+    let stdout = child.stdout.take().context("no standard output")?;
+    let mut theirs = std::io::BufReader::new(stdout).lines();
+    let mut player = Player::open(file, Options { over_gaps: true, from: None })?;
+    let mut table: BTreeMap<(String, String, String), u64> = BTreeMap::new();
+    let (mut steps, mut altered, mut classes) = (0u64, 0u64, BTreeMap::new());
+    while let Some((step, taken, out)) = player.feed()? {
+        let line = theirs.next().context("the other build stopped early")??;
+        let line: serde_json::Value = serde_json::from_str(&line)?;
+        let other: Vec<Instruction> = serde_json::from_value(line["out"].clone())
+            .context("the other build answers in another form: it can't be compared")?;
+        steps += 1;
+        if let (Told::Arrive { arrival, .. }, Some(q)) = (&step.told, taken) {
+            classes.insert(q, arrival.class);
+        }
+        if other == out {
+            continue;
+        }
+        altered += 1;
+        let kind = |i: &Instruction| {
+            let of = |q: &QueryId| names.class(classes.get(q).copied().unwrap_or(usize::MAX)).to_string();
+            match i {
+                Instruction::Start { attempt, engine, .. } => {
+                    ("send".into(), of(&attempt.query), names.engine(*engine))
+                }
+                Instruction::Answer(q, a) => (
+                    format!("{a:?}").split([' ', '{']).next().unwrap_or("").to_lowercase(),
+                    of(q),
+                    "-".into(),
+                ),
+                Instruction::Withdraw(a) => ("withdraw".into(), of(&a.query), "-".into()),
+                _ => ("other".to_string(), "-".to_string(), "-".to_string()),
+            }
+        };
+        out.iter().filter(|i| !other.contains(i)).for_each(|i| *table.entry(kind(i)).or_default() += 1);
+        if altered <= most as u64 {
+            println!("step {}: {}", step.number, words::told(&step, &names));
+            out.iter().for_each(|i| println!("  here  {}", words::answered(i, &names)));
+            other.iter().for_each(|i| println!("  there {}", words::answered(i, &names)));
+        }
+    }
+    child.wait()?;
+    println!("{altered} of {steps} steps are answered otherwise");
+    if altered > 0 {
+        println!("{:<12} {:<16} {:<14} {:>8}", "kind", "class", "engine", "here only");
+        table.iter().for_each(|((k, c, e), n)| println!("{k:<12} {c:<16} {e:<14} {n:>8}"));
+    }
+    Ok(altered == 0)
+}
+
+fn cut(file: &Path, from: f64, to: f64, out: &Path) -> Result<()> {
+    let start = Micros(first_time(file)?);
+    let kept = rewrite::cut(file, start + Micros::from_secs(from), start + Micros::from_secs(to), out)?;
+    println!("{kept} steps in {}", out.display());
+    Ok(())
+}
+
+fn scrub(file: &Path, out: &Path) -> Result<()> {
+    println!("{} steps in {}, each decided as before", rewrite::scrub(file, out)?, out.display());
+    Ok(())
+}
+
+fn to_test(file: &Path, name: &str, out: &Path) -> Result<()> {
+    let plain = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '_';
+    if !name.chars().all(plain) || !name.starts_with(|c: char| c.is_ascii_lowercase()) {
+        bail!("`{name}`: write a name of small letters, digits and underscores");
+    }
+    std::fs::create_dir_all(out).with_context(|| format!("cannot make {}", out.display()))?;
+    rewrite::scrub(file, &out.join(format!("{name}.wfcap")))?;
+    let test = out.join(format!("{name}.rs"));
+    std::fs::write(&test, rewrite::test_of(name))
+        .with_context(|| format!("cannot write {}", test.display()))?;
+    println!("{} and its capture", test.display());
+    Ok(())
+}
+
 fn repair(file: &Path) -> Result<()> {
     let cut = wheelfield_capture::repair(file)?;
     println!("{cut} bytes of a torn end were cut off");
--- /dev/null
+++ b/crates/replay/src/rewrite.rs
@@ -0,0 +1,155 @@
+//! Captures made of captures: a shorter one that still replays, and one without names.
+
+use crate::{feed, Options, Player, ReplayError};
+use std::collections::BTreeMap;
+use std::path::Path;
+use wheelfield::interface::Micros;
+use wheelfield_capture::{Limits, Recorder, State, Told};
+use wheelfield_driver::Driver;
+
+/// Why no capture was made.
+#[derive(Debug, thiserror::Error)]
+pub enum RewriteError {
+    /// The one to read can't be replayed.
+    #[error(transparent)]
+    Replay(#[from] ReplayError),
+    /// The one to write can't be written.
+    #[error("cannot write the capture: {0}")]
+    Io(#[from] std::io::Error),
+    /// Nothing is left.
+    #[error("no step in that span")]
+    Empty,
+    /// It does not begin with the controller's start.
+    #[error("this file begins in the middle; names are in its first state, and can't be taken out")]
+    Middle,
+    /// The names decided something, which they must not.
+    #[error("step {0} is decided otherwise without its names")]
+    Decides(u64),
+    /// Some of what was written was lost.
+    #[error("{0} records were lost while writing")]
+    Lost(u64),
+}
+
+/// Nothing of a rewriting may be dropped: it waits for nothing but the disk.
+fn unhurried() -> Limits {
+    Limits { queue: 1 << 20, ..Limits::default() }
+}
+
+fn written(state: State) -> Result<(), RewriteError> {
+    if state.lost > 0 {
+        Err(RewriteError::Lost(state.lost))
+    } else {
+        Ok(())
+    }
+}
+
+/// Cuts a span out, in microseconds of the capture's time; gives the steps kept.
+///
+/// # Errors
+/// [`RewriteError`].
+pub fn cut(file: &Path, from: Micros, to: Micros, out: &Path) -> Result<u64, RewriteError> {
+    let mut player = Player::open(file, Options::default())?;
+    player.keep_all = true;
+    let (mut recorder, mut kept): (Option<Recorder>, u64) = (None, 0);
+    let mut last = from;
+    while let Some((step, _, _)) = player.feed()? {
+        if step.at < from {
+            continue;
+        }
+        if step.at > to {
+            break;
+        }
+        if recorder.is_none() {
+            let (Some(start), Some(before)) = (&player.start, player.before()) else {
+                return Err(RewriteError::Empty);
+            };
+            recorder = Some(Recorder::begin(out, start.clone(), unhurried(), before, step.at)?);
+        }
+        if let Some(recorder) = &mut recorder {
+            if kept == 0 {
+                recorder.engines(step.at, player.engines.iter().cloned());
+            }
+            recorder.step(step.at, &step.told, step.taken, &step.out);
+            if let Some(driver) = player.driver() {
+                recorder.tend(driver, step.at);
+            }
+        }
+        (kept, last) = (kept + 1, step.at);
+    }
+    written(recorder.ok_or(RewriteError::Empty)?.end(last))?;
+    Ok(kept)
+}
+
+/// A name that stands for another, the same for the same one.
+struct Pseudonyms {
+    prefix: &'static str,
+    known: BTreeMap<String, String>,
+}
+
+impl Pseudonyms {
+    fn of(&mut self, name: &str) -> String {
+        if name.is_empty() {
+            return String::new();
+        }
+        let next = format!("{}{}", self.prefix, self.known.len() + 1);
+        self.known.entry(name.to_string()).or_insert(next).clone()
+    }
+}
+
+/// Writes a capture in which tenants, names of queries and keys are replaced by stable pseudonyms. All is fed anew, and
+/// every decision must be the one recorded. Gives the steps.
+///
+/// # Errors
+/// [`RewriteError`].
+pub fn scrub(file: &Path, out: &Path) -> Result<u64, RewriteError> {
+    let mut player = Player::open(file, Options::default())?;
+    let mut labels = Pseudonyms { prefix: "q", known: BTreeMap::new() };
+    let mut keys = Pseudonyms { prefix: "key", known: BTreeMap::new() };
+    let mut state: Option<(Driver, Recorder)> = None;
+    let (mut steps, mut last) = (0, Micros(0));
+    while let Some((step, _, _)) = player.feed()? {
+        if state.is_none() {
+            let Some(start) = &player.start else { return Err(RewriteError::Middle) };
+            if !matches!(step.told, Told::Input(wheelfield_driver::Input::Started)) {
+                return Err(RewriteError::Middle);
+            }
+            let mut start = start.clone();
+            let mut tenants = Pseudonyms { prefix: "tenant", known: BTreeMap::new() };
+            start.tenants.iter_mut().for_each(|t| *t = tenants.of(t));
+            let driver = Driver::new(start.settings.clone(), start.seed, start.bounds);
+            let recorder = Recorder::begin(out, start, unhurried(), &driver, step.at)?;
+            state = Some((driver, recorder));
+        }
+        let Some((driver, recorder)) = &mut state else { return Err(RewriteError::Empty) };
+        let told = match step.told {
+            Told::Arrive { mut arrival, label } => {
+                arrival.key = arrival.key.map(|k| keys.of(&k));
+                Told::Arrive { arrival, label: labels.of(&label) }
+            }
+            other => other,
+        };
+        let mut answered = Vec::new();
+        let taken = feed(driver, step.at, &told, &mut answered);
+        if answered != step.out || taken != step.taken {
+            return Err(RewriteError::Decides(step.number));
+        }
+        recorder.engines(step.at, player.engines.iter().cloned());
+        recorder.step(step.at, &told, taken, &answered);
+        recorder.tend(driver, step.at);
+        (steps, last) = (steps + 1, step.at);
+    }
+    let (_, recorder) = state.ok_or(RewriteError::Empty)?;
+    written(recorder.end(last))?;
+    Ok(steps)
+}
+
+/// The text of a test that replays a capture beside it.
+pub fn test_of(name: &str) -> String {
+    format!(
+        "//! Replays `{name}.wfcap`, which lies beside this file: the decisions must be those recorded.\n\n\
+         #[test]\nfn {name}_replays_to_the_same_decisions() {{\n    \
+         let path = std::path::Path::new(concat!(env!(\"CARGO_MANIFEST_DIR\"), \"/tests/{name}.wfcap\"));\n    \
+         let verdict = wheelfield_replay::run(path, wheelfield_replay::Options::default()).expect(\"readable\");\n    \
+         assert!(verdict.equal(), \"{{:?}}\", verdict.difference);\n    assert!(verdict.steps > 0);\n}}\n"
+    )
+}
--- a/crates/replay/tests/captures.rs
+++ b/crates/replay/tests/captures.rs
@@ -245,6 +245,37 @@
     assert_eq!(steps(&one), steps(&two));
 }
 
+#[test]
+fn a_cut_and_a_scrubbed_capture_still_replay() {
+    use wheelfield_replay::rewrite;
+    let dir = folder();
+    let (path, part, clean) =
+        (dir.path().join("a.wfcap"), dir.path().join("part.wfcap"), dir.path().join("clean.wfcap"));
+    let mut scene = Scene::at(&path, Limits::default());
+    scene.play(3_000);
+    let (_, steps) = scene.end();
+    let kept = rewrite::cut(&path, Micros(2_000_000), Micros(3_000_000), &part).expect("cut");
+    let verdict = run(&part, Options::default()).expect("whole");
+    assert!(verdict.equal() && verdict.steps == kept && kept > 100 && kept < steps);
+    assert!(matches!(
+        rewrite::cut(&path, Micros(9_000_000), Micros(9_500_000), &part),
+        Err(rewrite::RewriteError::Empty)
+    ));
+    assert_eq!(rewrite::scrub(&path, &clean).expect("scrubbed"), steps);
+    let verdict = run(&clean, Options::default()).expect("whole");
+    assert!(verdict.equal() && verdict.steps == steps);
+    let mut player = wheelfield_replay::Player::open(&clean, Options::default()).expect("whole");
+    while let Some((step, _, _)) = player.feed().expect("whole") {
+        if let Told::Arrive { label, .. } = step.told {
+            assert!(label.starts_with('q'), "{label}");
+        }
+    }
+    // What begins in the middle can't be scrubbed, as names are in its first state.
+    rewrite::cut(&path, Micros(2_000_000), Micros(3_000_000), &part).expect("cut");
+    assert!(matches!(rewrite::scrub(&part, &clean), Err(rewrite::RewriteError::Middle)));
+    assert!(rewrite::test_of("bad_hour").contains("fn bad_hour_replays_to_the_same_decisions"));
+}
+
 fn short_capture(dir: &Path) -> std::path::PathBuf {
     let path = dir.join("a.wfcap");
     let mut scene = Scene::at(&path, Limits { checkpoint: Micros::from_secs(9.0), ..small() });
