replay: explain joins captures of several controllers; messages, a stall and joins as tests

Need: a query refused at one controller and tried at another is one story. Change: explain takes several captures and finds the query in each by its client's name for it. Tests: messages between controllers doubled, reordered, lost and of engines nobody listed; a stall of two seconds with all that came at once.

--- a/crates/replay/src/main.rs
+++ b/crates/replay/src/main.rs
@@ -38,10 +38,11 @@
         #[arg(long, value_name = "N", default_value_t = 1)]
         times: u32,
     },
-    /// What was told, answered and known around one query.
+    /// What was told, answered and known around one query, in each capture that has it.
     Explain {
-        /// The capture.
-        file: PathBuf,
+        /// The captures: of several controllers, a query tried at more than one is joined by its client's name for it.
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
         /// The query: its number, or the name its client gave it.
         #[arg(long, value_name = "ID")]
         query: String,
@@ -124,7 +125,7 @@
 fn main() -> ExitCode {
     let done = match Cli::parse().command {
         Command::Run { file, over_gaps, from, times } => replay(&file, over_gaps, from, times),
-        Command::Explain { file, query } => explain(&file, &query).map(|()| true),
+        Command::Explain { files, query } => explain_all(&files, &query).map(|()| true),
         Command::WhatIf { file, set, most } => what_if(&file, &set, most).map(|()| true),
         Command::Stats { file } => stats(&file).map(|()| true),
         Command::Export { file, replayed } => export(&file, replayed).map(|()| true),
@@ -230,7 +231,19 @@
     failed: Option<Micros>,
 }
 
-fn explain(file: &Path, wanted: &str) -> Result<()> {
+fn explain_all(files: &[PathBuf], wanted: &str) -> Result<()> {
+    let mut found = false;
+    for file in files {
+        found |= explain(file, wanted, files.len() > 1)?;
+    }
+    if !found {
+        bail!("no query `{wanted}` in any of these captures");
+    }
+    Ok(())
+}
+
+/// Explains a query of one capture; false if it has none of this name.
+fn explain(file: &Path, wanted: &str, titled: bool) -> Result<bool> {
     let names = all_names(file)?;
     let start = first_time(file)?;
     let mut player = Player::open(file, Options { over_gaps: true, from: None })?;
@@ -284,6 +297,10 @@
         };
         let decides = step.out.iter().any(concerns);
         if query.is_some() && (told_of || decides) {
+            if titled && !found {
+                let index = player.start.as_ref().map_or(0, |s| s.index);
+                println!("== {} (controller {index})", file.display());
+            }
             found = true;
             show(&step, start, &names, "");
             if decides {
@@ -340,10 +357,7 @@
             }
         }
     }
-    if !found {
-        bail!("no query `{wanted}` in this capture");
-    }
-    Ok(())
+    Ok(found)
 }
 
 /// Asks the module itself: the same moment with one engine gone, engine by engine.
--- a/crates/replay/tests/captures.rs
+++ b/crates/replay/tests/captures.rs
@@ -276,6 +276,62 @@
     assert!(rewrite::test_of("bad_hour").contains("fn bad_hour_replays_to_the_same_decisions"));
 }
 
+#[test]
+fn messages_lost_doubled_and_reordered_and_a_stall_replay_alike() {
+    let dir = folder();
+    let path = dir.path().join("a.wfcap");
+    let mut scene = Scene::at(&path, small());
+    let word = |engine: u64, load: f64| {
+        let report = Report { utilisation: Some(load), memory: Some(load / 2.0), ..Report::default() };
+        Input::Told(vec![Word { engine: EngineId(engine), report }])
+    };
+    for round in 0..20 {
+        scene.play(100);
+        // The second comes before the first, the third twice, the fourth never; one is of an engine nobody listed.
+        scene.tell(word(2, f64::from(round) / 10.0));
+        scene.tell(word(1, 0.4));
+        scene.tell(word(3, 1.5));
+        scene.tell(word(3, 1.5));
+        scene.tell(word(99, 0.1));
+    }
+    // The controller stands still for two seconds, and finds all that came meanwhile at once.
+    scene.now = scene.now + Micros(2_000_000);
+    scene.play(2_000);
+    let (_, steps) = scene.end();
+    for _ in 0..100 {
+        let verdict = run(&path, Options::default()).expect("whole");
+        assert!(verdict.equal() && verdict.steps == steps, "{:?}", verdict.difference);
+    }
+}
+
+#[test]
+fn two_captures_of_one_query_are_joined_by_the_name_its_client_gave_it() {
+    let dir = folder();
+    let make = |file: &str, before: i64| {
+        let path = dir.path().join(file);
+        let mut scene = Scene::at(&path, Limits::default());
+        // The other controller has had more queries, so that the numbers differ.
+        (0..before).for_each(|_| scene.play(15));
+        scene.play(200);
+        scene.end();
+        path
+    };
+    let (one, two) = (make("a.wfcap", 0), make("b.wfcap", 1));
+    let explain = |name: &str| {
+        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_wheelfield-replay"));
+        command.arg("explain").args([&one, &two]).args(["--query", name]).output().expect("it runs")
+    };
+    let out = explain("s7");
+    let text = String::from_utf8_lossy(&out.stdout).into_owned();
+    assert!(
+        out.status.success() && text.contains("a.wfcap (controller 0)") && text.contains("b.wfcap"),
+        "{text}"
+    );
+    assert!(text.contains("query 8 `s7`") && text.contains("query 11 `s7`"), "{text}");
+    assert!(text.contains("known of the engines at that moment") && text.contains("it fitted"), "{text}");
+    assert!(!explain("nobody").status.success());
+}
+
 fn short_capture(dir: &Path) -> std::path::PathBuf {
     let path = dir.join("a.wfcap");
     let mut scene = Scene::at(&path, Limits { checkpoint: Micros::from_secs(9.0), ..small() });
