wheelfield-check judges the seven rules on captures alone

Operators have captures, not the laboratory's log of both ends, and had nobody to judge a bad hour. The check feeds the same driver along to tell what was served.

Ten planted faults in written captures, each found as its own rule's.

--- a/crates/lab/src/crowd.rs
+++ b/crates/lab/src/crowd.rs
@@ -16,6 +16,7 @@
 use std::time::Duration;
 use wheelfield_net::{connect, Clock, Stream, Timers};
 use wheelfield_pg::{back, frame, front};
+use wheelfield_rules::End;
 
 /// An answer that is late is still waited for so long, to be told from one that never comes.
 const WAITS_ON: i64 = 1_000_000;
@@ -24,26 +25,6 @@
 /// Connections that are being made must be there within this.
 const CONNECTS_WITHIN: i64 = 3_000_000;
 
-/// How a try ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum End {
-    /// Rows and their end came.
-    Served,
-    /// Refused: trying again is harmless.
-    Refused,
-    /// Failed: nothing is promised.
-    Failed,
-    /// Nothing came in time; the client left.
-    NoAnswer,
-    /// The client left early, as it meant to.
-    Left,
-    /// The connection broke before the answer.
-    Broke,
-    /// No connection was made.
-    Unreachable,
-}
-
 /// One try of a query.
 #[derive(Clone, Debug, Serialize)]
 pub struct Try {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,7 +5,7 @@
 //! - [`plan`]: the day drawn from it, by seed; no I/O.
 //! - [`stage`]: the processes.
 //! - [`crowd`]: the clients, in an open loop.
-//! - [`judge`]: the seven rules, from the logs alone; no I/O.
+//! - [`evidence`]: a day as the judge of the rules reads it; no I/O.
 //! - [`measure`]: what a controller costs.
 //! - [`play`]: all of it together, and the report.
 #![forbid(unsafe_code)]
@@ -13,7 +13,7 @@
 
 pub mod crowd;
 pub mod day;
-pub mod judge;
+pub mod evidence;
 pub mod measure;
 pub mod plan;
 pub mod play;
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -1,8 +1,8 @@
 //! A day from its script to its verdict.
 
-use crate::crowd::{Crowd, End, Manners, Try};
+use crate::crowd::{Crowd, Manners, Try};
 use crate::day::Day;
-use crate::judge::{judge, read_log, Breach, Evidence, RULES};
+use crate::evidence::Known;
 use crate::plan::Plan;
 use crate::stage::{Setting, Stage};
 use anyhow::{anyhow, Context, Result};
@@ -13,6 +13,7 @@
 use std::sync::mpsc::channel;
 use std::time::Duration;
 use wheelfield_net::Clock;
+use wheelfield_rules::{read_log, Breach, End, RULES};
 
 /// The stage is set this long before the first query.
 const LEAD: i64 = 500_000;
@@ -167,16 +168,8 @@
         std::fs::read_to_string(&log_file).with_context(|| format!("cannot read {}", log_file.display()))?;
     let log = read_log(&text)?;
     let settings = day.settings()?;
-    let evidence = Evidence {
-        day,
-        settings: &settings,
-        plan: &plan,
-        start,
-        tries: &tries,
-        log: &log,
-        lives: &stage.lives,
-    };
-    let breaches = judge(&evidence);
+    let known = Known { day, settings: &settings, plan: &plan, start };
+    let breaches = known.judge(&tries, &log, &stage.lives);
     let mut report = sum_up(day, &plan, start, &tries, breaches);
     (report.seed, report.controller_cpu_s) = (options.seed, stage.spent);
     let lines: Vec<String> = tries.iter().map(|t| serde_json::to_string(t).unwrap_or_default()).collect();
--- a/crates/lab/src/stage.rs
+++ b/crates/lab/src/stage.rs
@@ -11,6 +11,7 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 use wheelfield_net::Clock;
+use wheelfield_rules::Life;
 
 /// A process must tell where it listens within this.
 const STARTS_WITHIN: Duration = Duration::from_secs(20);
@@ -111,19 +112,6 @@
     }
 }
 
-/// A span in which a controller ran.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Life {
-    /// Which controller.
-    pub controller: usize,
-    /// From, in microseconds of the wall clock,
-    pub from: i64,
-    /// to; none if it ran to the end.
-    pub killed: Option<i64>,
-    /// Spans in which it stood still.
-    pub stalls: Vec<(i64, i64)>,
-}
-
 /// A change that clients must know of.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Change {
@@ -272,7 +260,13 @@
         }
         let log = self.dir.join(format!("controller-{i}.jsonl"));
         let process = Process::start(&program("wheelfield-controller")?, &args, Some(&log))?;
-        self.lives.push(Life { controller: i, from: self.clock.now(), killed: None, stalls: Vec::new() });
+        self.lives.push(Life {
+            controller: i,
+            from: self.clock.now(),
+            killed: None,
+            stalls: Vec::new(),
+            entered: false,
+        });
         self.controllers[i] = Some(process);
         Ok(())
     }
--- a/crates/lab/tests/judge.rs
+++ b/crates/lab/tests/judge.rs
@@ -1,11 +1,11 @@
 //! The judge on evidence written by hand: a clean day has no breach, and each planted line has its own.
 
 use wheelfield::interface::Settings;
-use wheelfield_lab::crowd::{End, Try};
+use wheelfield_lab::crowd::Try;
 use wheelfield_lab::day::Day;
-use wheelfield_lab::judge::{judge, read_log, Breach, Evidence, Line};
+use wheelfield_lab::evidence::Known;
 use wheelfield_lab::plan::{Arrival, Plan};
-use wheelfield_lab::stage::Life;
+use wheelfield_rules::{read_log, Breach, End, Life, Line};
 
 const DAY: &str = r#"
 name = "by hand"
@@ -78,7 +78,8 @@
         let settings = day.settings().expect("sound");
         let plan =
             Plan { arrivals: Vec::new(), acts: Vec::new(), engines: vec![(0, 1.0); 3], troubles: Vec::new() };
-        let life = |controller| Life { controller, from: 0, killed: None, stalls: Vec::new() };
+        let life =
+            |controller| Life { controller, from: 0, killed: None, stalls: Vec::new(), entered: false };
         Scene { day, settings, plan, tries: Vec::new(), log: Vec::new(), lives: vec![life(0), life(1)] }
     }
 
@@ -142,7 +143,7 @@
         let mut log: Vec<Line> = read_log(&self.log.join("\n")).expect("lines");
         log.sort_by_key(|l| l.t);
         let Scene { day, settings, plan, tries, lives, .. } = self;
-        judge(&Evidence { day, settings, plan, start: 0, tries, log: &log, lives })
+        Known { day, settings, plan, start: 0 }.judge(tries, &log, lives)
     }
 
     fn rules(&mut self) -> Vec<&'static str> {
--- a/crates/replay/src/lib.rs
+++ b/crates/replay/src/lib.rs
@@ -163,6 +163,16 @@
         })
     }
 
+    /// Losses met so far.
+    pub fn losses(&self) -> usize {
+        self.verdict.unvouched.len()
+    }
+
+    /// What became of the replay, so far.
+    pub fn verdict(self) -> Verdict {
+        self.verdict
+    }
+
     /// The driver as it stands after the last step.
     pub fn driver(&self) -> Option<&Driver> {
         self.driver.as_ref()
--- a/crates/lab/src/judge.rs
+++ b/crates/rules/src/judge.rs
@@ -1,83 +1,9 @@
-//! The seven rules, judged from what crossed the sockets: the tries of the clients, the log of the stand-ins, and the
-//! lives of the controllers. What a controller believes of itself is not asked. No I/O and no clock.
+//! The judge.
 
-use crate::crowd::{End, Try};
-use crate::day::Day;
-use crate::plan::Plan;
-use crate::stage::Life;
-use anyhow::{Context, Result};
-use serde::{Deserialize, Serialize};
+use crate::evidence::{Asked, End, Evidence, Line, Tolerance};
+use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use wheelfield::interface::{DedupScope, Effect, Micros, Settings};
-
-/// An answer counts as in time up to so long after its client's limit, as the clocks of the log are read by a busy
-/// process, in microseconds.
-pub const SLACK: i64 = 20_000;
-/// An attempt received so shortly after an answer was sent off before it.
-const CROSSING: i64 = 500_000;
-/// Windows of the budget are judged this much to the controller's favour, as its clock is not that of the log.
-const EDGE: i64 = 100_000;
-/// Queries of one key sent within this of each other have no known order.
-const UNORDERED: i64 = 30_000;
-
-/// A line of the stand-ins' log.
-#[derive(Clone, Debug, Default, Deserialize)]
-pub struct Line {
-    /// When, in microseconds of the wall clock.
-    pub t: i64,
-    /// What.
-    pub event: String,
-    /// At which engine.
-    #[serde(default)]
-    pub engine: String,
-    /// Which query, by the name its client gave it.
-    #[serde(default)]
-    pub query: Option<String>,
-    /// Sent by whom.
-    #[serde(default)]
-    pub by: String,
-    /// The share of its work that the engine could do.
-    #[serde(default)]
-    pub warmth: f64,
-    /// Its zone.
-    #[serde(default)]
-    pub zone: String,
-    /// Its kind.
-    #[serde(default)]
-    pub kind: String,
-    /// Its cell.
-    #[serde(default)]
-    pub cell: i64,
-    /// Told by the registry to whom.
-    #[serde(default)]
-    pub who: String,
-    /// Engines that take no work, as told.
-    #[serde(default)]
-    pub not_up: Vec<NotUp>,
-    /// The figure of a fault.
-    #[serde(default)]
-    pub value: f64,
-}
-
-/// An engine that takes no work.
-#[derive(Clone, Debug, Deserialize)]
-pub struct NotUp {
-    /// Its name.
-    pub engine: String,
-    /// `draining` or `removed`.
-    pub status: String,
-}
-
-/// Reads the stand-ins' log.
-///
-/// # Errors
-/// With the number of a line that can't be read.
-pub fn read_log(text: &str) -> Result<Vec<Line>> {
-    let line = |(n, line): (usize, &str)| {
-        serde_json::from_str(line).with_context(|| format!("line {} of the engines' log", n + 1))
-    };
-    text.lines().enumerate().filter(|(_, l)| !l.trim().is_empty()).map(line).collect()
-}
+use wheelfield::interface::{DedupScope, Effect, Micros};
 
 /// The names of the rules, in their order.
 pub const RULES: [&str; 7] = ["lost", "twice", "drain", "cold", "order", "placement", "budget"];
@@ -93,25 +19,7 @@
     pub what: String,
 }
 
-/// What is judged.
-pub struct Evidence<'a> {
-    /// The script.
-    pub day: &'a Day,
-    /// What its controllers were told of the rules.
-    pub settings: &'a Settings,
-    /// The day as drawn.
-    pub plan: &'a Plan,
-    /// When it began, in microseconds of the wall clock.
-    pub start: i64,
-    /// All tries.
-    pub tries: &'a [Try],
-    /// The stand-ins' log.
-    pub log: &'a [Line],
-    /// The lives of the controllers.
-    pub lives: &'a [Life],
-}
-
-/// An attempt as the stand-ins saw it.
+/// An attempt as the engines saw it.
 #[derive(Clone, Debug)]
 struct Attempt<'a> {
     received: &'a Line,
@@ -123,7 +31,7 @@
 struct Judge<'a> {
     e: &'a Evidence<'a>,
     attempts: BTreeMap<&'a str, Vec<Attempt<'a>>>,
-    tries: BTreeMap<&'a str, &'a Try>,
+    asked: BTreeMap<&'a str, &'a Asked>,
     /// Spans in which an engine hung: what it reads at their end was sent before.
     hangs: BTreeMap<&'a str, Vec<(i64, i64)>>,
     breaches: Vec<Breach>,
@@ -134,7 +42,7 @@
     let mut judge = Judge {
         e: evidence,
         attempts: BTreeMap::new(),
-        tries: evidence.tries.iter().map(|t| (t.id.as_str(), t)).collect(),
+        asked: evidence.asked.iter().map(|t| (t.id.as_str(), t)).collect(),
         hangs: BTreeMap::new(),
         breaches: Vec::new(),
     };
@@ -195,10 +103,6 @@
         spans.iter().any(|(a, b)| *a <= to && *b >= from)
     }
 
-    fn class(&self, t: &Try) -> usize {
-        self.e.plan.arrivals[t.arrival].class
-    }
-
     /// Whether a controller ran without a break in a span.
     fn ran(&self, controller: usize, from: i64, to: i64) -> bool {
         let lives = self.e.lives.iter().filter(|l| l.controller == controller);
@@ -212,7 +116,7 @@
 
     /// Rule 1: one final answer before the client gives up, and nothing after.
     fn lost(&mut self) {
-        for t in self.e.tries {
+        for t in self.e.asked {
             let answered = matches!(t.end, Some(End::Served | End::Refused | End::Failed));
             if t.answers > 1 {
                 self.breach("lost", t.ended, format!("{} got {} answers", t.id, t.answers));
@@ -223,7 +127,7 @@
             // A controller that stood still could not answer; it is judged by what it does when it goes on.
             let excused = !self.ran(t.controller, t.sent, t.ended.min(t.due) + 1)
                 || self.stood_still(t.controller, t.sent, t.due);
-            if answered && t.ended > t.due + SLACK && !excused {
+            if answered && t.ended > t.due + self.e.tolerance.slack && !excused {
                 let late = (t.ended - t.due) / 1000;
                 self.breach(
                     "lost",
@@ -254,7 +158,7 @@
             let attempts = self.attempts.get(t.id.as_str()).cloned().unwrap_or_default();
             for a in attempts {
                 let r = a.received;
-                if r.t > t.ended + CROSSING && !self.hung(&r.engine, t.ended, r.t) {
+                if r.t > t.ended + self.e.tolerance.crossing && !self.hung(&r.engine, t.ended, r.t) {
                     let after = (r.t - t.ended) / 1000;
                     self.breach(
                         "lost",
@@ -268,8 +172,8 @@
 
     /// Rule 2: nothing runs twice that must not, and a refusal is true.
     fn twice(&mut self) {
-        for t in self.e.tries {
-            let class = &self.e.settings.classes[self.class(t)];
+        for t in self.e.asked {
+            let Some(class) = self.e.settings.classes.get(t.class) else { continue };
             let ran: Vec<Attempt<'_>> = self
                 .attempts
                 .get(t.id.as_str())
@@ -306,7 +210,7 @@
                             DedupScope::Zone => one.zone == other.zone,
                             DedupScope::Cell => one.cell == other.cell,
                         };
-                        let late = other.t - one.t > class.window.0 + EDGE
+                        let late = other.t - one.t > class.window.0 + self.e.tolerance.edge
                             && !self.hung(&other.engine, one.t, other.t);
                         if !inside || late {
                             let why = if inside { "after its window" } else { "outside of its group" };
@@ -320,7 +224,7 @@
 
     /// Rule 3: nothing new later than the grace after a controller was told.
     fn drain(&mut self) {
-        let grace = self.e.day.drain_grace.0 .0;
+        let grace = self.e.grace;
         let mut told: BTreeMap<(usize, &str), i64> = BTreeMap::new();
         let mut found = Vec::new();
         for line in self.e.log {
@@ -358,7 +262,7 @@
 
     /// The usual work of a class, in seconds of one thread.
     fn usual_work(&self, class: usize) -> f64 {
-        self.e.day.classes[class].work.0 .0 as f64 / 1e6
+        self.e.classes.get(class).map_or(0.0, |c| c.usual_work)
     }
 
     /// Rule 4: all controllers together don't push over a cold engine.
@@ -382,18 +286,15 @@
                     over.remove(engine);
                 }
                 "received" if line.warmth < 1.0 && line.warmth > 0.0 => {
-                    let tried = line.query.as_deref().and_then(|q| self.tries.get(q));
-                    let Some(class) = tried.map(|t| self.class(t)) else { continue };
+                    let tried = line.query.as_deref().and_then(|q| self.asked.get(q));
+                    let Some(class) = tried.map(|t| t.class) else { continue };
                     let window = sent.entry(engine).or_default();
                     window.push_back((line.t, self.usual_work(class)));
                     while window.front().is_some_and(|(t, _)| *t < line.t - span) {
                         window.pop_front();
                     }
                     let total: f64 = window.iter().map(|(_, w)| w).sum();
-                    let number = engine.strip_prefix("engine-").and_then(|n| n.parse::<usize>().ok());
-                    let (kind, speed) =
-                        number.and_then(|n| self.e.plan.engines.get(n)).copied().unwrap_or((0, 1.0));
-                    let cores = self.e.day.fleet.kinds.get(kind).map_or(1.0, |k| k.cores * speed);
+                    let cores = self.e.cores.get(engine).copied().unwrap_or(1.0);
                     let able = s.fall_multiple * cores * line.warmth * span as f64 / 1e6;
                     // One query alone is no flood, and one breach tells of the engine.
                     if total > able && window.len() > 1 && over.insert(engine) {
@@ -416,10 +317,11 @@
 
     /// Rule 5: queries of one key one at a time, in turn.
     fn order(&mut self) {
-        let mut lines: BTreeMap<(usize, u64), Vec<&Try>> = BTreeMap::new();
-        for t in self.e.tries {
-            let a = &self.e.plan.arrivals[t.arrival];
-            if let Some(key) = a.key.filter(|_| self.e.settings.classes[a.class].in_order) {
+        let Tolerance { edge, unordered, .. } = self.e.tolerance;
+        let mut lines: BTreeMap<(usize, &str), Vec<&Asked>> = BTreeMap::new();
+        for t in self.e.asked {
+            let in_order = self.e.settings.classes.get(t.class).is_some_and(|c| c.in_order);
+            if let Some(key) = t.key.as_deref().filter(|_| in_order) {
                 lines.entry((t.controller, key)).or_default().push(t);
             }
         }
@@ -431,12 +333,12 @@
                     if !self.ran(*controller, earlier.sent, t.sent) {
                         continue;
                     }
-                    let all = |t: &Try| self.attempts.get(t.id.as_str()).map(Vec::as_slice).unwrap_or(&[]);
+                    let all = |t: &Asked| self.attempts.get(t.id.as_str()).map(Vec::as_slice).unwrap_or(&[]);
                     for a in all(t) {
                         for b in all(earlier) {
                             let overlaps = a.received.t < b.ended && a.received.t > b.received.t;
                             let overtakes =
-                                b.received.t > a.received.t + EDGE && t.sent - earlier.sent > UNORDERED;
+                                b.received.t > a.received.t + edge && t.sent - earlier.sent > unordered;
                             let hung = self.hung(&b.received.engine, b.received.t, a.received.t)
                                 || self.hung(
                                     &a.received.engine,
@@ -463,8 +365,8 @@
     fn placement(&mut self) {
         let mut found = Vec::new();
         for line in self.e.log.iter().filter(|l| l.event == "received") {
-            let Some(t) = line.query.as_deref().and_then(|q| self.tries.get(q)) else { continue };
-            let class = &self.e.day.classes[self.class(t)];
+            let Some(t) = line.query.as_deref().and_then(|q| self.asked.get(q)) else { continue };
+            let Some(class) = self.e.classes.get(t.class) else { continue };
             let open = |names: &[String], is: &str| names.is_empty() || names.iter().any(|n| n == is);
             if !open(&class.zones, &line.zone) || !open(&class.kinds, &line.kind) {
                 found.push((
@@ -484,39 +386,44 @@
     /// Rule 7: further attempts within the budget.
     fn budget(&mut self) {
         let Some(budget) = self.e.settings.attempt_budget else { return };
-        let span = budget.span.0;
+        let (span, edge) = (budget.span.0, self.e.tolerance.edge);
+        // What a controller started, where that is known; else what arrived.
+        let starts = self.e.log.iter().any(|l| l.event == "sent");
+        let counted = if starts { "sent" } else { "received" };
         let mut found = Vec::new();
         // Each process counts from its start.
         for life in self.e.lives {
             let controller = life.controller;
             let mine = |t: i64| t >= life.from && life.killed.is_none_or(|k| t <= k);
             let taken: Vec<i64> = {
-                let sent = self.e.tries.iter().filter(|t| t.controller == controller).map(|t| t.sent);
+                let sent = self.e.asked.iter().filter(|t| t.controller == controller).map(|t| t.sent);
                 let mut all: Vec<i64> = sent.filter(|t| mine(*t)).collect();
                 all.sort_unstable();
                 all
             };
             let mut further: VecDeque<i64> = VecDeque::new();
             let received =
-                |l: &&Line| l.event == "received" && controller_of(&l.by) == Some(controller) && mine(l.t);
+                |l: &&Line| l.event == counted && controller_of(&l.by) == Some(controller) && mine(l.t);
             // What an engine read as its hang ended was sent before: that was an earlier attempt, whenever it was.
             let read_late = |l: &Line| {
-                let sent = l.query.as_deref().and_then(|q| self.tries.get(q)).map_or(l.t, |t| t.sent);
+                let sent = l.query.as_deref().and_then(|q| self.asked.get(q)).map_or(l.t, |t| t.sent);
                 self.hung(&l.engine, sent, l.t)
             };
             let late = self.e.log.iter().filter(received).filter(|l| read_late(l));
             let mut seen: BTreeSet<&str> = late.filter_map(|l| l.query.as_deref()).collect();
             for line in self.e.log.iter().filter(received).filter(|l| !read_late(l)) {
                 let Some(query) = line.query.as_deref() else { continue };
-                if seen.insert(query) || self.stood_still(controller, line.t - span, line.t) {
+                // Of a process that was entered in the middle, the queries of the span before are not known.
+                let unknown = life.entered && line.t < life.from + span;
+                if seen.insert(query) || unknown || self.stood_still(controller, line.t - span, line.t) {
                     continue;
                 }
                 further.push_back(line.t);
-                while further.front().is_some_and(|t| *t <= line.t - span + EDGE) {
+                while further.front().is_some_and(|t| *t <= line.t - span + edge) {
                     further.pop_front();
                 }
-                let from = taken.partition_point(|t| *t < line.t - span - EDGE);
-                let to = taken.partition_point(|t| *t <= line.t + EDGE);
+                let from = taken.partition_point(|t| *t < line.t - span - edge);
+                let to = taken.partition_point(|t| *t <= line.t + edge);
                 let allowed = budget.free + budget.share * (to - from) as f64;
                 if further.len() as f64 > allowed {
                     found.push((
