Captures held in memory, kept for a reason or on SIGUSR1

A dead writer thread is now told as failing, too, with a test.

Tests: the kept file replays equal from its first checkpoint, memory stays under its limit over 8,000 queries, each trigger at its threshold and just under it, the oldest files go and strangers' stay, an unwritable place, and the signal on a running controller.

--- a/crates/capture/src/lib.rs
+++ b/crates/capture/src/lib.rs
@@ -7,13 +7,20 @@
 //!
 //! The decision thread only serializes into a buffer and hands full buffers to a writer thread through a bounded
 //! queue. When the queue is full, whole buffers are dropped and counted, and the file says so.
+//!
+//! A capture may be held in memory alone (a ring of spans, each from a checkpoint on); then the writer thread writes a
+//! file only when there is a reason to.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 mod format;
 mod reader;
+mod ring;
+mod trigger;
 mod writer;
 
 pub use format::{Record, Start, Told, VERSION};
 pub use reader::{repair, Entry, Header, ReadError, Reader};
+pub use ring::RingLimits;
+pub use trigger::{Reason, Triggers, Watch};
 pub use writer::{Disk, Limits, Maker, Recorder, State};
--- a/crates/capture/src/writer.rs
+++ b/crates/capture/src/writer.rs
@@ -1,11 +1,13 @@
 //! Writing: a buffer on the decision thread, a bounded queue, a thread that compresses and writes.
 
 use crate::format::{Head, RecordRef, Start, Told, MAGIC, VERSION};
+use crate::ring::{prune, Ring, RingLimits};
+use crate::trigger::{Reason, Triggers, Watch};
 use std::fs::File;
 use std::io::{Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
+use std::sync::mpsc::{sync_channel, Receiver, SyncSender, TrySendError};
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use wheelfield::interface::{EngineId, Micros, QueryId};
@@ -55,6 +57,10 @@
     pub bytes: u64,
     /// The writer ended, or can't write.
     pub failing: bool,
+    /// Files kept for a reason, of a capture in memory.
+    pub kept: u64,
+    /// Bytes held in memory.
+    pub held: u64,
 }
 
 #[derive(Debug, Default)]
@@ -66,12 +72,16 @@
     /// Files begun beyond the first.
     begun: AtomicU64,
     failing: AtomicBool,
+    kept: AtomicU64,
+    held: AtomicU64,
 }
 
 enum Message {
     Block(Head, Vec<u8>),
-    /// The next block begins a file.
+    /// The next block begins a file, or a span in memory.
     Segment,
+    /// What is in memory is to be written to this file.
+    Keep(PathBuf),
 }
 
 /// The decision thread's side.
@@ -94,6 +104,11 @@
     segments: u64,
     last_checkpoint: Micros,
     last_flush: Micros,
+    /// Where it is held in memory: what looks for a reason to keep it.
+    watch: Option<Watch>,
+    path: PathBuf,
+    /// To be kept in this file, as soon as the writer can be told.
+    keeps: Option<PathBuf>,
 }
 
 impl Recorder {
@@ -125,13 +140,49 @@
         now: Micros,
     ) -> std::io::Result<Recorder> {
         let file = Segment::create(path.to_path_buf(), &mut make)?;
+        let first = path.to_path_buf();
+        let write = move |receiver: &Receiver<Message>, shared: &Shared| {
+            write_all(receiver, file, &first, limits, shared, &mut make);
+        };
+        Recorder::spawn(path, start, limits, None, driver, now, write)
+    }
+
+    /// Begins a capture that is held in memory. For a reason it is written to a file named after `path`, the time and the
+    /// reason.
+    ///
+    /// # Errors
+    /// If no thread can be had.
+    pub fn ring(
+        path: &Path,
+        start: Start,
+        limits: Limits,
+        (ring, triggers): (RingLimits, Triggers),
+        driver: &Driver,
+        now: Micros,
+    ) -> std::io::Result<Recorder> {
+        // A span is at most a quarter of the memory, so that dropping the oldest leaves most.
+        let limits = Limits { segment: (ring.bytes / 4).max(1), ..limits };
+        let (first, watch) = (path.to_path_buf(), Some(Watch::new(triggers)));
+        let write = move |receiver: &Receiver<Message>, shared: &Shared| {
+            hold_all(receiver, Ring::new(ring), &first, limits.keep, shared);
+        };
+        Recorder::spawn(path, start, limits, watch, driver, now, write)
+    }
+
+    fn spawn(
+        path: &Path,
+        start: Start,
+        limits: Limits,
+        watch: Option<Watch>,
+        driver: &Driver,
+        now: Micros,
+        write: impl FnOnce(&Receiver<Message>, &Shared) + Send + 'static,
+    ) -> std::io::Result<Recorder> {
         let (sender, receiver) = sync_channel(limits.queue.max(2));
         let shared = Arc::new(Shared::default());
         let theirs = shared.clone();
-        let path = path.to_path_buf();
-        let writer = std::thread::Builder::new()
-            .name("capture".into())
-            .spawn(move || write_all(&receiver, file, &path, limits, &theirs, &mut make))?;
+        let writer =
+            std::thread::Builder::new().name("capture".into()).spawn(move || write(&receiver, &theirs))?;
         let mut recorder = Recorder {
             start,
             limits,
@@ -148,6 +199,9 @@
             segments: 0,
             last_checkpoint: now,
             last_flush: now,
+            watch,
+            path: path.to_path_buf(),
+            keeps: None,
         };
         recorder.open(driver, now);
         Ok(recorder)
@@ -206,6 +260,9 @@
     /// Records a step: what the driver was told, and what it answered.
     pub fn step(&mut self, at: Micros, told: &Told, taken: Option<QueryId>, out: &[Instruction]) {
         self.put(at, &RecordRef::Step { at, told, taken, out });
+        if let Some(watch) = &mut self.watch {
+            watch.step(at, told, out);
+        }
         if let Some(QueryId(query)) = taken {
             self.head.low = self.head.low.min(query);
             self.head.high = self.head.high.max(query);
@@ -234,8 +291,7 @@
         let waits = self.head.records > 0 && now - self.last_flush >= self.limits.sync;
         if full || waits || self.buffer.len() >= self.limits.block {
             let sent = self.flush(now);
-            if sent && full && self.sender.as_ref().is_some_and(|s| s.try_send(Message::Segment).is_ok()) {
-                self.segments += 1;
+            if sent && full && self.segment() {
                 self.open(driver, now);
             } else if sent && self.gap > 0 {
                 // Behind a loss a replay can enter again.
@@ -243,7 +299,49 @@
             }
         }
         if now - self.last_checkpoint >= self.limits.checkpoint {
-            self.checkpoint(driver, now);
+            if self.watch.is_none() {
+                self.checkpoint(driver, now);
+            } else if self.flush(now) && self.segment() {
+                // In memory, each checkpoint begins a span.
+                self.open(driver, now);
+            }
+        }
+        let Some(watch) = &mut self.watch else { return };
+        watch.wants(driver.next_due());
+        if let Some(reason) = watch.ripe(now) {
+            self.keep(reason, now);
+        }
+        self.send_keep();
+    }
+
+    /// Asks the writer to begin a file or span; false if it can't be told now.
+    fn segment(&mut self) -> bool {
+        let sent = self.sender.as_ref().is_some_and(|s| s.try_send(Message::Segment).is_ok());
+        self.segments += u64::from(sent);
+        sent
+    }
+
+    /// An operator wants what is held in memory, now. Nothing happens where the capture is on the disk anyway.
+    pub fn ask(&mut self, now: Micros) {
+        if let Some(watch) = &mut self.watch {
+            watch.ask(now);
+        }
+    }
+
+    fn keep(&mut self, reason: Reason, now: Micros) {
+        self.flush(now);
+        let stem = self.path.file_stem().map_or_else(String::new, |s| s.to_string_lossy().into_owned());
+        let when = std::time::UNIX_EPOCH + std::time::Duration::from_micros(now.0.max(0) as u64);
+        let when = humantime::format_rfc3339_millis(when).to_string().replace([':', '.'], "-");
+        self.keeps = Some(self.path.with_file_name(format!("{stem}-{when}-{}.wfcap", reason.word())));
+    }
+
+    fn send_keep(&mut self) {
+        let Some(path) = self.keeps.take() else { return };
+        if let Some(Err(TrySendError::Full(Message::Keep(path)))) =
+            self.sender.as_ref().map(|s| s.try_send(Message::Keep(path)))
+        {
+            self.keeps = Some(path);
         }
     }
 
@@ -261,7 +359,12 @@
             (head.low, head.high) = (0, 0);
         }
         let records = u64::from(head.records);
-        let sent = self.sender.as_ref().is_some_and(|s| s.try_send(Message::Block(head, buffer)).is_ok());
+        let sent = self.sender.as_ref().map(|s| s.try_send(Message::Block(head, buffer)));
+        if matches!(sent, Some(Err(TrySendError::Disconnected(_)))) {
+            // The writer is dead; nothing will be written any more.
+            self.shared.failing.store(true, Ordering::Relaxed);
+        }
+        let sent = sent.is_some_and(|s| s.is_ok());
         if sent {
             self.recorded += records;
         } else {
@@ -280,12 +383,21 @@
             lost: self.lost + by_writer,
             bytes: self.shared.bytes.load(Ordering::Relaxed),
             failing: self.shared.failing.load(Ordering::Relaxed),
+            kept: self.shared.kept.load(Ordering::Relaxed),
+            held: self.shared.held.load(Ordering::Relaxed),
         }
     }
 
     /// Hands over the rest and waits until it is written.
     pub fn end(mut self, now: Micros) -> State {
+        if let Some(reason) = self.watch.as_mut().and_then(|w| w.rest(now)) {
+            self.keep(reason, now);
+        }
         self.flush(now);
+        if let (Some(path), Some(sender)) = (self.keeps.take(), &self.sender) {
+            // Waits for room; a dead writer can't be told.
+            let _ = sender.send(Message::Keep(path));
+        }
         self.sender = None;
         if let Some(writer) = self.writer.take() {
             if writer.join().is_err() {
@@ -383,6 +495,7 @@
     while let Ok(message) = receiver.recv() {
         let (mut head, raw) = match message {
             Message::Block(head, raw) => (head, raw),
+            Message::Keep(_) => continue,
             Message::Segment => {
                 n += 1;
                 if let Some(mut old) = segment.take() {
@@ -431,3 +544,36 @@
         let _ = s.file.sync();
     }
 }
+
+fn hold_all(receiver: &Receiver<Message>, mut ring: Ring, path: &Path, keep: u64, shared: &Shared) {
+    let mut begun = 0;
+    while let Ok(message) = receiver.recv() {
+        match message {
+            Message::Block(mut head, raw) => {
+                let Ok(packed) = zstd::bulk::compress(&raw, 1) else {
+                    shared.lost.fetch_add(u64::from(head.records), Ordering::Relaxed);
+                    continue;
+                };
+                (head.raw, head.packed) = (raw.len() as u32, packed.len() as u32);
+                let (own, all) = ring.push(&head, &head.bytes(&packed), &packed);
+                shared.segment.store(own, Ordering::Relaxed);
+                shared.held.store(all, Ordering::Relaxed);
+            }
+            Message::Segment => {
+                ring.begin();
+                begun += 1;
+                shared.segment.store(0, Ordering::Relaxed);
+                shared.begun.store(begun, Ordering::Relaxed);
+            }
+            Message::Keep(file) => match ring.write(&file) {
+                Ok(bytes) => {
+                    shared.bytes.fetch_add(bytes, Ordering::Relaxed);
+                    shared.kept.fetch_add(1, Ordering::Relaxed);
+                    shared.failing.store(false, Ordering::Relaxed);
+                    prune(path, &file, keep);
+                }
+                Err(_) => shared.failing.store(true, Ordering::Relaxed),
+            },
+        }
+    }
+}
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -125,7 +125,7 @@
 }
 
 /// How a controller records what its driver is told and answers.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Capture {
     /// The first file; later ones are named after it.
     pub file: std::path::PathBuf,
@@ -139,6 +139,29 @@
     pub sync: Micros,
     /// Blocks that wait to be written; one more is dropped.
     pub queue: usize,
+    /// In memory alone, until there is a reason to keep it; none writes always.
+    pub ring: Option<Ring>,
+}
+
+/// A capture in memory, and the reasons to keep it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ring {
+    /// Bytes held.
+    pub memory: u64,
+    /// So far back, if the bytes suffice.
+    pub span: Micros,
+    /// An engine set aside is a reason.
+    pub set_aside: bool,
+    /// More than this share of the queries of the window refused is one.
+    pub refusals: f64,
+    /// The window.
+    pub window: Micros,
+    /// A controller that stood still for so long is one.
+    pub stall: Micros,
+    /// What follows a reason for so long is kept too.
+    pub after: Micros,
+    /// The next reason counts so much later.
+    pub rest: Micros,
 }
 
 /// What is bounded by number and size.
@@ -374,7 +397,7 @@
         })
     }
 
-    fn capture(&self, c: &file::Capture) -> Checked<Capture> {
+    fn capture(&self, c: &file::Capture) -> Checked<Option<Capture>> {
         let size = |at: &Option<Spanned<crate::units::Size>>, usual: u64| match at {
             None => Ok(usual),
             Some(at) if at.get_ref().0 >= 1 << 20 => Ok(at.get_ref().0),
@@ -388,6 +411,24 @@
             let fault = format!("a capture named `{}`", c.file.get_ref());
             return Err(self.wrong(&c.file, fault, "let its name end in .wfcap"));
         }
+        let t = &c.triggers;
+        let ring = Ring {
+            memory: size(&c.memory, 64 << 20)?,
+            span: time(&c.span, 600_000_000, "span")?,
+            set_aside: t.set_aside.unwrap_or(true),
+            refusals: match &t.refusals {
+                None => 0.3,
+                Some(at) if (0.0..=1.0).contains(at.get_ref()) => *at.get_ref(),
+                Some(at) => {
+                    let fault = format!("{} is no share", at.get_ref());
+                    return Err(self.wrong(at, fault, "write one from 0 to 1; 1 is never reached"));
+                }
+            },
+            window: time(&t.window, 10_000_000, "window")?,
+            stall: time(&t.stall, 1_000_000, "stall")?,
+            after: time(&t.after, 5_000_000, "after")?,
+            rest: time(&t.rest, 300_000_000, "rest")?,
+        };
         let capture = Capture {
             file: c.file.get_ref().into(),
             segment: size(&c.segment, 256 << 20)?,
@@ -395,12 +436,13 @@
             checkpoint: time(&c.checkpoint, 60_000_000, "checkpoint")?,
             sync: time(&c.sync, 1_000_000, "sync")?,
             queue: c.queue.as_ref().map_or(64, |n| (*n.get_ref()).clamp(2, 65_536) as usize),
+            ring: (c.mode == file::CaptureMode::Ring).then_some(ring),
         };
-        if capture.keep < capture.segment {
+        if capture.ring.is_none() && capture.keep < capture.segment {
             let mend = "make `keep` at least `segment`";
             return Err(self.wrong(&c.file, "`keep` is less than one file", mend));
         }
-        Ok(capture)
+        Ok((c.mode != file::CaptureMode::Off).then_some(capture))
     }
 
     fn timing(&self, t: &file::Timing) -> Checked<Timing> {
@@ -623,7 +665,7 @@
         engines,
         registry,
         peers,
-        capture: file.capture.as_ref().map(|at| c.capture(at.get_ref())).transpose()?,
+        capture: file.capture.as_ref().map(|at| c.capture(at.get_ref())).transpose()?.flatten(),
         limits: c.limits(&file.limits)?,
         timing,
     })
--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -282,9 +282,35 @@
 #[serde(deny_unknown_fields)]
 pub(crate) struct Capture {
     pub file: At<String>,
+    #[serde(default)]
+    pub mode: CaptureMode,
+    pub memory: Option<At<Size>>,
+    pub span: Option<At<Time>>,
+    #[serde(default)]
+    pub triggers: Triggers,
     pub segment: Option<At<Size>>,
     pub keep: Option<At<Size>>,
     pub checkpoint: Option<At<Time>>,
     pub sync: Option<At<Time>>,
     pub queue: Option<At<u32>>,
 }
+
+#[derive(Clone, Copy, Default, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "lowercase")]
+pub(crate) enum CaptureMode {
+    #[default]
+    On,
+    Off,
+    Ring,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub(crate) struct Triggers {
+    pub set_aside: Option<bool>,
+    pub refusals: Option<At<f64>>,
+    pub window: Option<At<Time>>,
+    pub stall: Option<At<Time>>,
+    pub after: Option<At<Time>>,
+    pub rest: Option<At<Time>>,
+}
--- a/crates/config/tests/faults.rs
+++ b/crates/config/tests/faults.rs
@@ -133,3 +133,26 @@
         }
     }
 }
+
+#[test]
+fn a_capture_is_on_off_or_in_memory() {
+    let with = |text: &str| parse("x.toml", &format!("{GOOD}[capture]\nfile = \"c.wfcap\"\n{text}"));
+    let capture = |text: &str| with(text).expect(text).capture;
+    assert!(capture("").is_some_and(|c| c.ring.is_none()));
+    assert!(capture("mode = \"off\"").is_none());
+    let more = "mode = \"ring\"\nmemory = \"8MB\"\n[capture.triggers]\nrefusals = 0.5\nstall = \"2s\"";
+    let ring = capture(more).and_then(|c| c.ring).expect("in memory");
+    assert_eq!((ring.memory, ring.refusals, ring.stall), (8 << 20, 0.5, Micros(2_000_000)));
+    assert_eq!((ring.span, ring.set_aside), (Micros(600_000_000), true));
+    for (text, fault) in [
+        ("mode = \"rings\"", "unknown variant `rings`"),
+        ("memory = \"8KB\"", "under a megabyte"),
+        ("[capture.triggers]\nrefusals = 30", "30 is no share"),
+        ("[capture.triggers]\nstall = \"0s\"", "no time at all"),
+        ("[capture.triggers]\nstalls = \"1s\"", "unknown field `stalls`"),
+    ] {
+        let got = with(text).expect_err(text);
+        assert!(got.fault.contains(fault), "{text}: {got:?}");
+        assert!(got.line >= 39, "{text}: {got:?}");
+    }
+}
--- a/crates/controller/src/app.rs
+++ b/crates/controller/src/app.rs
@@ -11,6 +11,7 @@
 use rand::RngExt as _;
 use slab::Slab;
 use std::collections::{BTreeMap, VecDeque};
+use std::io::Read as _;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tracing::{debug, info, warn};
@@ -34,6 +35,8 @@
 pub(crate) const LISTENER: Token = Token(0);
 pub(crate) const ADMIN: Token = Token(1);
 pub(crate) const SIGNAL: Token = Token(2);
+/// An operator wants the capture that is held in memory.
+pub(crate) const KEEP: Token = Token(5);
 pub(crate) const REGISTRY: Token = Token(3);
 pub(crate) const PEERS: Token = Token(4);
 const KIND: usize = 40;
@@ -123,6 +126,7 @@
     listener: Option<TcpListener>,
     pub(crate) admin: Option<TcpListener>,
     signal: Option<UnixStream>,
+    keep: Option<UnixStream>,
     pub(crate) clients: Slab<Client>,
     pub(crate) links: Slab<Link>,
     pub(crate) cancels: Slab<Canceller>,
@@ -181,6 +185,7 @@
             listener: Some(listener),
             admin,
             signal: None,
+            keep: None,
             clients: Slab::new(),
             links: Slab::new(),
             cancels: Slab::new(),
@@ -241,6 +246,31 @@
         Ok(())
     }
 
+    /// Each byte on this stream asks for the capture that is held in memory to be written.
+    ///
+    /// # Errors
+    /// As the system tells.
+    pub fn keep_on(&mut self, signal: std::os::unix::net::UnixStream) -> Result<()> {
+        signal.set_nonblocking(true)?;
+        let mut signal = UnixStream::from_std(signal);
+        self.poll.registry().register(&mut signal, KEEP, Interest::READABLE)?;
+        self.keep = Some(signal);
+        Ok(())
+    }
+
+    fn keep_capture(&mut self) {
+        let mut bytes = [0; 64];
+        while self.keep.as_mut().is_some_and(|s| matches!(s.read(&mut bytes), Ok(n) if n > 0)) {}
+        match &mut self.recorder {
+            Some(recorder) => {
+                info!("the capture in memory is asked for");
+                recorder.ask(Micros(self.now));
+                recorder.tend(&self.driver, Micros(self.now));
+            }
+            None => warn!("a capture is asked for, and there is no [capture]"),
+        }
+    }
+
     /// Serves until asked to stop and all is answered.
     ///
     /// # Errors
@@ -290,6 +320,7 @@
             LISTENER => self.accept(),
             ADMIN => self.accept_admin(),
             SIGNAL => self.stop(),
+            KEEP => self.keep_capture(),
             REGISTRY => self.on_registry(event),
             PEERS => self.hear_peers(),
             _ => match token >> KIND {
@@ -353,6 +384,9 @@
                 Wake::Sweep => {
                     self.timers.set(self.now + 1_000_000, Wake::Sweep);
                     self.close_idle();
+                    if let Some(recorder) = &mut self.recorder {
+                        recorder.tend(&self.driver, Micros(self.now));
+                    }
                 }
                 Wake::Registry => self.ask_registry(),
                 Wake::Connect(id) => self.connect_late(id),
@@ -860,7 +894,22 @@
         sync: capture.sync,
         ..wheelfield_capture::Limits::default()
     };
-    let recorder = Recorder::begin(&capture.file, start, limits, driver, Micros(now))
-        .with_context(|| format!("cannot write the capture {}", capture.file.display()))?;
+    let (file, now) = (&capture.file, Micros(now));
+    let recorder = match &capture.ring {
+        None => Recorder::begin(file, start, limits, driver, now),
+        Some(r) => {
+            let ring = wheelfield_capture::RingLimits { bytes: r.memory, span: r.span };
+            let triggers = wheelfield_capture::Triggers {
+                set_aside: r.set_aside,
+                refusals: Some(r.refusals),
+                window: r.window,
+                stall: Some(r.stall),
+                after: r.after,
+                rest: r.rest,
+            };
+            Recorder::ring(file, start, limits, (ring, triggers), driver, now)
+        }
+    };
+    let recorder = recorder.with_context(|| format!("cannot write the capture {}", file.display()))?;
     Ok(Some(recorder))
 }
--- a/crates/controller/src/main.rs
+++ b/crates/controller/src/main.rs
@@ -102,6 +102,9 @@
         signal_hook::low_level::pipe::register(signal, raised.try_clone()?)?;
     }
     app.stop_on(heard)?;
+    let (heard, raised) = std::os::unix::net::UnixStream::pair()?;
+    signal_hook::low_level::pipe::register(signal_hook::consts::SIGUSR1, raised)?;
+    app.keep_on(heard)?;
     println!("{}", app.addresses());
     std::io::stdout().flush()?;
     tracing::info!(seed, "started");
--- a/crates/controller/src/side.rs
+++ b/crates/controller/src/side.rs
@@ -266,6 +266,8 @@
             ("capture_lost", capture.lost),
             ("capture_bytes", capture.bytes),
             ("capture_failing", u64::from(capture.failing)),
+            ("capture_kept", capture.kept),
+            ("capture_held", capture.held),
             ("clients", self.clients.len() as u64),
             ("engine_sessions", self.links.len() as u64),
             ("queries_held", self.driver.held() as u64),
--- a/crates/controller/tests/common/mod.rs
+++ b/crates/controller/tests/common/mod.rs
@@ -112,6 +112,7 @@
     pub admin: String,
     pub peers: Option<String>,
     stop: UnixStream,
+    keep: UnixStream,
     thread: Option<JoinHandle<()>>,
 }
 
@@ -143,10 +144,12 @@
     pub fn start(text: &str) -> Controller {
         let config = wheelfield_config::parse("test", text).unwrap_or_else(|fault| panic!("{fault}"));
         let (stop, heard) = UnixStream::pair().expect("a pair");
+        let (keep, wanted) = UnixStream::pair().expect("a pair");
         let (sender, receiver) = channel();
         let thread = std::thread::spawn(move || {
             let mut app = App::open(config, 7, None).expect("sockets");
             app.stop_on(heard).expect("a stream");
+            app.keep_on(wanted).expect("a stream");
             sender.send(app.addresses()).expect("the test waits");
             app.run().expect("runs");
         });
@@ -157,6 +160,7 @@
             admin: text("admin").expect("told"),
             peers: text("peers"),
             stop,
+            keep,
             thread: Some(thread),
         }
     }
@@ -182,6 +186,11 @@
         self.stop.write_all(b"x").expect("it listens");
     }
 
+    /// As on SIGUSR1.
+    pub fn ask_for_capture(&mut self) {
+        self.keep.write_all(b"x").expect("it listens");
+    }
+
     pub fn join(&mut self) {
         self.thread.take().expect("not joined yet").join().expect("it ends well");
     }
--- a/crates/controller/tests/end_to_end.rs
+++ b/crates/controller/tests/end_to_end.rs
@@ -519,3 +519,26 @@
     engines.fault(1, "drain", 1.0);
     controller.await_figure("list_version", |v| v == 2);
 }
+
+// --- a capture in memory ---
+
+#[test]
+fn what_is_held_in_memory_is_written_when_asked_for_and_replays() {
+    let dir = tempfile::tempdir().expect("a directory");
+    let engines = Engines::start(2);
+    let file = dir.path().join("c.wfcap");
+    let ring = format!("[capture]\nfile = {file:?}\nmode = \"ring\"\nmemory = \"1MB\"\nspan = \"1m\"\n");
+    let mut controller = Controller::on(&engines, &ring);
+    let mut client = controller.library();
+    for _ in 0..20 {
+        client.simple_query("select 1 /*class='fast'*/").expect("served");
+    }
+    controller.ask_for_capture();
+    controller.await_figure("capture_kept", |n| n == 1);
+    let files: Vec<_> =
+        std::fs::read_dir(dir.path()).expect("a folder").map(|e| e.expect("an entry").path()).collect();
+    assert_eq!(files.len(), 1, "{files:?}");
+    let verdict = wheelfield_replay::run(&files[0], wheelfield_replay::Options::default()).expect("whole");
+    assert!(verdict.equal() && verdict.steps > 60, "{verdict:?}");
+    client.simple_query("select 1").expect("and goes on");
+}
--- /dev/null
+++ b/crates/replay/tests/common/mod.rs
@@ -0,0 +1,148 @@
+//! A driver that records, on a wire that answers by a simple rule in virtual time.
+#![allow(dead_code)]
+
+use std::path::Path;
+use wheelfield::interface::*;
+use wheelfield_capture::{Limits, Recorder, Start, State, Told};
+use wheelfield_driver::{Arrival, Bounds, Driver, Input, Instruction};
+
+pub fn settings() -> Settings {
+    let class = Class {
+        aim: Micros::from_secs(1.0),
+        deadline: Micros::from_secs(5.0),
+        worth: 1.0,
+        threads: 1.0,
+        ..Class::default()
+    };
+    Settings {
+        gateways: 2.0,
+        classes: vec![class.clone(), Class { effect: Effect::Once, ..class }],
+        cores: vec![4.0],
+        memory_mb: vec![1000.0],
+        cancel: true,
+        reports: true,
+        reports_utilisation: true,
+        max_attempts: 3,
+        note_every: Micros::from_secs(1.0),
+        max_retry_after: Micros::from_secs(1.0),
+        cold_from: 0.4,
+        cold_for: Micros::from_secs(5.0),
+        fall_multiple: 3.0,
+        fall_span: Micros::from_secs(1.0),
+        ..Settings::default()
+    }
+}
+
+pub fn start() -> Start {
+    Start {
+        build: "test 0".into(),
+        index: 0,
+        seed: 11,
+        settings: settings(),
+        bounds: Bounds::default(),
+        classes: vec!["fast".into(), "load".into()],
+        tenants: Vec::new(),
+    }
+}
+
+/// A driver with its recorder, and a wire that answers by a simple rule.
+pub struct Scene {
+    pub driver: Driver,
+    pub recorder: Recorder,
+    pub now: Micros,
+    pub out: Vec<(Micros, wheelfield_driver::AttemptId)>,
+    n: u64,
+    pub steps: u64,
+}
+
+impl Scene {
+    pub fn on(recorder: impl FnOnce(&Driver) -> Recorder) -> Scene {
+        let driver = Driver::new(settings(), 11, Bounds::default());
+        let recorder = recorder(&driver);
+        let mut scene = Scene { driver, recorder, now: Micros(1_000_000), out: Vec::new(), n: 0, steps: 0 };
+        scene.tell(Input::Started);
+        let engine = |n: u64| EngineEntry {
+            engine: EngineId(n),
+            zone: 0,
+            kind: 0,
+            cell: 0,
+            status: Status::Up,
+            started: None,
+        };
+        scene.tell(Input::Engines { whole: true, entries: (1..=4).map(engine).collect() });
+        scene
+    }
+
+    pub fn at(path: &Path, limits: Limits) -> Scene {
+        Scene::on(|driver| Recorder::begin(path, start(), limits, driver, Micros(1_000_000)).expect("a file"))
+    }
+
+    fn note(&mut self, told: Told, taken: Option<QueryId>, fresh: Vec<Instruction>) {
+        self.steps += 1;
+        self.recorder.step(self.now, &told, taken, &fresh);
+        self.recorder.tend(&self.driver, self.now);
+        for i in fresh {
+            if let Instruction::Start { attempt, .. } = i {
+                self.n += 1;
+                let after = 50_000 + (self.n * 7919 % 900_000) as i64;
+                self.out.push((self.now + Micros(after), attempt));
+            }
+        }
+    }
+
+    pub fn tell(&mut self, input: Input) {
+        let mut fresh = Vec::new();
+        self.driver.tell(self.now, input.clone(), &mut fresh);
+        self.note(Told::Input(input), None, fresh);
+    }
+
+    /// Lets so many milliseconds pass, with a query every five of them.
+    pub fn play(&mut self, ms: i64) {
+        for step in 0..ms / 5 {
+            self.now = self.now + Micros(5_000);
+            let mut fresh = Vec::new();
+            if self.driver.due(self.now, &mut fresh) {
+                self.note(Told::Due, None, fresh);
+            }
+            let now = self.now;
+            let (ripe, left): (Vec<_>, Vec<_>) =
+                std::mem::take(&mut self.out).into_iter().partition(|(t, _)| *t <= now);
+            self.out = left;
+            for (_, attempt) in ripe {
+                self.tell(Input::Dispatched(attempt));
+                let odd = attempt.query.0 % 13;
+                let outcome = [Outcome::Error, Outcome::Reset, Outcome::Full].get(odd as usize).copied();
+                let report = Report { utilisation: Some((self.n % 17) as f64 / 11.0), ..Report::default() };
+                let outcome = outcome.unwrap_or(Outcome::Served);
+                self.tell(Input::Ended { attempt, outcome, billed_work: Some(0.31), report });
+            }
+            let arrival = Arrival {
+                class: usize::from(step % 9 == 0),
+                due: self.now + Micros::from_secs(4.0),
+                work_hint: Some(0.1 + (step % 7) as f64 * 0.13),
+                ..Arrival::default()
+            };
+            let mut fresh = Vec::new();
+            let taken = self.driver.arrive(self.now, arrival.clone(), &mut fresh).ok();
+            self.note(Told::Arrive { arrival, label: format!("s{step}") }, taken, fresh);
+        }
+    }
+
+    pub fn end(self) -> (State, u64) {
+        (self.recorder.end(self.now), self.steps)
+    }
+}
+
+pub fn small() -> Limits {
+    Limits {
+        block: 2_000,
+        queue: 100_000,
+        checkpoint: Micros(500_000),
+        sync: Micros(100_000),
+        ..Limits::default()
+    }
+}
+
+pub fn folder() -> tempfile::TempDir {
+    tempfile::tempdir().expect("a folder")
+}
