--- a/crates/capture/src/format.rs
+++ b/crates/capture/src/format.rs
@@ -6,14 +6,18 @@
 //! (4), its CRC-32 (4), its postcard bytes.
 //!
 //! Versions: a reader takes every version up to its own. Record kinds are only ever added at the end of [`Record`], so
-//! that what an older writer wrote is read as it was; a newer version than the reader's is refused by name.
+//! that what an older writer wrote is read as it was; a newer version than the reader's is refused by name. The same holds for
+//! the kinds of what a driver is told.
+//!
+//! - 1: the first.
+//! - 2: queries numbered outside, ends measured outside, timers kept outside, as on the simulator's wire.
 
 use serde::{Deserialize, Serialize};
 use wheelfield::interface::{EngineId, Micros, QueryId, Settings};
 use wheelfield_driver::{Arrival, Bounds, Input, Instruction};
 
 /// The version written.
-pub const VERSION: u16 = 1;
+pub const VERSION: u16 = 2;
 pub(crate) const MAGIC: &[u8; 6] = b"WFCAP\0";
 pub(crate) const BLOCK: &[u8; 4] = b"WFBK";
 /// Bytes of a block before its compressed part.
@@ -40,7 +44,7 @@
     pub tenants: Vec<String>,
 }
 
-/// What a driver was told in one step.
+/// What a driver was told in one step. Kinds are only added at the end.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Told {
     /// An input.
@@ -54,6 +58,27 @@
     },
     /// The time passed, and something had come due.
     Due,
+    /// A query came with a number given outside.
+    ArriveAs {
+        /// The number.
+        id: QueryId,
+        /// As it was handed in.
+        arrival: Arrival,
+        /// The name its client gave it.
+        label: String,
+    },
+    /// A wire that keeps the time itself told that this timer of the module ran out.
+    Woke(u64),
+}
+
+impl Told {
+    /// What came, and the name its client gave it, if this is an arrival.
+    pub fn arrival(&self) -> Option<(&Arrival, &str)> {
+        match self {
+            Told::Arrive { arrival, label } | Told::ArriveAs { arrival, label, .. } => Some((arrival, label)),
+            _ => None,
+        }
+    }
 }
 
 /// One record. Kinds are only added at the end.
--- a/crates/capture/src/trigger.rs
+++ b/crates/capture/src/trigger.rs
@@ -95,7 +95,7 @@
             }
         }
         self.last = Some(at);
-        let came = u64::from(matches!(told, Told::Arrive { .. }));
+        let came = u64::from(told.arrival().is_some());
         let refused =
             out.iter().filter(|i| matches!(i, Instruction::Answer(_, Answer::Refused { .. }))).count();
         if came > 0 || refused > 0 {
--- a/crates/check/src/gather.rs
+++ b/crates/check/src/gather.rs
@@ -218,7 +218,7 @@
     /// Takes a step; `driver` stands behind it.
     fn step(&mut self, step: &Step, driver: &Driver) {
         match &step.told {
-            Told::Arrive { arrival, .. } => {
+            Told::Arrive { arrival, .. } | Told::ArriveAs { arrival, .. } => {
                 if let Some(query) = step.taken {
                     self.queries.insert(query, self.all.asked.len());
                     let name = self.id(query);
@@ -246,7 +246,10 @@
                     self.line(step.at, "received", *attempt, engine);
                 }
             }
-            Told::Input(Input::Ended { attempt, outcome, billed_work, .. }) => {
+            Told::Input(
+                Input::Ended { attempt, outcome, billed_work, .. }
+                | Input::Measured { attempt, outcome, billed_work, .. },
+            ) => {
                 self.settled(step.at, *attempt, *outcome);
                 let class =
                     self.queries.get(&attempt.query).and_then(|i| self.all.asked.get(*i)).map(|a| a.class);
--- a/crates/driver/src/books.rs
+++ b/crates/driver/src/books.rs
@@ -98,12 +98,20 @@
         self.queries.len()
     }
 
-    pub fn open(&mut self, due: Micros) -> QueryId {
-        self.last_number += 1;
-        let id = QueryId(self.last_number);
-        self.queries
-            .insert(id, Taken { due, answered: false, terms: Terms::default(), attempts: Vec::new() });
-        id
+    /// The number of the next query.
+    pub fn next_number(&mut self) -> QueryId {
+        self.last_number = self.last_number.wrapping_add(1);
+        QueryId(self.last_number)
+    }
+
+    /// Opens a query; false if one of this number is held.
+    pub fn open(&mut self, id: QueryId, due: Micros) -> bool {
+        let free = !self.queries.contains_key(&id);
+        if free {
+            let taken = Taken { due, answered: false, terms: Terms::default(), attempts: Vec::new() };
+            self.queries.insert(id, taken);
+        }
+        free
     }
 
     /// Starts an attempt, unless the query was answered.
@@ -113,6 +121,7 @@
         query: QueryId,
         engine: EngineId,
         time_out: Micros,
+        limited: bool,
     ) -> Option<(AttemptId, Terms)> {
         let taken = self.queries.get_mut(&query).filter(|t| !t.answered)?;
         let attempt = AttemptId { query, number: taken.attempts.len() };
@@ -121,7 +130,9 @@
         let limit = if time_out.0 == 0 { taken.due } else { (now + time_out).min(taken.due) };
         let terms = taken.terms;
         self.unwritten.insert((engine, attempt));
-        self.wake_for(limit, attempt, Wake::Limit(attempt));
+        if limited {
+            self.wake_for(limit, attempt, Wake::Limit(attempt));
+        }
         Some((attempt, terms))
     }
 
@@ -263,6 +274,12 @@
         }
     }
 
+    /// Takes the earliest wake of this token; false if there is none.
+    pub fn take_module_wake(&mut self, token: u64) -> bool {
+        let key = self.wakes.iter().find(|(_, w)| **w == Wake::Module(token)).map(|(k, _)| *k);
+        key.is_some_and(|k| self.wakes.remove(&k).is_some())
+    }
+
     pub fn next_due(&self) -> Option<Micros> {
         self.wakes.first_key_value().map(|((at, _), _)| *at)
     }
--- a/crates/driver/src/lib.rs
+++ b/crates/driver/src/lib.rs
@@ -61,7 +61,7 @@
     pub tables: u64,
 }
 
-/// Something that happened outside.
+/// Something that happened outside. Captures hold it: kinds are only added at the end.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Input {
     /// The controller starts; comes first, once.
@@ -105,6 +105,19 @@
     },
     /// Another controller tells of engines.
     Told(Vec<Word>),
+    /// An attempt ended on a wire that measures by itself how long it took.
+    Measured {
+        /// Which.
+        attempt: AttemptId,
+        /// How.
+        outcome: Outcome,
+        /// Work in seconds of one thread, where the answer tells.
+        billed_work: Option<f64>,
+        /// The engine's load, where told.
+        report: Report,
+        /// Since it was sent.
+        took: Micros,
+    },
 }
 
 /// A final answer that the wire must give. A served query needs none: its rows are the answer.
@@ -165,12 +178,26 @@
     pub withdraw_wait: Micros,
 }
 
+impl Bounds {
+    /// As [`Bounds::withdraw_wait`]: the wire tells every end by itself, time-outs too, and the driver settles no attempt
+    /// because its time is up.
+    pub const TOLD: Micros = Micros(i64::MAX / 4);
+}
+
 impl Default for Bounds {
     fn default() -> Self {
         Bounds { queries: 20_000, withdraw_wait: Micros(250_000) }
     }
 }
 
+/// How an attempt ended: outcome, billed work, load, and how long it took if the wire measured that.
+type End = (Outcome, Option<f64>, Report, Option<Micros>);
+
+/// The end of an attempt of which the wire tells nothing.
+fn settled(outcome: Outcome) -> End {
+    (outcome, None, Report::default(), None)
+}
+
 /// One module with its books.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Driver {
@@ -207,11 +234,25 @@
         arrival: Arrival,
         out: &mut Vec<Instruction>,
     ) -> Result<QueryId, Crowded> {
-        if self.books.held() >= self.bounds.queries {
+        let id = self.books.next_number();
+        self.arrive_as(now, id, arrival, out)
+    }
+
+    /// Takes a query whose number is given outside, as on a wire that numbers them itself.
+    ///
+    /// # Errors
+    /// [`Crowded`] when as many queries are held as the bounds allow, or one of this number is.
+    pub fn arrive_as(
+        &mut self,
+        now: Micros,
+        id: QueryId,
+        arrival: Arrival,
+        out: &mut Vec<Instruction>,
+    ) -> Result<QueryId, Crowded> {
+        if self.books.held() >= self.bounds.queries || !self.books.open(id, arrival.due) {
             self.counts.crowded += 1;
             return Err(Crowded);
         }
-        let id = self.books.open(arrival.due);
         self.counts.taken += 1;
         let Arrival { class, tenant, key, due, work_hint, memory_hint, tables } = arrival;
         self.events.push_back(Event::Arrived(Query {
@@ -250,7 +291,10 @@
                 }
             }
             Input::Ended { attempt, outcome, billed_work, report } => {
-                self.ended(now, attempt, outcome, billed_work, report, out);
+                self.ended(now, attempt, (outcome, billed_work, report, None), out);
+            }
+            Input::Measured { attempt, outcome, billed_work, report, took } => {
+                self.ended(now, attempt, (outcome, billed_work, report, Some(took)), out);
             }
             Input::Departed(query) => {
                 if self.books.answer(query) {
@@ -288,13 +332,13 @@
                         let written = self.books.written(attempt);
                         let outcome = if written { Outcome::TimedOut } else { Outcome::ConnectFailed };
                         out.push(Instruction::Withdraw(attempt));
-                        self.ended(now, attempt, outcome, None, Report::default(), out);
+                        self.ended(now, attempt, settled(outcome), out);
                     }
                 }
                 Wake::Unconfirmed(attempt) => {
                     // An answer that crossed the withdrawal and has begun is the client's.
                     if self.books.is_out(attempt) && !self.books.began(attempt) {
-                        self.ended(now, attempt, Outcome::Cancelled, None, Report::default(), out);
+                        self.ended(now, attempt, settled(Outcome::Cancelled), out);
                     }
                 }
             }
@@ -303,6 +347,16 @@
         some
     }
 
+    /// A wire that keeps the time itself tells that a timer of the module ran out. False if there was none.
+    pub fn woke(&mut self, now: Micros, token: u64, out: &mut Vec<Instruction>) -> bool {
+        let some = self.books.take_module_wake(token);
+        if some {
+            self.events.push_back(Event::TimerDue(token));
+            self.run(now, out);
+        }
+        some
+    }
+
     /// Whether an attempt still counts: it was started and has had no outcome. The wire asks before it writes
     /// the attempt, and before it lets any byte of its answer through to the client.
     pub fn is_out(&self, attempt: AttemptId) -> bool {
@@ -366,21 +420,13 @@
         self.events.push_back(if whole { Event::EngineList(entries) } else { Event::EngineChanges(entries) });
         for attempt in back {
             out.push(Instruction::Withdraw(attempt));
-            self.settle(now, attempt, Outcome::Skipped, None, Report::default(), out);
+            self.settle(now, attempt, settled(Outcome::Skipped), out);
         }
     }
 
-    fn ended(
-        &mut self,
-        now: Micros,
-        attempt: AttemptId,
-        outcome: Outcome,
-        billed_work: Option<f64>,
-        report: Report,
-        out: &mut Vec<Instruction>,
-    ) {
+    fn ended(&mut self, now: Micros, attempt: AttemptId, end: End, out: &mut Vec<Instruction>) {
         if self.books.is_out(attempt) {
-            self.settle(now, attempt, outcome, billed_work, report, out);
+            self.settle(now, attempt, end, out);
         } else {
             self.counts.late += 1;
         }
@@ -390,9 +436,7 @@
         &mut self,
         now: Micros,
         attempt: AttemptId,
-        outcome: Outcome,
-        billed_work: Option<f64>,
-        report: Report,
+        (outcome, billed_work, report, took): End,
         out: &mut Vec<Instruction>,
     ) {
         let Some(Settled { sent, began, owed }) = self.books.settle(attempt, outcome) else { return };
@@ -407,7 +451,7 @@
             out.push(Instruction::Answer(attempt.query, Answer::Broken));
             last = true;
         }
-        let took = (now - sent).max(Micros(0));
+        let took = took.unwrap_or((now - sent).max(Micros(0)));
         let (query, attempt) = (attempt.query, attempt.number);
         self.events.push_back(Event::Ended(Ending {
             query,
@@ -443,7 +487,8 @@
     fn carry_out(&mut self, now: Micros, action: Action, out: &mut Vec<Instruction>) {
         match action {
             Action::Send { query, engine, time_out } => {
-                if let Some((attempt, terms)) = self.books.start(now, query, engine, time_out) {
+                let limited = self.bounds.withdraw_wait < Bounds::TOLD;
+                if let Some((attempt, terms)) = self.books.start(now, query, engine, time_out, limited) {
                     self.counts.attempts += 1;
                     self.counts.further += u64::from(attempt.number > 0);
                     out.push(Instruction::Start { attempt, engine, terms });
@@ -463,7 +508,7 @@
                 }
                 out.push(Instruction::Withdraw(attempt));
                 if !self.books.written(attempt) {
-                    self.settle(now, attempt, Outcome::Skipped, None, Report::default(), out);
+                    self.settle(now, attempt, settled(Outcome::Skipped), out);
                 }
             }
             Action::Refuse { query, retry_after } => {
--- a/crates/replay/src/lib.rs
+++ b/crates/replay/src/lib.rs
@@ -260,7 +260,7 @@
                 continue;
             }
             let Some(driver) = &mut self.driver else { return Err(ReplayError::NoStart) };
-            if self.keep_all || (self.keep_before && matches!(step.told, Told::Arrive { .. })) {
+            if self.keep_all || (self.keep_before && step.told.arrival().is_some()) {
                 self.before = Some(Box::new(driver.clone()));
             }
             let mut out = Vec::new();
@@ -298,9 +298,13 @@
     match told {
         Told::Input(input) => driver.tell(at, input.clone(), out),
         Told::Arrive { arrival, .. } => return driver.arrive(at, arrival.clone(), out).ok(),
+        Told::ArriveAs { id, arrival, .. } => return driver.arrive_as(at, *id, arrival.clone(), out).ok(),
         Told::Due => {
             driver.due(at, out);
         }
+        Told::Woke(token) => {
+            driver.woke(at, *token, out);
+        }
     }
     None
 }
--- a/crates/replay/src/main.rs
+++ b/crates/replay/src/main.rs
@@ -273,7 +273,7 @@
         }
     };
     while let Some((step, _, _)) = player.feed()? {
-        let arrives = matches!(&step.told, Told::Arrive { label, .. } if label == wanted);
+        let arrives = step.told.arrival().is_some_and(|(_, label)| label == wanted);
         if arrives {
             query = step.taken;
         }
@@ -285,9 +285,10 @@
             _ => false,
         };
         let told_of = match &step.told {
-            Told::Arrive { .. } => step.taken.is_some() && step.taken == query,
+            Told::Arrive { .. } | Told::ArriveAs { .. } => step.taken.is_some() && step.taken == query,
             Told::Input(
                 Input::Ended { attempt, .. }
+                | Input::Measured { attempt, .. }
                 | Input::Noted(attempt, _)
                 | Input::Began(attempt)
                 | Input::Dispatched(attempt),
@@ -318,7 +319,10 @@
                     known.entry(e.engine).or_default().status = Some((step.at, e.status));
                 }
             }
-            Told::Input(Input::Ended { attempt, outcome, report, .. }) => {
+            Told::Input(
+                Input::Ended { attempt, outcome, report, .. }
+                | Input::Measured { attempt, outcome, report, .. },
+            ) => {
                 if let Some(engine) = carries.remove(&(attempt.query, attempt.number)) {
                     let k = known.entry(engine).or_default();
                     k.out -= 1;
@@ -362,7 +366,9 @@
 
 /// Asks the module itself: the same moment with one engine gone, engine by engine.
 fn alternatives(player: &Player, step: &Step, names: &Names) {
-    let Told::Arrive { .. } = &step.told else { return };
+    if step.told.arrival().is_none() {
+        return;
+    }
     let Some(before) = player.before() else { return };
     let sent = |out: &[Instruction]| {
         out.iter().find_map(|i| if let Instruction::Start { engine, .. } = i { Some(*engine) } else { None })
@@ -442,9 +448,9 @@
         first = first.or(Some(step.at));
         last = step.at;
         let kind = match &step.told {
-            Told::Arrive { .. } => "arrivals",
-            Told::Due => "time passed",
-            Told::Input(Input::Ended { .. }) => "endings",
+            Told::Arrive { .. } | Told::ArriveAs { .. } => "arrivals",
+            Told::Due | Told::Woke(_) => "time passed",
+            Told::Input(Input::Ended { .. } | Input::Measured { .. }) => "endings",
             Told::Input(Input::Noted(..)) => "notes",
             Told::Input(Input::Dispatched(_)) => "written",
             Told::Input(Input::Began(_)) => "answers begun",
@@ -517,7 +523,7 @@
         let other: Vec<Instruction> = serde_json::from_value(line["out"].clone())
             .context("the other build answers in another form: it can't be compared")?;
         steps += 1;
-        if let (Told::Arrive { arrival, .. }, Some(q)) = (&step.told, taken) {
+        if let (Some((arrival, _)), Some(q)) = (step.told.arrival(), taken) {
             classes.insert(q, arrival.class);
         }
         if other == out {
--- a/crates/replay/src/rewrite.rs
+++ b/crates/replay/src/rewrite.rs
@@ -126,6 +126,10 @@
                 arrival.key = arrival.key.map(|k| keys.of(&k));
                 Told::Arrive { arrival, label: labels.of(&label) }
             }
+            Told::ArriveAs { id, mut arrival, label } => {
+                arrival.key = arrival.key.map(|k| keys.of(&k));
+                Told::ArriveAs { id, arrival, label: labels.of(&label) }
+            }
             other => other,
         };
         let mut answered = Vec::new();
--- a/crates/replay/src/shadow.rs
+++ b/crates/replay/src/shadow.rs
@@ -8,7 +8,6 @@
 use std::collections::BTreeMap;
 use std::path::Path;
 use wheelfield::interface::{QueryId, Settings};
-use wheelfield_capture::Told;
 use wheelfield_driver::{Answer, Driver, Instruction};
 
 /// What was decided of an arriving query.
@@ -123,7 +122,7 @@
         let Some(shadow) = &mut shadow else { return Err(ReplayError::NoStart) };
         let mut other = Vec::new();
         let other_taken = feed(shadow, step.at, &step.told, &mut other);
-        if let Told::Arrive { arrival, label } = &step.told {
+        if let Some((arrival, label)) = step.told.arrival() {
             comparison.arrivals += 1;
             let name = |id| {
                 let known = player.engines.iter().find(|(e, _)| *e == id);
@@ -134,7 +133,7 @@
                 let class = arrival.class;
                 *comparison.table.entry((class, was.clone(), now.clone())).or_default() += 1;
                 let altered =
-                    Altered { step: step.number, query: taken, label: label.clone(), class, was, now };
+                    Altered { step: step.number, query: taken, label: label.to_string(), class, was, now };
                 comparison.altered.push(altered);
             }
         }
--- a/crates/replay/src/words.rs
+++ b/crates/replay/src/words.rs
@@ -49,7 +49,8 @@
 pub fn told(step: &Step, names: &Names) -> String {
     match &step.told {
         Told::Due => "time passed".into(),
-        Told::Arrive { arrival, label } => {
+        Told::Woke(token) => format!("timer {token} ran out"),
+        Told::Arrive { arrival, label } | Told::ArriveAs { arrival, label, .. } => {
             let number = step.taken.map_or("not taken".into(), |q| format!("query {}", q.0));
             let work = arrival.work_hint.map_or(String::new(), |w| format!(", about {w:.2} s of work"));
             let label = if label.is_empty() { String::new() } else { format!(" `{label}`") };
@@ -76,7 +77,8 @@
                 Note::WaitsForLoad => format!("attempt {a} stands still behind a load"),
                 Note::Other => format!("word on attempt {a}"),
             },
-            Input::Ended { attempt, outcome, report: r, .. } => {
+            Input::Ended { attempt, outcome, report: r, .. }
+            | Input::Measured { attempt, outcome, report: r, .. } => {
                 let how = match outcome {
                     Outcome::Served => "was served",
                     Outcome::Error => "ended in an error of its engine",
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -51,6 +51,11 @@
         self.parsed(name)?.ok_or_else(|| format!("{}: expected a field '{name}'", self.word))
     }
 
+    /// The number of the attempt that the line speaks of, if it does.
+    pub fn attempt(&self) -> Option<usize> {
+        self.get("leg").and_then(|n| n.parse().ok())
+    }
+
     fn real(&self, name: &str) -> Result<Option<f64>, String> {
         match self.parsed::<f64>(name)? {
             Some(x) if !x.is_finite() => Err(format!("{}: '{name}' is not a finite number", self.word)),
@@ -373,6 +378,16 @@
         }
     }
 
+    /// The names of the classes and of the tenants, by position.
+    pub fn lists(&self) -> (Vec<String>, Vec<String>) {
+        (self.classes.clone(), self.tenants.clone())
+    }
+
+    /// The engines named so far.
+    pub fn engines(&self) -> impl Iterator<Item = (EngineId, String)> + '_ {
+        self.engines.iter().map(|(id, name)| (*id, name.clone()))
+    }
+
     /// Prints an action as a line.
     pub fn print(&self, action: &Action, out: &mut String) {
         use std::fmt::Write;
