--- a/crates/check/src/gather.rs
+++ b/crates/check/src/gather.rs
@@ -46,6 +46,8 @@
     queries: BTreeMap<QueryId, usize>,
     attempts: BTreeMap<AttemptId, EngineId>,
     written: BTreeSet<AttemptId>,
+    /// Withdrawn, and not yet heard of.
+    withdrawn: BTreeSet<AttemptId>,
     engines: BTreeMap<EngineId, EngineEntry>,
     /// Engines that take no work, as told last.
     not_up: BTreeSet<EngineId>,
@@ -85,6 +87,7 @@
             queries: BTreeMap::new(),
             attempts: BTreeMap::new(),
             written: BTreeSet::new(),
+            withdrawn: BTreeSet::new(),
             engines: BTreeMap::new(),
             not_up: BTreeSet::new(),
         };
@@ -276,9 +279,8 @@
                     self.all.attempts += 1;
                     self.line(step.at, "sent", *attempt, *engine);
                 }
-                Instruction::Withdraw(attempt) if !driver.is_out(*attempt) => {
-                    // Its time is up: nothing more is heard of it.
-                    self.settled(step.at, *attempt, Outcome::TimedOut);
+                Instruction::Withdraw(attempt) => {
+                    self.withdrawn.insert(*attempt);
                 }
                 Instruction::Answer(query, answer) => {
                     let end = match answer {
@@ -290,6 +292,13 @@
                 _ => {}
             }
         }
+        // What was withdrawn is over once the driver counts it no more: at once if its time was up, else when its engine
+        // tells so, or in time if that never comes.
+        let over: Vec<AttemptId> = self.withdrawn.iter().filter(|a| !driver.is_out(**a)).copied().collect();
+        for attempt in over {
+            self.withdrawn.remove(&attempt);
+            self.settled(step.at, attempt, Outcome::TimedOut);
+        }
     }
 
     fn works(&mut self, class: usize, work: f64) {
--- a/crates/driver/src/lib.rs
+++ b/crates/driver/src/lib.rs
@@ -208,6 +208,9 @@
     events: VecDeque<Event>,
     actions: Vec<Action>,
     counts: Counts,
+    /// What the module was told, where somebody listens.
+    #[serde(skip)]
+    heard: Option<Vec<Event>>,
 }
 
 impl Driver {
@@ -221,9 +224,20 @@
             events: VecDeque::new(),
             actions: Vec::new(),
             counts: Counts::default(),
+            heard: None,
         }
     }
 
+    /// From now on, what the module is told is kept until [`Driver::heard`] takes it.
+    pub fn listen(&mut self) {
+        self.heard = Some(Vec::new());
+    }
+
+    /// What the module was told since it was last asked, if somebody listens.
+    pub fn heard(&mut self) -> Vec<Event> {
+        self.heard.as_mut().map(std::mem::take).unwrap_or_default()
+    }
+
     /// Takes a query. Its number is the answer; what is to be done for it is appended to `out`.
     ///
     /// # Errors
@@ -472,6 +486,9 @@
                 Event::Departed(q) => Some(*q),
                 _ => None,
             };
+            if let Some(heard) = &mut self.heard {
+                heard.push(event.clone());
+            }
             let mut actions = std::mem::take(&mut self.actions);
             self.gateway.handle(now, event, &mut actions);
             for action in actions.drain(..) {
--- /dev/null
+++ b/crates/wirehost/tests/one_core.rs
@@ -0,0 +1,445 @@
+//! One core: a drawn day is told to the controller's driver, captured, replayed, checked, and told to the adapter as a
+//! process on its wire. All decide alike.
+
+use rand::{RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg64Mcg;
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::io::Write as _;
+use std::path::Path;
+use std::process::{Command, Stdio};
+use wheelfield::interface::*;
+use wheelfield_capture::{Limits, Recorder, Start, Told};
+use wheelfield_driver::{Answer, Arrival, Bounds, Driver, Input, Instruction};
+
+const MS: i64 = 1_000;
+const SEED: u64 = 40_123;
+
+fn settings() -> Settings {
+    let class = Class {
+        aim: Micros(500 * MS),
+        aim_stretch: 3.0,
+        deadline: Micros(3_000 * MS),
+        worth: 1.0,
+        late_value: 0.25,
+        threads: 1.0,
+        ..Class::default()
+    };
+    Settings {
+        gateways: 3.0,
+        index: 1.0,
+        zone: Some(1),
+        classes: vec![
+            Class { threads: 2.0, ..class.clone() },
+            Class { effect: Effect::Once, is_load: true, ..class.clone() },
+            Class {
+                in_order: true,
+                effect: Effect::ByKey,
+                scope: DedupScope::Zone,
+                window: Micros(900 * MS),
+                ..class.clone()
+            },
+            Class { zones: vec![1], kinds: vec![0], waits_for_loads: true, ..class },
+        ],
+        allowances: vec![5.0, 0.5],
+        cores: vec![4.0, 8.0],
+        memory_mb: vec![4_096.0, 8_192.0],
+        max_grant_share: 0.5,
+        pages: true,
+        grants: true,
+        priorities: true,
+        bills: true,
+        note_every: Micros(200 * MS),
+        cancel: true,
+        reports: true,
+        reports_utilisation: true,
+        subscribe: true,
+        max_attempts: 3,
+        max_retry_after: Micros(2_000 * MS),
+        cold_from: 0.25,
+        cold_for: Micros(5_000 * MS),
+        fall_multiple: 2.0,
+        fall_span: Micros(1_000 * MS),
+        order_pause: Micros(200 * MS),
+        attempt_budget: Some(AttemptBudget { free: 2.0, share: 0.125, span: Micros(4_000 * MS) }),
+        ..Settings::default()
+    }
+}
+
+/// The settings as the wire tells them.
+fn env(s: &Settings) -> String {
+    let names = |all: &[usize], what: &str| all.iter().map(|i| format!("{what}{i}")).collect::<Vec<_>>();
+    let grade = |(i, c): (usize, &Class)| {
+        serde_json::json!({
+            "name": format!("c{i}"), "on_time_us": c.aim.0, "aim_stretch": c.aim_stretch, "give_up_us": c.deadline.0,
+            "gain": c.worth, "late_value": c.late_value, "window_us": c.window.0, "in_order": c.in_order,
+            "effect": match c.effect { Effect::Repeatable => "repeatable", Effect::ByKey => "by_key", Effect::Once => "once" },
+            "dedup_scope": match c.scope { DedupScope::All => "all", DedupScope::Zone => "zone", DedupScope::Cell => "cell" },
+            "zones_open": names(&c.zones, "z"), "bound_to": names(&c.kinds, "k"),
+        })
+    };
+    let budget = s.attempt_budget.expect("there is one");
+    let per_class = |f: fn(&Class) -> serde_json::Value| s.classes.iter().map(f).collect::<Vec<_>>();
+    serde_json::json!({
+        "balancers": s.gateways, "me": s.index, "my_zone": s.zone.map(|z| format!("z{z}")),
+        "zones": ["z0", "z1"], "skus": ["k0", "k1"],
+        "grades": s.classes.iter().enumerate().map(grade).collect::<Vec<_>>(),
+        "tenants": s.allowances.iter().enumerate()
+            .map(|(i, a)| serde_json::json!({"name": format!("t{i}"), "allowance_per_s": a})).collect::<Vec<_>>(),
+        "family_info": {
+            "cpu_of_kind": s.cores, "memory_by_kind_mb": s.memory_mb, "max_grant_share": s.max_grant_share,
+            "when_short": "page", "grants": s.grants, "lanes_count": s.priorities, "bills": s.bills,
+            "tells_every_us": s.note_every.0,
+            "parallelism": per_class(|c| c.threads.into()),
+            "writes_tables": per_class(|c| c.is_load.into()),
+            "yields_to_loads": per_class(|c| c.waits_for_loads.into()),
+        },
+        "ceilings": {
+            "cancel": s.cancel, "send_cap": s.max_attempts, "retry_after": true,
+            "max_retry_after_us": s.max_retry_after.0,
+        },
+        "telemetry": {"how": "answers", "columns": ["cpu_share"]}, "registry_mode": "subscribe",
+        "safety": {
+            "cold_from": s.cold_from, "ramp_time_us": s.cold_for.0, "tip_multiple": s.fall_multiple,
+            "fall_us": s.fall_span.0, "order_pause_us": s.order_pause.0, "extra_free": budget.free,
+            "resend_ratio": budget.share, "budget_span_us": budget.span.0,
+        },
+    })
+    .to_string()
+}
+
+fn engine_name(n: usize) -> String {
+    format!("e{n}")
+}
+
+fn engine(n: usize) -> EngineId {
+    wheelfield_config::engine_id(&engine_name(n))
+}
+
+fn name_of(id: EngineId) -> String {
+    (0..8).map(engine_name).find(|n| wheelfield_config::engine_id(n) == id).expect("an engine of ours")
+}
+
+fn entry(n: usize, status: Status, started: Option<Micros>) -> EngineEntry {
+    EngineEntry { engine: engine(n), zone: n % 2, kind: n / 2 % 2, cell: n as i64, status, started }
+}
+
+/// What is to be told, by time; equal times in the order planned.
+#[derive(Default)]
+struct Agenda(BTreeMap<(i64, u64), Told>, u64);
+
+impl Agenda {
+    fn plan(&mut self, at: i64, told: Told) {
+        self.1 += 1;
+        self.0.insert((at, self.1), told);
+    }
+}
+
+/// A day drawn by seed, played by a wire in virtual time against the driver; what the module was told, and what was done.
+struct Day {
+    heard: Vec<(Micros, Event)>,
+    done: Vec<String>,
+    withdrawn: Vec<String>,
+    queries: usize,
+}
+
+fn play(path: &Path, seed: u64) -> Day {
+    let bounds = Bounds::default();
+    let mut driver = Driver::new(settings(), SEED, bounds);
+    let start = Start {
+        build: "test 0".into(),
+        index: 1,
+        seed: SEED,
+        settings: settings(),
+        bounds,
+        classes: (0..4).map(|i| format!("c{i}")).collect(),
+        tenants: vec!["t0".into(), "t1".into()],
+    };
+    let limits = Limits { queue: 1 << 16, ..Limits::default() };
+    let mut recorder = Recorder::begin(path, start, limits, &driver, Micros(0)).expect("a file");
+    driver.listen();
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut agenda = Agenda::default();
+    agenda.plan(MS, Told::Input(Input::Started));
+    let all = (0..6).map(|n| entry(n, Status::Up, None)).collect();
+    agenda.plan(2 * MS, Told::Input(Input::Engines { whole: true, entries: all }));
+    for n in 0..500i64 {
+        let at = 100 * MS + n * 11 * MS;
+        let class = rng.random_range(0..4);
+        let arrival = Arrival {
+            class,
+            tenant: rng.random_bool(0.5).then(|| rng.random_range(0..2)),
+            key: (class == 2).then(|| format!("key{}", rng.random_range(0..5))),
+            due: Micros(at + rng.random_range(500..3_000) * MS),
+            // In halves of a second's powers, as the wire tells microseconds.
+            work_hint: Some(rng.random_range(1..16) as f64 / 64.0),
+            memory_hint: rng.random_bool(0.5).then(|| rng.random_range(1..2_000) as f64),
+            tables: rng.random_range(0..6),
+        };
+        let id = QueryId(rng.random());
+        agenda.plan(at, Told::ArriveAs { id, arrival, label: format!("q{n}") });
+        if rng.random_bool(0.03) {
+            agenda.plan(at + 150 * MS, Told::Input(Input::Departed(id)));
+        }
+    }
+    let change = |e: EngineEntry| Told::Input(Input::Engines { whole: false, entries: vec![e] });
+    agenda.plan(1_500 * MS, change(entry(1, Status::Draining, None)));
+    agenda.plan(2_500 * MS, change(entry(1, Status::Removed, None)));
+    agenda.plan(2_600 * MS, change(entry(6, Status::Up, Some(Micros(2_600 * MS)))));
+    agenda.plan(3_000 * MS, Told::Input(Input::ListUnavailable));
+    agenda.plan(3_500 * MS, change(entry(2, Status::Up, Some(Micros(3_400 * MS)))));
+    agenda.plan(
+        4_000 * MS,
+        Told::Input(Input::Engines {
+            whole: true,
+            entries: [0, 2, 3, 4, 6].map(|n| entry(n, Status::Up, None)).to_vec(),
+        }),
+    );
+    let mut day = Day { heard: Vec::new(), done: Vec::new(), withdrawn: Vec::new(), queries: 0 };
+    loop {
+        let next = agenda.0.first_key_value().map(|((at, _), _)| *at);
+        let due = driver.next_due().map(|d| d.0);
+        let (at, told) = match (next, due) {
+            (_, Some(due)) if due > 12_000 * MS => break,
+            (None, None) => break,
+            (Some(at), due) if due.is_none_or(|d| at < d) => {
+                let Some((_, told)) = agenda.0.pop_first() else { break };
+                (at, told)
+            }
+            (_, due) => (due.unwrap_or_default(), Told::Due),
+        };
+        // A wire asks before it writes, and lets no answer through that is not wanted.
+        let idle = match &told {
+            Told::Input(Input::Dispatched(a)) => !driver.may_write(*a),
+            Told::Input(Input::Began(a)) => !driver.may_answer(*a),
+            Told::Input(Input::Ended { attempt, .. }) => !driver.is_out(*attempt),
+            _ => false,
+        };
+        if idle {
+            continue;
+        }
+        let now = Micros(at);
+        let mut out = Vec::new();
+        let taken = wheelfield_replay::feed(&mut driver, now, &told, &mut out);
+        day.queries += usize::from(taken.is_some());
+        if matches!(&told, Told::Input(Input::Engines { .. })) {
+            recorder.engines(now, (0..8).map(|n| (engine(n), engine_name(n))));
+        }
+        recorder.step(now, &told, taken, &out);
+        recorder.tend(&driver, now);
+        day.heard.extend(driver.heard().into_iter().map(|e| (now, e)));
+        for i in out {
+            answer(&mut rng, &mut agenda, at, &i);
+            match done(&i) {
+                Some((true, line)) => day.done.push(line),
+                Some((false, line)) => day.withdrawn.push(line),
+                None => {}
+            }
+        }
+    }
+    assert_eq!(recorder.end(Micros(12_000 * MS)).lost, 0);
+    day
+}
+
+/// How an attempt goes, by chance.
+fn answer(rng: &mut Pcg64Mcg, agenda: &mut Agenda, at: i64, instruction: &Instruction) {
+    let ends = |rng: &mut Pcg64Mcg, attempt, outcome| {
+        let report = Report { utilisation: Some(rng.random_range(0..64) as f64 / 32.0), ..Report::default() };
+        let billed_work = (outcome == Outcome::Served).then(|| rng.random_range(1..900) as f64 / 1e3);
+        Told::Input(Input::Ended { attempt, outcome, billed_work, report })
+    };
+    match instruction {
+        Instruction::Start { attempt, .. } => {
+            let a = *attempt;
+            agenda.plan(at + MS, Told::Input(Input::Dispatched(a)));
+            let takes = rng.random_range(5..900) * MS;
+            let odd = [Outcome::Error, Outcome::Full, Outcome::Reset, Outcome::ConnectFailed];
+            let outcome = odd.get(rng.random_range(0..20usize)).copied().unwrap_or(Outcome::Served);
+            // One in twelve is never heard of again, and comes to its limit.
+            if rng.random_bool(11.0 / 12.0) {
+                if takes > 300 * MS {
+                    let share = Note::Progress(rng.random_range(0..8) as f64 / 8.0);
+                    agenda.plan(at + takes / 2, Told::Input(Input::Noted(a, share)));
+                    if outcome == Outcome::Served {
+                        agenda.plan(at + takes - MS, Told::Input(Input::Began(a)));
+                    }
+                }
+                let told = ends(rng, a, outcome);
+                agenda.plan(at + takes, told);
+            }
+        }
+        // Half of the withdrawals are confirmed.
+        Instruction::Withdraw(a) if rng.random_bool(0.5) => {
+            let told = ends(rng, *a, Outcome::Cancelled);
+            agenda.plan(at + 10 * MS, told);
+        }
+        _ => {}
+    }
+}
+
+/// What was done, as the wire has it; false for what the driver does by itself, too.
+fn done(instruction: &Instruction) -> Option<(bool, String)> {
+    Some(match instruction {
+        Instruction::Start { attempt, engine, .. } => {
+            (true, format!("submit_to job={:016x} executor={}", attempt.query.0, name_of(*engine)))
+        }
+        Instruction::Withdraw(a) => (false, format!("revoke job={:016x} leg={}", a.query.0, a.number)),
+        Instruction::Answer(q, Answer::Refused { retry_after }) => {
+            (true, format!("reject job={:016x} backoff_us={}", q.0, retry_after.0))
+        }
+        Instruction::Answer(q, Answer::Failed { .. }) => (true, format!("respond_error job={:016x}", q.0)),
+        Instruction::Log(text) => (true, format!("write_log body_text={text}")),
+        Instruction::Subscribe => (true, "track want=1".into()),
+        _ => return None,
+    })
+}
+
+/// An event as a line of the wire.
+fn line(event: &Event, out: &mut String) {
+    let list = |mode: &str, entries: &[EngineEntry], out: &mut String| {
+        let _ = writeln!(out, "list bank=0 records={}", entries.len());
+        for e in entries {
+            let status = match e.status {
+                Status::Up => "up",
+                Status::Draining => "draining",
+                Status::Removed => "removed",
+            };
+            let (name, since) = (name_of(e.engine), e.started.unwrap_or_default().0);
+            let _ = writeln!(
+                out,
+                "entry executor={name} locality=z{} model=k{} bay={} readiness={status} up_since_us={since}",
+                e.zone, e.kind, e.cell
+            );
+        }
+        let _ = writeln!(out, "fleet mode={mode} version=1 bank=0");
+    };
+    let written = match event {
+        Event::Started => writeln!(out, "up rng_seed={SEED} env={}", env(&settings())),
+        Event::EngineList(entries) => return list("replace", entries, out),
+        Event::EngineChanges(entries) => return list("update", entries, out),
+        Event::ListUnavailable => writeln!(out, "fleet mode=unavailable"),
+        Event::Arrived(q) => {
+            let (job, due, tables) = (q.id.0, q.due.0, q.tables);
+            let _ =
+                write!(out, "query job={job:016x} tier_class=c{} due_us={due} data_group={tables}", q.class);
+            let _ = write!(out, " estimate_us={}", q.work_hint.unwrap_or(0.0) * 1e6);
+            let _ = write!(out, " footprint_mb={}", q.memory_hint.unwrap_or(0.0));
+            if let Some(tenant) = q.tenant {
+                let _ = write!(out, " realm=t{tenant}");
+            }
+            match &q.key {
+                Some(key) => writeln!(out, " relation={key}"),
+                None => writeln!(out),
+            }
+        }
+        Event::AnswerBegan(q) => writeln!(out, "first_byte job={:016x}", q.0),
+        Event::Noted { query, attempt, note: Note::Progress(x) } => {
+            writeln!(out, "change job={:016x} leg={attempt} sort=1 x={x}", query.0)
+        }
+        Event::Ended(e) => {
+            let code = match e.outcome {
+                Outcome::Served => "done",
+                Outcome::Error => "err",
+                Outcome::Full => "busy",
+                Outcome::TimedOut => "etimedout",
+                Outcome::ConnectFailed => "econnrefused",
+                Outcome::Reset => "econnreset",
+                Outcome::Cancelled => "ecanceled",
+                Outcome::Skipped => "skipped",
+            };
+            let used = e.billed_work.map_or(0, |w| (w * 1e3).round() as u64 * 4096 + 11);
+            let load = e.report.utilisation.map_or(String::new(), |u| format!(" health_info=cpu_share:{u}"));
+            let (job, leg, last, took) = (e.query.0, e.attempt, u8::from(e.last), e.took.0);
+            writeln!(
+                out,
+                "done job={job:016x} leg={leg} code={code} last={last} rtt_us={took} used_up={used}{load}"
+            )
+        }
+        Event::Departed(q) => writeln!(out, "expired job={:016x}", q.0),
+        Event::TimerDue(token) => writeln!(out, "tick_due handle={token}"),
+        other => panic!("this day has none of these: {other:?}"),
+    };
+    assert!(written.is_ok());
+}
+
+/// The adapter's replies to a day, line by line.
+fn adapter(heard: &[(Micros, Event)], args: &[&str]) -> Vec<String> {
+    let mut input = String::new();
+    for (at, event) in heard {
+        let _ = writeln!(input, "batch sim_time_us={}\nfor controller=1", at.0);
+        line(event, &mut input);
+        input.push_str("flush\n");
+    }
+    let mut child = Command::new(env!("CARGO_BIN_EXE_wheelfield-wirehost"))
+        .args(args)
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("the adapter starts");
+    let mut stdin = child.stdin.take().expect("piped");
+    let writer = std::thread::spawn(move || stdin.write_all(input.as_bytes()));
+    let output = child.wait_with_output().expect("it ends with its input");
+    writer.join().expect("written").expect("read to the end");
+    assert!(output.status.success());
+    String::from_utf8(output.stdout).expect("text").lines().map(str::to_string).collect()
+}
+
+fn without_limits(line: &str) -> String {
+    line.split(" try_for_us=").next().unwrap_or(line).to_string()
+}
+
+#[test]
+fn driver_replay_check_and_adapter_decide_alike() {
+    let mut kinds: BTreeMap<String, usize> = BTreeMap::new();
+    for seed in 0..6 {
+        let dir = tempfile::tempdir().expect("a directory");
+        let path = dir.path().join("one.wfcap");
+        let day = play(&path, seed);
+        // The replay, of the capture.
+        let verdict = wheelfield_replay::run(&path, wheelfield_replay::Options::default()).expect("whole");
+        assert!(verdict.equal(), "seed {seed}: {:?}", verdict.difference);
+        // The check: the rules kept, and the same queries.
+        let checked = wheelfield_check::check(&[path], 0).expect("whole");
+        assert!(checked.breaches.is_empty(), "seed {seed}: {:?}", checked.breaches);
+        assert_eq!(checked.queries + checked.open, day.queries, "seed {seed}");
+        // The adapter, on its wire.
+        let replies = adapter(&day.heard, &[]);
+        let of = |words: &[&str]| -> Vec<String> {
+            let wanted = |l: &&String| words.iter().any(|w| l.starts_with(w));
+            replies.iter().filter(wanted).map(|l| without_limits(l)).collect()
+        };
+        let done = of(&["submit_to ", "reject ", "respond_error ", "write_log ", "track "]);
+        let first = done.iter().zip(&day.done).position(|(a, b)| a != b);
+        assert_eq!((first, done.len()), (None, day.done.len()), "seed {seed}");
+        for line in of(&["revoke "]) {
+            assert!(day.withdrawn.contains(&line), "seed {seed}: {line}");
+        }
+        for line in done {
+            let word = line.split(' ').next().unwrap_or_default().to_string();
+            *kinds.entry(word).or_default() += 1;
+        }
+        // Its recording mode changes nothing of it.
+        let dir = tempfile::tempdir().expect("a directory");
+        let folder = dir.path().to_string_lossy().into_owned();
+        assert_eq!(adapter(&day.heard, &["--capture", &folder]), replies, "seed {seed}");
+    }
+    // The days had something to decide.
+    for word in ["submit_to", "reject", "respond_error", "write_log", "track"] {
+        assert!(kinds.get(word).is_some_and(|n| *n > 0), "no {word} in {kinds:?}");
+    }
+    assert!(kinds["submit_to"] > 1_000, "{kinds:?}");
+}
+
+#[test]
+fn a_difference_would_show() {
+    let dir = tempfile::tempdir().expect("a directory");
+    let mut day = play(&dir.path().join("one.wfcap"), 0);
+    // That an engine drains is told to the driver and not to the adapter.
+    let change = day.heard.iter().position(|(_, e)| matches!(e, Event::EngineChanges(_)));
+    day.heard.remove(change.expect("there is one"));
+    let replies = adapter(&day.heard, &[]);
+    let sends: Vec<String> =
+        replies.iter().filter(|l| l.starts_with("submit_to ")).map(|l| without_limits(l)).collect();
+    let driven: Vec<&String> = day.done.iter().filter(|l| l.starts_with("submit_to ")).collect();
+    assert!(sends.iter().ne(driven), "the adapter goes on sending there");
+}
