--- a/crates/replay/src/main.rs
+++ b/crates/replay/src/main.rs
@@ -6,7 +6,7 @@
 use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use wheelfield::interface::{EngineId, Micros, QueryId, Report, Status};
+use wheelfield::interface::{EngineId, Micros, QueryId, Report, Settings, Status};
 use wheelfield_capture::{Reader, Told};
 use wheelfield_driver::{Input, Instruction};
 use wheelfield_replay::words::{self, Names};
@@ -71,12 +71,13 @@
         #[arg(long)]
         replayed: bool,
     },
-    /// Which decisions another build takes otherwise: a table by kind, class and engine, and the list.
+    /// Which decisions another build takes otherwise, or this one under another configuration: a table by kind, class and
+    /// engine, and the list.
     Diff {
         /// The capture.
         file: PathBuf,
-        /// The other build's wheelfield-replay.
-        #[arg(long, value_name = "PROGRAM")]
+        /// The other build's wheelfield-replay, or a controller's configuration (ending in .toml).
+        #[arg(long, value_name = "PROGRAM|CONFIG")]
         against: PathBuf,
         /// Decisions shown one by one.
         #[arg(long, value_name = "N", default_value_t = 20)]
@@ -405,7 +406,6 @@
 }
 
 fn what_if(file: &Path, set: &[String], most: usize) -> Result<()> {
-    let names = all_names(file)?;
     // A wrong key is told before anything is replayed.
     let mut player = Player::open(file, Options::default())?;
     player.feed()?;
@@ -414,7 +414,13 @@
         let (key, value) = pair.split_once('=').with_context(|| format!("`{pair}`: write KEY=VALUE"))?;
         settings = shadow::alter(&settings, key, value).map_err(anyhow::Error::msg)?;
     }
-    let comparison = shadow::compare(file, |_| settings.clone())?;
+    other_settings(file, |_| settings.clone(), most).map(|_| ())
+}
+
+/// Shows which arriving queries are decided otherwise under other settings; true if none is.
+fn other_settings(file: &Path, alter: impl Fn(&Settings) -> Settings, most: usize) -> Result<bool> {
+    let names = all_names(file)?;
+    let comparison = shadow::compare(file, alter)?;
     println!(
         "{} of {} arriving queries are decided otherwise",
         comparison.altered.len(),
@@ -435,7 +441,7 @@
             a.now
         );
     }
-    Ok(())
+    Ok(comparison.altered.is_empty())
 }
 
 fn stats(file: &Path) -> Result<()> {
@@ -505,6 +511,12 @@
 /// Another build is asked for its answers, and they are held against this one's.
 fn diff(file: &Path, against: &Path, most: usize) -> Result<bool> {
     use std::io::BufRead;
+    if against.extension().is_some_and(|e| e == "toml") {
+        let text =
+            std::fs::read_to_string(against).with_context(|| format!("cannot read {}", against.display()))?;
+        let config = wheelfield_config::parse(&against.display().to_string(), &text)?;
+        return other_settings(file, |_| config.settings.clone(), most);
+    }
     let names = all_names(file)?;
     let mut child = std::process::Command::new(against)
         .args(["export", "--replayed"])
--- a/crates/replay/tests/captures.rs
+++ b/crates/replay/tests/captures.rs
@@ -410,3 +410,65 @@
         let _ = read(&path);
     }
 }
+
+#[test]
+fn a_clock_that_jumps_an_hour_either_way_replays_alike() {
+    // The controller's clock never runs backwards; whatever it were to tell, the capture holds it and a replay is told it.
+    for jump in [3_600_000_000, -3_600_000_000] {
+        let dir = folder();
+        let path = dir.path().join("a.wfcap");
+        let mut scene = Scene::at(&path, small());
+        scene.now = Micros(7_200_000_000);
+        scene.play(2_000);
+        scene.now = scene.now + Micros(jump);
+        scene.play(2_000);
+        let (state, steps) = scene.end();
+        assert_eq!(state.lost, 0);
+        let verdict = run(&path, Options::default()).expect("whole");
+        assert!(verdict.equal() && verdict.steps == steps, "{jump}: {verdict:?}");
+    }
+}
+
+/// The program on a capture; whether it ended well, and what it wrote.
+fn program(args: &[&std::ffi::OsStr]) -> (Option<i32>, String) {
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_wheelfield-replay"))
+        .args(args)
+        .output()
+        .expect("the program starts");
+    (output.status.code(), String::from_utf8_lossy(&output.stdout).into_owned())
+}
+
+#[test]
+fn another_configuration_is_a_side_to_compare_with() {
+    let dir = folder();
+    let path = dir.path().join("a.wfcap");
+    let mut scene = Scene::at(&path, Limits::default());
+    scene.play(4_000);
+    scene.end();
+    let config = dir.path().join("other.toml");
+    let text = |cores: u32| {
+        format!(
+            "listen = \"127.0.0.1:0\"\n[fleet]\nzones = [\"a\"]\n[[fleet.kinds]]\nname = \"std\"\ncores = {cores}\n\
+             memory = \"1GB\"\n[[classes]]\nname = \"fast\"\naim = \"1s\"\ndeadline = \"5s\"\neffect = \"repeatable\"\n\
+             [[classes]]\nname = \"load\"\naim = \"1s\"\ndeadline = \"5s\"\neffect = \"once\"\n\
+             [[engines]]\nid = \"e\"\naddress = \"127.0.0.1:1\"\nzone = \"a\"\nkind = \"std\"\n"
+        )
+    };
+    std::fs::write(&config, text(64)).expect("a file");
+    let os = |s: &'static str| std::ffi::OsStr::new(s);
+    let (code, told) = program(&[os("diff"), path.as_os_str(), os("--against"), config.as_os_str()]);
+    assert_eq!(code, Some(1), "{told}");
+    assert!(told.contains("are decided otherwise") && told.contains("Refused"), "{told}");
+    let (code, told) = program(&[os("what-if"), path.as_os_str(), os("--set"), os("cores.0=4.0")]);
+    assert_eq!(code, Some(0), "{told}");
+    assert!(told.starts_with("0 of 800 "), "{told}");
+}
+
+#[test]
+fn captures_of_the_first_version_are_read() {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/troubles");
+    let bytes = std::fs::read(Path::new(folder).join("crash.wfcap")).expect("a capture");
+    assert_eq!(bytes[6..8], [0, 1], "written by the first version");
+    let verdict = run(&Path::new(folder).join("crash.wfcap"), Options::default()).expect("readable");
+    assert!(verdict.equal() && verdict.steps == 795, "{verdict:?}");
+}
