members: engine sets as files, taken whole or not at all; figures of captures

Operators change engine lists by files while 180 controllers run, and a torn or mistyped file must not empty the fleet. Fresh engines without a last start are told as started now. A registry's older list is refused.

--- a/crates/controller/src/app.rs
+++ b/crates/controller/src/app.rs
@@ -1,7 +1,6 @@
 //! The loop, the clients, and the carrying out of instructions.
 
 use crate::links::{Canceller, Link, Pool};
-use crate::list::{Change, Engines};
 use crate::plant::Plant;
 use crate::route;
 use crate::side::{AdminCall, Peering, RegistryCall};
@@ -19,6 +18,7 @@
 use wheelfield_capture::{Recorder, Start, Told};
 use wheelfield_config::Config;
 use wheelfield_driver::{Answer, AttemptId, Bounds, Driver, Input, Instruction, Terms};
+use wheelfield_members::tracker::{Change, Engines};
 use wheelfield_net::{listen, Clock, Stream, TimerKey, Timers};
 use wheelfield_pg::back::Trouble;
 use wheelfield_pg::client::{self, Ask, Session, Unit};
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -7,7 +7,6 @@
 
 pub mod app;
 mod links;
-pub mod list;
 pub mod peers;
 pub mod plant;
 pub mod route;
--- a/crates/controller/src/side.rs
+++ b/crates/controller/src/side.rs
@@ -1,7 +1,6 @@
 //! Beside the main protocol: the registry, the other controllers, and what operators ask over HTTP.
 
 use crate::app::{App, Wake, ADMIN_CALL, PEERS, REGISTRY};
-use crate::list;
 use crate::peers::{Dropped, Listener, Speaker, LONGEST};
 use anyhow::{Context, Result};
 use mio::net::UdpSocket;
@@ -113,13 +112,15 @@
         let Some(stream) = &mut self.registry.stream else { return };
         let result = match stream.connected() {
             Ok(false) => return,
-            Ok(true) => stream.flush().and_then(|_| stream.fill(list::LONGEST, &mut self.scratch)),
+            Ok(true) => {
+                stream.flush().and_then(|_| stream.fill(wheelfield_members::LONGEST, &mut self.scratch))
+            }
             Err(fault) => Err(fault),
         };
         if let Err(fault) = result {
             return self.registry_failed(&fault.to_string());
         }
-        let response = match http::take_response(&mut stream.input, list::LONGEST) {
+        let response = match http::take_response(&mut stream.input, wheelfield_members::LONGEST) {
             Ok(Some(response)) => response,
             Ok(None) if stream.ended() => return self.registry_failed("the registry closed the connection"),
             Ok(None) => return,
@@ -296,7 +297,7 @@
     fn status(&self) -> serde_json::Value {
         let figures: serde_json::Map<String, serde_json::Value> =
             self.figures().into_iter().map(|(name, value)| (name.to_string(), json!(value))).collect();
-        let engine = |k: &list::Known| json!({"id": k.name, "address": k.address.to_string(), "status": format!("{:?}", k.entry.status).to_lowercase()});
+        let engine = |k: &wheelfield_members::Known| json!({"id": k.name, "address": k.address.to_string(), "status": format!("{:?}", k.entry.status).to_lowercase()});
         let engines: Vec<serde_json::Value> = self.engines.known().values().map(engine).collect();
         json!({"figures": figures, "engines": engines, "listed": !self.registry.silent})
     }
--- a/crates/controller/src/list.rs
+++ b/crates/members/src/tracker.rs
@@ -1,16 +1,12 @@
-//! The engine list as a registry tells it, and what has changed since the last. No I/O.
+//! What the module is told of a new set: the first whole, later ones by what changed. And a set as a registry tells it.
 
+use crate::{EngineSet, Known, MOST};
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use wheelfield::interface::{EngineEntry, EngineId, Micros, Status};
 use wheelfield_config::{engine_id, Config, EngineAt, Names};
 
-/// Bytes of a list at most.
-pub const LONGEST: usize = 4 << 20;
-/// Engines of a list at most.
-pub const MOST: usize = 10_000;
-
 #[derive(Deserialize)]
 struct List {
     version: u64,
@@ -55,17 +51,9 @@
     /// Two lines for one engine.
     #[error("engine `{0}` is listed twice")]
     Twice(String),
-}
-
-/// An engine as it is known.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Known {
-    /// Its name.
-    pub name: String,
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// What the module is told.
-    pub entry: EngineEntry,
+    /// A registry that fell behind itself.
+    #[error("version {0} of the list, and {1} is in force: an old list came back")]
+    Older(u64, u64),
 }
 
 /// The list as it was last told.
@@ -106,34 +94,31 @@
     /// # Errors
     /// [`ListError`]; nothing of it was taken then.
     pub fn take(&mut self, body: &[u8], names: &Names) -> Result<Change, ListError> {
-        let list: List = serde_json::from_slice(body)?;
-        if list.engines.len() > MOST {
-            return Err(ListError::TooMany(list.engines.len()));
+        let set = from_registry(body, names)?;
+        if set.version < self.version {
+            return Err(ListError::Older(set.version, self.version));
         }
-        let mut fresh = BTreeMap::new();
-        let position = |all: &[String], name: &str| all.iter().position(|n| n == name).unwrap_or(usize::MAX);
-        for line in list.engines {
-            let address = line.address.parse::<SocketAddr>().ok().filter(|a| a.ip().is_loopback());
-            let Some(address) = address else { return Err(ListError::Address(line.id, line.address)) };
-            let engine = engine_id(&line.id);
-            let entry = EngineEntry {
-                engine,
-                zone: position(&names.zones, &line.zone),
-                kind: position(&names.kinds, &line.kind),
-                cell: line.cell,
-                status: match line.status {
-                    Standing::Up => Status::Up,
-                    Standing::Draining => Status::Draining,
-                    Standing::Removed => Status::Removed,
-                },
-                started: line.started_us.map(Micros),
+        Ok(self.set(set))
+    }
+
+    /// Takes a set as it is.
+    pub fn set(&mut self, set: EngineSet) -> Change {
+        self.version = set.version;
+        self.replace(set.engines)
+    }
+
+    /// Takes a set of files. What was not there before, or was gone, and does not tell its last start, starts now: it
+    /// may be cold, and all controllers take it for that.
+    pub fn set_from_files(&mut self, mut set: EngineSet, now: Micros) -> Change {
+        for (id, k) in set.engines.iter_mut().filter(|(_, k)| k.entry.started.is_none()) {
+            let old = self.known.get(id);
+            k.entry.started = match old {
+                Some(old) if old.entry.status != Status::Removed => old.entry.started,
+                _ if !self.told => None,
+                _ => Some(now),
             };
-            if let Some(twice) = fresh.insert(engine, Known { name: line.id, address, entry }) {
-                return Err(ListError::Twice(twice.name));
-            }
         }
-        self.version = list.version;
-        Ok(self.replace(fresh))
+        self.set(set)
     }
 
     /// Takes the engines that the configuration itself names.
@@ -169,6 +154,40 @@
     }
 }
 
+/// Reads a list as a registry tells it.
+///
+/// # Errors
+/// [`ListError`].
+pub fn from_registry(body: &[u8], names: &Names) -> Result<EngineSet, ListError> {
+    let list: List = serde_json::from_slice(body)?;
+    if list.engines.len() > MOST {
+        return Err(ListError::TooMany(list.engines.len()));
+    }
+    let mut engines = BTreeMap::new();
+    let position = |all: &[String], name: &str| all.iter().position(|n| n == name).unwrap_or(usize::MAX);
+    for line in list.engines {
+        let address = line.address.parse::<SocketAddr>().ok().filter(|a| a.ip().is_loopback());
+        let Some(address) = address else { return Err(ListError::Address(line.id, line.address)) };
+        let engine = engine_id(&line.id);
+        let entry = EngineEntry {
+            engine,
+            zone: position(&names.zones, &line.zone),
+            kind: position(&names.kinds, &line.kind),
+            cell: line.cell,
+            status: match line.status {
+                Standing::Up => Status::Up,
+                Standing::Draining => Status::Draining,
+                Standing::Removed => Status::Removed,
+            },
+            started: line.started_us.map(Micros),
+        };
+        if let Some(twice) = engines.insert(engine, Known { name: line.id, address, entry }) {
+            return Err(ListError::Twice(twice.name));
+        }
+    }
+    Ok(EngineSet { version: list.version, engines })
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/replay/src/main.rs
+++ b/crates/replay/src/main.rs
@@ -527,7 +527,8 @@
     let stdout = child.stdout.take().context("no standard output")?;
     let mut theirs = std::io::BufReader::new(stdout).lines();
     let mut player = Player::open(file, Options { over_gaps: true, from: None })?;
-    let mut table: BTreeMap<(String, String, String), u64> = BTreeMap::new();
+    // Here only, and there only.
+    let mut table: BTreeMap<(String, String, String), (u64, u64)> = BTreeMap::new();
     let (mut steps, mut altered, mut classes) = (0u64, 0u64, BTreeMap::new());
     while let Some((step, taken, out)) = player.feed()? {
         let line = theirs.next().context("the other build stopped early")??;
@@ -557,7 +558,8 @@
                 _ => ("other".to_string(), "-".to_string(), "-".to_string()),
             }
         };
-        out.iter().filter(|i| !other.contains(i)).for_each(|i| *table.entry(kind(i)).or_default() += 1);
+        out.iter().filter(|i| !other.contains(i)).for_each(|i| table.entry(kind(i)).or_default().0 += 1);
+        other.iter().filter(|i| !out.contains(i)).for_each(|i| table.entry(kind(i)).or_default().1 += 1);
         if altered <= most as u64 {
             println!("step {}: {}", step.number, words::told(&step, &names));
             out.iter().for_each(|i| println!("  here  {}", words::answered(i, &names)));
@@ -567,8 +569,10 @@
     child.wait()?;
     println!("{altered} of {steps} steps are answered otherwise");
     if altered > 0 {
-        println!("{:<12} {:<16} {:<14} {:>8}", "kind", "class", "engine", "here only");
-        table.iter().for_each(|((k, c, e), n)| println!("{k:<12} {c:<16} {e:<14} {n:>8}"));
+        println!("{:<12} {:<16} {:<14} {:>9} {:>10}", "kind", "class", "engine", "here only", "there only");
+        for ((k, c, e), (here, there)) in &table {
+            println!("{k:<12} {c:<16} {e:<14} {here:>9} {there:>10}");
+        }
     }
     Ok(altered == 0)
 }
