Watched engine files: [members] in the controller and wheelfield-members

A thread of its own hears of changes (notify) and polls, reads files, directories and patterns, hands whole sets to the controller, and keeps the set in force durably for a start without a good file, whose age is told. Faults and contradictions with a registry stand in the log and in /status. wheelfield-members checks, compares, formats, applies under a lock with the version expected, and shows which controllers are behind.

--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -31,6 +31,8 @@
     pub engines: Vec<EngineAt>,
     /// Where the engine list is kept, if elsewhere.
     pub registry: Option<Registry>,
+    /// Files in which it is kept, if so.
+    pub members: Option<Members>,
     /// The other controllers.
     pub peers: Option<Peers>,
     /// Where all that the driver is told and answers is recorded, if at all.
@@ -124,6 +126,27 @@
     pub addresses: Vec<SocketAddr>,
 }
 
+/// Files of engines that are watched.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Members {
+    /// Files, directories, and patterns with `*` in their last part.
+    pub files: Vec<std::path::PathBuf>,
+    /// Where the set in force is kept, for a start without a good file.
+    pub last_good: Option<std::path::PathBuf>,
+    /// Files must have stood still for so long.
+    pub settle: Micros,
+    /// They are read so often, whatever the system tells of changes.
+    pub poll: Micros,
+    /// At most this share of the capacity goes at once without a word.
+    pub most_lost: f64,
+    /// A set that takes away more is taken after so long; none: when its file says that it is confirmed.
+    pub hold: Option<Micros>,
+    /// An id may come back at another address only so long after it was gone.
+    pub reuse_after: Micros,
+    /// A registry beside that was not heard for so long says nothing.
+    pub registry_age: Micros,
+}
+
 /// How a controller records what its driver is told and answers.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Capture {
@@ -397,6 +420,41 @@
         })
     }
 
+    fn members(&self, m: &file::Members) -> Checked<Members> {
+        let time = |at: &Option<Spanned<Time>>, usual: i64, what: &str| match at {
+            None => Ok(Micros(usual)),
+            Some(at) => self.some(at, what),
+        };
+        if m.files.get_ref().is_empty() {
+            return Err(self.wrong(&m.files, "no file of engines is named", "name one, or a pattern"));
+        }
+        for file in m.files.get_ref() {
+            let (dir, name) = file.get_ref().rsplit_once('/').unwrap_or(("", file.get_ref()));
+            if dir.contains('*') || name.is_empty() {
+                let fault = format!("`{}` is no file, directory or pattern", file.get_ref());
+                return Err(self.wrong(file, fault, "write * in the last part alone, and no / at the end"));
+            }
+        }
+        let most_lost = match &m.most_lost {
+            None => 0.5,
+            Some(at) if (0.0..=1.0).contains(at.get_ref()) => *at.get_ref(),
+            Some(at) => {
+                let fault = format!("{} is no share", at.get_ref());
+                return Err(self.wrong(at, fault, "write one from 0 to 1"));
+            }
+        };
+        Ok(Members {
+            files: m.files.get_ref().iter().map(|f| f.get_ref().into()).collect(),
+            last_good: m.last_good.as_ref().map(|f| f.get_ref().into()),
+            settle: time(&m.settle, 100_000, "settle")?,
+            poll: time(&m.poll, 5_000_000, "poll")?,
+            most_lost,
+            hold: m.hold.as_ref().map(|at| self.some(at, "hold")).transpose()?,
+            reuse_after: time(&m.reuse_after, 600_000_000, "reuse_after")?,
+            registry_age: time(&m.registry_age, 60_000_000, "registry_age")?,
+        })
+    }
+
     fn capture(&self, c: &file::Capture) -> Checked<Option<Capture>> {
         let size = |at: &Option<Spanned<crate::units::Size>>, usual: u64| match at {
             None => Ok(usual),
@@ -624,11 +682,16 @@
         let mend = "keep either [registry] or [[engines]]";
         return Err(c.wrong(at, "engines are named here and kept in a registry too", mend));
     }
-    if registry.is_none() && engines.is_empty() {
+    let members = file.members.as_ref().map(|at| c.members(at.get_ref())).transpose()?;
+    if let Some(at) = file.members.as_ref().filter(|_| !engines.is_empty()) {
+        let mend = "keep either [members] or [[engines]]";
+        return Err(c.wrong(at, "engines are named here and kept in files too", mend));
+    }
+    if registry.is_none() && members.is_none() && engines.is_empty() {
         return Err(c.wrong(
             &file.fleet,
-            "no engine and no registry is named",
-            "add [registry] or [[engines]]",
+            "no engine, no file of engines and no registry is named",
+            "add [members], [registry] or [[engines]]",
         ));
     }
     let peers = file.peers.as_ref().map(|at| {
@@ -664,6 +727,7 @@
         route: Route { default_class, describe_class, selectors },
         engines,
         registry,
+        members,
         peers,
         capture: file.capture.as_ref().map(|at| c.capture(at.get_ref())).transpose()?.flatten(),
         limits: c.limits(&file.limits)?,
--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -30,6 +30,7 @@
     #[serde(default)]
     pub engines: Vec<At<Engine>>,
     pub registry: Option<At<Registry>>,
+    pub members: Option<At<Members>>,
     pub peers: Option<At<Peers>>,
     pub capture: Option<At<Capture>>,
     #[serde(default)]
@@ -314,3 +315,16 @@
     pub after: Option<At<Time>>,
     pub rest: Option<At<Time>>,
 }
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Members {
+    pub files: At<Vec<At<String>>>,
+    pub last_good: Option<At<String>>,
+    pub settle: Option<At<Time>>,
+    pub poll: Option<At<Time>>,
+    pub most_lost: Option<At<f64>>,
+    pub hold: Option<At<Time>>,
+    pub reuse_after: Option<At<Time>>,
+    pub registry_age: Option<At<Time>>,
+}
--- a/crates/controller/src/app.rs
+++ b/crates/controller/src/app.rs
@@ -1,6 +1,7 @@
 //! The loop, the clients, and the carrying out of instructions.
 
 use crate::links::{Canceller, Link, Pool};
+use crate::members::Members;
 use crate::plant::Plant;
 use crate::route;
 use crate::side::{AdminCall, Peering, RegistryCall};
@@ -37,6 +38,8 @@
 pub(crate) const SIGNAL: Token = Token(2);
 /// An operator wants the capture that is held in memory.
 pub(crate) const KEEP: Token = Token(5);
+/// There is word of the engine files.
+pub(crate) const MEMBERS: Token = Token(6);
 pub(crate) const REGISTRY: Token = Token(3);
 pub(crate) const PEERS: Token = Token(4);
 const KIND: usize = 40;
@@ -110,6 +113,8 @@
     pub cancels: u64,
     pub datagrams_dropped: u64,
     pub lists_refused: u64,
+    pub lists_held: u64,
+    pub lists_not_kept: u64,
     pub probes_answered: u64,
     pub probes_lost: u64,
 }
@@ -140,6 +145,7 @@
     next_pid: i32,
     pub(crate) engines: Engines,
     pub(crate) registry: RegistryCall,
+    pub(crate) members: Option<Members>,
     pub(crate) peering: Option<Peering>,
     pub(crate) timers: Timers<Wake>,
     instructions: VecDeque<Instruction>,
@@ -176,6 +182,7 @@
         let driver = Driver::new(config.settings.clone(), seed, bounds);
         let recorder = begin_capture(&config, seed, bounds, &driver, clock.now())?;
         let peering = Peering::open(&config, clock.now(), poll.registry())?;
+        let members = Members::open(&config, clock, poll.registry())?;
         Ok(App {
             now: clock.now(),
             clock,
@@ -197,6 +204,7 @@
             next_pid: 0,
             engines: Engines::default(),
             registry: RegistryCall::default(),
+            members,
             peering,
             timers: Timers::default(),
             instructions: VecDeque::new(),
@@ -278,10 +286,13 @@
     pub fn run(&mut self) -> Result<()> {
         let mut events = Events::with_capacity(4096);
         self.tell(Input::Started);
-        if self.config.registry.is_none() {
+        if self.members.is_some() {
+            self.first_members();
+        }
+        if self.config.registry.is_none() && self.members.is_none() {
             let change = self.engines.fixed(&self.config);
             self.engines_changed(change);
-        } else if !self.config.settings.subscribe {
+        } else if self.config.registry.is_some() && !self.config.settings.subscribe {
             self.ask_registry();
         }
         self.timers.set(self.now + 1_000_000, Wake::Sweep);
@@ -322,6 +333,7 @@
             SIGNAL => self.stop(),
             KEEP => self.keep_capture(),
             REGISTRY => self.on_registry(event),
+            MEMBERS => self.on_members(),
             PEERS => self.hear_peers(),
             _ => match token >> KIND {
                 1 => {
@@ -384,6 +396,7 @@
                 Wake::Sweep => {
                     self.timers.set(self.now + 1_000_000, Wake::Sweep);
                     self.close_idle();
+                    self.age_registry();
                     if let Some(recorder) = &mut self.recorder {
                         recorder.tend(&self.driver, Micros(self.now));
                     }
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod app;
 mod links;
+mod members;
 pub mod peers;
 pub mod plant;
 pub mod route;
--- a/crates/controller/src/side.rs
+++ b/crates/controller/src/side.rs
@@ -13,6 +13,7 @@
 use wheelfield::interface::Word;
 use wheelfield_config::{Config, Refresh};
 use wheelfield_driver::Input;
+use wheelfield_members::tracker::from_registry;
 use wheelfield_net::{connect, datagrams, http, Stream, TimerKey};
 
 /// A call that waits at the registry is answered after so long, changed or not.
@@ -84,7 +85,7 @@
         let wait = if watch { WATCH_MS } else { 0 };
         let path = format!(
             "/engines?since={}&wait_ms={wait}&who={}",
-            self.engines.version(),
+            self.registry_version(),
             self.config.settings.index
         );
         if let Some(stream) = &mut self.registry.stream {
@@ -130,8 +131,14 @@
             return self.registry_failed(&format!("the registry answers {}", response.status));
         }
         self.registry.silent = false;
-        match self.engines.take(&response.body, &self.config.names) {
-            Ok(change) => self.engines_changed(change),
+        let told = from_registry(&response.body, &self.config.names, self.registry_version());
+        match told {
+            Ok(set) => {
+                if !self.note_registry(&set) {
+                    let change = self.engines.set(set);
+                    self.engines_changed(change);
+                }
+            }
             Err(fault) => {
                 self.counts.lists_refused += 1;
                 warn!(%fault, "a list of engines was refused; the last one stays");
@@ -289,6 +296,8 @@
             ("hints_ignored", c.hints_ignored),
             ("messages_dropped", c.datagrams_dropped),
             ("lists_refused", c.lists_refused),
+            ("lists_held", c.lists_held),
+            ("lists_not_kept", c.lists_not_kept),
             ("probes_answered", c.probes_answered),
             ("probes_lost", c.probes_lost),
         ]
@@ -299,7 +308,7 @@
             self.figures().into_iter().map(|(name, value)| (name.to_string(), json!(value))).collect();
         let engine = |k: &wheelfield_members::Known| json!({"id": k.name, "address": k.address.to_string(), "status": format!("{:?}", k.entry.status).to_lowercase()});
         let engines: Vec<serde_json::Value> = self.engines.known().values().map(engine).collect();
-        json!({"figures": figures, "engines": engines, "listed": !self.registry.silent})
+        json!({"figures": figures, "engines": engines, "listed": !self.registry.silent, "members": self.members_status()})
     }
 
     fn metrics(&self) -> String {
--- a/crates/members/src/tracker.rs
+++ b/crates/members/src/tracker.rs
@@ -94,10 +94,7 @@
     /// # Errors
     /// [`ListError`]; nothing of it was taken then.
     pub fn take(&mut self, body: &[u8], names: &Names) -> Result<Change, ListError> {
-        let set = from_registry(body, names)?;
-        if set.version < self.version {
-            return Err(ListError::Older(set.version, self.version));
-        }
+        let set = from_registry(body, names, self.version)?;
         Ok(self.set(set))
     }
 
@@ -154,12 +151,15 @@
     }
 }
 
-/// Reads a list as a registry tells it.
+/// Reads a list as a registry tells it, where one of version `in_force` was told before.
 ///
 /// # Errors
 /// [`ListError`].
-pub fn from_registry(body: &[u8], names: &Names) -> Result<EngineSet, ListError> {
+pub fn from_registry(body: &[u8], names: &Names, in_force: u64) -> Result<EngineSet, ListError> {
     let list: List = serde_json::from_slice(body)?;
+    if list.version < in_force {
+        return Err(ListError::Older(list.version, in_force));
+    }
     if list.engines.len() > MOST {
         return Err(ListError::TooMany(list.engines.len()));
     }
--- a/crates/replay/examples/fuzz_reader.rs
+++ b/crates/replay/examples/fuzz_reader.rs
@@ -115,7 +115,11 @@
 
 fn first_words(fault: &str) -> String {
     let what = fault.split(": ").nth(1).unwrap_or(fault);
-    what.split(' ').filter(|w| w.trim_end_matches(';').parse::<u64>().is_err()).take(9).collect::<Vec<_>>().join(" ")
+    what.split(' ')
+        .filter(|w| w.trim_end_matches(';').parse::<u64>().is_err())
+        .take(9)
+        .collect::<Vec<_>>()
+        .join(" ")
 }
 
 /// The most memory this process had, as the system tells.
--- /dev/null
+++ b/crates/watch/src/lib.rs
@@ -0,0 +1,230 @@
+//! Engine files on the disk.
+//!
+//! A thread of its own looks at them when the system tells of a change, and now and then in any case, as such word gets
+//! lost. It owns the [`Keeper`], which decides what is taken; a set in force is kept durably beside. Whoever asked hears
+//! [`News`] through a channel, and by a byte on a stream that it can poll. A disk that hangs holds up only this thread.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod disk;
+
+use disk::Place;
+use notify::{RecommendedWatcher, RecursiveMode, Watcher};
+use std::io::Write;
+use std::os::unix::net::UnixStream;
+use std::path::PathBuf;
+use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, Sender};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use wheelfield::interface::Micros;
+use wheelfield_config::Fault;
+use wheelfield_members::file::Places;
+use wheelfield_members::keeper::{Keeper, Policy, Verdict};
+use wheelfield_members::EngineSet;
+use wheelfield_net::Clock;
+
+/// What is watched, and how.
+#[derive(Clone, Debug)]
+pub struct Watch {
+    /// Files, directories (all of `*.toml` in them) and patterns with `*` in the last part.
+    pub places: Vec<Place>,
+    /// They are read so often, whatever the system tells of changes.
+    pub poll: Micros,
+    /// What is asked of a candidate.
+    pub policy: Policy,
+    /// Zones, kinds and cores.
+    pub names: Places,
+    /// Where the set in force is kept, for a start without a good file.
+    pub last_good: Option<PathBuf>,
+}
+
+/// What there is to tell.
+#[derive(Clone, Debug, PartialEq)]
+pub enum News {
+    /// A set is in force now.
+    Set(Arc<EngineSet>),
+    /// The set that was kept is in force, as there is no better one; so old it is.
+    Kept(Arc<EngineSet>, Micros),
+    /// The set that was kept can't be used.
+    KeptBad(String),
+    /// What the files hold is not taken; the set in force stays.
+    Refused(Fault),
+    /// It is sound, but would take away too much; until when it is held, if it is taken then.
+    Held(String, Option<Micros>),
+    /// The files hold again what is in force.
+    Fine,
+    /// The set in force could not be kept.
+    NotKept(String),
+    /// The system tells of no changes; there is the poll alone.
+    PollOnly(String),
+}
+
+/// A watching thread; ends when dropped.
+#[derive(Debug)]
+pub struct Watching {
+    wake: Sender<Wake>,
+    thread: Option<JoinHandle<()>>,
+    /// What there is to tell.
+    pub news: Receiver<News>,
+}
+
+enum Wake {
+    /// The system told of a change, or somebody asked to look.
+    Look,
+    End,
+}
+
+impl Watching {
+    /// Begins to watch. A byte is written to `bell` for each piece of news; it should not block.
+    ///
+    /// # Errors
+    /// If no thread can be had.
+    pub fn begin(watch: Watch, clock: Clock, bell: UnixStream) -> std::io::Result<Watching> {
+        let (wake, woken) = channel();
+        let (tell, news) = channel();
+        let events = wake.clone();
+        let thread = std::thread::Builder::new().name("engine files".into()).spawn(move || {
+            let mut watcher = Thread { watch, clock, bell, tell, last: None };
+            watcher.run(&woken, events);
+        })?;
+        Ok(Watching { wake, thread: Some(thread), news })
+    }
+
+    /// Looks now.
+    pub fn look(&self) {
+        // A thread that ended has told why.
+        let _ = self.wake.send(Wake::Look);
+    }
+}
+
+impl Drop for Watching {
+    fn drop(&mut self) {
+        let _ = self.wake.send(Wake::End);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+struct Thread {
+    watch: Watch,
+    clock: Clock,
+    bell: UnixStream,
+    tell: Sender<News>,
+    /// What was told last of files that are not taken.
+    last: Option<News>,
+}
+
+impl Thread {
+    fn tell(&mut self, news: News) {
+        if self.tell.send(news).is_ok() {
+            // A full stream rings already.
+            let _ = self.bell.write(&[1]);
+        }
+    }
+
+    fn run(&mut self, woken: &Receiver<Wake>, events: Sender<Wake>) {
+        let mut keeper = Keeper::new(self.watch.policy, self.watch.names.clone());
+        self.take_up_kept(&mut keeper);
+        let mut system = match notify::recommended_watcher(move |_| {
+            let _ = events.send(Wake::Look);
+        }) {
+            Ok(system) => Some(system),
+            Err(fault) => {
+                self.tell(News::PollOnly(fault.to_string()));
+                None
+            }
+        };
+        loop {
+            // A directory that was replaced is another one: it is asked for anew each time.
+            let watched = system.as_mut().is_some_and(|s| self.watch_directories(s));
+            let now = Micros(self.clock.now());
+            let reading = disk::read(&self.watch.places);
+            let again = self.heed(&mut keeper, now, keeper_verdict(&reading, now));
+            let poll = if watched { self.watch.poll } else { self.watch.poll.min(Micros(1_000_000)) };
+            let wait = again.map_or(poll, |at| (at - now).max(Micros(1_000)).min(poll));
+            match woken.recv_timeout(Duration::from_micros(wait.0.max(1_000) as u64)) {
+                Ok(Wake::End) | Err(RecvTimeoutError::Disconnected) => return,
+                Ok(Wake::Look) => {
+                    // Many words of one change are one.
+                    while let Ok(more) = woken.try_recv() {
+                        if matches!(more, Wake::End) {
+                            return;
+                        }
+                    }
+                }
+                Err(RecvTimeoutError::Timeout) => {}
+            }
+        }
+    }
+
+    /// Watches the directories of all places; false if one can't be, so that the poll must do.
+    fn watch_directories(&self, system: &mut RecommendedWatcher) -> bool {
+        let mut all = true;
+        for dir in disk::directories(&self.watch.places) {
+            all &= system.watch(&dir, RecursiveMode::NonRecursive).is_ok();
+        }
+        all
+    }
+
+    fn take_up_kept(&mut self, keeper: &mut Keeper) {
+        let Some(path) = &self.watch.last_good else { return };
+        match disk::kept(path, &self.watch.names) {
+            Ok(None) => {}
+            Ok(Some((set, kept))) => {
+                let age = Micros((self.clock.now() - kept.0).max(0));
+                keeper.take_up(set.clone());
+                self.tell(News::Kept(Arc::new(set), age));
+            }
+            Err(why) => self.tell(News::KeptBad(why)),
+        }
+    }
+
+    /// Tells what came of a reading; when to read again, if before the poll.
+    fn heed(
+        &mut self,
+        keeper: &mut Keeper,
+        now: Micros,
+        look: impl FnOnce(&mut Keeper) -> Verdict,
+    ) -> Option<Micros> {
+        let news = match look(keeper) {
+            Verdict::Settling(at) => return Some(at),
+            Verdict::Same => {
+                if self.last.take().is_some() {
+                    self.tell(News::Fine);
+                }
+                return None;
+            }
+            Verdict::Swap(set) => {
+                self.last = None;
+                self.tell(News::Set(Arc::new(set)));
+                self.keep(keeper, now);
+                return None;
+            }
+            Verdict::Refused(fault, _) => News::Refused(fault),
+            Verdict::Held(why, until) => News::Held(why, until),
+        };
+        let again = if let News::Held(_, until) = &news { *until } else { None };
+        if self.last.as_ref() != Some(&news) {
+            self.last = Some(news.clone());
+            self.tell(news);
+        }
+        again
+    }
+
+    fn keep(&mut self, keeper: &Keeper, now: Micros) {
+        let (Some(path), Some(text)) = (&self.watch.last_good, keeper.to_keep(now)) else { return };
+        if let Err(fault) = disk::write_durably(path, text.as_bytes()) {
+            let why = format!("{}: {fault}", path.display());
+            self.tell(News::NotKept(why));
+        }
+    }
+}
+
+fn keeper_verdict(
+    reading: &[wheelfield_members::keeper::Reading],
+    now: Micros,
+) -> impl FnOnce(&mut Keeper) -> Verdict + '_ {
+    move |keeper| keeper.look(now, reading)
+}
--- /dev/null
+++ b/crates/watch/tests/program.rs
@@ -0,0 +1,129 @@
+//! The operators' program, as a process.
+
+use std::fs;
+use std::io::{Read, Write};
+use std::net::TcpListener;
+use std::path::Path;
+use std::process::{Command, Stdio};
+
+fn members(args: &[&str]) -> (Option<i32>, String) {
+    let output = Command::new(env!("CARGO_BIN_EXE_wheelfield-members"))
+        .args(args)
+        .stdin(Stdio::null())
+        .output()
+        .expect("the program starts");
+    let told = [output.stdout, output.stderr].concat();
+    (output.status.code(), String::from_utf8_lossy(&told).into_owned())
+}
+
+fn file(version: u64, ids: &[usize]) -> String {
+    let engine = |n: &usize| {
+        format!("\n[[engines]]\nid = \"e{n}\"\naddress = \"127.0.0.1:{}\"\nkind = \"std\"\n", 5_500 + n)
+    };
+    let count = ids.len();
+    format!("version = {version}\n{}\n[end]\nengines = {count}\n", ids.iter().map(engine).collect::<String>())
+}
+
+fn put(dir: &Path, name: &str, text: &str) -> String {
+    let path = dir.join(name);
+    fs::write(&path, text).expect("written");
+    path.to_string_lossy().into_owned()
+}
+
+#[test]
+fn the_example_is_sound_and_a_bad_file_is_told_by_its_place() {
+    let root = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/");
+    let (code, told) = members(&["check", &format!("{root}engines.toml")]);
+    assert_eq!(code, Some(0), "{told}");
+    let config = format!("{root}controller.toml");
+    let (code, told) = members(&["check", &format!("{root}engines.toml"), "--config", &config]);
+    assert_eq!(code, Some(0), "{told}");
+    let dir = tempfile::tempdir().expect("a directory");
+    let bad = put(dir.path(), "bad.toml", &file(1, &[1, 1]));
+    let (code, told) = members(&["check", &bad]);
+    assert_eq!(code, Some(1));
+    assert!(told.contains("bad.toml:") && told.contains("; "), "{told}");
+    assert_eq!(members(&["check"]).0, Some(2), "bad use");
+}
+
+#[test]
+fn a_reordering_is_no_difference_and_fmt_makes_it_so() {
+    let dir = tempfile::tempdir().expect("a directory");
+    let (one, other) =
+        (put(dir.path(), "a", &file(1, &[1, 2, 3])), put(dir.path(), "b", &file(1, &[3, 1, 2])));
+    assert_eq!(members(&["diff", &one, &other]), (Some(0), String::new()));
+    let third = put(dir.path(), "c", &file(2, &[1, 2, 4]));
+    let (code, told) = members(&["diff", &one, &third]);
+    assert_eq!(code, Some(1));
+    assert_eq!(told.lines().collect::<Vec<_>>(), ["- e3 at 127.0.0.1:5503", "+ e4 at 127.0.0.1:5504, up"]);
+    assert_eq!(members(&["fmt", "--check", &other]).0, Some(1));
+    assert_eq!(members(&["fmt", &other]).0, Some(0));
+    assert_eq!(members(&["fmt", "--check", &other]).0, Some(0));
+    assert_eq!(fs::read_to_string(&other).expect("there"), file(1, &[1, 2, 3]));
+}
+
+#[test]
+fn two_operators_cannot_overwrite_each_other() {
+    let dir = tempfile::tempdir().expect("a directory");
+    let target = dir.path().join("engines.toml").to_string_lossy().into_owned();
+    let first = put(dir.path(), "first", &file(1, &[1, 2, 3]));
+    assert_eq!(members(&["apply", &first, &target, "--expect", "0"]).0, Some(0));
+    // Both looked at version 1; the second to come is told so.
+    let (mine, theirs) =
+        (put(dir.path(), "mine", &file(2, &[1, 2])), put(dir.path(), "theirs", &file(2, &[2, 3])));
+    assert_eq!(members(&["apply", &mine, &target, "--expect", "1"]).0, Some(0));
+    let (code, told) = members(&["apply", &theirs, &target, "--expect", "1"]);
+    assert_eq!(code, Some(1));
+    assert!(told.contains("version 2 is in force, not 1"), "{told}");
+    // While one holds the lock, nobody else applies.
+    let lock = fs::File::create(format!("{target}.lock")).expect("a file");
+    lock.lock().expect("locked");
+    let (code, told) = members(&["apply", &theirs, &target, "--expect", "2"]);
+    assert!(code == Some(1) && told.contains("locked"), "{told}");
+    drop(lock);
+    let (_, told) = members(&["apply", &theirs, &target, "--expect", "2"]);
+    assert!(told.contains("write 3"), "{told}");
+    let fewer = put(dir.path(), "fewer", &file(3, &[9]));
+    let few = put(dir.path(), "few", &file(3, &[]));
+    assert!(members(&["apply", &few, &target, "--expect", "2"]).1.contains("no engine at all"));
+    let three = put(dir.path(), "three", &file(3, &[1, 2, 3, 4, 5]));
+    assert_eq!(members(&["apply", &three, &target, "--expect", "2"]).0, Some(0));
+    let fewer_4 = fs::read_to_string(&fewer).expect("there").replace("version = 3", "version = 4");
+    let fewer = put(dir.path(), "fewer", &fewer_4);
+    let (code, told) = members(&["apply", &fewer, &target, "--expect", "3"]);
+    assert!(code == Some(1) && told.contains("80% of the capacity"), "{told}");
+    assert_eq!(members(&["apply", &fewer, &target, "--expect", "3", "--confirm"]).0, Some(0));
+    assert!(fs::read_to_string(&target).expect("there").contains("confirmed = true"));
+    assert_eq!(members(&["check", &target]).0, Some(0));
+}
+
+/// An admin address that tells one status, once.
+fn controller(version: u64, fault: &str) -> (String, std::thread::JoinHandle<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("bound").to_string();
+    let fault = if fault.is_empty() { "null".to_string() } else { format!("\"{fault}\"") };
+    let body = format!("{{\"figures\":{{\"list_version\":{version}}},\"members\":{{\"fault\":{fault}}}}}");
+    let thread = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("asked");
+        let mut request = [0; 1024];
+        let _ = stream.read(&mut request).expect("a request");
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+        stream.write_all(format!("{head}{body}").as_bytes()).expect("answered");
+    });
+    (address, thread)
+}
+
+#[test]
+fn status_shows_those_behind() {
+    let (one, a) = controller(5, "");
+    let (two, b) = controller(4, "engines.toml:3:1: torn");
+    let (code, told) = members(&["status", &one, &two]);
+    assert_eq!(code, Some(1), "{told}");
+    assert!(told.contains(&format!("{two}  version 4  BEHIND  engines.toml:3:1: torn")), "{told}");
+    assert!(told.contains("1 of 2 run version 5"), "{told}");
+    a.join().expect("asked");
+    b.join().expect("asked");
+    let (one, a) = controller(5, "");
+    assert_eq!(members(&["status", &one]).0, Some(0));
+    a.join().expect("asked");
+}
