gossip: which controllers there are, SWIM-like, without I/O, and its sealed datagrams

The module's budget for cold engines rests on the number of gateways, which is static until now. A node probes one member a period, by way of others if need be, lets suspects deny, and fetches all now and then. Believing in too few is the dangerous side: who fell silent counts for a hold, who hears nobody goes by what it was told to expect.

Found by a test: one of 180 settled before its last fetch and counted 179; settling now needs a fetch's time without anybody new.

--- /dev/null
+++ b/crates/gossip/src/lib.rs
@@ -0,0 +1,19 @@
+//! Which controllers there are.
+//!
+//! The module's budget for cold engines and its shares rest on the number of gateways and on their own numbers among
+//! them. [`Node`] finds both out, in the manner of SWIM (Das, Gupta, Motivala 2002): in each period one member is probed,
+//! by way of others if it does not answer; one that answers nobody is suspected, and may deny it; what is learned rides on
+//! the probes.
+//!
+//! Believing in too few is the dangerous side, as all together then push over a cold engine. So a member that fell silent
+//! counts for [`Limits::hold`] longer, only one that said goodbye is forgotten at once, and a fresh node counts at least
+//! as many as it was told to expect until it has listened for [`Limits::settle`].
+//!
+//! No I/O, no clock, no globals. [`seal`] makes datagrams of packets and opens them.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod node;
+pub mod seal;
+
+pub use node::{Counts, Limits, Message, Node, Packet, Record, Standing, View};
--- /dev/null
+++ b/crates/gossip/src/node.rs
@@ -0,0 +1,508 @@
+//! One controller's part in the membership.
+
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// What a node is bounded by; times in microseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Limits {
+    /// One member is probed in each period.
+    pub period: i64,
+    /// It must have answered within this, before others are asked to probe it.
+    pub answer: i64,
+    /// So many others are asked.
+    pub helpers: usize,
+    /// A suspect may deny it for so many periods, for each doubling of the members.
+    pub patience: i64,
+    /// A member that fell silent counts for so long after it was given up.
+    pub hold: i64,
+    /// A fresh node goes by the number it was told to expect for so long at least, and until it learned of nobody new
+    /// between two fetches.
+    pub settle: i64,
+    /// So many controllers are expected.
+    pub expect: usize,
+    /// All that is known is fetched from one member so often.
+    pub fetch: i64,
+    /// Records that ride on a packet.
+    pub riders: usize,
+    /// Members at most; further ones are not taken.
+    pub most: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            period: 1_000_000,
+            answer: 300_000,
+            helpers: 3,
+            patience: 4,
+            hold: 600_000_000,
+            settle: 30_000_000,
+            expect: 1,
+            fetch: 15_000_000,
+            riders: 16,
+            most: 4_096,
+        }
+    }
+}
+
+/// How a member stands. Later ones overrule earlier ones of the same start and denial.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Standing {
+    /// It answers.
+    Alive,
+    /// It does not, and may deny that it is gone.
+    Suspect,
+    /// It was given up.
+    Gone,
+    /// It said goodbye.
+    Left,
+}
+
+/// What is known of a member. A later start overrules an earlier one, then a later denial, then the standing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Record {
+    /// Who: the address it is reached at.
+    pub member: SocketAddr,
+    /// When it started, in microseconds of its clock.
+    pub start: u64,
+    /// How often it denied a suspicion.
+    pub denials: u32,
+    /// How it stands.
+    pub standing: Standing,
+    /// For how long it has stood so, in milliseconds, rounded up; zero while it is alive. It overrules nothing, but all
+    /// forget one that is gone at about the same time, and nobody learns of it anew.
+    pub since_ms: u32,
+}
+
+impl Record {
+    fn rank(&self) -> (u64, u32, Standing) {
+        (self.start, self.denials, self.standing)
+    }
+}
+
+/// What a packet is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Message {
+    /// Are you there?
+    Probe(u32),
+    /// I am.
+    Answer(u32),
+    /// Probe this one for me.
+    Help(u32, SocketAddr),
+    /// Tell me all you know.
+    Fetch,
+    /// A part of all I know, or mere news.
+    Tell,
+}
+
+/// What is sent: a message, and records that ride on it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Packet {
+    /// For what.
+    pub message: Message,
+    /// News.
+    pub riders: Vec<Record>,
+}
+
+/// What a node acts on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct View {
+    /// The number of controllers to act on.
+    pub count: usize,
+    /// This one's number among them, from 0.
+    pub index: usize,
+    /// Those that answer, with this one.
+    pub alive: usize,
+    /// It has listened long enough, and nothing is in doubt.
+    pub settled: bool,
+}
+
+/// What was counted since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Counts {
+    /// Suspicions of our own.
+    pub suspected: u64,
+    /// Suspicions, of whomever, that were denied.
+    pub denied: u64,
+    /// Members given up.
+    pub given_up: u64,
+    /// Members not taken, as there were too many.
+    pub crowded: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Member {
+    record: Record,
+    /// Since when it stands so.
+    since: i64,
+    /// How often this was told on.
+    told: u32,
+}
+
+impl Member {
+    /// Its record with its age, as it is told to others.
+    fn aged(&self, now: i64) -> Record {
+        let ms = if self.record.standing == Standing::Alive { 0 } else { (now - self.since).max(0) as u64 };
+        Record { since_ms: u32::try_from(ms.div_ceil(1_000)).unwrap_or(u32::MAX), ..self.record }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Probing {
+    target: SocketAddr,
+    number: u32,
+    /// Others are asked to help at this time; none once they are.
+    help_at: Option<i64>,
+    answered: bool,
+}
+
+/// One controller's knowledge of all.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Node {
+    limits: Limits,
+    own: Record,
+    seeds: Vec<SocketAddr>,
+    members: BTreeMap<SocketAddr, Member>,
+    began: i64,
+    /// Whom to probe in this round, from its end.
+    round: Vec<SocketAddr>,
+    probing: Option<Probing>,
+    /// Probes made for others: by our number, whom to tell and by which number, and until when.
+    helping: BTreeMap<u32, (SocketAddr, u32, i64)>,
+    number: u32,
+    next_period: i64,
+    next_fetch: i64,
+    /// Somebody told us something, ever.
+    heard: bool,
+    /// When we last learned of somebody new.
+    newest: i64,
+    /// We have listened long enough.
+    listened: bool,
+    draws: u64,
+    counts: Counts,
+}
+
+impl Node {
+    /// A node that knows of itself and of whom to ask. The same seed and inputs give the same packets.
+    pub fn new(
+        own: SocketAddr,
+        start: u64,
+        seeds: Vec<SocketAddr>,
+        limits: Limits,
+        seed: u64,
+        now: i64,
+    ) -> Node {
+        let own = Record { member: own, start, denials: 0, standing: Standing::Alive, since_ms: 0 };
+        let mut node = Node {
+            limits,
+            seeds: seeds.into_iter().filter(|s| *s != own.member).collect(),
+            own,
+            members: BTreeMap::new(),
+            began: now,
+            round: Vec::new(),
+            probing: None,
+            helping: BTreeMap::new(),
+            number: 0,
+            next_period: now,
+            next_fetch: now,
+            heard: false,
+            newest: now,
+            listened: false,
+            draws: seed,
+            counts: Counts::default(),
+        };
+        // Nodes that start together do not all probe at once.
+        node.next_period = now + node.draw(limits.period.max(1) as u64) as i64;
+        node
+    }
+
+    /// A number below `n`. Own arithmetic (splitmix), as the model checker hashes the whole node.
+    fn draw(&mut self, n: u64) -> u64 {
+        self.draws = self.draws.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut z = self.draws;
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        (z ^ (z >> 31)) % n.max(1)
+    }
+
+    /// Doublings of the members, at least one.
+    fn doublings(&self) -> i64 {
+        i64::from((self.members.len() as u64 + 1).ilog2()).max(1)
+    }
+
+    /// What was counted.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// All that are known, this one not.
+    pub fn records(&self) -> impl Iterator<Item = &Record> {
+        self.members.values().map(|m| &m.record)
+    }
+
+    /// What to act on now.
+    pub fn view(&self, now: i64) -> View {
+        let counts = |m: &&Member| match m.record.standing {
+            Standing::Alive | Standing::Suspect => true,
+            Standing::Gone => now - m.since < self.limits.hold,
+            Standing::Left => false,
+        };
+        let acted: Vec<SocketAddr> = self.members.values().filter(counts).map(|m| m.record.member).collect();
+        let index = acted.iter().filter(|a| **a < self.own.member).count();
+        let alive = self.members.values().filter(|m| m.record.standing == Standing::Alive).count() + 1;
+        let doubtful = self.members.values().any(|m| m.record.standing == Standing::Suspect);
+        let seen = acted.len() + 1;
+        let count = if self.listened { seen } else { seen.max(self.limits.expect) };
+        View { count, index, alive, settled: self.listened && !doubtful }
+    }
+
+    /// When [`Node::tick`] is next wanted.
+    pub fn next(&self) -> i64 {
+        let help = self.probing.as_ref().and_then(|p| p.help_at);
+        [Some(self.next_period), Some(self.next_fetch), help].into_iter().flatten().min().unwrap_or(i64::MAX)
+    }
+
+    /// Does what has come due.
+    pub fn tick(&mut self, now: i64, out: &mut Vec<(SocketAddr, Packet)>) {
+        self.helping.retain(|_, (_, _, until)| now < *until);
+        // Between two fetches nobody new was told of: that is all there are.
+        let quiet = now - self.newest > self.limits.fetch + self.limits.period;
+        self.listened |= self.heard && quiet && now - self.began >= self.limits.settle;
+        if self.probing.as_ref().and_then(|p| p.help_at).is_some_and(|at| now >= at) {
+            self.ask_for_help(now, out);
+        }
+        if now >= self.next_period {
+            self.end_period(now);
+            self.begin_period(now, out);
+            // A node that stood still does not make up for it.
+            self.next_period = (self.next_period + self.limits.period).max(now + 1);
+        }
+        if now >= self.next_fetch {
+            self.fetch(now, out);
+        }
+    }
+
+    fn end_period(&mut self, now: i64) {
+        if let Some(p) = self.probing.take().filter(|p| !p.answered) {
+            if let Some(m) = self.members.get(&p.target).filter(|m| m.record.standing == Standing::Alive) {
+                self.counts.suspected += 1;
+                let record = Record { standing: Standing::Suspect, since_ms: 0, ..m.record };
+                self.learn(now, record);
+            }
+        }
+        let patience = self.limits.patience * self.doublings() * self.limits.period;
+        let overdue = |m: &&Member| m.record.standing == Standing::Suspect && now - m.since >= patience;
+        let over: Vec<Record> = self.members.values().filter(overdue).map(|m| m.record).collect();
+        for record in over {
+            self.counts.given_up += 1;
+            self.learn(now, Record { standing: Standing::Gone, since_ms: 0, ..record });
+        }
+        // Who is gone for long is forgotten, once it counts no more and all have heard.
+        let (hold, spread) = (self.limits.hold, self.limits.fetch.saturating_mul(4));
+        self.members.retain(|_, m| match m.record.standing {
+            Standing::Gone => now - m.since < hold + spread,
+            Standing::Left => now - m.since < spread,
+            _ => true,
+        });
+    }
+
+    fn begin_period(&mut self, now: i64, out: &mut Vec<(SocketAddr, Packet)>) {
+        let probed = |m: &Member| matches!(m.record.standing, Standing::Alive | Standing::Suspect);
+        let target = loop {
+            match self.round.pop() {
+                Some(a) if self.members.get(&a).is_some_and(probed) => break a,
+                Some(_) => {}
+                None => {
+                    let mut all: Vec<SocketAddr> =
+                        self.members.values().filter(|m| probed(m)).map(|m| m.record.member).collect();
+                    if all.is_empty() {
+                        return;
+                    }
+                    for i in (1..all.len()).rev() {
+                        let j = self.draw(i as u64 + 1) as usize;
+                        all.swap(i, j);
+                    }
+                    self.round = all;
+                }
+            }
+        };
+        self.number = self.number.wrapping_add(1);
+        let (number, help_at) = (self.number, Some(now + self.limits.answer));
+        self.probing = Some(Probing { target, number, help_at, answered: false });
+        let packet = self.packet(now, Message::Probe(number), target);
+        out.push((target, packet));
+    }
+
+    fn ask_for_help(&mut self, now: i64, out: &mut Vec<(SocketAddr, Packet)>) {
+        let Some(p) = &mut self.probing else { return };
+        p.help_at = None;
+        if p.answered {
+            return;
+        }
+        let (target, number) = (p.target, p.number);
+        let able = |m: &&Member| m.record.standing == Standing::Alive && m.record.member != target;
+        let mut able: Vec<SocketAddr> = self.members.values().filter(able).map(|m| m.record.member).collect();
+        for _ in 0..self.limits.helpers {
+            if able.is_empty() {
+                break;
+            }
+            let i = self.draw(able.len() as u64) as usize;
+            let helper = able.swap_remove(i);
+            let packet = self.packet(now, Message::Help(number, target), helper);
+            out.push((helper, packet));
+        }
+    }
+
+    /// Fetches all from one: a seed until somebody was heard, then anyone, those given up among them, so that halves of a
+    /// split find each other again.
+    fn fetch(&mut self, now: i64, out: &mut Vec<(SocketAddr, Packet)>) {
+        let mut whom: Vec<SocketAddr> = self.seeds.clone();
+        if self.heard {
+            let there = self.members.values().filter(|m| m.record.standing != Standing::Left);
+            whom.extend(there.map(|m| m.record.member));
+        }
+        whom.sort_unstable();
+        whom.dedup();
+        let wait = if self.heard { self.limits.fetch } else { self.limits.period };
+        self.next_fetch = now + wait;
+        if whom.is_empty() {
+            // Alone, and told of nobody: that is all there is to hear.
+            self.heard = true;
+            return;
+        }
+        let i = self.draw(whom.len() as u64) as usize;
+        let packet = self.packet(now, Message::Fetch, whom[i]);
+        out.push((whom[i], packet));
+    }
+
+    /// A packet with the news told least often. What we hold of its receiver rides first, if it should deny that, and what
+    /// we say of ourselves always.
+    fn packet(&mut self, now: i64, message: Message, to: SocketAddr) -> Packet {
+        let mut riders = vec![self.own];
+        let doubted = self.members.get(&to).map(|m| m.aged(now)).filter(|r| r.standing != Standing::Alive);
+        riders.extend(doubted);
+        let most = 3 * (self.doublings() as u32 + 1);
+        let mut news: Vec<(u32, SocketAddr)> = self
+            .members
+            .values()
+            .filter(|m| m.told < most && m.record.member != to)
+            .map(|m| (m.told, m.record.member))
+            .collect();
+        news.sort_unstable();
+        for (_, member) in news.into_iter().take(self.limits.riders.saturating_sub(riders.len())) {
+            if let Some(m) = self.members.get_mut(&member) {
+                m.told += 1;
+                riders.push(m.aged(now));
+            }
+        }
+        Packet { message, riders }
+    }
+
+    /// Takes a packet. Only what was sealed by a holder of the key may come here.
+    pub fn receive(
+        &mut self,
+        now: i64,
+        from: SocketAddr,
+        packet: &Packet,
+        out: &mut Vec<(SocketAddr, Packet)>,
+    ) {
+        self.heard |= from != self.own.member;
+        for record in packet.riders.iter().take(self.limits.most) {
+            self.learn(now, *record);
+        }
+        match packet.message {
+            Message::Probe(number) => {
+                let packet = self.packet(now, Message::Answer(number), from);
+                out.push((from, packet));
+            }
+            Message::Answer(number) => {
+                if let Some(p) = self.probing.as_mut().filter(|p| p.number == number) {
+                    p.answered = true;
+                } else if let Some((whom, theirs, _)) = self.helping.remove(&number) {
+                    let packet = self.packet(now, Message::Answer(theirs), whom);
+                    out.push((whom, packet));
+                }
+            }
+            Message::Help(theirs, target) => {
+                // A helper helps so many at once, lest it be made a flood.
+                if self.helping.len() < 64 && target != self.own.member {
+                    self.number = self.number.wrapping_add(1);
+                    let number = self.number;
+                    self.helping.insert(number, (from, theirs, now + self.limits.period));
+                    let packet = self.packet(now, Message::Probe(number), target);
+                    out.push((target, packet));
+                }
+            }
+            Message::Fetch => {
+                let all: Vec<Record> =
+                    std::iter::once(self.own).chain(self.members.values().map(|m| m.aged(now))).collect();
+                for riders in all.chunks(self.limits.riders.max(1)) {
+                    out.push((from, Packet { message: Message::Tell, riders: riders.to_vec() }));
+                }
+            }
+            Message::Tell => {}
+        }
+    }
+
+    /// What is said of a member, or of this one.
+    fn learn(&mut self, now: i64, record: Record) {
+        if record.member == self.own.member {
+            // Whatever is said of us that is not so is denied. A start later than ours is another process at our place:
+            // it holds the address now, so this one is on its way out.
+            if record.start == self.own.start
+                && record.standing != Standing::Alive
+                && self.own.standing == Standing::Alive
+                && record.denials >= self.own.denials
+            {
+                self.counts.denied += 1;
+                self.own.denials = record.denials.saturating_add(1);
+            }
+            return;
+        }
+        let full = self.members.len() >= self.limits.most;
+        let since = now - i64::from(record.since_ms) * 1_000;
+        // Nobody learns of one that the others are about to forget.
+        let fading = record.standing >= Standing::Gone && now - since >= self.limits.hold;
+        match self.members.get_mut(&record.member) {
+            Some(m) if record.rank() > m.record.rank() => {
+                let was = m.record.standing;
+                if was == Standing::Suspect && record.standing == Standing::Alive {
+                    self.counts.denied += 1;
+                }
+                // Held from when it was first given up, whoever repeats it.
+                if was != record.standing || record.start != m.record.start {
+                    m.since = since;
+                }
+                (m.record, m.told) = (record, 0);
+            }
+            Some(_) => {}
+            None if fading => {}
+            None if full => self.counts.crowded += 1,
+            None => {
+                self.members.insert(record.member, Member { record, since, told: 0 });
+                self.newest = now;
+            }
+        }
+    }
+
+    /// Says goodbye: to a few now, who tell the others.
+    pub fn leave(&mut self, out: &mut Vec<(SocketAddr, Packet)>) {
+        self.own.standing = Standing::Left;
+        let mut alive: Vec<SocketAddr> = self
+            .members
+            .values()
+            .filter(|m| m.record.standing == Standing::Alive)
+            .map(|m| m.record.member)
+            .collect();
+        for _ in 0..8 {
+            if alive.is_empty() {
+                break;
+            }
+            let i = self.draw(alive.len() as u64) as usize;
+            let to = alive.swap_remove(i);
+            out.push((to, Packet { message: Message::Tell, riders: vec![self.own] }));
+        }
+    }
+}
--- /dev/null
+++ b/crates/gossip/src/seal.rs
@@ -0,0 +1,225 @@
+//! Datagrams: a packet sealed with a key that all controllers hold, and opened again.
+//!
+//! `WFG1`, the key's number, the sender's start and sequence number, the packet (postcard), and the first 16 bytes of
+//! HMAC-SHA-256 (RFC 2104, FIPS 180-4) over all of this and the sender's address. What does not open, or was opened
+//! before, is dropped.
+
+use crate::Packet;
+use hmac::{Hmac, KeyInit, Mac};
+use serde::{Deserialize, Serialize};
+use sha2::Sha256;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// Bytes of a datagram at most, to pass any loopback or Ethernet link whole.
+pub const LONGEST: usize = 1400;
+/// Bytes of the seal.
+const SEAL: usize = 16;
+const MAGIC: &[u8; 4] = b"WFG1";
+/// Senders remembered; beyond them the one heard longest ago is forgotten.
+const SENDERS: usize = 8_192;
+/// Keys held at once: a new one and those that still come in.
+pub const MOST_KEYS: usize = 4;
+/// Bytes of a key at least.
+pub const LEAST_KEY: usize = 16;
+
+/// Why a datagram was dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Dropped {
+    /// Too short, too long, or of another kind.
+    #[error("garbled")]
+    Garbled,
+    /// Sealed with a key that is not held.
+    #[error("sealed with a key that is not held")]
+    NoKey,
+    /// The seal is not of this datagram, or not of this sender.
+    #[error("a broken seal")]
+    Forged,
+    /// It was opened before, or is older than what was.
+    #[error("old or doubled")]
+    Old,
+}
+
+/// What is wrong with a text of keys.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("line {line} of the keys: {fault}")]
+pub struct KeyFault {
+    /// The line, from 1.
+    pub line: usize,
+    /// What is wrong, and how to mend it.
+    pub fault: String,
+}
+
+/// The keys: the first seals, all open.
+#[derive(Clone)]
+pub struct Keys(Vec<(u8, Vec<u8>)>);
+
+impl std::fmt::Debug for Keys {
+    /// Keys are not shown.
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "Keys({:?})", self.0.iter().map(|(n, _)| n).collect::<Vec<_>>())
+    }
+}
+
+impl Keys {
+    /// Reads keys: a line each, its number (0 to 255) and the key. The first one seals. To change keys, add the new one as
+    /// the second line everywhere, then put it first everywhere, then remove the old one.
+    ///
+    /// # Errors
+    /// [`KeyFault`]; no key is shown in it.
+    pub fn read(text: &str) -> Result<Keys, KeyFault> {
+        let mut keys: Vec<(u8, Vec<u8>)> = Vec::new();
+        for (n, line) in text.lines().enumerate() {
+            let line = line.trim();
+            if line.is_empty() || line.starts_with('#') {
+                continue;
+            }
+            let wrong = |fault: &str| KeyFault { line: n + 1, fault: fault.to_string() };
+            let (number, key) =
+                line.split_once(' ').ok_or_else(|| wrong("write a number, a blank and the key"))?;
+            let number = number.parse::<u8>().map_err(|_| wrong("its number is not one of 0 to 255"))?;
+            let key = key.trim().as_bytes().to_vec();
+            if key.len() < LEAST_KEY {
+                return Err(wrong("a key of less than 16 letters; take 32 at random"));
+            }
+            if keys.iter().any(|(k, _)| *k == number) {
+                return Err(wrong("its number is taken; give it another"));
+            }
+            if keys.len() == MOST_KEYS {
+                return Err(wrong("a fifth key; remove an old one"));
+            }
+            keys.push((number, key));
+        }
+        if keys.is_empty() {
+            return Err(KeyFault {
+                line: 1,
+                fault: "no key; write a number, a blank and the key".to_string(),
+            });
+        }
+        Ok(Keys(keys))
+    }
+
+    fn mac(key: &[u8], parts: &[&[u8]]) -> Option<Hmac<Sha256>> {
+        let mut mac = <Hmac<Sha256> as KeyInit>::new_from_slice(key).ok()?;
+        parts.iter().for_each(|p| mac.update(p));
+        Some(mac)
+    }
+}
+
+#[derive(Serialize, Deserialize)]
+struct Body {
+    start: u64,
+    sequence: u64,
+    packet: Packet,
+}
+
+/// Bytes of a packet within a datagram.
+pub fn size(packet: &Packet) -> usize {
+    postcard::to_stdvec(packet).map_or(0, |bytes| bytes.len())
+}
+
+/// The sender's address as it is sealed in.
+fn origin(from: SocketAddr) -> Vec<u8> {
+    from.to_string().into_bytes()
+}
+
+/// Seals packets of one sender.
+#[derive(Debug)]
+pub struct Sealer {
+    own: SocketAddr,
+    start: u64,
+    sequence: u64,
+}
+
+impl Sealer {
+    /// A sealer of a process, by its address and its start.
+    pub fn new(own: SocketAddr, start: u64) -> Sealer {
+        Sealer { own, start, sequence: 0 }
+    }
+
+    /// A datagram; none if the packet is too long for one.
+    pub fn seal(&mut self, packet: &Packet, keys: &Keys) -> Option<Vec<u8>> {
+        let (number, key) = keys.0.first()?;
+        self.sequence += 1;
+        let body = Body { start: self.start, sequence: self.sequence, packet: packet.clone() };
+        let mut bytes = MAGIC.to_vec();
+        bytes.push(*number);
+        bytes = postcard::to_extend(&body, bytes).ok()?;
+        if bytes.len() + SEAL > LONGEST {
+            return None;
+        }
+        let mac = Keys::mac(key, &[&bytes, &origin(self.own)])?.finalize().into_bytes();
+        bytes.extend_from_slice(&mac[..SEAL]);
+        Some(bytes)
+    }
+}
+
+#[derive(Debug)]
+struct Heard {
+    start: u64,
+    highest: u64,
+    /// Which of the 64 numbers up to the highest were opened.
+    opened: u64,
+    at: u64,
+}
+
+/// Opens datagrams, each once.
+#[derive(Debug, Default)]
+pub struct Opener {
+    senders: BTreeMap<SocketAddr, Heard>,
+    opened: u64,
+}
+
+impl Opener {
+    /// Opens a datagram that came from an address.
+    ///
+    /// # Errors
+    /// Why it is [`Dropped`].
+    pub fn open(&mut self, from: SocketAddr, datagram: &[u8], keys: &Keys) -> Result<Packet, Dropped> {
+        if datagram.len() > LONGEST || datagram.len() < MAGIC.len() + 1 + SEAL || &datagram[..4] != MAGIC {
+            return Err(Dropped::Garbled);
+        }
+        let (bytes, seal) = datagram.split_at(datagram.len() - SEAL);
+        let key = keys.0.iter().find(|(n, _)| *n == bytes[4]).map(|(_, k)| k).ok_or(Dropped::NoKey)?;
+        let mac = Keys::mac(key, &[bytes, &origin(from)]).ok_or(Dropped::Forged)?;
+        mac.verify_truncated_left(seal).map_err(|_| Dropped::Forged)?;
+        let body: Body = postcard::from_bytes(&bytes[5..]).map_err(|_| Dropped::Garbled)?;
+        self.once(from, body.start, body.sequence)?;
+        Ok(body.packet)
+    }
+
+    /// Notes a number; an error if it was seen before or is too old to tell.
+    fn once(&mut self, from: SocketAddr, start: u64, sequence: u64) -> Result<(), Dropped> {
+        self.opened += 1;
+        let at = self.opened;
+        let fresh = Heard { start, highest: sequence, opened: 1, at };
+        let Some(heard) = self.senders.get_mut(&from) else {
+            if self.senders.len() >= SENDERS {
+                let oldest = self.senders.iter().min_by_key(|(_, h)| h.at).map(|(a, _)| *a);
+                oldest.and_then(|a| self.senders.remove(&a));
+            }
+            self.senders.insert(from, fresh);
+            return Ok(());
+        };
+        if start < heard.start {
+            return Err(Dropped::Old);
+        }
+        if start > heard.start {
+            *heard = fresh;
+            return Ok(());
+        }
+        heard.at = at;
+        if sequence > heard.highest {
+            let ahead = sequence - heard.highest;
+            heard.opened = if ahead >= 64 { 0 } else { heard.opened << ahead } | 1;
+            heard.highest = sequence;
+            return Ok(());
+        }
+        let behind = heard.highest - sequence;
+        if behind >= 64 || heard.opened & (1 << behind) != 0 {
+            return Err(Dropped::Old);
+        }
+        heard.opened |= 1 << behind;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/gossip/tests/network.rs
@@ -0,0 +1,154 @@
+//! Many nodes on an emulated network in virtual time: loss, doubling, delays, splits, deaths and restarts.
+
+mod common;
+
+use common::{Network, MS, SECOND};
+use std::collections::BTreeSet;
+use wheelfield_gossip::Limits;
+
+fn limits(expect: usize) -> Limits {
+    Limits { expect, ..Limits::default() }
+}
+
+/// All that live act on so many, and each has a number of its own.
+fn agreed(net: &Network, count: usize) -> bool {
+    let views: Vec<_> = net.views();
+    let indexes: BTreeSet<usize> = views.iter().map(|v| v.index).collect();
+    views.iter().all(|v| v.count == count && v.settled) && indexes.len() == views.len()
+}
+
+#[test]
+fn a_hundred_and_eighty_that_start_in_one_second_agree() {
+    let mut net = Network::new(1, limits(180), 0.0);
+    for i in 0..180 {
+        net.start(i, i as i64 * SECOND / 180);
+    }
+    let lowest = net.watch_until(60 * SECOND);
+    assert_eq!(lowest, 180, "nobody ever acts on fewer than expected");
+    assert!(agreed(&net, 180));
+    assert_eq!(net.counts().given_up, 0);
+}
+
+#[test]
+fn with_three_in_ten_datagrams_lost_they_agree_and_stay_so() {
+    for seed in 0..3 {
+        let mut net = Network::new(seed, limits(40), 0.3);
+        (0..40).for_each(|i| net.start(i, 0));
+        let lowest = net.watch_until(300 * SECOND);
+        assert_eq!(lowest, 40, "seed {seed}");
+        let counts = net.counts();
+        assert!(counts.suspected > 0 && counts.denied > 0, "loss leads to suspicions, and they are denied");
+        assert_eq!(counts.given_up, 0, "seed {seed}: nobody that lives is given up");
+        // Between two suspicions there is a moment without any.
+        assert!(net.views().iter().all(|v| v.count == 40));
+    }
+}
+
+#[test]
+fn a_silent_one_counts_for_the_hold_and_one_that_left_does_not() {
+    let hold = 60 * SECOND;
+    let mut net = Network::new(2, Limits { hold, ..limits(12) }, 0.0);
+    (0..12).for_each(|i| net.start(i, 0));
+    net.run_until(40 * SECOND);
+    assert!(agreed(&net, 12));
+    net.kill(3);
+    let lowest = net.watch_until(90 * SECOND);
+    assert_eq!(lowest, 12, "given up, it counts on");
+    assert!(net.views().iter().all(|v| v.alive == 11), "and it is known to be gone");
+    net.run_until(200 * SECOND);
+    assert!(agreed(&net, 11), "{:?}", net.views());
+    net.leave(7);
+    net.run_until(215 * SECOND);
+    assert!(agreed(&net, 10), "{:?}", net.views());
+    // Nobody learns of the gone ones anew.
+    net.run_until(500 * SECOND);
+    assert!(agreed(&net, 10));
+}
+
+#[test]
+fn two_halves_that_lose_each_other_go_on_acting_on_the_whole() {
+    let mut net = Network::new(3, limits(20), 0.0);
+    (0..20).for_each(|i| net.start(i, 0));
+    net.run_until(40 * SECOND);
+    assert!(agreed(&net, 20));
+    net.split(|i| i < 10);
+    let lowest = net.watch_until(340 * SECOND);
+    assert_eq!(lowest, 20, "within the hold neither half acts on itself alone");
+    assert!(net.views().iter().all(|v| v.alive == 10));
+    net.heal();
+    let lowest = net.watch_until(460 * SECOND);
+    assert_eq!(lowest, 20);
+    assert!(agreed(&net, 20) && net.views().iter().all(|v| v.alive == 20), "{:?}", net.views()[0]);
+}
+
+#[test]
+fn a_split_longer_than_the_hold_is_the_stated_limit_and_heals() {
+    let mut net = Network::new(4, Limits { hold: 30 * SECOND, ..limits(8) }, 0.0);
+    (0..8).for_each(|i| net.start(i, 0));
+    net.run_until(40 * SECOND);
+    net.split(|i| i < 4);
+    net.run_until(140 * SECOND);
+    assert!(net.views().iter().all(|v| v.count == 4), "each half counts itself, as stated");
+    net.heal();
+    // The seeds are asked for ever, so that even who forgot the others finds them.
+    net.run_until(260 * SECOND);
+    assert!(agreed(&net, 8), "{:?}", net.views());
+}
+
+#[test]
+fn a_flapping_one_is_one_member() {
+    let mut net = Network::new(5, limits(10), 0.05);
+    (0..10).for_each(|i| net.start(i, 0));
+    net.run_until(40 * SECOND);
+    let mut at = 40 * SECOND;
+    for _ in 0..30 {
+        net.kill(4);
+        at += 700 * MS;
+        net.run_until(at);
+        net.start(4, at);
+        at += 2_300 * MS;
+        let lowest = net.watch_until(at);
+        assert_eq!(lowest, 10);
+        assert!(net.views().iter().all(|v| v.count == 10), "never one more either");
+    }
+    net.run_until(at + 60 * SECOND);
+    assert!(agreed(&net, 10));
+}
+
+#[test]
+fn a_fresh_one_goes_by_what_it_was_told_to_expect() {
+    let mut net = Network::new(6, limits(30), 0.0);
+    net.start(0, 0);
+    net.run_until(29 * SECOND);
+    let view = net.views()[0];
+    assert_eq!((view.count, view.settled), (30, false));
+    // Who hears nobody does not take itself for alone.
+    net.run_until(400 * SECOND);
+    let view = net.views()[0];
+    assert_eq!((view.count, view.settled), (30, false));
+    // With one more it knows better, once it has listened.
+    net.start(1, 400 * SECOND);
+    net.run_until(420 * SECOND);
+    assert_eq!(net.views()[1].count, 30);
+    net.run_until(450 * SECOND);
+    assert!(agreed(&net, 2), "{:?}", net.views());
+}
+
+#[test]
+fn all_replaced_one_after_the_other_with_goodbyes() {
+    let mut net = Network::new(7, limits(10), 0.0);
+    (0..10).for_each(|i| net.start(i, 0));
+    net.run_until(40 * SECOND);
+    let mut at = 40 * SECOND;
+    // All but the seeds, which a fresh one must find.
+    for i in 3..10 {
+        net.leave(i);
+        at += 5 * SECOND;
+        net.start(100 + i, at);
+        // For the five seconds there is one less; never two.
+        assert!(net.watch_until(at + 5 * SECOND) >= 9);
+        at += 5 * SECOND;
+    }
+    net.run_until(at + 40 * SECOND);
+    assert!(agreed(&net, 10), "{:?}", net.views());
+}
