--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -265,12 +265,23 @@
     pub notice: Time,
     /// A started one is listed so much later.
     pub listed_after: Time,
+    /// There is none: the engines are in a file that controllers watch, written at each drain and each start.
+    pub files: bool,
+    /// Controllers find out by gossip how many they are.
+    pub gossip: bool,
 }
 
 impl Default for Registry {
     fn default() -> Self {
         let ms = |n: i64| Time(wheelfield::interface::Micros(n * 1000));
-        Registry { mode: "watch".into(), every: ms(500), notice: ms(1500), listed_after: ms(500) }
+        Registry {
+            mode: "watch".into(),
+            every: ms(500),
+            notice: ms(1500),
+            listed_after: ms(500),
+            files: false,
+            gossip: false,
+        }
     }
 }
 
@@ -429,7 +440,11 @@
     /// The first [`Fault`] found.
     pub fn checked(&self) -> Result<Config, Fault> {
         let peers = (0..self.controllers).map(|i| format!("127.0.0.1:{}", 1 + i)).collect::<Vec<_>>();
-        wheelfield_config::parse("generated", &self.controller(0, "127.0.0.1:1", "127.0.0.1:0", &peers))
+        let mut text = self.controller(0, "127.0.0.1:1", "127.0.0.1:0", &peers);
+        if self.registry.files {
+            text.push_str("[members]\nfiles = [\"engines.toml\"]\n");
+        }
+        wheelfield_config::parse("generated", &text)
     }
 
     /// What the module of each controller is handed.
@@ -510,12 +525,14 @@
         ] {
             table(name, of, &mut out);
         }
-        let Registry { mode, every, .. } = &self.registry;
-        let _ = writeln!(
-            out,
-            "[registry]\naddress = {registry:?}\nmode = {mode:?}\nevery = \"{}us\"",
-            every.0 .0
-        );
+        let Registry { mode, every, files, .. } = &self.registry;
+        if !files {
+            let _ = writeln!(
+                out,
+                "[registry]\naddress = {registry:?}\nmode = {mode:?}\nevery = \"{}us\"",
+                every.0 .0
+            );
+        }
         if self.means.get("messages").and_then(toml::Value::as_bool) == Some(true) {
             let _ = writeln!(out, "[peers]\nlisten = {peer:?}\naddresses = {}", quoted(peers));
         }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`stage`]: the processes.
 //! - [`crowd`]: the clients, in an open loop.
 //! - [`evidence`]: a day as the judge of the rules reads it; no I/O.
+//! - [`lists`]: its engines as a file that controllers watch.
 //! - [`measure`]: what a controller costs.
 //! - [`play`]: all of it together, and the report.
 #![forbid(unsafe_code)]
@@ -14,6 +15,7 @@
 pub mod crowd;
 pub mod day;
 pub mod evidence;
+pub mod lists;
 pub mod measure;
 pub mod plan;
 pub mod play;
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -166,7 +166,12 @@
     let log_file = options.dir.join("engines.jsonl");
     let text =
         std::fs::read_to_string(&log_file).with_context(|| format!("cannot read {}", log_file.display()))?;
-    let log = read_log(&text)?;
+    let mut log = read_log(&text)?;
+    if let Some(lists) = &stage.lists {
+        let text = std::fs::read_to_string(lists.log())?;
+        log.extend(read_log(&text)?);
+        log.sort_by_key(|l| l.t);
+    }
     let settings = day.settings()?;
     let known = Known { day, settings: &settings, plan: &plan, start };
     let breaches = known.judge(&tries, &log, &stage.lives);
--- a/crates/lab/src/stage.rs
+++ b/crates/lab/src/stage.rs
@@ -1,6 +1,7 @@
 //! The processes of a day: stand-ins, controllers; started, hurt and ended by their ids.
 
 use crate::day::Day;
+use crate::lists::Lists;
 use crate::plan::{Act, Plan};
 use anyhow::{bail, ensure, Context, Result};
 use rustix::process::{kill_process, Pid, Signal};
@@ -10,6 +11,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
+use wheelfield::interface::Status;
 use wheelfield_net::Clock;
 use wheelfield_rules::Life;
 
@@ -137,6 +139,10 @@
     registry: SocketAddr,
     controllers: Vec<Option<Process>>,
     peers: Vec<String>,
+    /// Where controllers hear the gossip, if they do.
+    gossip: Vec<String>,
+    /// The engines as a file, if they are kept so.
+    pub lists: Option<Lists>,
     /// The lives of all controllers.
     pub lives: Vec<Life>,
     /// Processor seconds of controllers that are gone.
@@ -200,7 +206,26 @@
             .collect::<std::io::Result<_>>()?;
         let peers =
             sockets.iter().map(|s| Ok(s.local_addr()?.to_string())).collect::<Result<Vec<String>>>()?;
-        drop(sockets);
+        // Both sets are held at once, lest a port of the one be given out again for the other.
+        let gossips: Vec<_> = (0..if day.registry.gossip { day.controllers } else { 0 })
+            .map(|_| std::net::UdpSocket::bind("127.0.0.1:0"))
+            .collect::<std::io::Result<_>>()?;
+        let gossip =
+            gossips.iter().map(|s| Ok(s.local_addr()?.to_string())).collect::<Result<Vec<String>>>()?;
+        drop((sockets, gossips));
+        if day.registry.gossip {
+            std::fs::write(dir.join("keys"), format!("1 {seed:064x}\n"))?;
+        }
+        let lists = if day.registry.files {
+            let place = |(i, (kind, _)): (usize, &(usize, f64))| {
+                let cell = i / day.fleet.cell.max(1);
+                (day.zone(i).to_string(), day.fleet.kinds[*kind].name.clone(), cell as i64)
+            };
+            let places: Vec<_> = plan.engines.iter().enumerate().map(place).collect();
+            Some(Lists::begin(&dir, &engines.told["engines"], &places, day.controllers)?)
+        } else {
+            None
+        };
         let mut stage = Stage {
             day: day.clone(),
             dir,
@@ -215,6 +240,8 @@
             registry,
             controllers: (0..day.controllers).map(|_| None).collect(),
             peers,
+            gossip,
+            lists,
             lives: Vec::new(),
             spent: 0.0,
         };
@@ -229,6 +256,24 @@
         let peer = self.peers.get(i).map_or("127.0.0.1:0", String::as_str);
         let life = self.lives.iter().filter(|l| l.controller == i).count() as u64;
         let mut text = self.day.controller(i, &self.registry.to_string(), peer, &self.peers);
+        if let Some(lists) = &self.lists {
+            let last = self.dir.join(format!("last-{i}.toml"));
+            if life == 0 {
+                // Of a day played here before.
+                let _ = std::fs::remove_file(&last);
+            }
+            let last = path(&last);
+            let file = path(lists.path());
+            text.push_str(&format!(
+                "[members]\nfiles = [{file:?}]\nlast_good = {last:?}\nsettle = \"20ms\"\npoll = \"1s\"\n"
+            ));
+        }
+        if let Some(own) = self.gossip.get(i) {
+            let (seeds, keys) = (&self.gossip[..self.gossip.len().min(3)], path(&self.dir.join("keys")));
+            text.push_str(&format!(
+                "[gossip]\nlisten = {own:?}\nseeds = {seeds:?}\nkeys = {keys:?}\nsettle = \"5s\"\n"
+            ));
+        }
         if i >= self.capture {
             // Each process has a file of its own.
             let name = if life == 0 {
@@ -317,6 +362,15 @@
         match act {
             Act::Fault { engine, kind, value } => {
                 self.call(&format!("/fault?engine=engine-{engine:02}&kind={kind}&value={value}"))?;
+                let now = self.clock.now();
+                if let Some(lists) = &mut self.lists {
+                    match *kind {
+                        "drain" if *value > 0.0 => lists.change(*engine, Status::Draining, None, now)?,
+                        "drain" => lists.change(*engine, Status::Up, None, now)?,
+                        "start" => lists.change(*engine, Status::Up, Some(now), now)?,
+                        _ => {}
+                    }
+                }
             }
             Act::RegistryDown(ms) => self.call(&format!("/registry?unavailable_ms={ms}"))?,
             Act::RegistryStale(ms) => self.call(&format!("/registry?stale_ms={ms}"))?,
--- a/crates/members/src/keeper.rs
+++ b/crates/members/src/keeper.rs
@@ -53,6 +53,8 @@
     policy: Policy,
     places: Places,
     current: Option<EngineSet>,
+    /// It was kept by a process before this one: engines may have moved since, and nobody here knows them yet.
+    from_before: bool,
     /// Of each file in force: its version and sum.
     files: BTreeMap<String, (u64, u64)>,
     /// What was read last, and since when it stands.
@@ -92,6 +94,7 @@
             policy,
             places,
             current: None,
+            from_before: false,
             files: BTreeMap::new(),
             seen: None,
             refused: None,
@@ -113,7 +116,7 @@
     /// Takes up a set that was kept before, where there is none yet. Any version of a file may follow it.
     pub fn take_up(&mut self, kept: EngineSet) {
         if self.current.is_none() {
-            self.current = Some(kept);
+            (self.current, self.from_before) = (Some(kept), true);
         }
     }
 
@@ -253,7 +256,7 @@
         known: &crate::Known,
     ) -> Result<(), Fault> {
         let id = known.entry.engine;
-        let in_force = self.current.as_ref().and_then(|c| c.engines.get(&id));
+        let in_force = self.current.as_ref().filter(|_| !self.from_before).and_then(|c| c.engines.get(&id));
         let old = match in_force {
             Some(old) => Some(old.address),
             None => self
@@ -322,7 +325,7 @@
         }
         (self.refused, self.held_since) = (None, None);
         self.files = files;
-        self.current = Some(set.clone());
+        (self.current, self.from_before) = (Some(set.clone()), false);
         Verdict::Swap(set)
     }
 }
--- a/crates/watch/src/disk.rs
+++ b/crates/watch/src/disk.rs
@@ -29,6 +29,18 @@
         (parent(&self.0), None)
     }
 
+    /// Whether a path that changed may be one of the files, or a link on the way to them.
+    pub fn concerns(&self, changed: &Path) -> bool {
+        let (dir, pattern) = self.parts();
+        let name = changed.file_name().map(|n| n.to_string_lossy().into_owned()).unwrap_or_default();
+        let on_the_way = dir.file_name().is_some_and(|d| d.to_string_lossy() == name);
+        let is_one = match pattern {
+            Some(pattern) => matches_pattern(&pattern, &name),
+            None => self.0.file_name().is_some_and(|f| f.to_string_lossy() == name),
+        };
+        is_one || on_the_way
+    }
+
     /// The files there are now, in order of their names.
     fn files(&self) -> Vec<PathBuf> {
         let (dir, pattern) = self.parts();
@@ -68,8 +80,11 @@
     let mut all = BTreeSet::new();
     for place in places {
         let (dir, _) = place.parts();
-        // A release tool swaps a link in the directory above.
-        all.insert(parent(&dir));
+        // A release tool swaps a link in the directory above. A plain directory is not watched from above: whatever is
+        // written beside it would wake every watcher.
+        if std::fs::symlink_metadata(&dir).map_or(true, |m| m.is_symlink()) {
+            all.insert(parent(&dir));
+        }
         if let Ok(real) = dir.canonicalize() {
             all.insert(real);
         }
--- a/crates/watch/src/lib.rs
+++ b/crates/watch/src/lib.rs
@@ -9,7 +9,7 @@
 pub mod disk;
 
 use disk::Place;
-use notify::{RecommendedWatcher, RecursiveMode, Watcher};
+use notify::{EventKind, RecommendedWatcher, RecursiveMode, Watcher};
 use std::io::Write;
 use std::os::unix::net::UnixStream;
 use std::path::PathBuf;
@@ -127,8 +127,12 @@
     fn run(&mut self, woken: &Receiver<Wake>, events: Sender<Wake>) {
         let mut keeper = Keeper::new(self.watch.policy, self.watch.names.clone());
         self.take_up_kept(&mut keeper);
-        let mut system = match notify::recommended_watcher(move |_| {
-            let _ = events.send(Wake::Look);
+        let places = self.watch.places.clone();
+        let mut system = match notify::recommended_watcher(move |event: notify::Result<notify::Event>| {
+            // A fault may hide a change; it is looked at as one.
+            if event.map_or(true, |e| concerns(&e, &places)) {
+                let _ = events.send(Wake::Look);
+            }
         }) {
             Ok(system) => Some(system),
             Err(fault) => {
@@ -222,6 +226,16 @@
     }
 }
 
+/// Whether a change may be one of the files. Others may be written beside them, and reading a file is no change: heeding
+/// either would wake every watcher without end.
+fn concerns(event: &notify::Event, places: &[Place]) -> bool {
+    use notify::event::{AccessKind, AccessMode};
+    let read = matches!(event.kind, EventKind::Access(kind) if kind != AccessKind::Close(AccessMode::Write));
+    !read
+        && (event.paths.is_empty()
+            || event.paths.iter().any(|p| places.iter().any(|place| place.concerns(p))))
+}
+
 fn keeper_verdict(
     reading: &[wheelfield_members::keeper::Reading],
     now: Micros,
