--- a/crates/lab/src/stage.rs
+++ b/crates/lab/src/stage.rs
@@ -6,8 +6,9 @@
 use anyhow::{bail, ensure, Context, Result};
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::Value;
+use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -141,6 +142,8 @@
     peers: Vec<String>,
     /// Where controllers hear the gossip, if they do.
     gossip: Vec<String>,
+    /// Ports that were taken for controllers that have not started yet.
+    held: BTreeMap<usize, Vec<UdpSocket>>,
     /// The engines as a file, if they are kept so.
     pub lists: Option<Lists>,
     /// The lives of all controllers.
@@ -202,17 +205,21 @@
         // Ports for messages are the system's too: taken once, so that a restarted controller keeps its own.
         let messages = day.means.get("messages").and_then(toml::Value::as_bool) == Some(true);
         let sockets: Vec<_> = (0..if messages { day.controllers } else { 0 })
-            .map(|_| std::net::UdpSocket::bind("127.0.0.1:0"))
+            .map(|_| UdpSocket::bind("127.0.0.1:0"))
             .collect::<std::io::Result<_>>()?;
         let peers =
             sockets.iter().map(|s| Ok(s.local_addr()?.to_string())).collect::<Result<Vec<String>>>()?;
         // Both sets are held at once, lest a port of the one be given out again for the other.
         let gossips: Vec<_> = (0..if day.registry.gossip { day.controllers } else { 0 })
-            .map(|_| std::net::UdpSocket::bind("127.0.0.1:0"))
+            .map(|_| UdpSocket::bind("127.0.0.1:0"))
             .collect::<std::io::Result<_>>()?;
         let gossip =
             gossips.iter().map(|s| Ok(s.local_addr()?.to_string())).collect::<Result<Vec<String>>>()?;
-        drop((sockets, gossips));
+        // Each port is held until its controller starts, as other days may be played beside this one.
+        let mut held: BTreeMap<usize, Vec<UdpSocket>> = BTreeMap::new();
+        for (i, socket) in sockets.into_iter().enumerate().chain(gossips.into_iter().enumerate()) {
+            held.entry(i).or_default().push(socket);
+        }
         if day.registry.gossip {
             std::fs::write(dir.join("keys"), format!("1 {seed:064x}\n"))?;
         }
@@ -241,6 +248,7 @@
             controllers: (0..day.controllers).map(|_| None).collect(),
             peers,
             gossip,
+            held,
             lists,
             lives: Vec::new(),
             spent: 0.0,
@@ -284,6 +292,7 @@
             text.push_str(&format!("[capture]\nfile = {:?}\n", path(&self.dir.join(name))));
         }
         std::fs::write(&config, text)?;
+        self.held.remove(&i);
         let seed = self.seed.wrapping_mul(1_000_003).wrapping_add(i as u64 * 1_009 + life);
         let mut args: Vec<String> = [
             "--config",
--- a/crates/watch/src/lib.rs
+++ b/crates/watch/src/lib.rs
@@ -24,6 +24,10 @@
 use wheelfield_members::EngineSet;
 use wheelfield_net::Clock;
 
+/// Where the system tells of no changes (it has a limit of watchers for each user), files are read so often: a drain must be
+/// heard of well within a second.
+const UNWATCHED: Micros = Micros(250_000);
+
 /// What is watched, and how.
 #[derive(Clone, Debug)]
 pub struct Watch {
@@ -146,7 +150,7 @@
             let now = Micros(self.clock.now());
             let reading = disk::read(&self.watch.places);
             let again = self.heed(&mut keeper, now, keeper_verdict(&reading, now));
-            let poll = if watched { self.watch.poll } else { self.watch.poll.min(Micros(1_000_000)) };
+            let poll = if watched { self.watch.poll } else { self.watch.poll.min(UNWATCHED) };
             let wait = again.map_or(poll, |at| (at - now).max(Micros(1_000)).min(poll));
             match woken.recv_timeout(Duration::from_micros(wait.0.max(1_000) as u64)) {
                 Ok(Wake::End) | Err(RecvTimeoutError::Disconnected) => return,
