gossip: the plot measures until each has heard of each

With 30% lost somebody is always under suspicion, so that waiting for a moment in which everybody is alive to everybody never ended; what matters is that each has heard of each, as suspects count.

--- a/crates/gossip/tests/common/mod.rs
+++ b/crates/gossip/tests/common/mod.rs
@@ -113,6 +113,11 @@
         self.split = false;
     }
 
+    /// Of how many, itself among them, the node has heard that has heard of the fewest.
+    pub fn fewest_known(&self) -> usize {
+        self.nodes.values().map(|n| n.records().count() + 1).min().unwrap_or(0)
+    }
+
     pub fn views(&self) -> Vec<View> {
         self.nodes.values().map(|n| n.view(self.now)).collect()
     }
