watch: bounded queues for words of changes, news and keys

Channels between the watching threads and the controller had no bound: a disk that hangs while changes pour in would have filled memory. Words of changes are dropped beyond 64 that wait, as one more tells nothing; news make the thread wait, and ending drains them.

--- a/crates/controller/src/gossip.rs
+++ b/crates/controller/src/gossip.rs
@@ -6,7 +6,7 @@
 use mio::Registry;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, Sender};
+use std::sync::mpsc::{channel, sync_channel, Receiver, RecvTimeoutError, Sender, SyncSender};
 use std::time::Duration;
 use tracing::{debug, info, warn};
 use wheelfield_config::Config;
@@ -53,7 +53,7 @@
     path: &Path,
     mut last: String,
     ended: &Receiver<()>,
-    tell: &Sender<std::result::Result<Keys, String>>,
+    tell: &SyncSender<std::result::Result<Keys, String>>,
 ) {
     let mut fault = String::new();
     while let Err(RecvTimeoutError::Timeout) = ended.recv_timeout(KEYS_EVERY) {
@@ -92,7 +92,7 @@
             expect: count as usize,
             ..Limits::default()
         };
-        let (tell, fresh) = channel();
+        let (tell, fresh) = sync_channel(4);
         let (end, ended) = channel();
         let path: PathBuf = g.keys.clone();
         std::thread::Builder::new()
--- a/crates/watch/src/lib.rs
+++ b/crates/watch/src/lib.rs
@@ -13,7 +13,7 @@
 use std::io::Write;
 use std::os::unix::net::UnixStream;
 use std::path::PathBuf;
-use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, Sender};
+use std::sync::mpsc::{sync_channel, Receiver, RecvTimeoutError, SyncSender};
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -28,6 +28,9 @@
 /// heard of well within a second.
 const UNWATCHED: Micros = Micros(250_000);
 
+/// Words of changes, and pieces of news, that wait at most. Of the first, more are dropped; for the second, the thread waits.
+const WAITING: usize = 64;
+
 /// What is watched, and how.
 #[derive(Clone, Debug)]
 pub struct Watch {
@@ -67,7 +70,7 @@
 /// A watching thread; ends when dropped.
 #[derive(Debug)]
 pub struct Watching {
-    wake: Sender<Wake>,
+    wake: SyncSender<Wake>,
     thread: Option<JoinHandle<()>>,
     /// What there is to tell.
     pub news: Receiver<News>,
@@ -85,8 +88,8 @@
     /// # Errors
     /// If no thread can be had.
     pub fn begin(watch: Watch, clock: Clock, bell: UnixStream) -> std::io::Result<Watching> {
-        let (wake, woken) = channel();
-        let (tell, news) = channel();
+        let (wake, woken) = sync_channel(WAITING);
+        let (tell, news) = sync_channel(WAITING);
         let events = wake.clone();
         let thread = std::thread::Builder::new().name("engine files".into()).spawn(move || {
             let mut watcher = Thread { watch, clock, bell, tell, last: None };
@@ -97,8 +100,8 @@
 
     /// Looks now.
     pub fn look(&self) {
-        // A thread that ended has told why.
-        let _ = self.wake.send(Wake::Look);
+        // One more than wait is none, and a thread that ended has told why.
+        let _ = self.wake.try_send(Wake::Look);
     }
 }
 
@@ -106,6 +109,11 @@
     fn drop(&mut self) {
         let _ = self.wake.send(Wake::End);
         if let Some(thread) = self.thread.take() {
+            // It may wait for room for its news.
+            while !thread.is_finished() {
+                while self.news.try_recv().is_ok() {}
+                std::thread::sleep(Duration::from_millis(1));
+            }
             let _ = thread.join();
         }
     }
@@ -115,7 +123,7 @@
     watch: Watch,
     clock: Clock,
     bell: UnixStream,
-    tell: Sender<News>,
+    tell: SyncSender<News>,
     /// What was told last of files that are not taken.
     last: Option<News>,
 }
@@ -128,14 +136,15 @@
         }
     }
 
-    fn run(&mut self, woken: &Receiver<Wake>, events: Sender<Wake>) {
+    fn run(&mut self, woken: &Receiver<Wake>, events: SyncSender<Wake>) {
         let mut keeper = Keeper::new(self.watch.policy, self.watch.names.clone());
         self.take_up_kept(&mut keeper);
         let places = self.watch.places.clone();
         let mut system = match notify::recommended_watcher(move |event: notify::Result<notify::Event>| {
             // A fault may hide a change; it is looked at as one.
             if event.map_or(true, |e| concerns(&e, &places)) {
-                let _ = events.send(Wake::Look);
+                // While so many wait, one more tells nothing new.
+                let _ = events.try_send(Wake::Look);
             }
         }) {
             Ok(system) => Some(system),
