--- a/crates/core/tests/failures.rs
+++ b/crates/core/tests/failures.rs
@@ -66,7 +66,7 @@
     }
 }
 
-/// Standard days of kigali-shared: attempts with a bad plan hold cores for 13 to 24 times their work.
+/// Standard days: attempts with a bad plan hold cores for 13 to 24 times their work.
 #[test]
 fn a_bad_plan_is_withdrawn_and_sent_anew_where_repeats_are_safe() {
     for (effect, again) in [(Effect::Repeatable, true), (Effect::Once, false)] {
@@ -216,7 +216,7 @@
     assert!(admitted(0.125) > admitted(0.5) + 1, "{} and {}", admitted(0.125), admitted(0.5));
 }
 
-/// aarhus-main-later h28bb38: engines that age, slower and slower, are drawn less; when all slow alike none is.
+/// h28bb38: engines that age, slower and slower, are drawn less; when all slow alike none is.
 #[test]
 fn an_ageing_engine_is_drawn_less_and_a_common_slowdown_is_not_taken_for_ageing() {
     let late_sends_to_first = |both: bool| {
--- a/crates/core/tests/many.rs
+++ b/crates/core/tests/many.rs
@@ -7,7 +7,7 @@
 const PRESSED: Report =
     Report { utilisation: Some(1.5), in_flight: None, queue: None, memory: None, disks: None };
 
-/// aarhus-main-later big-2: every gateway put one query on every engine, and the bound bound nowhere.
+/// big-2: every gateway put one query on every engine, and the bound bound nowhere.
 #[test]
 fn under_pressure_the_bounds_hold_where_a_share_is_below_one_query() {
     let admitted = |gateways: f64| {
@@ -41,7 +41,7 @@
     assert!(at_once < 5 && later > 15, "{at_once} at once, {later} later");
 }
 
-/// tarjous-keskus-later: each gateway probed every engine, four probes a query.
+/// each gateway probed every engine, four probes a query.
 #[test]
 fn many_gateways_probe_as_much_as_one_and_tell_the_others() {
     let probes = |gateways: f64, peers: bool| {
@@ -61,7 +61,7 @@
     assert_eq!(rig.tell(Event::TimerDue(1)), [Action::Tell(vec![word])]);
 }
 
-/// tarjous-keskus-later big-2: all gateways leapt on the few engines that the shared news showed idle.
+/// big-2: all gateways leapt on the few engines that the shared news showed idle.
 #[test]
 fn where_news_are_shared_idle_engines_are_not_rushed() {
     let refused_of = |peers: bool| {
@@ -119,7 +119,7 @@
     }
 }
 
-/// montevideo-carga, i22fa3d: a zone came back cold and got a hundredth of the sends, as a gateway with its turn
+/// i22fa3d: a zone came back cold and got a hundredth of the sends, as a gateway with its turn
 /// hardly ever drew it among the warm engines. Who has its turn draws for the others, within the same budget.
 #[test]
 fn a_cold_engine_is_used_beside_warm_ones() {
@@ -203,7 +203,7 @@
     assert!(soon < 20 && later > 30, "{soon} of forty soon, {later} later");
 }
 
-/// hunt h351a52, kigali-shared-later: each of many gateways came back to a full engine several times a second.
+/// hunt h351a52: each of many gateways came back to a full engine several times a second.
 #[test]
 fn a_full_engine_rests_longer_where_many_gateways_share_it() {
     let sent_again = |gateways: f64| {
--- a/crates/core/tests/signals.rs
+++ b/crates/core/tests/signals.rs
@@ -4,7 +4,7 @@
 use common::*;
 use wheelfield::interface::*;
 
-/// vysledky-druzstvo, quiet day and rough-2: without notes attempts timed out at half the time left, though the
+/// quiet day and rough-2: without notes attempts timed out at half the time left, though the
 /// engines run on what nobody waits for; the repeats jammed them. Holds against any repeat of work still running.
 #[test]
 fn where_nothing_can_be_withdrawn_an_attempt_has_the_clients_whole_time() {
@@ -19,7 +19,7 @@
     }
 }
 
-/// vysledky-druzstvo, rough-2 before its troubles: one query in hand a core was taken for pressure, though a
+/// rough-2 before its troubles: one query in hand a core was taken for pressure, though a
 /// part of each waits for the disks, and a twentieth of a calm stretch was refused.
 #[test]
 fn a_query_in_hand_a_core_is_no_pressure_where_utilisation_is_not_told() {
@@ -38,7 +38,7 @@
     assert!(admitted(10.0, true) < 15, "{}", admitted(10.0, true));
 }
 
-/// montevideo-carga, big-2: engines full at twice their memory showed their cores idle and drew the most.
+/// big-2: engines full at twice their memory showed their cores idle and drew the most.
 /// Holds against whatever keeps cores idle while queries pile up.
 #[test]
 fn an_engine_with_idle_cores_and_no_memory_left_is_not_idle() {
@@ -54,7 +54,7 @@
     assert!(to_jammed < 20, "{to_jammed} of 200 to the jammed engine");
 }
 
-/// montevideo-carga, big-2: of what 300 gateways heard of an engine seconds ago, 'idle' was no longer true, but
+/// big-2: of what 300 gateways heard of an engine seconds ago, 'idle' was no longer true, but
 /// 'jammed' was. Where a share is below one query, bad news counts longer than good.
 #[test]
 fn of_old_reports_the_bad_ones_count_longer() {
@@ -78,7 +78,7 @@
     );
 }
 
-/// montevideo-carga, i5dcb0d: with most engines jammed all gateways leapt on the three that had just warmed up,
+/// i5dcb0d: with most engines jammed all gateways leapt on the three that had just warmed up,
 /// and jammed them too. Where engines let in what they have no memory for, the few engines not under pressure
 /// take their part of the draws. Where queries wait in line for memory, an engine is not slowed and takes all.
 #[test]
@@ -101,7 +101,7 @@
     assert!(admitted(false, 5) > 70 && admitted(false, 0) == 100 && admitted(true, 27) == 100);
 }
 
-/// kigali-shared-later and vysledky-druzstvo: of a handful of own run times the mean was three times the best by
+/// of a handful of own run times the mean was three times the best by
 /// chance, and up to half of the engines were kept from though their reports were calm.
 #[test]
 fn a_few_slow_runs_are_no_pressure_where_engines_report_calm() {
@@ -119,7 +119,7 @@
     assert!(admitted(true) > 2 * admitted(false), "{} and {}", admitted(true), admitted(false));
 }
 
-/// reykjavik-bookings: engines that report nothing were taken for idle, and run times from jammed engines for the
+/// engines that report nothing were taken for idle, and run times from jammed engines for the
 /// work of queries. How our own runs fare stands in for the mean of all engines. Holds against whatever slows all.
 #[test]
 fn where_engines_report_nothing_our_own_runs_tell_the_load() {
@@ -149,7 +149,7 @@
     }
 }
 
-/// montevideo-carga, overload: with three tenths of the pooled bound in use the fullest engines jammed, and nothing
+/// overload: with three tenths of the pooled bound in use the fullest engines jammed, and nothing
 /// could be withdrawn from them. Where queries wait in line for memory twice as much of it does no harm.
 #[test]
 fn less_of_the_pooled_bound_is_used_where_an_overfull_engine_jams() {
