members: staged rollout of a new engine file, stopped as answers worsen

A replacement of many engines had to be done by apply and status in a loop by hand. wheelfield-members rollout lists newcomers first, then drains as much, then removes it, a share of the capacity at a time; each step waits until all controllers run it and watches their answers; it stops on worsening (two proportions), a refusal, silence or another hand, and can take all back.

gossip: a controller that starts again with its clock set back is told when the one before it started, goes on as later than that, and is heard within seconds (it was not until its clock had caught up).

--- a/crates/controller/src/gossip.rs
+++ b/crates/controller/src/gossip.rs
@@ -11,7 +11,7 @@
 use tracing::{debug, info, warn};
 use wheelfield_config::Config;
 use wheelfield_driver::Input;
-use wheelfield_gossip::seal::{Keys, Opener, Sealer, LONGEST};
+use wheelfield_gossip::seal::{Dropped, Keys, Opener, Sealer, LONGEST};
 use wheelfield_gossip::{Limits, Node, Packet, View};
 use wheelfield_net::{datagrams, TimerKey};
 
@@ -161,11 +161,17 @@
                 Ok(packet) => {
                     let mut out = Vec::new();
                     g.node.receive(self.now, from, &packet, &mut out);
+                    g.sealer.start_at(g.node.start());
                     g.send(out);
                 }
                 Err(why) => {
                     g.dropped += 1;
                     debug!(%from, %why, "gossip dropped");
+                    // Its seal was good: one answer for one datagram is no flood.
+                    if let Dropped::Before(start) = why {
+                        let packet = g.node.tell_start(from, start);
+                        g.send(vec![(from, packet)]);
+                    }
                 }
             }
         }
--- a/crates/gossip/src/node.rs
+++ b/crates/gossip/src/node.rs
@@ -258,6 +258,17 @@
         View { count, index, alive, settled: self.listened && !doubtful }
     }
 
+    /// The start that this node tells of itself: at least its own, and later than that of any process before it there.
+    pub fn start(&self) -> u64 {
+        self.own.start
+    }
+
+    /// To one whose datagrams are dropped, as a process of its address with a later start was heard: what that start was.
+    pub fn tell_start(&self, to: SocketAddr, start: u64) -> Packet {
+        let record = Record { member: to, start, denials: 0, standing: Standing::Alive, since_ms: 0 };
+        Packet { message: Message::Tell, riders: vec![self.own, record] }
+    }
+
     /// When [`Node::tick`] is next wanted.
     pub fn next(&self) -> i64 {
         let help = self.probing.as_ref().and_then(|p| p.help_at);
@@ -473,8 +484,13 @@
     /// What is said of a member, or of this one.
     fn learn(&mut self, now: i64, record: Record) {
         if record.member == self.own.member {
-            // Whatever is said of us that is not so is denied. A start later than ours is another process at our place:
-            // it holds the address now, so this one is on its way out.
+            // Only one process holds an address at a time, so a later start is that of a process before this one, by a clock
+            // that was set back since. Ours must be later still, or nobody heeds it.
+            if record.start > self.own.start {
+                (self.own.start, self.own.denials) = (record.start.saturating_add(1), 0);
+                return;
+            }
+            // Whatever is said of us that is not so is denied.
             if record.start == self.own.start
                 && record.standing != Standing::Alive
                 && self.own.standing == Standing::Alive
--- a/crates/gossip/src/seal.rs
+++ b/crates/gossip/src/seal.rs
@@ -35,6 +35,9 @@
     /// The seal is not of this datagram, or not of this sender.
     #[error("a broken seal")]
     Forged,
+    /// A process of its address that started later was heard: at that time.
+    #[error("of a process before the one that was heard")]
+    Before(u64),
     /// It was opened before, or is older than what was.
     #[error("old or doubled")]
     Old,
@@ -137,6 +140,13 @@
         Sealer { own, start, sequence: 0 }
     }
 
+    /// From now on as a process of this start. An earlier one is not taken.
+    pub fn start_at(&mut self, start: u64) {
+        if start > self.start {
+            (self.start, self.sequence) = (start, 0);
+        }
+    }
+
     /// A datagram; none if the packet is too long for one.
     pub fn seal(&mut self, packet: &Packet, keys: &Keys) -> Option<Vec<u8>> {
         let (number, key) = keys.0.first()?;
@@ -202,7 +212,7 @@
             return Ok(());
         };
         if start < heard.start {
-            return Err(Dropped::Old);
+            return Err(Dropped::Before(heard.start));
         }
         if start > heard.start {
             *heard = fresh;
--- a/crates/gossip/tests/seal.rs
+++ b/crates/gossip/tests/seal.rs
@@ -3,7 +3,7 @@
 use proptest::prelude::*;
 use std::net::SocketAddr;
 use wheelfield_gossip::seal::{Dropped, Keys, Opener, Sealer, LONGEST};
-use wheelfield_gossip::{Limits, Message, Packet, Record, Standing};
+use wheelfield_gossip::{Limits, Message, Node, Packet, Record, Standing};
 
 fn at(port: u16) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], port))
@@ -60,7 +60,7 @@
     let restarted = Sealer::new(from, 101).seal(&packet(0), &keys).expect("short");
     assert!(opener.open(from, &restarted, &keys).is_ok());
     let old = sealer.seal(&packet(0), &keys).expect("short");
-    assert_eq!(opener.open(from, &old, &keys), Err(Dropped::Old), "of the process before");
+    assert!(matches!(opener.open(from, &old, &keys), Err(Dropped::Before(_))), "of the process before");
 }
 
 #[test]
@@ -111,3 +111,65 @@
         prop_assert!(Opener::default().open(at(1), &headed, &keys(ONE)).is_err());
     }
 }
+
+/// A process that holds an address: its node, and what seals and opens for it.
+struct Process {
+    node: Node,
+    sealer: Sealer,
+    opener: Opener,
+}
+
+fn process(own: SocketAddr, start: u64, seed: SocketAddr) -> Process {
+    Process {
+        node: Node::new(own, start, vec![seed], Limits { expect: 2, ..Limits::default() }, start, 0),
+        sealer: Sealer::new(own, start),
+        opener: Opener::default(),
+    }
+}
+
+/// Both go on for so many seconds, as a controller does.
+fn talk(all: &mut [(SocketAddr, Process); 2], keys: &Keys, from_s: i64, to_s: i64) {
+    for now in (from_s * 10..to_s * 10).map(|tenth| tenth * 100_000) {
+        let mut wire: Vec<(SocketAddr, SocketAddr, Vec<u8>)> = Vec::new();
+        for (own, p) in all.iter_mut() {
+            let mut out = Vec::new();
+            p.node.tick(now, &mut out);
+            wire.extend(out.iter().filter_map(|(to, m)| Some((*own, *to, p.sealer.seal(m, keys)?))));
+        }
+        for _ in 0..4 {
+            for (from, to, datagram) in std::mem::take(&mut wire) {
+                let Some((own, p)) = all.iter_mut().find(|(a, _)| *a == to) else { continue };
+                let mut out = Vec::new();
+                match p.opener.open(from, &datagram, keys) {
+                    Ok(packet) => {
+                        p.node.receive(now, from, &packet, &mut out);
+                        p.sealer.start_at(p.node.start());
+                    }
+                    Err(Dropped::Before(start)) => out.push((from, p.node.tell_start(from, start))),
+                    Err(_) => {}
+                }
+                wire.extend(out.iter().filter_map(|(to, m)| Some((*own, *to, p.sealer.seal(m, keys)?))));
+            }
+        }
+    }
+}
+
+#[test]
+fn a_process_whose_clock_was_set_back_is_heard_again() {
+    let keys = Keys::read("1 a-key-of-sixteen-letters\n").expect("keys");
+    let (a, b): (SocketAddr, SocketAddr) =
+        ("127.0.0.1:7001".parse().expect("one"), "127.0.0.1:7002".parse().expect("two"));
+    let mut all = [(a, process(a, 1_000, b)), (b, process(b, 1_000_000, a))];
+    talk(&mut all, &keys, 0, 60);
+    assert!(all.iter().all(|(_, p)| p.node.view(60_000_000).alive == 2));
+    // The second dies and comes back by a clock an hour behind.
+    all[1].1 = process(b, 10, a);
+    talk(&mut all, &keys, 60, 65);
+    assert!(all[1].1.node.start() > 1_000_000, "it learned when the process before it had started");
+    let view = all[0].1.node.view(65_000_000);
+    assert_eq!((view.alive, view.count), (2, 2));
+    let before = all[0].1.node.counts().given_up;
+    talk(&mut all, &keys, 65, 200);
+    assert_eq!(all[0].1.node.counts().given_up, before, "and it stays");
+    assert!(all.iter().all(|(_, p)| p.node.view(200_000_000).alive == 2));
+}
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`file`]: a set as TOML; every fault by line, column and mend.
 //! - [`keeper`]: when what files hold is taken: it stands still, it is sound, and it is plausible.
 //! - [`merge`]: a file and a registry that may contradict each other.
+//! - [`rollout`]: a large change in steps, and when to stop it.
 //! - [`tracker`]: what the module is told of a new set.
 //!
 //! No I/O and no clock. Nothing here decides what the module decides: where queries go.
@@ -12,6 +13,7 @@
 pub mod file;
 pub mod keeper;
 pub mod merge;
+pub mod rollout;
 pub mod tracker;
 
 use std::collections::BTreeMap;
--- a/crates/watch/src/main.rs
+++ b/crates/watch/src/main.rs
@@ -7,9 +7,12 @@
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::time::Duration;
+use std::time::{Duration, Instant};
+use wheelfield_config::units::Time;
 use wheelfield_members::file::{read, write, Places, Read as Found};
 use wheelfield_members::keeper::Policy;
+use wheelfield_members::rollout::{self, Guard, Round, Seen};
+use wheelfield_members::EngineSet;
 use wheelfield_watch::disk;
 
 /// Engine files: checked, compared, written, applied; and which controller runs which version.
@@ -64,6 +67,9 @@
         #[arg(long)]
         confirm: bool,
     },
+    /// Brings a new file into force in steps: newcomers first, then as many drain, then go; each step waits until all
+    /// controllers run it, and for a while. Stops if they refuse more or fail more than before.
+    Rollout(RolloutArgs),
     /// Which version each controller runs, by their admin addresses.
     Status {
         /// Admin addresses, such as 127.0.0.1:9801.
@@ -75,6 +81,45 @@
     },
 }
 
+#[derive(clap::Args)]
+struct RolloutArgs {
+    /// The new one.
+    file: PathBuf,
+    /// The one in force.
+    target: PathBuf,
+    /// Admin addresses of all controllers, such as 127.0.0.1:9801.
+    #[arg(required = true)]
+    controllers: Vec<SocketAddr>,
+    /// The version that must be in force.
+    #[arg(long, value_name = "N")]
+    expect: u64,
+    /// As for `check`.
+    #[arg(long, value_name = "FILE")]
+    config: Option<PathBuf>,
+    /// Share of the capacity that comes, or drains, in a step; one engine at least.
+    #[arg(long, value_name = "X", default_value_t = 0.1)]
+    step: f64,
+    /// Waited after each step, and watched for worsening; longer than a drain and a cold start take.
+    #[arg(long, value_name = "TIME", default_value = "30s", value_parser = span)]
+    pause: Time,
+    /// All controllers must run a step within this.
+    #[arg(long, value_name = "TIME", default_value = "30s", value_parser = span)]
+    within: Time,
+    /// The share of refused and failed answers may rise by so much.
+    #[arg(long, value_name = "X", default_value_t = Guard::default().worse)]
+    worse: f64,
+    /// When stopped, the set that was in force at the start is written again.
+    #[arg(long)]
+    back: bool,
+    /// Only shows the steps.
+    #[arg(long)]
+    plan: bool,
+}
+
+fn span(text: &str) -> Result<Time, String> {
+    wheelfield_config::units::time(text).map_err(|(fault, mend)| format!("{fault}; {mend}"))
+}
+
 fn main() -> ExitCode {
     match run(Cli::parse().command) {
         Ok(true) => ExitCode::SUCCESS,
@@ -94,6 +139,7 @@
         Command::Apply { file, target, expect, config, confirm } => {
             apply(&file, &target, expect, config.as_deref(), confirm)
         }
+        Command::Rollout(args) => roll_out(&args),
         Command::Status { controllers, version } => status(&controllers, version),
     }
 }
@@ -145,15 +191,20 @@
     Ok(!check)
 }
 
-fn apply(file: &Path, target: &Path, expect: u64, config: Option<&Path>, confirm: bool) -> Result<bool> {
-    let mut places = places(config)?;
-    let mut new = load(file, &mut places)?;
-    // The lock is the system's: it goes with this process, however that ends.
-    let lock_path = PathBuf::from(format!("{}.lock", target.display()));
-    let lock = File::create(&lock_path).with_context(|| format!("cannot write {}", lock_path.display()))?;
+/// The lock is the system's: it goes with this process, however that ends.
+fn lock(target: &Path) -> Result<File> {
+    let path = PathBuf::from(format!("{}.lock", target.display()));
+    let lock = File::create(&path).with_context(|| format!("cannot write {}", path.display()))?;
     if lock.try_lock().is_err() {
         bail!("{} is locked: somebody else applies a file just now", target.display());
     }
+    Ok(lock)
+}
+
+fn apply(file: &Path, target: &Path, expect: u64, config: Option<&Path>, confirm: bool) -> Result<bool> {
+    let mut places = places(config)?;
+    let mut new = load(file, &mut places)?;
+    let _lock = lock(target)?;
     let old = if target.exists() { Some(load(target, &mut places)?) } else { None };
     let in_force = old.as_ref().map_or(0, |o| o.set.version);
     if in_force != expect {
@@ -186,8 +237,8 @@
     Ok(true)
 }
 
-/// What a controller says of its list.
-fn ask(address: SocketAddr) -> Result<(u64, String)> {
+/// What a controller says of itself.
+fn ask(address: SocketAddr) -> Result<Seen> {
     let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(2))?;
     stream.set_read_timeout(Some(Duration::from_secs(2)))?;
     stream.write_all(b"GET /status HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")?;
@@ -200,9 +251,14 @@
         let whole = String::from_utf8_lossy(&answer).into_owned();
         let body = whole.split_once("\r\n\r\n").map(|(_, body)| body).unwrap_or("");
         if let Ok(status) = serde_json::from_str::<serde_json::Value>(body) {
-            let version = status["figures"]["list_version"].as_u64().context("no version in its status")?;
-            let fault = status["members"]["fault"].as_str().unwrap_or("").to_string();
-            return Ok((version, fault));
+            let figure = |name: &str| status["figures"][name].as_u64();
+            return Ok(Seen {
+                version: figure("list_version").context("no version in its status")?,
+                fault: status["members"]["fault"].as_str().unwrap_or("").to_string(),
+                served: figure("queries_served").unwrap_or(0),
+                refused: figure("queries_refused").unwrap_or(0),
+                failed: figure("queries_failed").unwrap_or(0),
+            });
         }
         if n == 0 || answer.len() > 8 << 20 {
             bail!("its status can't be read");
@@ -210,17 +266,137 @@
     }
 }
 
+/// Asks all, some at a time.
+fn ask_all(controllers: &[SocketAddr]) -> Vec<Result<Seen>> {
+    let some = |part: &[SocketAddr]| -> Vec<Result<Seen>> {
+        std::thread::scope(|scope| {
+            let asked: Vec<_> = part.iter().map(|c| scope.spawn(|| ask(*c))).collect();
+            asked.into_iter().map(|t| t.join().unwrap_or_else(|_| bail!("asking it failed"))).collect()
+        })
+    };
+    controllers.chunks(64).flat_map(some).collect()
+}
+
+fn round(controllers: &[SocketAddr]) -> Round {
+    let seen = ask_all(controllers).into_iter().map(Result::ok);
+    controllers.iter().map(ToString::to_string).zip(seen).collect()
+}
+
+/// Writes a set, if it still follows the one that was written last.
+fn put(target: &Path, expect: u64, set: &EngineSet, confirmed: bool, places: &mut Places) -> Result<()> {
+    let _lock = lock(target)?;
+    let in_force = load(target, places)?.set.version;
+    if in_force != expect {
+        bail!("version {in_force} is in force, not {expect}: somebody else changed it; nothing was written");
+    }
+    let text = write(&Found { set: set.clone(), confirmed, kept: None }, places);
+    disk::write_durably(target, text.as_bytes()).with_context(|| format!("cannot write {}", target.display()))
+}
+
+/// Waits until all run a version, then for the pause; the fault that stops the rollout, if there is one.
+fn step(args: &RolloutArgs, version: u64, before: rollout::Answers) -> Option<String> {
+    let pause = Duration::from_micros(args.pause.0 .0.max(0) as u64);
+    let look = (pause / 10).clamp(Duration::from_millis(5), Duration::from_secs(1));
+    let until = Instant::now() + Duration::from_micros(args.within.0 .0.max(0) as u64);
+    loop {
+        let p = rollout::progress(&round(&args.controllers), version);
+        if p.behind.is_empty() && p.silent.is_empty() {
+            break;
+        }
+        if let Some((who, fault)) = p.faults.first() {
+            return Some(format!("{who} does not take version {version}: {fault}"));
+        }
+        if Instant::now() >= until {
+            let (behind, silent) = (p.behind.join(", "), p.silent.join(", "));
+            return Some(format!("version {version} is not everywhere: behind: {behind}; silent: {silent}"));
+        }
+        std::thread::sleep(look);
+    }
+    let guard = Guard { worse: args.worse, ..Guard::default() };
+    let (first, until) = (round(&args.controllers), Instant::now() + pause);
+    loop {
+        std::thread::sleep(look.min(until.saturating_duration_since(Instant::now())));
+        let now = round(&args.controllers);
+        if let Some(why) = guard.worsened(before, rollout::answers(&first, &now)) {
+            return Some(why);
+        }
+        if Instant::now() >= until {
+            return None;
+        }
+    }
+}
+
+fn roll_out(args: &RolloutArgs) -> Result<bool> {
+    let mut places = places(args.config.as_deref())?;
+    let goal = load(&args.file, &mut places)?;
+    let from = load(&args.target, &mut places)?;
+    if from.set.version != args.expect {
+        bail!(
+            "version {} is in force, not {}: look what changed, and expect that",
+            from.set.version,
+            args.expect
+        );
+    }
+    let cores =
+        if places.cores.is_empty() { vec![1.0; places.names.kinds.len()] } else { places.cores.clone() };
+    let sets = rollout::steps(&from.set, &goal.set, &cores, args.step)?;
+    let all = sets.len();
+    if args.plan {
+        let mut before = &from.set;
+        for (n, set) in sets.iter().enumerate() {
+            println!("step {} of {all}, version {}", n + 1, set.version);
+            before.difference(set).iter().for_each(|line| println!("  {line}"));
+            before = set;
+        }
+        return Ok(true);
+    }
+    let start = rollout::progress(&round(&args.controllers), args.expect);
+    if !start.silent.is_empty() || !start.behind.is_empty() {
+        bail!(
+            "not all controllers run version {}: behind: {}; silent: {}",
+            args.expect,
+            start.behind.join(", "),
+            start.silent.join(", ")
+        );
+    }
+    // How they do before anything changes.
+    let first = round(&args.controllers);
+    std::thread::sleep(Duration::from_micros(args.pause.0 .0.max(0) as u64));
+    let before = rollout::answers(&first, &round(&args.controllers));
+    println!("before: {} answers, {} of them refusals or failures", before.all, before.bad);
+    let mut in_force = args.expect;
+    for (n, set) in sets.iter().enumerate() {
+        put(&args.target, in_force, set, goal.confirmed, &mut places)?;
+        in_force = set.version;
+        let Some(why) = step(args, in_force, before) else {
+            println!("step {} of {all}: version {in_force} everywhere, no worse", n + 1);
+            continue;
+        };
+        println!("step {} of {all}: STOPPED, {why}", n + 1);
+        if args.back {
+            let back = EngineSet { version: in_force + 1, ..from.set.clone() };
+            // What is taken back was in force a moment ago, however much that is.
+            put(&args.target, in_force, &back, true, &mut places)?;
+            println!(
+                "the engines of version {} are in force again, as version {}",
+                args.expect, back.version
+            );
+        } else {
+            println!("version {in_force} stays in force; --back would have taken it back");
+        }
+        return Ok(false);
+    }
+    Ok(true)
+}
+
 fn status(controllers: &[SocketAddr], version: Option<u64>) -> Result<bool> {
-    let answers: Vec<Result<(u64, String)>> = std::thread::scope(|scope| {
-        let asked: Vec<_> = controllers.iter().map(|c| scope.spawn(|| ask(*c))).collect();
-        asked.into_iter().map(|t| t.join().unwrap_or_else(|_| bail!("asking it failed"))).collect()
-    });
-    let newest = answers.iter().filter_map(|a| a.as_ref().ok()).map(|(v, _)| *v).max().unwrap_or(0);
+    let answers = ask_all(controllers);
+    let newest = answers.iter().filter_map(|a| a.as_ref().ok()).map(|s| s.version).max().unwrap_or(0);
     let wanted = version.unwrap_or(newest);
     let mut behind = 0;
     for (controller, answer) in controllers.iter().zip(&answers) {
         match answer {
-            Ok((version, fault)) => {
+            Ok(Seen { version, fault, .. }) => {
                 let late = *version != wanted;
                 behind += usize::from(late);
                 let word = if late { "  BEHIND" } else { "" };
--- a/crates/watch/tests/program.rs
+++ b/crates/watch/tests/program.rs
@@ -127,3 +127,73 @@
     assert_eq!(members(&["status", &one]).0, Some(0));
     a.join().expect("asked");
 }
+
+/// Two controllers that run what stands in a file, and refuse everything from a version on.
+fn controllers(file: std::path::PathBuf, bad_from: u64) -> Vec<String> {
+    let serve = move |listener: TcpListener, file: std::path::PathBuf| {
+        let mut served = 0;
+        let mut refused = 0;
+        for stream in listener.incoming().take(2_000) {
+            let Ok(mut stream) = stream else { return };
+            let mut request = [0; 1024];
+            let _ = stream.read(&mut request);
+            let text = fs::read_to_string(&file).unwrap_or_default();
+            let version: u64 = text
+                .lines()
+                .find_map(|l| l.strip_prefix("version = "))
+                .and_then(|v| v.parse().ok())
+                .unwrap_or(0);
+            if version >= bad_from {
+                refused += 500;
+            } else {
+                served += 500;
+            }
+            let body = format!(
+                "{{\"figures\":{{\"list_version\":{version},\"queries_served\":{served},\"queries_refused\":{refused},\"queries_failed\":0}},\"members\":{{\"fault\":null}}}}"
+            );
+            let _ = write!(stream, "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len());
+        }
+    };
+    (0..2)
+        .map(|_| {
+            let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+            let address = listener.local_addr().expect("an address").to_string();
+            let file = file.clone();
+            std::thread::spawn(move || serve(listener, file));
+            address
+        })
+        .collect()
+}
+
+#[test]
+fn a_rollout_goes_in_steps_to_its_end_or_stops_as_it_worsens_and_is_taken_back() {
+    let dir = tempfile::tempdir().expect("a directory");
+    let target = put(dir.path(), "engines.toml", &file(3, &[1, 2, 3, 4]));
+    let new = put(dir.path(), "new.toml", &file(4, &[5, 6, 7, 8]));
+    let usual = ["--step", "0.25", "--pause", "20ms", "--within", "10s"];
+    let run = |controllers: &[String], expect: &str, more: &[&str]| {
+        let mut args = vec!["rollout", new.as_str(), target.as_str(), "--expect", expect];
+        args.extend(usual);
+        args.extend(more);
+        args.extend(controllers.iter().map(String::as_str));
+        members(&args)
+    };
+    let good = controllers(target.clone().into(), u64::MAX);
+    let (code, told) = run(&good, "2", &[]);
+    assert_eq!(code, Some(1), "another version is in force: {told}");
+    let (code, told) = run(&good, "3", &["--plan"]);
+    assert_eq!((code, told.matches("step ").count()), (Some(0), 9), "{told}");
+    assert_eq!(fs::read_to_string(&target).expect("there"), file(3, &[1, 2, 3, 4]), "a plan writes nothing");
+    // It worsens at the third step: stopped, and taken back.
+    let bad = controllers(target.clone().into(), 6);
+    let (code, told) = run(&bad, "3", &["--back"]);
+    assert_eq!(code, Some(1), "{told}");
+    assert!(told.contains("step 2 of 9") && told.contains("step 3 of 9: STOPPED"), "{told}");
+    let (code, difference) =
+        members(&["diff", &target, &put(dir.path(), "old.toml", &file(3, &[1, 2, 3, 4]))]);
+    assert_eq!((code, difference.as_str()), (Some(0), ""), "all as it was");
+    let (code, told) = run(&good, "7", &[]);
+    assert_eq!(code, Some(0), "{told}");
+    assert!(told.contains("step 9 of 9"), "{told}");
+    assert_eq!(members(&["diff", &target, &new]), (Some(0), String::new()));
+}
