--- a/crates/lab/src/crowd.rs
+++ b/crates/lab/src/crowd.rs
@@ -1,11 +1,12 @@
 //! The clients of a day, in an open loop: what is to be sent is sent at its time, whatever has become of the rest.
 
+use crate::clients::{again, door, Door};
 use crate::plan::{Arrival, Plan};
 use crate::stage::Change;
 use anyhow::Result;
 use bytes::{Bytes, BytesMut};
 use mio::{Events, Poll, Token};
-use rand::{RngExt as _, SeedableRng as _};
+use rand::SeedableRng as _;
 use rand_pcg::Pcg64Mcg;
 use serde::Serialize;
 use slab::Slab;
@@ -84,13 +85,6 @@
     Connect(usize),
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Door {
-    address: Option<SocketAddr>,
-    down: bool,
-    down_since: i64,
-}
-
 /// What the crowd counts as it goes, for a line on the screen.
 #[derive(Clone, Copy, Debug, Default, Serialize)]
 pub struct Tally {
@@ -129,6 +123,7 @@
     manners: Manners,
     start: i64,
     doors: Vec<Door>,
+    addresses: Vec<Option<SocketAddr>>,
     changes: Receiver<Change>,
     connections: Slab<Connection>,
     /// Ready and unused, by controller and customer.
@@ -207,7 +202,8 @@
             poll: Poll::new()?,
             plan,
             start,
-            doors: vec![Door { address: None, down: false, down_since: 0 }; controllers],
+            doors: vec![Door::default(); controllers],
+            addresses: vec![None; controllers],
             changes,
             connections: Slab::new(),
             idle: BTreeMap::new(),
@@ -239,9 +235,10 @@
             while let Ok(change) = self.changes.try_recv() {
                 match change {
                     Change::Up(i, address) => {
-                        self.doors[i] = Door { address: Some(address), down: false, down_since: 0 }
+                        self.doors[i] = Door { known: true, ..Door::default() };
+                        self.addresses[i] = Some(address);
                     }
-                    Change::Down(i) => (self.doors[i].down, self.doors[i].down_since) = (true, now),
+                    Change::Down(i) => (self.doors[i].down, self.doors[i].since) = (true, now),
                 }
             }
             while let Some(wake) = self.timers.pop(now) {
@@ -313,23 +310,11 @@
         }
     }
 
-    /// A controller for a query: its own door, or the next that is not known to be dead.
-    fn door(&self, arrival: &Arrival, number: u32, now: i64) -> usize {
-        let n = self.doors.len();
-        let first = ((arrival.door * n as f64) as usize).min(n - 1) + number as usize;
-        let notice = self.manners.habits.notice.0 .0;
-        let open = |i: &usize| {
-            let door = self.doors[*i];
-            door.address.is_some() && !(door.down && now - door.down_since > notice)
-        };
-        (0..n).map(|k| (first + k) % n).find(open).unwrap_or(first % n)
-    }
-
     fn send(&mut self, a: usize, number: u32, now: i64) {
         let plan: &'a Plan = self.plan;
         let arrival = &plan.arrivals[a];
         self.coming -= 1;
-        let controller = self.door(arrival, number, now);
+        let controller = door(&self.doors, &self.manners.habits, arrival, number, now);
         let t = self.tries.len();
         let id = format!("q{a}-{number}");
         let due = now + arrival.patience;
@@ -380,7 +365,7 @@
         }
         let entry = self.connections.vacant_entry();
         let id = entry.key();
-        let address = self.doors[place.0].address;
+        let address = self.addresses[place.0];
         let Some(Ok(mut stream)) = address.map(|a| connect(a, self.poll.registry(), Token(id))) else {
             return self.unreachable(place, now);
         };
@@ -572,7 +557,7 @@
     fn cancel(&mut self, t: usize) {
         let Some(id) = self.connection_of(t) else { return };
         let c = &self.connections[id];
-        let Some(address) = self.doors[c.controller].address else { return };
+        let Some(address) = self.addresses[c.controller] else { return };
         // A request to cancel is a connection of its own, which is closed without an answer.
         if let Ok(mut stream) = std::net::TcpStream::connect_timeout(&address, Duration::from_millis(200)) {
             let mut out = BytesMut::new();
@@ -600,25 +585,15 @@
 
     /// A refused query, or one whose controller could not be had, is tried again within the client's habits.
     fn maybe_again(&mut self, t: usize, end: End, now: i64) {
-        let (arrival, number, advice) =
-            (self.tries[t].arrival, self.tries[t].number, self.tries[t].advice_ms);
         let plan: &'a Plan = self.plan;
-        let a = &plan.arrivals[arrival];
+        let tried = &self.tries[t];
+        let a = &plan.arrivals[tried.arrival];
         let class = &self.manners.classes[a.class];
-        let repeatable = class.effect == "repeatable";
-        let again = match end {
-            End::Refused | End::Unreachable => true,
-            End::Broke | End::Failed => repeatable && self.tries[t].state != "57014",
-            _ => false,
-        };
         let left = self.start + a.at + class.deadline.0 .0 - now;
-        if !again || number >= self.manners.habits.retries || left < 100_000 || a.leaves.is_some() {
-            return;
+        let wait = again(class, &self.manners.habits, a, tried, end, left, &mut self.chance);
+        if let Some(wait) = wait {
+            self.coming += 1;
+            self.timers.set(now + wait, Wake::Again(tried.arrival, tried.number + 1));
         }
-        let backoff = self.manners.habits.backoff.0 .0 << number.min(6);
-        let backoff = (backoff as f64 * self.chance.random_range(0.5..1.5)) as i64;
-        let wait = advice.filter(|_| a.honours).map_or(backoff, |ms| ms as i64 * 1000);
-        self.coming += 1;
-        self.timers.set(now + wait, Wake::Again(arrival, number + 1));
     }
 }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,6 +4,8 @@
 //! - [`day`]: the script, as TOML.
 //! - [`plan`]: the day drawn from it, by seed; no I/O.
 //! - [`stage`]: the processes.
+//! - [`clients`]: what clients do by habit; no I/O.
+//! - [`virtual_time`]: a day in one process and in virtual time; no I/O.
 //! - [`crowd`]: the clients, in an open loop.
 //! - [`evidence`]: a day as the judge of the rules reads it; no I/O.
 //! - [`lists`]: its engines as a file that controllers watch.
@@ -12,6 +14,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod clients;
 pub mod crowd;
 pub mod day;
 pub mod evidence;
@@ -20,3 +23,4 @@
 pub mod plan;
 pub mod play;
 pub mod stage;
+pub mod virtual_time;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -10,6 +10,7 @@
 use wheelfield_lab::day::{Day, KINDS};
 use wheelfield_lab::measure;
 use wheelfield_lab::play::{self, Options};
+use wheelfield_lab::virtual_time::mind::Policy;
 
 /// Scripted days of traffic and troubles on real processes, judged from what crossed their sockets.
 ///
@@ -56,6 +57,12 @@
     /// Queries a second, in place of the script's.
     #[arg(long, value_name = "X")]
     rate: Option<f64>,
+    /// In one process and in virtual time, without sockets: the same day and seed give the same report.
+    #[arg(long = "virtual", conflicts_with_all = ["capture", "clients", "plant"])]
+    virtual_time: bool,
+    /// What decides in the controllers of a day in virtual time.
+    #[arg(long, value_enum, default_value_t, requires = "virtual_time")]
+    policy: Policy,
     /// Keeps logs, configurations and the report here; else they go when the day is over.
     #[arg(long, value_name = "DIR")]
     out: Option<PathBuf>,
@@ -166,7 +173,11 @@
             if args.check {
                 return ExitCode::SUCCESS;
             }
-            one_day(&day, &args)
+            if args.virtual_time {
+                virtual_day(&day, &args)
+            } else {
+                one_day(&day, &args)
+            }
         }
         Command::Up(args) => up(&args),
         Command::Measure(args) => figures(&args),
@@ -186,6 +197,34 @@
     ExitCode::from(2)
 }
 
+fn tell(report: &play::Report, json: bool) -> Result<()> {
+    let mut out = std::io::stdout().lock();
+    if json {
+        serde_json::to_writer(&mut out, report)?;
+        std::io::Write::write_all(&mut out, b"\n")?;
+    } else {
+        play::print(report, &mut out)?;
+    }
+    Ok(())
+}
+
+fn virtual_day(day: &Day, args: &DayArgs) -> Result<bool> {
+    let began = std::time::Instant::now();
+    let (report, played) = play::play_virtual(day, args.seed, args.policy)?;
+    let took = began.elapsed().as_secs_f64();
+    if let Some(dir) = &args.out {
+        std::fs::create_dir_all(dir).with_context(|| format!("cannot make {}", dir.display()))?;
+        let lines: Vec<String> =
+            played.tries.iter().map(|t| serde_json::to_string(t).unwrap_or_default()).collect();
+        std::fs::write(dir.join("clients.jsonl"), lines.join("\n"))?;
+        std::fs::write(dir.join("report.json"), serde_json::to_string_pretty(&report)?)?;
+    }
+    tell(&report, args.json)?;
+    let length = day.length.0 .0 as f64 / 1e6;
+    eprintln!("{length:.0} s in {took:.2} s: {} events, {} messages", played.events, played.messages);
+    Ok(report.kept())
+}
+
 fn one_day(day: &Day, args: &DayArgs) -> Result<bool> {
     let kept = tempfile::tempdir()?;
     let dir = args.out.clone().unwrap_or_else(|| kept.path().to_path_buf());
@@ -199,13 +238,7 @@
         quiet: false,
     };
     let report = play::play(day, &options)?;
-    let mut out = std::io::stdout().lock();
-    if args.json {
-        serde_json::to_writer(&mut out, &report)?;
-        std::io::Write::write_all(&mut out, b"\n")?;
-    } else {
-        play::print(&report, &mut out)?;
-    }
+    tell(&report, args.json)?;
     Ok(report.kept())
 }
 
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -5,6 +5,8 @@
 use crate::evidence::Known;
 use crate::plan::Plan;
 use crate::stage::{Setting, Stage};
+use crate::virtual_time::mind::Policy;
+use crate::virtual_time::{self, Played};
 use anyhow::{anyhow, Context, Result};
 use hdrhistogram::Histogram;
 use serde::Serialize;
@@ -183,6 +185,22 @@
     Ok(report)
 }
 
+/// Plays a day in virtual time.
+///
+/// # Errors
+/// The first fault of its script.
+pub fn play_virtual(day: &Day, seed: u64, policy: Policy) -> Result<(Report, Played)> {
+    let plan = Plan::draw(day, seed);
+    let played = virtual_time::play(day, &plan, seed, policy)?;
+    let settings = day.settings()?;
+    let start = virtual_time::start();
+    let known = Known { day, settings: &settings, plan: &plan, start };
+    let breaches = known.judge(&played.tries, &played.log, &played.lives);
+    let mut report = sum_up(day, &plan, start, &played.tries, breaches);
+    report.seed = seed;
+    Ok((report, played))
+}
+
 fn sum_up(day: &Day, plan: &Plan, start: i64, tries: &[Try], breaches: Vec<Breach>) -> Report {
     let mut report = Report { day: day.name.clone(), ..Report::default() };
     let mut latencies: Vec<Histogram<u64>> = day
