--- a/crates/lab/src/evidence.rs
+++ b/crates/lab/src/evidence.rs
@@ -5,7 +5,7 @@
 use crate::plan::Plan;
 use std::collections::BTreeMap;
 use wheelfield::interface::Settings;
-use wheelfield_rules::{judge, Asked, Breach, Evidence, Life, Line, OfClass, Tolerance};
+use wheelfield_rules::{cold_peaks, judge, Asked, Breach, Evidence, Life, Line, OfClass, Tolerance};
 
 /// What a day's plan and script say beyond its log.
 pub struct Known<'a> {
@@ -20,13 +20,13 @@
 }
 
 impl Known<'_> {
-    /// Judges the day.
-    pub fn judge(&self, tries: &[Try], log: &[Line], lives: &[Life]) -> Vec<Breach> {
+    /// Judges the day; and the largest multiple of what it could do that a cold engine was sent.
+    pub fn judge(&self, tries: &[Try], log: &[Line], lives: &[Life]) -> (Vec<Breach>, f64) {
         let asked: Vec<Asked> = tries.iter().map(|t| self.asked(t)).collect();
         let classes: Vec<OfClass> = self.day.classes.iter().map(of_class).collect();
         let cores: BTreeMap<String, f64> =
             self.plan.engines.iter().enumerate().map(|e| self.cores(e)).collect();
-        judge(&Evidence {
+        let evidence = Evidence {
             settings: self.settings,
             grace: self.day.drain_grace.0 .0,
             classes: &classes,
@@ -36,7 +36,8 @@
             log,
             lives,
             tolerance: Tolerance::SOCKETS,
-        })
+        };
+        (judge(&evidence), cold_peaks(&evidence).into_values().fold(0.0, f64::max))
     }
 
     fn asked(&self, t: &Try) -> Asked {
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -116,7 +116,7 @@
 }
 
 /// The days that are built in.
-const DAYS: [(&str, &str); 13] = [
+const DAYS: [(&str, &str); 14] = [
     ("bad", include_str!("../days/bad.toml")),
     ("crashes", include_str!("../days/crashes.toml")),
     ("hangs", include_str!("../days/hangs.toml")),
@@ -128,6 +128,7 @@
     ("everything", include_str!("../days/everything.toml")),
     ("grown", include_str!("../days/grown.toml")),
     ("rolling", include_str!("../days/rolling.toml")),
+    ("newcomer", include_str!("../days/newcomer.toml")),
     ("compared", include_str!("../days/compared.toml")),
     ("short", include_str!("../days/short.toml")),
 ];
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -85,6 +85,8 @@
     pub classes: Vec<OfClass>,
     /// So late the crowd sent, in milliseconds: ninety-nine in a hundred.
     pub sent_late_p99_ms: f64,
+    /// The largest multiple of what it could do that a cold engine was sent within the span of rule 4; that rule has a bound.
+    pub cold_peak: f64,
     /// Processor seconds of all controllers.
     pub controller_cpu_s: f64,
     /// The first breaches.
@@ -176,9 +178,9 @@
     }
     let settings = day.settings()?;
     let known = Known { day, settings: &settings, plan: &plan, start };
-    let breaches = known.judge(&tries, &log, &stage.lives);
+    let (breaches, cold_peak) = known.judge(&tries, &log, &stage.lives);
     let mut report = sum_up(day, &plan, start, &tries, breaches);
-    (report.seed, report.controller_cpu_s) = (options.seed, stage.spent);
+    (report.seed, report.cold_peak, report.controller_cpu_s) = (options.seed, cold_peak, stage.spent);
     let lines: Vec<String> = tries.iter().map(|t| serde_json::to_string(t).unwrap_or_default()).collect();
     std::fs::write(options.dir.join("clients.jsonl"), lines.join("\n"))?;
     std::fs::write(options.dir.join("report.json"), serde_json::to_string_pretty(&report)?)?;
@@ -192,13 +194,21 @@
 pub fn play_virtual(day: &Day, seed: u64, policy: Policy) -> Result<(Report, Played)> {
     let plan = Plan::draw(day, seed);
     let played = virtual_time::play(day, &plan, seed, policy)?;
+    Ok((report_virtual(day, &plan, seed, &played)?, played))
+}
+
+/// What became of a day in virtual time.
+///
+/// # Errors
+/// The first fault of its script.
+pub fn report_virtual(day: &Day, plan: &Plan, seed: u64, played: &Played) -> Result<Report> {
     let settings = day.settings()?;
     let start = virtual_time::start();
-    let known = Known { day, settings: &settings, plan: &plan, start };
-    let breaches = known.judge(&played.tries, &played.log, &played.lives);
-    let mut report = sum_up(day, &plan, start, &played.tries, breaches);
-    report.seed = seed;
-    Ok((report, played))
+    let known = Known { day, settings: &settings, plan, start };
+    let (breaches, cold_peak) = known.judge(&played.tries, &played.log, &played.lives);
+    let mut report = sum_up(day, plan, start, &played.tries, breaches);
+    (report.seed, report.cold_peak) = (seed, cold_peak);
+    Ok(report)
 }
 
 fn sum_up(day: &Day, plan: &Plan, start: i64, tries: &[Try], breaches: Vec<Breach>) -> Report {
--- a/crates/lab/src/virtual_time/mod.rs
+++ b/crates/lab/src/virtual_time/mod.rs
@@ -109,7 +109,7 @@
     timing: Timing,
     limits: Limits,
     setup: Setup,
-    policy: Policy,
+    minds: &'a Minds<'a>,
     seed: u64,
     now: i64,
     events: Timers<Event>,
@@ -140,7 +140,26 @@
 /// # Errors
 /// The first [`Fault`] of its script.
 pub fn play(day: &Day, plan: &Plan, seed: u64, policy: Policy) -> Result<Played, Fault> {
-    let mut world = World::new(day, plan, seed, policy)?;
+    let config = day.checked()?;
+    let bounds = Bounds { queries: config.limits.queries, withdraw_wait: config.timing.withdraw };
+    let minds = |settings: Settings, seed: u64| -> Box<dyn Mind> {
+        match policy {
+            Policy::Module => Box::new(Driver::new(settings, seed, bounds)),
+            _ => Box::new(Plain::new(policy, settings, seed)),
+        }
+    };
+    play_with(day, plan, seed, &minds)
+}
+
+/// Makes what decides in a process of a controller, of its settings and its seed.
+pub type Minds<'a> = dyn Fn(Settings, u64) -> Box<dyn Mind> + 'a;
+
+/// Plays a day with controllers that decide in a way of their own.
+///
+/// # Errors
+/// The first [`Fault`] of its script.
+pub fn play_with(day: &Day, plan: &Plan, seed: u64, minds: &Minds<'_>) -> Result<Played, Fault> {
+    let mut world = World::new(day, plan, seed, minds)?;
     let longest = day.classes.iter().map(|c| c.deadline.0 .0).max().unwrap_or(0);
     let end = START + LEAD + day.length.0 .0 + 2 * longest + 5_000_000;
     let mut events = 0;
@@ -164,7 +183,7 @@
 }
 
 impl<'a> World<'a> {
-    fn new(day: &'a Day, plan: &'a Plan, seed: u64, policy: Policy) -> Result<World<'a>, Fault> {
+    fn new(day: &'a Day, plan: &'a Plan, seed: u64, minds: &'a Minds<'a>) -> Result<World<'a>, Fault> {
         let config = day.checked()?;
         let setup = Setup::parse("generated", &day.stand_ins(&config.settings, &plan.engines))?;
         let engines: Vec<Engine> = setup
@@ -197,7 +216,7 @@
             timing: config.timing,
             limits: config.limits,
             setup,
-            policy,
+            minds,
             seed,
             now: START,
             events: Timers::default(),
@@ -399,12 +418,7 @@
         let mut settings = self.settings.clone();
         settings.index = c as f64;
         settings.zone = c.checked_rem(self.day.fleet.zones.len());
-        let mind: Box<dyn Mind> = if self.policy == Policy::Module {
-            let bounds = Bounds { queries: self.limits.queries, withdraw_wait: self.timing.withdraw };
-            Box::new(Driver::new(settings, seed, bounds))
-        } else {
-            Box::new(Plain::new(self.policy, settings, seed))
-        };
+        let mind = (self.minds)(settings, seed);
         self.controllers[c] = Some(Controller::new(mind, self.engines.len()));
         self.doors[c] = Door { known: true, ..Door::default() };
         self.lived.push(Life {
--- a/crates/lab/tests/judge.rs
+++ b/crates/lab/tests/judge.rs
@@ -143,7 +143,7 @@
         let mut log: Vec<Line> = read_log(&self.log.join("\n")).expect("lines");
         log.sort_by_key(|l| l.t);
         let Scene { day, settings, plan, tries, lives, .. } = self;
-        Known { day, settings, plan, start: 0 }.judge(tries, &log, lives)
+        Known { day, settings, plan, start: 0 }.judge(tries, &log, lives).0
     }
 
     fn rules(&mut self) -> Vec<&'static str> {
--- /dev/null
+++ b/crates/lab/tests/virtual_time.rs
@@ -0,0 +1,176 @@
+//! Days in virtual time: the same each time, the rules kept at size, and the judge not blind there.
+
+use wheelfield::interface::{Micros, QueryId, Settings};
+use wheelfield_driver::{Arrival, AttemptId, Bounds, Crowded, Driver, Input, Instruction};
+use wheelfield_lab::day::Day;
+use wheelfield_lab::plan::Plan;
+use wheelfield_lab::play::{play_virtual, report_virtual, Report};
+use wheelfield_lab::virtual_time::mind::{Mind, Policy};
+use wheelfield_lab::virtual_time::play_with;
+use wheelfield_rules::End;
+
+fn day(name: &str) -> Day {
+    let path = format!("{}/days/{name}.toml", env!("CARGO_MANIFEST_DIR"));
+    let text = std::fs::read_to_string(path).expect("a day");
+    Day::parse(name, &text).expect("sound")
+}
+
+fn broken(report: &Report, rule: &str) -> u64 {
+    report.rules.get(rule).copied().unwrap_or(0)
+}
+
+#[test]
+fn the_same_day_and_seed_give_the_same_tries_and_log() {
+    let day = day("everything");
+    let whole = |seed: u64| {
+        let (report, played) = play_virtual(&day, seed, Policy::Module).expect("sound");
+        let tries: Vec<String> =
+            played.tries.iter().map(|t| serde_json::to_string(t).expect("JSON")).collect();
+        (serde_json::to_string(&report).expect("JSON"), tries, format!("{:?}", played.log))
+    };
+    let (one, other) = (whole(5), whole(5));
+    assert_eq!(one, other);
+    assert_ne!(one.1, whole(6).1, "another seed is another day");
+}
+
+#[test]
+fn days_of_all_troubles_keep_the_seven_rules() {
+    for name in ["short", "bad", "crashes", "hangs", "slow", "drains", "controllers", "answers", "keys"] {
+        for seed in 1..=2 {
+            let (report, played) = play_virtual(&day(name), seed, Policy::Module).expect("sound");
+            assert!(report.kept(), "{name} {seed}: {:?}", report.breaches);
+            assert!(report.answers > report.queries / 2, "{name} {seed}: {report:?}");
+            assert!(played.tries.iter().all(|t| t.end.is_some()));
+            let received = played.log.iter().filter(|l| l.event == "received").count() as u64;
+            assert!(received >= report.served, "what was served had been received");
+        }
+    }
+}
+
+#[test]
+fn the_grown_size_keeps_the_rules() {
+    let mut grown = day("grown");
+    // A quarter of its length, with a crash and controllers killed.
+    grown.length = wheelfield_config::units::time("10s").expect("a time");
+    let (report, _) = play_virtual(&grown, 1, Policy::Module).expect("sound");
+    assert!(report.kept(), "{:?}", report.breaches);
+    assert!(report.queries > 3_000 && report.service > 0.9, "{report:?}");
+}
+
+/// What is done wrong.
+#[derive(Clone, Copy, PartialEq)]
+enum Plant {
+    /// Nothing.
+    None,
+    /// Each second answer is forgotten.
+    Mute,
+    /// What the list says after the first time is not heeded, nor is any drain at the moment of writing.
+    Deaf,
+    /// Each attempt is started twice, under another number.
+    Twice,
+}
+
+/// The driver with a fault planted around it.
+struct Planted {
+    driver: Driver,
+    plant: Plant,
+    listed: bool,
+    answers: u32,
+}
+
+impl Planted {
+    fn spoil(&mut self, from: usize, out: &mut Vec<Instruction>) {
+        match self.plant {
+            Plant::Mute => {
+                let mut kept = out.split_off(from);
+                kept.retain(|i| {
+                    self.answers += u32::from(matches!(i, Instruction::Answer(..)));
+                    !(matches!(i, Instruction::Answer(..)) && self.answers.is_multiple_of(2))
+                });
+                out.append(&mut kept);
+            }
+            Plant::Twice => {
+                let twins: Vec<Instruction> = out[from..]
+                    .iter()
+                    .filter_map(|i| match i {
+                        Instruction::Start { attempt, engine, terms } => {
+                            let attempt = AttemptId { query: attempt.query, number: attempt.number + 100 };
+                            Some(Instruction::Start { attempt, engine: *engine, terms: *terms })
+                        }
+                        _ => None,
+                    })
+                    .collect();
+                out.extend(twins);
+            }
+            Plant::None | Plant::Deaf => {}
+        }
+    }
+}
+
+impl Mind for Planted {
+    fn arrive(&mut self, now: Micros, a: Arrival, out: &mut Vec<Instruction>) -> Result<QueryId, Crowded> {
+        let from = out.len();
+        let taken = Driver::arrive(&mut self.driver, now, a, out);
+        self.spoil(from, out);
+        taken
+    }
+    fn tell(&mut self, now: Micros, input: Input, out: &mut Vec<Instruction>) {
+        if matches!(input, Input::Engines { .. })
+            && std::mem::replace(&mut self.listed, true)
+            && self.plant == Plant::Deaf
+        {
+            return;
+        }
+        let from = out.len();
+        Driver::tell(&mut self.driver, now, input, out);
+        self.spoil(from, out);
+    }
+    fn due(&mut self, now: Micros, out: &mut Vec<Instruction>) -> bool {
+        let from = out.len();
+        let some = Driver::due(&mut self.driver, now, out);
+        self.spoil(from, out);
+        some
+    }
+    fn next_due(&self) -> Option<Micros> {
+        Driver::next_due(&self.driver)
+    }
+    fn may_write(&self, attempt: AttemptId) -> bool {
+        attempt.number >= 100 || Driver::may_write(&self.driver, attempt)
+    }
+    fn may_answer(&self, attempt: AttemptId) -> bool {
+        attempt.number < 100 && Driver::may_answer(&self.driver, attempt)
+    }
+}
+
+fn planted(name: &str, plant: Plant) -> Report {
+    let day = day(name);
+    let plan = Plan::draw(&day, 3);
+    let minds = |settings: Settings, seed: u64| -> Box<dyn Mind> {
+        let driver = Driver::new(settings, seed, Bounds::default());
+        Box::new(Planted { driver, plant, listed: false, answers: 0 })
+    };
+    let played = play_with(&day, &plan, 3, &minds).expect("sound");
+    report_virtual(&day, &plan, 3, &played).expect("sound")
+}
+
+#[test]
+fn a_planted_fault_is_found_as_its_own_rules() {
+    for name in ["drains", "everything"] {
+        let sound = planted(name, Plant::None);
+        assert!(sound.kept(), "{name}: {:?}", sound.breaches);
+    }
+    assert!(broken(&planted("everything", Plant::Mute), "lost") > 0);
+    assert!(broken(&planted("drains", Plant::Deaf), "drain") > 0);
+    let twice = planted("everything", Plant::Twice);
+    assert!(broken(&twice, "twice") > 0 && broken(&twice, "budget") > 0, "{:?}", twice.rules);
+}
+
+#[test]
+fn plain_policies_answer_all_and_refuse_nothing() {
+    for policy in [Policy::Random, Policy::Least, Policy::Pool] {
+        let (report, played) = play_virtual(&day("bad"), 1, policy).expect("sound");
+        assert_eq!((report.refused, broken(&report, "lost")), (0, 0), "{policy:?}: {:?}", report.breaches);
+        assert!(report.served > report.queries / 2, "{policy:?}: {report:?}");
+        assert!(played.tries.iter().all(|t| t.end != Some(End::NoAnswer)));
+    }
+}
--- a/crates/rules/src/judge.rs
+++ b/crates/rules/src/judge.rs
@@ -39,13 +39,7 @@
 
 /// Judges a day.
 pub fn judge(evidence: &Evidence<'_>) -> Vec<Breach> {
-    let mut judge = Judge {
-        e: evidence,
-        attempts: BTreeMap::new(),
-        asked: evidence.asked.iter().map(|t| (t.id.as_str(), t)).collect(),
-        hangs: BTreeMap::new(),
-        breaches: Vec::new(),
-    };
+    let mut judge = Judge::new(evidence);
     judge.gather();
     judge.lost();
     judge.twice();
@@ -58,11 +52,41 @@
     judge.breaches
 }
 
+/// Work that a cold engine was sent within the span, and could do in it.
+struct SentCold<'a> {
+    line: &'a Line,
+    work: f64,
+    able: f64,
+    queries: usize,
+}
+
+/// The largest multiple of what it could do that each cold engine was sent within the span of the settings; one query alone
+/// counts for nothing.
+pub fn cold_peaks(evidence: &Evidence<'_>) -> BTreeMap<String, f64> {
+    let judge = Judge::new(evidence);
+    let mut peaks: BTreeMap<String, f64> = BTreeMap::new();
+    for sent in judge.sent_cold().into_iter().filter(|s| s.queries > 1) {
+        let peak = peaks.entry(sent.line.engine.clone()).or_default();
+        *peak = peak.max(sent.work / sent.able.max(1e-9));
+    }
+    peaks
+}
+
 fn controller_of(by: &str) -> Option<usize> {
     by.strip_prefix("wheelfield/")?.parse().ok()
 }
 
 impl<'a> Judge<'a> {
+    fn new(evidence: &'a Evidence<'a>) -> Judge<'a> {
+        Judge {
+            e: evidence,
+            attempts: BTreeMap::new(),
+            asked: evidence.asked.iter().map(|t| (t.id.as_str(), t)).collect(),
+            hangs: BTreeMap::new(),
+            breaches: Vec::new(),
+        }
+    }
+
     fn breach(&mut self, rule: &'static str, at: i64, what: String) {
         self.breaches.push(Breach { rule, at: at - self.e.start, what });
     }
@@ -265,25 +289,20 @@
         self.e.classes.get(class).map_or(0.0, |c| c.usual_work)
     }
 
-    /// Rule 4: all controllers together don't push over a cold engine.
-    fn cold(&mut self) {
+    /// What cold engines were sent within the span, each time that one was sent something.
+    fn sent_cold(&self) -> Vec<SentCold<'a>> {
         let s = self.e.settings;
         let Micros(span) = s.fall_span;
-        if s.fall_multiple <= 0.0 || span <= 0 {
-            return;
-        }
         let mut sent: BTreeMap<&str, VecDeque<(i64, f64)>> = BTreeMap::new();
-        let mut over: BTreeSet<&str> = BTreeSet::new();
         let mut found = Vec::new();
+        if s.fall_multiple <= 0.0 || span <= 0 {
+            return found;
+        }
         for line in self.e.log {
             let engine = line.engine.as_str();
             match line.event.as_str() {
-                "fell_over" => {
-                    found.push((line.t, format!("{engine} was sent too much while cold and fell over")))
-                }
                 "restarted" => {
                     sent.remove(engine);
-                    over.remove(engine);
                 }
                 "received" if line.warmth < 1.0 && line.warmth > 0.0 => {
                     let tried = line.query.as_deref().and_then(|q| self.asked.get(q));
@@ -293,23 +312,39 @@
                     while window.front().is_some_and(|(t, _)| *t < line.t - span) {
                         window.pop_front();
                     }
-                    let total: f64 = window.iter().map(|(_, w)| w).sum();
+                    let work: f64 = window.iter().map(|(_, w)| w).sum();
                     let cores = self.e.cores.get(engine).copied().unwrap_or(1.0);
-                    let able = s.fall_multiple * cores * line.warmth * span as f64 / 1e6;
-                    // One query alone is no flood, and one breach tells of the engine.
-                    if total > able && window.len() > 1 && over.insert(engine) {
-                        found.push((
-                            line.t,
-                            format!(
-                                "{engine} at {:.2} of its work was sent {total:.1} of {able:.1} s",
-                                line.warmth
-                            ),
-                        ));
-                    }
+                    let able = cores * line.warmth * span as f64 / 1e6;
+                    found.push(SentCold { line, work, able, queries: window.len() });
                 }
                 _ => {}
             }
         }
+        found
+    }
+
+    /// Rule 4: all controllers together don't push over a cold engine.
+    fn cold(&mut self) {
+        let multiple = self.e.settings.fall_multiple;
+        let fell = self.e.log.iter().filter(|l| l.event == "fell_over");
+        let mut found: Vec<(i64, String)> =
+            fell.map(|l| (l.t, format!("{} was sent too much while cold and fell over", l.engine))).collect();
+        let mut over: BTreeSet<(&str, i64)> = BTreeSet::new();
+        for sent in self.sent_cold() {
+            let SentCold { line, work, able, queries } = sent;
+            let engine = line.engine.as_str();
+            let starts = self.e.log.iter().filter(|l| l.event == "restarted" && l.engine == engine);
+            // One query alone is no flood, and one breach tells of a start.
+            if work > multiple * able && queries > 1 {
+                let start = starts.map(|l| l.t).filter(|t| *t <= line.t).max().unwrap_or(0);
+                if over.insert((engine, start)) {
+                    let (warmth, able) = (line.warmth, multiple * able);
+                    let what =
+                        format!("{engine} at {warmth:.2} of its work was sent {work:.1} of {able:.1} s");
+                    found.push((line.t, what));
+                }
+            }
+        }
         for (at, what) in found {
             self.breach("cold", at, what);
         }
--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -7,4 +7,4 @@
 mod judge;
 
 pub use evidence::{read_log, Asked, End, Evidence, Life, Line, LogError, NotUp, OfClass, Tolerance};
-pub use judge::{judge, Breach, RULES};
+pub use judge::{cold_peaks, judge, Breach, RULES};
