--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,9 @@
 //!
 //! - [`day`]: the script, as TOML.
 //! - [`plan`]: the day drawn from it, by seed; no I/O.
+//! - [`experiment`]: many days by seeds and variants, resumable; what they come to.
+//! - [`series`], [`stats`]: a day's course; whether two things differ; no I/O.
+//! - [`report`]: a page with plots, and a summary.
 //! - [`stage`]: the processes.
 //! - [`clients`]: what clients do by habit; no I/O.
 //! - [`virtual_time`]: a day in one process and in virtual time; no I/O.
@@ -18,9 +21,13 @@
 pub mod crowd;
 pub mod day;
 pub mod evidence;
+pub mod experiment;
 pub mod lists;
 pub mod measure;
 pub mod plan;
 pub mod play;
+pub mod report;
+pub mod series;
 pub mod stage;
+pub mod stats;
 pub mod virtual_time;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -8,9 +8,11 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
 use wheelfield_lab::day::{Day, KINDS};
-use wheelfield_lab::measure;
+use wheelfield_lab::experiment::{self, Experiment};
 use wheelfield_lab::play::{self, Options};
+use wheelfield_lab::stats::Verdict;
 use wheelfield_lab::virtual_time::mind::Policy;
+use wheelfield_lab::{measure, report};
 
 /// Scripted days of traffic and troubles on real processes, judged from what crossed their sockets.
 ///
@@ -30,6 +32,23 @@
     Up(UpArgs),
     /// Measures what a controller costs: latency added, queries a second of a core, memory of idle clients.
     Measure(MeasureArgs),
+    /// Plays a matrix of days, sizes, variants and seeds, and writes its report; goes on where it was stopped.
+    Experiment(ExperimentArgs),
+    /// Writes the report of an experiment anew, from its results.
+    Report {
+        /// The folder of its results.
+        dir: PathBuf,
+    },
+    /// Compares two experiments, figure by figure: 1 if a figure is worse.
+    Compare {
+        /// The folder of the one,
+        one: PathBuf,
+        /// and of the other.
+        other: PathBuf,
+        /// Only these figures.
+        #[arg(long, value_name = "NAME")]
+        figure: Vec<String>,
+    },
     /// Lists the kinds of trouble, or the days that are built in.
     List {
         /// `troubles` or `days`.
@@ -83,6 +102,21 @@
     plant: Option<String>,
 }
 
+#[derive(Args)]
+struct ExperimentArgs {
+    /// The experiment's file.
+    file: PathBuf,
+    /// The folder of its results; those at hand are not done anew.
+    #[arg(long, value_name = "DIR")]
+    out: PathBuf,
+    /// Days at once in virtual time; as many as there are cores if not said.
+    #[arg(long, value_name = "N", default_value_t = 0)]
+    jobs: usize,
+    /// Only checks the file and its days.
+    #[arg(long)]
+    check: bool,
+}
+
 #[derive(Args)]
 struct UpArgs {
     /// Where the controller listens.
@@ -180,6 +214,13 @@
                 one_day(&day, &args)
             }
         }
+        Command::Experiment(args) => match experiment_of(&args.file) {
+            Ok(_) if args.check => Ok(true),
+            Ok((e, text)) => run_experiment(&e, &text, &args),
+            Err(fault) => return bad_use(&fault),
+        },
+        Command::Report { dir } => write_report(&dir),
+        Command::Compare { one, other, figure } => compare(&one, &other, &figure),
         Command::Up(args) => up(&args),
         Command::Measure(args) => figures(&args),
     };
@@ -237,12 +278,77 @@
         log_level: args.log.clone(),
         capture: args.capture,
         quiet: false,
+        programs: None,
     };
     let report = play::play(day, &options)?;
     tell(&report, args.json)?;
     Ok(report.kept())
 }
 
+/// The text of a built-in day, or of a file beside the experiment's.
+fn day_text(name: &str, beside: &std::path::Path) -> Result<String> {
+    if let Some((_, text)) = DAYS.iter().find(|(n, _)| *n == name) {
+        return Ok((*text).to_string());
+    }
+    let path = beside.parent().unwrap_or(std::path::Path::new(".")).join(name);
+    std::fs::read_to_string(&path).with_context(|| format!("cannot read the day {}", path.display()))
+}
+
+fn experiment_of(file: &std::path::Path) -> Result<(Experiment, String)> {
+    let text = std::fs::read_to_string(file).with_context(|| format!("cannot read {}", file.display()))?;
+    let e = Experiment::parse(&file.display().to_string(), &text)?;
+    for name in &e.days {
+        Day::parse(name, &day_text(name, file)?)?;
+    }
+    Ok((e, text))
+}
+
+fn run_experiment(e: &Experiment, text: &str, args: &ExperimentArgs) -> Result<bool> {
+    let jobs = match args.jobs {
+        0 => std::thread::available_parallelism().map_or(1, usize::from),
+        n => n.min(256),
+    };
+    let read = |name: &str| day_text(name, &args.file);
+    let mut progress = |done: usize, all: usize, key: &experiment::Key| {
+        eprint!("\r{done} of {all}: {} {} {} seed {}    ", key.day, key.size, key.variant, key.seed);
+    };
+    experiment::run(e, &args.out, jobs, &read, &mut progress)?;
+    eprintln!();
+    std::fs::write(args.out.join("experiment.toml"), text)?;
+    write_report(&args.out)
+}
+
+fn write_report(dir: &std::path::Path) -> Result<bool> {
+    let (e, _) = {
+        let path = dir.join("experiment.toml");
+        let text =
+            std::fs::read_to_string(&path).with_context(|| format!("cannot read {}", path.display()))?;
+        (Experiment::parse(&path.display().to_string(), &text)?, text)
+    };
+    let runs = experiment::load(&dir.join("runs.jsonl"))?;
+    anyhow::ensure!(!runs.is_empty(), "{} holds no results", dir.display());
+    let first = e.variants.first().map_or("", |v| v.name.as_str());
+    let cells = experiment::sum_up(&runs, first);
+    let summary = report::markdown(&e.name, &cells);
+    std::fs::write(dir.join("report.html"), report::html(&e.name, &runs, &cells)?)?;
+    std::fs::write(dir.join("report.md"), &summary)?;
+    print!("{summary}");
+    Ok(true)
+}
+
+fn compare(one: &std::path::Path, other: &std::path::Path, only: &[String]) -> Result<bool> {
+    let load = |dir: &std::path::Path| experiment::load(&dir.join("runs.jsonl"));
+    let mut cells = experiment::beside(&load(one)?, &load(other)?);
+    cells.retain(|c| only.is_empty() || only.contains(&c.figure));
+    anyhow::ensure!(
+        !cells.is_empty(),
+        "nothing of the one is in the other: day, size, variant and seed must be the same"
+    );
+    print!("{}", report::markdown("comparison", &cells));
+    let worse = |c: &experiment::Cell| c.compared.is_some_and(|c| c.verdict == Verdict::Worse);
+    Ok(!cells.iter().any(worse))
+}
+
 fn up(args: &UpArgs) -> Result<bool> {
     let mut day = read(None)?;
     (day.engines, day.controllers, day.troubles) = (args.engines.clamp(1, 1000), 1, Vec::new());
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -232,8 +232,14 @@
         day.limits.insert(name.into(), toml::Value::Integer(value));
     }
     let plan = Plan::draw(&day, 1);
-    let setting =
-        Setting { dir: dir.to_path_buf(), seed: 1, plant: None, log_level: "warn".into(), capture: Some(1) };
+    let setting = Setting {
+        dir: dir.to_path_buf(),
+        seed: 1,
+        plant: None,
+        log_level: "warn".into(),
+        capture: Some(1),
+        programs: None,
+    };
     let mut stage = Stage::set(&day, &plan, setting, Clock::start())?;
     let doors = stage.doors();
     let [Change::Up(_, controller), Change::Up(_, records)] = doors[..] else {
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -4,6 +4,7 @@
 use crate::day::Day;
 use crate::evidence::Known;
 use crate::plan::Plan;
+use crate::series::Series;
 use crate::stage::{Setting, Stage};
 use crate::virtual_time::mind::Policy;
 use crate::virtual_time::{self, Played};
@@ -35,6 +36,8 @@
     pub capture: bool,
     /// Progress on standard error.
     pub quiet: bool,
+    /// Where the programs are; beside this one if it is not said.
+    pub programs: Option<PathBuf>,
 }
 
 /// What became of a class.
@@ -105,6 +108,14 @@
 /// # Errors
 /// If the stage can't be set, or comes down by itself.
 pub fn play(day: &Day, options: &Options) -> Result<Report> {
+    Ok(play_with_series(day, options)?.0)
+}
+
+/// The same, with its course.
+///
+/// # Errors
+/// As [`play`].
+pub fn play_with_series(day: &Day, options: &Options) -> Result<(Report, Series)> {
     let plan = Plan::draw(day, options.seed);
     let clock = Clock::start();
     let setting = Setting {
@@ -113,6 +124,7 @@
         plant: options.plant.clone(),
         log_level: options.log_level.clone(),
         capture: options.capture.then_some(0),
+        programs: options.programs.clone(),
     };
     let mut stage = Stage::set(day, &plan, setting, clock)?;
     let start = clock.now() + LEAD;
@@ -184,7 +196,8 @@
     let lines: Vec<String> = tries.iter().map(|t| serde_json::to_string(t).unwrap_or_default()).collect();
     std::fs::write(options.dir.join("clients.jsonl"), lines.join("\n"))?;
     std::fs::write(options.dir.join("report.json"), serde_json::to_string_pretty(&report)?)?;
-    Ok(report)
+    let series = Series::of(day, &plan, start, &tries, &log);
+    Ok((report, series))
 }
 
 /// Plays a day in virtual time.
@@ -344,6 +357,7 @@
         plant: None,
         log_level: "info".into(),
         capture: None,
+        programs: None,
     };
     let mut stage = Stage::set_at(day, &plan, setting, Clock::start(), Some(listen))?;
     for change in stage.doors() {
--- a/crates/lab/src/stage.rs
+++ b/crates/lab/src/stage.rs
@@ -25,7 +25,11 @@
 ///
 /// # Errors
 /// If it does not.
-pub fn program(name: &str) -> Result<PathBuf> {
+pub fn program(name: &str, dir: Option<&Path>) -> Result<PathBuf> {
+    if let Some(dir) = dir {
+        let path = dir.join(name);
+        return path.is_file().then_some(path).with_context(|| format!("no {name} in {}", dir.display()));
+    }
     let own = std::env::current_exe()?;
     // Tests run from a folder below that of the programs.
     let found = own.ancestors().skip(1).take(2).map(|dir| dir.join(name)).find(|path| path.is_file());
@@ -134,6 +138,7 @@
     plant: Option<String>,
     log_level: String,
     capture: usize,
+    programs: Option<PathBuf>,
     listen: Option<SocketAddr>,
     engines: Process,
     control: SocketAddr,
@@ -165,6 +170,8 @@
     pub log_level: String,
     /// Controllers from this number on record what their drivers are told and answer; none if there is no such.
     pub capture: Option<usize>,
+    /// Where the programs are; beside this one if it is not said.
+    pub programs: Option<PathBuf>,
 }
 
 impl Stage {
@@ -188,7 +195,7 @@
         listen: Option<SocketAddr>,
     ) -> Result<Stage> {
         let settings = day.settings()?;
-        let Setting { dir, seed, plant, log_level, capture } = setting;
+        let Setting { dir, seed, plant, log_level, capture, programs } = setting;
         let config = dir.join("engines.toml");
         std::fs::write(&config, day.stand_ins(&settings, &plan.engines))?;
         let args = [
@@ -200,7 +207,11 @@
             &seed.to_string(),
         ]
         .map(str::to_string);
-        let engines = Process::start(&program("wheelfield-engine")?, &args, Some(&dir.join("engines.err")))?;
+        let engines = Process::start(
+            &program("wheelfield-engine", programs.as_deref())?,
+            &args,
+            Some(&dir.join("engines.err")),
+        )?;
         let (control, registry) = (engines.address("control")?, engines.address("registry")?);
         // Ports for messages are the system's too: taken once, so that a restarted controller keeps its own.
         let messages = day.means.get("messages").and_then(toml::Value::as_bool) == Some(true);
@@ -241,6 +252,7 @@
             plant,
             log_level,
             capture: capture.unwrap_or(usize::MAX),
+            programs,
             listen,
             engines,
             control,
@@ -313,7 +325,8 @@
             args.extend(["--plant".to_string(), plant.clone()]);
         }
         let log = self.dir.join(format!("controller-{i}.jsonl"));
-        let process = Process::start(&program("wheelfield-controller")?, &args, Some(&log))?;
+        let process =
+            Process::start(&program("wheelfield-controller", self.programs.as_deref())?, &args, Some(&log))?;
         self.lives.push(Life {
             controller: i,
             from: self.clock.now(),
--- a/crates/lab/tests/days.rs
+++ b/crates/lab/tests/days.rs
@@ -16,6 +16,7 @@
         plant: plant.map(str::to_string),
         log_level: "warn".into(),
         quiet: true,
+        programs: None,
         capture: false,
     };
     play(&day, &options).unwrap_or_else(|fault| panic!("{fault:#}"))
@@ -41,6 +42,7 @@
         dir: dir.path().to_path_buf(),
         log_level: "warn".into(),
         quiet: true,
+        programs: None,
         capture: true,
         plant: None,
     };
