--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -10,5 +10,5 @@
 mod timers;
 
 pub use clock::Clock;
-pub use stream::{connect, datagrams, listen, Stream};
+pub use stream::{connect, connect_from, datagrams, listen, Stream};
 pub use timers::{TimerKey, Timers};
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -10,6 +10,8 @@
 
 /// A silent peer is asked after so long whether it is there.
 const KEEPALIVE: std::time::Duration = std::time::Duration::from_secs(60);
+/// What a connect without waiting answers (EINPROGRESS of Linux).
+const IN_PROGRESS: i32 = 115;
 /// Buffers of an idle stream keep no more than this.
 const KEPT: usize = 2048;
 
@@ -197,6 +199,29 @@
     Stream::new(TcpStream::connect(address)?, false, registry, token)
 }
 
+/// The same from a source address of the caller's, for more connections than one address has ports for.
+///
+/// # Errors
+/// As the system tells.
+pub fn connect_from(
+    source: Option<SocketAddr>,
+    address: SocketAddr,
+    registry: &Registry,
+    token: Token,
+) -> io::Result<Stream> {
+    let Some(source) = source else { return connect(address, registry, token) };
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&source.into())?;
+    match socket.connect(&address.into()) {
+        Err(e) if e.kind() != io::ErrorKind::WouldBlock && e.raw_os_error() != Some(IN_PROGRESS) => {
+            return Err(e)
+        }
+        _ => {}
+    }
+    Stream::new(TcpStream::from_std(socket.into()), false, registry, token)
+}
+
 /// A datagram socket, registered.
 ///
 /// # Errors
