--- a/crates/load/src/runner.rs
+++ b/crates/load/src/runner.rs
@@ -387,7 +387,7 @@
                     link.key = key;
                 }
             }
-            b'R' if message.first_chunk::<4>() != Some(&[0, 0, 0, 0]) && !link.ready => {
+            b'R' if message.get(5..9) != Some(&[0, 0, 0, 0]) && !link.ready => {
                 // It asks for a password, and none is to be had.
                 return self.broke(id);
             }
