engine: a death noticed after the next start takes no engine off the registry's list

The stand-in registry told changes in the order in which they were noticed: a process that died and was started again within the notice (1.5 s) was listed as removed for ever.

--- a/crates/engine/src/registry.rs
+++ b/crates/engine/src/registry.rs
@@ -36,12 +36,24 @@
     pub started_us: Option<i64>,
 }
 
+/// A change on its way.
+#[derive(Debug)]
+struct Coming {
+    number: u64,
+    id: String,
+    standing: Standing,
+    started: Option<i64>,
+}
+
 /// The list, and what of it is on its way.
 #[derive(Debug, Default)]
 pub struct Registry {
     version: u64,
     lines: BTreeMap<String, Line>,
-    coming: Timers<(String, Standing, Option<i64>)>,
+    coming: Timers<Coming>,
+    /// The number of the last change that named each engine's start.
+    starts: BTreeMap<String, u64>,
+    changes: u64,
     unavailable_until: i64,
 }
 
@@ -49,7 +61,7 @@
     /// A list at its first version.
     pub fn new(lines: impl Iterator<Item = Line>) -> Registry {
         let lines = lines.map(|line| (line.id.clone(), line)).collect();
-        Registry { version: 1, lines, coming: Timers::default(), unavailable_until: 0 }
+        Registry { version: 1, lines, ..Registry::default() }
     }
 
     /// The version of the list as it is told now.
@@ -57,9 +69,11 @@
         self.version
     }
 
-    /// An engine changes; the list will say so at a time.
+    /// An engine changes; the list will say so at a time. Changes count in the order in which they happen, not in which they
+    /// are heard of: the death of a process that is noticed after the next one has registered takes that one off no list.
     pub fn change(&mut self, at: i64, id: &str, standing: Standing, started: Option<i64>) {
-        self.coming.set(at, (id.to_string(), standing, started));
+        self.changes += 1;
+        self.coming.set(at, Coming { number: self.changes, id: id.to_string(), standing, started });
     }
 
     /// Nobody is answered until a time.
@@ -80,8 +94,12 @@
     /// Lets the time pass; true if the list changed.
     pub fn advance(&mut self, now: i64) -> bool {
         let before = self.version;
-        while let Some((id, standing, started)) = self.coming.pop(now) {
-            if let Some(line) = self.lines.get_mut(&id) {
+        while let Some(Coming { number, id, standing, started }) = self.coming.pop(now) {
+            if started.is_some() {
+                self.starts.insert(id.clone(), number);
+            }
+            let overtaken = self.starts.get(&id).is_some_and(|start| *start > number);
+            if let Some(line) = self.lines.get_mut(&id).filter(|_| !overtaken) {
                 line.status = standing;
                 line.started_us = started.or(line.started_us);
                 self.version += 1;
@@ -131,6 +149,10 @@
         assert_eq!(registry.not_up(), [("e", Standing::Removed)]);
         assert!(registry.advance(5_000) && registry.not_up().is_empty());
         assert!(registry.list().contains("\"started_us\":1500"));
+        // A process dies and the next one starts at once: its death is noticed last, and means nothing any more.
+        registry.change(9_000, "e", Standing::Removed, None);
+        registry.change(6_000, "e", Standing::Up, Some(5_900));
+        assert!(registry.advance(6_000) && !registry.advance(9_000) && registry.not_up().is_empty());
         registry.unavailable(9_000);
         assert!(!registry.available(8_999) && registry.available(9_000));
     }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -7,6 +7,7 @@
 use std::process::ExitCode;
 use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
+use wheelfield_config::units::Time;
 use wheelfield_lab::day::{Day, KINDS};
 use wheelfield_lab::experiment::{self, Experiment};
 use wheelfield_lab::play::{self, Options};
@@ -76,6 +77,9 @@
     /// Queries a second, in place of the script's.
     #[arg(long, value_name = "X")]
     rate: Option<f64>,
+    /// How long queries come, in place of the script's; troubles stay where they are.
+    #[arg(long, value_name = "TIME", value_parser = span)]
+    length: Option<Time>,
     /// In one process and in virtual time, without sockets: the same day and seed give the same report.
     #[arg(long = "virtual", conflicts_with_all = ["capture", "clients", "plant"])]
     virtual_time: bool,
@@ -167,6 +171,10 @@
     ("short", include_str!("../days/short.toml")),
 ];
 
+fn span(text: &str) -> Result<Time, String> {
+    wheelfield_config::units::time(text).map_err(|(fault, mend)| format!("{fault}; {mend}"))
+}
+
 fn read(file: Option<&PathBuf>) -> Result<Day> {
     let name = file.map_or("bad".to_string(), |f| f.display().to_string());
     let built_in = DAYS.iter().find(|(n, _)| *n == name).map(|(_, text)| (*text).to_string());
@@ -199,10 +207,13 @@
             day.controllers = args.controllers.unwrap_or(day.controllers);
             day.clients = args.clients.unwrap_or(day.clients);
             day.rate = args.rate.unwrap_or(day.rate);
+            day.length = args.length.unwrap_or(day.length);
+            let most = if args.virtual_time { 10_000 } else { 1000 };
             let sound = day.engines > 0 && day.controllers > 0 && day.clients > 0 && day.rate > 0.0;
-            if !sound || day.engines > 1000 || day.controllers > 1000 || day.clients > 18_000 {
+            let long = !(1..=3_600_000_000).contains(&day.length.0 .0);
+            if !sound || long || day.engines > most || day.controllers > most || day.clients > 18_000 {
                 return bad_use(&anyhow::anyhow!(
-                    "engines and controllers from 1 to 1000, clients to 18000, a rate above 0"
+                    "engines and controllers from 1 to {most}, clients to 18000, a rate above 0, up to an hour"
                 ));
             }
             if args.check {
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -162,6 +162,71 @@
     Ok(svg)
 }
 
+/// A bar for each variant and size of a day: its service, as an SVG.
+fn bars(day: &str, cells: &[Cell]) -> Result<String> {
+    let of: Vec<&Cell> = cells.iter().filter(|c| c.day == day && c.figure == "service").collect();
+    let sizes: Vec<&str> = of.iter().map(|c| c.size.as_str()).collect::<BTreeSet<_>>().into_iter().collect();
+    let mut variants: Vec<&str> = Vec::new();
+    for c in &of {
+        if !variants.contains(&c.variant.as_str()) {
+            variants.push(&c.variant);
+        }
+    }
+    let mut svg = String::new();
+    {
+        let height = (90 + 22 * variants.len() as u32).clamp(160, 1200);
+        let root = SVGBackend::with_string(&mut svg, (WIDE.0, height)).into_drawing_area();
+        root.fill(&WHITE).map_err(fault)?;
+        let rows = variants.len().max(1) as f64;
+        let title = format!("{day}, service by variant and size");
+        let mut chart = ChartBuilder::on(&root)
+            .caption(title, ("sans-serif", 16))
+            .margin(8)
+            .x_label_area_size(32)
+            .y_label_area_size(130)
+            .build_cartesian_2d(0.0..1.0, 0.0..rows)
+            .map_err(fault)?;
+        let name = |y: &f64| {
+            let row = (rows - y).floor() as usize;
+            variants.get(row).copied().unwrap_or_default().to_string()
+        };
+        chart
+            .configure_mesh()
+            .disable_y_mesh()
+            .light_line_style(WHITE)
+            .x_desc("service")
+            .y_labels(0)
+            .y_label_formatter(&name)
+            .draw()
+            .map_err(fault)?;
+        let thick = 0.8 / sizes.len().max(1) as f64;
+        for (n, size) in sizes.iter().enumerate() {
+            let colour = COLOURS[n % COLOURS.len()];
+            let all = of.iter().filter(|c| c.size == *size).filter_map(|c| {
+                let row = variants.iter().position(|v| *v == c.variant)? as f64;
+                let top = rows - row - 0.1 - thick * n as f64;
+                Some(Rectangle::new([(0.0, top - thick), (c.mean.mean, top)], colour.mix(0.8).filled()))
+            });
+            chart
+                .draw_series(all)
+                .map_err(fault)?
+                .label(*size)
+                .legend(move |(x, y)| Rectangle::new([(x, y - 4), (x + 12, y + 4)], colour.filled()));
+        }
+        let names = variants.iter().enumerate().map(|(row, v)| {
+            Text::new(
+                (*v).to_string(),
+                (0.005, rows - row as f64 - 0.3),
+                ("sans-serif", 12).into_font().color(&BLACK),
+            )
+        });
+        chart.draw_series(names).map_err(fault)?;
+        chart.configure_series_labels().background_style(WHITE.mix(0.9)).draw().map_err(fault)?;
+        root.present().map_err(fault)?;
+    }
+    Ok(svg)
+}
+
 fn by_second(xs: &[u32]) -> Vec<(f64, f64)> {
     xs.iter().enumerate().map(|(s, n)| (s as f64, f64::from(*n))).collect()
 }
@@ -247,6 +312,10 @@
         seeds.len()
     );
     out.push_str(&curves(cells)?);
+    let days: BTreeSet<&str> = cells.iter().map(|c| c.day.as_str()).collect();
+    for day in days {
+        out.push_str(&bars(day, cells)?);
+    }
     let mut places: BTreeMap<(&str, &str), Vec<(&str, &Series)>> = BTreeMap::new();
     for run in runs {
         if let Some(series) = &run.series {
