--- /dev/null
+++ b/crates/lab/benches/hot.rs
@@ -0,0 +1,138 @@
+//! What each query costs in memory alone: decisions, protocol, buffers. `cargo bench -p wheelfield-lab`.
+//!
+//! Figures of one run stand beside each other; those of two machines or two hours do not.
+
+use bytes::{Bytes, BytesMut};
+use criterion::{criterion_group, criterion_main, BatchSize, BenchmarkId, Criterion, Throughput};
+use wheelfield::interface::{EngineEntry, Micros, Outcome, Report, Status};
+use wheelfield_driver::{Arrival, Bounds, Driver, Input, Instruction};
+use wheelfield_lab::day::Day;
+use wheelfield_pg::{back, frame, front};
+
+/// A driver that knows of so many engines, all with a report.
+fn driver(engines: usize, controllers: usize) -> Driver {
+    let mut day = Day::parse("grown", include_str!("../days/grown.toml")).expect("sound");
+    (day.engines, day.controllers) = (engines, controllers);
+    let settings = day.settings().expect("sound");
+    let mut driver = Driver::new(settings, 1, Bounds::default());
+    let mut out = Vec::new();
+    let entry = |i: usize| EngineEntry {
+        engine: wheelfield_config::engine_id(&format!("engine-{i:02}")),
+        zone: i % 2,
+        kind: 0,
+        cell: i as i64 / 4,
+        status: Status::Up,
+        started: None,
+    };
+    driver.tell(Micros(0), Input::Started, &mut out);
+    driver.tell(
+        Micros(0),
+        Input::Engines { whole: true, entries: (0..engines).map(entry).collect() },
+        &mut out,
+    );
+    driver
+}
+
+/// A query from its arrival to its service.
+fn serve(driver: &mut Driver, now: &mut Micros, out: &mut Vec<Instruction>) {
+    *now = *now + Micros(3_000);
+    out.clear();
+    while driver.next_due().is_some_and(|at| at <= *now) && driver.due(*now, out) {}
+    let due = *now + Micros(7_000_000);
+    let arrival = Arrival {
+        class: 0,
+        due,
+        work_hint: Some(0.3),
+        memory_hint: Some(40.0),
+        tables: 3,
+        ..Arrival::default()
+    };
+    let _ = driver.arrive(*now, arrival, out);
+    let started = out.iter().find_map(|i| match i {
+        Instruction::Start { attempt, .. } => Some(*attempt),
+        _ => None,
+    });
+    let Some(attempt) = started else { return };
+    driver.tell(*now, Input::Dispatched(attempt), out);
+    *now = *now + Micros(2_000);
+    let report = Report {
+        utilisation: Some(0.5),
+        in_flight: Some(4.0),
+        queue: Some(0.0),
+        memory: Some(0.3),
+        disks: Some(0.2),
+    };
+    let ended = Input::Ended { attempt, outcome: Outcome::Served, billed_work: Some(0.3), report };
+    driver.tell(*now, ended, out);
+}
+
+fn decisions(c: &mut Criterion) {
+    let mut group = c.benchmark_group("decision, arrival to service");
+    for (engines, controllers) in [(8, 24), (41, 24), (41, 180), (200, 180)] {
+        let name = BenchmarkId::from_parameter(format!("{engines} engines, {controllers} controllers"));
+        let mut driver = driver(engines, controllers);
+        // Long enough after the start that nothing is cold.
+        let (mut now, mut out) = (Micros(60_000_000), Vec::new());
+        group.bench_function(name, |b| b.iter(|| serve(&mut driver, &mut now, &mut out)));
+    }
+    group.finish();
+}
+
+fn protocol(c: &mut Criterion) {
+    let mut group = c.benchmark_group("protocol");
+    let mut query = BytesMut::new();
+    front::put_query(
+        "select * from facts /*class='lookup',id='q1-0',due_ms='5000',work_ms='300.0'*/",
+        &mut query,
+    );
+    group.throughput(Throughput::Bytes(query.len() as u64));
+    group.bench_function("a simple query read", |b| {
+        b.iter_batched(
+            || query.clone(),
+            |mut q| std::hint::black_box(front::take(&mut q, 1 << 20)),
+            BatchSize::SmallInput,
+        );
+    });
+    let mut rows = BytesMut::new();
+    let value: &[u8] = b"0123456789abcdef";
+    for _ in 0..200 {
+        back::row([Some(value), None, Some(value)].into_iter(), &mut rows);
+    }
+    back::complete("SELECT 200", &mut rows);
+    group.throughput(Throughput::Bytes(rows.len() as u64));
+    group.bench_function("an answer of 200 rows taken apart", |b| {
+        b.iter_batched(
+            || rows.clone(),
+            |mut all| {
+                let mut n = 0;
+                while let Ok(Some((_, message))) = frame::take(&mut all, 1 << 20) {
+                    n += message.len();
+                }
+                n
+            },
+            BatchSize::SmallInput,
+        );
+    });
+    group.finish();
+}
+
+fn buffers(c: &mut Criterion) {
+    let mut group = c.benchmark_group("buffers");
+    let part = Bytes::from(vec![7_u8; 16 << 10]);
+    group.throughput(Throughput::Bytes(part.len() as u64));
+    group.bench_function("16 kB in and out in messages of 64 bytes", |b| {
+        b.iter(|| {
+            let mut buffer = BytesMut::new();
+            buffer.extend_from_slice(&part);
+            let mut sum = 0;
+            while buffer.len() >= 64 {
+                sum += buffer.split_to(64).freeze().len();
+            }
+            sum
+        });
+    });
+    group.finish();
+}
+
+criterion_group!(hot, decisions, protocol, buffers);
+criterion_main!(hot);
