core: an engine whose kind changes in place takes its new cores; rollout by weights

An engine that was listed under another kind kept the cores and memory of its first one for ever, so weights could not be changed while controllers ran.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -226,6 +226,11 @@
             } else if new {
                 engine.cold_since = entry.started;
             }
+            if entry.kind != engine.entry.kind {
+                // Grown or shrunk in place: what was found out of it holds for each core.
+                engine.bound *= cores / engine.cores;
+                (engine.cores, engine.memory_mb, engine.start) = (cores, memory, start);
+            }
             engine.entry = entry;
         }
     }
--- a/crates/core/tests/signals.rs
+++ b/crates/core/tests/signals.rs
@@ -166,3 +166,23 @@
     let (jams, waits) = (admitted(false), admitted(true));
     assert!(jams > 0 && waits * 2 > jams * 3, "{jams} and {waits} of 40");
 }
+
+#[test]
+fn an_engine_that_is_resized_in_place_is_bounded_by_its_new_cores() {
+    // Queries that are let in, of many that come at one moment.
+    let admitted = |kinds: &[usize]| {
+        let mut s = settings(vec![class(Effect::Repeatable)]);
+        (s.cores, s.memory_mb) = (vec![16.0, 4.0], vec![0.0, 0.0]);
+        let of = |kind: usize| EngineEntry { kind, ..engine(1) };
+        let mut rig = Rig::new(s, vec![of(kinds[0])]);
+        for kind in &kinds[1..] {
+            rig.tell(Event::EngineChanges(vec![of(*kind)]));
+        }
+        (0..400).map(|_| sent(&rig.arrive(0).1).len()).sum::<usize>()
+    };
+    let (large, small) = (admitted(&[0]), admitted(&[1]));
+    assert!(large >= 3 * small && small > 0, "{large} {small}");
+    assert_eq!(admitted(&[0, 1]), small, "shrunk");
+    assert_eq!(admitted(&[1, 0]), large, "grown");
+    assert_eq!(admitted(&[0, 1, 0]), large, "and back");
+}
--- a/crates/members/src/rollout.rs
+++ b/crates/members/src/rollout.rs
@@ -20,6 +20,7 @@
 
 /// The sets to be in force one after the other, the last being the goal. Newcomers of a step come first and leavers drain
 /// in the step after it, so that what leaves is not missed before its stand-in is listed; drained ones go one step later.
+/// Newcomers go through `through` first, kinds of fewer cores (their weights), a step each, before they are of their own kind.
 /// A step brings, and one drains, at most `share` of the smaller of both capacities, or one engine if that is more.
 ///
 /// # Errors
@@ -29,6 +30,7 @@
     goal: &EngineSet,
     cores: &[f64],
     share: f64,
+    through: &[usize],
 ) -> Result<Vec<EngineSet>, Unsteppable> {
     if !(share > 0.0 && share <= 1.0) {
         return Err(Unsteppable::Share(share));
@@ -51,9 +53,15 @@
     let mut drained: BTreeSet<EngineId> = BTreeSet::new();
     for wave in 0..coming.len().max(leaving.len()) {
         if let Some(new) = coming.get(wave) {
-            now.engines.extend(new.iter().map(|id| (*id, goal.engines[id].clone())));
             finish(&mut now.engines, &mut drained);
-            sets.push(now.clone());
+            for kind in through.iter().copied().map(Some).chain([None]) {
+                for id in new {
+                    let mut known = goal.engines[id].clone();
+                    known.entry.kind = kind.unwrap_or(known.entry.kind);
+                    now.engines.insert(*id, known);
+                }
+                sets.push(now.clone());
+            }
         }
         if let Some(old) = leaving.get(wave) {
             finish(&mut now.engines, &mut drained);
--- a/crates/members/tests/rollout.rs
+++ b/crates/members/tests/rollout.rs
@@ -32,7 +32,7 @@
 #[test]
 fn all_engines_are_replaced_without_ever_taking_capacity_below_the_least_by_more_than_a_step() {
     let (from, goal) = (set(7, &range(0, 40)), set(9, &range(40, 80)));
-    let sets = steps(&from, &goal, &CORES, 0.1).expect("steps");
+    let sets = steps(&from, &goal, &CORES, 0.1, &[]).expect("steps");
     let whole = from.capacity(&CORES);
     let mut before = from.clone();
     for set in &sets {
@@ -60,7 +60,7 @@
         version in 1_u64..100,
     ) {
         let (a, b) = (set(5, &from), set(version, &goal));
-        match steps(&a, &b, &CORES, share) {
+        match steps(&a, &b, &CORES, share, &[]) {
             Err(fault) => {
                 prop_assert_eq!(fault, Unsteppable::Nothing);
                 prop_assert_eq!(from, goal);
@@ -90,12 +90,12 @@
     let a = set(1, &range(0, 4));
     let mut b = a.clone();
     b.version = 2;
-    assert_eq!(steps(&a, &b, &CORES, 0.1), Err(Unsteppable::Nothing));
+    assert_eq!(steps(&a, &b, &CORES, 0.1, &[]), Err(Unsteppable::Nothing));
     let (id, other) = b.engines.iter_mut().next().map(|(id, k)| (*id, k)).expect("one");
     other.address = "127.0.0.1:9".parse().expect("an address");
-    assert_eq!(steps(&a, &b, &CORES, 0.1), Err(Unsteppable::Moved(a.engines[&id].name.clone())));
+    assert_eq!(steps(&a, &b, &CORES, 0.1, &[]), Err(Unsteppable::Moved(a.engines[&id].name.clone())));
     for share in [0.0, -1.0, 1.1, f64::NAN] {
-        assert!(matches!(steps(&a, &set(2, &range(0, 5)), &CORES, share), Err(Unsteppable::Share(_))));
+        assert!(matches!(steps(&a, &set(2, &range(0, 5)), &CORES, share, &[]), Err(Unsteppable::Share(_))));
     }
     assert!(Policy::default().most_lost > 0.1, "a usual step is not held");
 }
@@ -130,3 +130,13 @@
     assert_eq!(guard.worsened(before, Answers::default()), None, "nothing was answered");
     assert_eq!(guard.worsened(Answers::default(), before), None, "nothing to compare with");
 }
+
+#[test]
+fn newcomers_go_through_the_kinds_that_stand_for_their_weights() {
+    let (from, goal) = (set(1, &range(0, 4)), set(2, &BTreeSet::from([0, 1, 2, 3, 5])));
+    let sets = steps(&from, &goal, &CORES, 0.5, &[0]).expect("steps");
+    let kinds: Vec<Option<usize>> =
+        sets.iter().map(|s| s.engines.values().find(|k| k.name == "e5").map(|k| k.entry.kind)).collect();
+    assert_eq!(kinds, [Some(0), Some(1)], "of eight cores first, then of its own sixteen");
+    assert_eq!(sets.last().map(|s| &s.engines), Some(&goal.engines));
+}
--- a/crates/watch/src/main.rs
+++ b/crates/watch/src/main.rs
@@ -99,6 +99,9 @@
     /// Share of the capacity that comes, or drains, in a step; one engine at least.
     #[arg(long, value_name = "X", default_value_t = 0.1)]
     step: f64,
+    /// Kinds that newcomers go through before their own, such as some with a quarter and half of its cores: their weights.
+    #[arg(long, value_name = "KIND", value_delimiter = ',')]
+    through: Vec<String>,
     /// Waited after each step, and watched for worsening; longer than a drain and a cold start take.
     #[arg(long, value_name = "TIME", default_value = "30s", value_parser = span)]
     pause: Time,
@@ -339,7 +342,13 @@
     }
     let cores =
         if places.cores.is_empty() { vec![1.0; places.names.kinds.len()] } else { places.cores.clone() };
-    let sets = rollout::steps(&from.set, &goal.set, &cores, args.step)?;
+    let mut through = Vec::new();
+    for kind in &args.through {
+        let known = || places.names.kinds.join(", ");
+        let at = places.names.kinds.iter().position(|k| k == kind);
+        through.push(at.with_context(|| format!("no kind is named `{kind}`; known: {}", known()))?);
+    }
+    let sets = rollout::steps(&from.set, &goal.set, &cores, args.step, &through)?;
     let all = sets.len();
     if args.plan {
         let mut before = &from.set;
--- a/crates/watch/tests/program.rs
+++ b/crates/watch/tests/program.rs
@@ -184,6 +184,8 @@
     let (code, told) = run(&good, "3", &["--plan"]);
     assert_eq!((code, told.matches("step ").count()), (Some(0), 9), "{told}");
     assert_eq!(fs::read_to_string(&target).expect("there"), file(3, &[1, 2, 3, 4]), "a plan writes nothing");
+    let (code, told) = run(&good, "3", &["--plan", "--through", "none"]);
+    assert!(code == Some(1) && told.contains("no kind is named `none`"), "{told}");
     // It worsens at the third step: stopped, and taken back.
     let bad = controllers(target.clone().into(), 6);
     let (code, told) = run(&bad, "3", &["--back"]);
