lab: half of the controllers on an older list, as a test in virtual time

The hard case of engine files (half on version N, half on N+1) was tested by status alone. Six controllers poll four seconds apart in two halves through a deploy of all engines: each half knows of drains over a second before the other, and no rule is broken.

--- a/crates/lab/tests/virtual_time.rs
+++ b/crates/lab/tests/virtual_time.rs
@@ -174,3 +174,39 @@
         assert!(played.tries.iter().all(|t| t.end != Some(End::NoAnswer)));
     }
 }
+
+#[test]
+fn half_of_the_controllers_on_an_older_list_break_no_rule() {
+    let path = format!("{}/days/drains.toml", env!("CARGO_MANIFEST_DIR"));
+    // Controllers poll every four seconds, and half of them have started two seconds later: each change is known to one half
+    // long before the other.
+    let text = std::fs::read_to_string(path).expect("a day").replace("length = ", "#")
+        + "\n[[troubles]]\nkind = \"balancer_roll\"\nat = \"2s\"\nfor = \"1ms\"\npart = 0.5\nsize = 0.1\n\
+           [registry]\nmode = \"poll\"\nevery = \"4s\"\n";
+    let text = format!("length = \"20s\"\n{text}");
+    let mut day = Day::parse("halves", &text).unwrap_or_else(|fault| panic!("{fault}"));
+    day.controllers = 6;
+    let (report, played) = play_virtual(&day, 1, Policy::Module).expect("sound");
+    assert!(report.kept(), "{:?}", report.breaches);
+    // When each first heard that an engine drains or is gone.
+    let mut heard: std::collections::BTreeMap<String, std::collections::BTreeMap<String, i64>> =
+        Default::default();
+    for line in played.log.iter().filter(|l| l.event == "told") {
+        for gone in &line.not_up {
+            heard.entry(gone.engine.clone()).or_default().entry(line.who.clone()).or_insert(line.t);
+        }
+    }
+    let apart = |times: &std::collections::BTreeMap<String, i64>| {
+        let mut all: Vec<i64> = times.values().copied().collect();
+        all.sort_unstable();
+        // So long the first half knew, and the second did not.
+        if all.len() == 6 {
+            all[3] - all[2]
+        } else {
+            0
+        }
+    };
+    let longest = heard.values().map(apart).max().unwrap_or(0);
+    assert!(longest > 1_000_000, "halves were apart for {longest} us at most");
+    assert!(report.served > report.queries / 2, "{report:?}");
+}
