net: one blocking HTTP call for the programs; one way to make a try

wheelfield-members and wheelfield-load each read a controller's status in a way of their own, bounded differently; both now use net::http::get. The crowd on sockets and the one in virtual time built their tries field by field; Try::new. The whole test run passes.

--- a/crates/lab/src/crowd.rs
+++ b/crates/lab/src/crowd.rs
@@ -59,6 +59,28 @@
     pub late_us: i64,
 }
 
+impl Try {
+    /// A try that was just sent.
+    pub fn new(arrival: usize, number: u32, controller: usize, sent: i64, due: i64) -> Try {
+        Try {
+            id: format!("q{arrival}-{number}"),
+            arrival,
+            number,
+            controller,
+            sent,
+            due,
+            ended: 0,
+            end: None,
+            state: String::new(),
+            rows: 0,
+            answers: 0,
+            after: None,
+            advice_ms: None,
+            late_us: 0,
+        }
+    }
+}
+
 struct Connection {
     stream: Stream,
     controller: usize,
@@ -316,25 +338,10 @@
         self.coming -= 1;
         let controller = door(&self.doors, &self.manners.habits, arrival, number, now);
         let t = self.tries.len();
-        let id = format!("q{a}-{number}");
         let due = now + arrival.patience;
         let planned = self.start + arrival.at;
-        self.tries.push(Try {
-            id,
-            arrival: a,
-            number,
-            controller,
-            sent: now,
-            due,
-            ended: 0,
-            end: None,
-            state: String::new(),
-            rows: 0,
-            answers: 0,
-            after: None,
-            advice_ms: None,
-            late_us: if number == 0 { now - planned } else { 0 },
-        });
+        let late_us = if number == 0 { now - planned } else { 0 };
+        self.tries.push(Try { late_us, ..Try::new(a, number, controller, now, due) });
         self.who.push(arrival.tenant.unwrap_or(0));
         self.carrier.push(None);
         self.tally.sent += 1;
--- a/crates/lab/src/virtual_time/mod.rs
+++ b/crates/lab/src/virtual_time/mod.rs
@@ -357,22 +357,7 @@
         let c = door(&self.doors, &self.day.habits, arrival, number, self.now);
         let t = self.tries.len();
         let due = self.now + arrival.patience;
-        self.tries.push(Try {
-            id: format!("q{a}-{number}"),
-            arrival: a,
-            number,
-            controller: c,
-            sent: self.now,
-            due,
-            ended: 0,
-            end: None,
-            state: String::new(),
-            rows: 0,
-            answers: 0,
-            after: None,
-            advice_ms: None,
-            late_us: 0,
-        });
+        self.tries.push(Try::new(a, number, c, self.now, due));
         self.events.set(due, Event::Due(t));
         if let Some((after, _)) = arrival.leaves.filter(|_| number == 0) {
             self.events.set(self.now + after, Event::Leave(t));
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -147,23 +147,11 @@
 /// The engines of a controller, by its admin address; none if it does not tell.
 fn engines(admin: SocketAddr) -> Vec<(String, String)> {
     let ask = || -> Result<Vec<(String, String)>> {
-        use std::io::Read as _;
-        let mut stream = std::net::TcpStream::connect_timeout(&admin, Duration::from_millis(200))?;
-        stream.set_read_timeout(Some(Duration::from_millis(200)))?;
-        stream.write_all(b"GET /status HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")?;
-        let (mut answer, mut part) = (Vec::new(), [0; 16 << 10]);
-        loop {
-            let n = stream.read(&mut part)?;
-            answer.extend_from_slice(&part[..n]);
-            let text = String::from_utf8_lossy(&answer);
-            let body = text.split_once("\r\n\r\n").map_or("", |(_, body)| body);
-            if let Ok(status) = serde_json::from_str::<serde_json::Value>(body) {
-                let word = |e: &serde_json::Value, name: &str| e[name].as_str().unwrap_or("?").to_string();
-                let all = status["engines"].as_array().cloned().unwrap_or_default();
-                return Ok(all.iter().map(|e| (word(e, "id"), word(e, "status"))).collect());
-            }
-            ensure!(n > 0 && answer.len() < 8 << 20, "its status can't be read");
-        }
+        let response = wheelfield_net::http::get(admin, "/status", Duration::from_millis(200), 8 << 20)?;
+        let status: serde_json::Value = serde_json::from_slice(&response.body)?;
+        let word = |e: &serde_json::Value, name: &str| e[name].as_str().unwrap_or("?").to_string();
+        let all = status["engines"].as_array().cloned().unwrap_or_default();
+        Ok(all.iter().map(|e| (word(e, "id"), word(e, "status"))).collect())
     };
     ask().unwrap_or_default()
 }
--- a/crates/watch/src/main.rs
+++ b/crates/watch/src/main.rs
@@ -3,8 +3,7 @@
 use anyhow::{bail, Context, Result};
 use clap::{Parser, Subcommand};
 use std::fs::File;
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
@@ -13,8 +12,12 @@
 use wheelfield_members::keeper::Policy;
 use wheelfield_members::rollout::{self, Guard, Round, Seen};
 use wheelfield_members::EngineSet;
+use wheelfield_net::http;
 use wheelfield_watch::disk;
 
+/// Bytes of a controller's status at most.
+const LONGEST_STATUS: usize = 8 << 20;
+
 /// Engine files: checked, compared, written, applied; and which controller runs which version.
 ///
 /// Exit codes: 0 sound, equal or done, 1 a fault, a difference or a controller behind, 2 bad use.
@@ -242,31 +245,17 @@
 
 /// What a controller says of itself.
 fn ask(address: SocketAddr) -> Result<Seen> {
-    let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(2))?;
-    stream.set_read_timeout(Some(Duration::from_secs(2)))?;
-    stream.write_all(b"GET /status HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")?;
-    let mut answer = Vec::new();
-    let mut chunk = [0; 16 << 10];
-    // The body is one JSON object; the connection may stay open behind it.
-    loop {
-        let n = stream.read(&mut chunk)?;
-        answer.extend_from_slice(&chunk[..n]);
-        let whole = String::from_utf8_lossy(&answer).into_owned();
-        let body = whole.split_once("\r\n\r\n").map(|(_, body)| body).unwrap_or("");
-        if let Ok(status) = serde_json::from_str::<serde_json::Value>(body) {
-            let figure = |name: &str| status["figures"][name].as_u64();
-            return Ok(Seen {
-                version: figure("list_version").context("no version in its status")?,
-                fault: status["members"]["fault"].as_str().unwrap_or("").to_string(),
-                served: figure("queries_served").unwrap_or(0),
-                refused: figure("queries_refused").unwrap_or(0),
-                failed: figure("queries_failed").unwrap_or(0),
-            });
-        }
-        if n == 0 || answer.len() > 8 << 20 {
-            bail!("its status can't be read");
-        }
-    }
+    let response = http::get(address, "/status", Duration::from_secs(2), LONGEST_STATUS)?;
+    let status: serde_json::Value =
+        serde_json::from_slice(&response.body).context("its status can't be read")?;
+    let figure = |name: &str| status["figures"][name].as_u64();
+    Ok(Seen {
+        version: figure("list_version").context("no version in its status")?,
+        fault: status["members"]["fault"].as_str().unwrap_or("").to_string(),
+        served: figure("queries_served").unwrap_or(0),
+        refused: figure("queries_refused").unwrap_or(0),
+        failed: figure("queries_failed").unwrap_or(0),
+    })
 }
 
 /// Asks all, some at a time.
