load: a target that breaks every connection can't nest calls without end

A worker that wrote to a broken connection told its clients within the call that carried out what they said, and so on for each that waited: with many waiting, the stack could end. What is said meanwhile is now done by the call under way. A test on sockets with a target that closes all it accepts, 900 queries on eight connections: each ends once.

--- a/crates/load/src/runner.rs
+++ b/crates/load/src/runner.rs
@@ -149,6 +149,7 @@
     scratch: Vec<u8>,
     made: usize,
     index: usize,
+    following: bool,
 }
 
 impl<'a> Worker<'a> {
@@ -173,6 +174,7 @@
             scratch: vec![0; 64 << 10],
             made: 0,
             index,
+            following: false,
         })
     }
 
@@ -214,11 +216,16 @@
         Ok(self.crew.finish())
     }
 
-    /// Does what the crew says, until it says nothing more.
+    /// Does what the crew says, until it says nothing more. What it says meanwhile is done by the call under way: a target
+    /// that breaks all it is sent must not nest calls without end.
     fn follow(&mut self) {
+        if std::mem::replace(&mut self.following, true) {
+            return;
+        }
         loop {
             let todo = self.crew.todo();
             if todo.is_empty() {
+                self.following = false;
                 return;
             }
             for what in todo {
--- a/crates/load/tests/sockets.rs
+++ b/crates/load/tests/sockets.rs
@@ -101,3 +101,30 @@
     assert!(fault.to_string().contains("ulimit"), "{fault}");
     make_room(16).expect("everybody has so many");
 }
+
+#[test]
+fn a_target_that_breaks_every_connection_ends_every_query() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let stop = Arc::new(AtomicBool::new(false));
+    let seen = stop.clone();
+    let server = std::thread::spawn(move || {
+        while let Ok((stream, _)) = listener.accept() {
+            drop(stream);
+            if seen.load(Ordering::Relaxed) {
+                return;
+            }
+        }
+    });
+    let (total, sends) = load(
+        "name = \"t\"\nlength = \"300ms\"\nconnections = 8\n[[streams]]\nname = \"q\"\nrate = 3000\npatience = \"1s\"\nstatement = \"select 1\"\n",
+        vec![address],
+        1,
+    );
+    stop.store(true, Ordering::Relaxed);
+    let _ = std::net::TcpStream::connect(address);
+    server.join().expect("ended");
+    let all = total.all();
+    assert_eq!(all.ends.values().sum::<u64>(), sends as u64, "{:?}", all.ends);
+    assert_eq!(all.ended(SERVED), 0);
+}
