lab: a result whose line lacks its end is torn, even where it reads as whole

Found by reading the change once more. A run killed just before the newline of its last line was counted as done, while the file was cut back to the line before: the report and every later comparison missed that run without a word. Such a line is now left out and its run done anew; the test tears a file there (one run done, sixteen in the file).

--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -299,9 +299,12 @@
     };
     let mut runs = Vec::new();
     for (n, line) in text.split_inclusive('\n').enumerate() {
+        // Without its end a line is torn, even where it reads as whole: the next run is written over it.
+        if !line.ends_with('\n') {
+            break;
+        }
         match serde_json::from_str(line) {
             Ok(run) => runs.push(run),
-            Err(_) if !line.ends_with('\n') => {}
             Err(fault) => {
                 bail!("{}:{}: {fault}; remove that line, and its run is done anew", path.display(), n + 1)
             }
--- a/crates/lab/tests/experiment.rs
+++ b/crates/lab/tests/experiment.rs
@@ -44,6 +44,12 @@
     assert_eq!(load(&other.path().join("runs.jsonl")).expect("whole lines").len(), 16);
     let (_, done) = played(TEXT, other.path());
     assert_eq!(done, 0);
+    // Torn just before the end of its last line, which reads as whole: done anew, and in the file again.
+    let text = std::fs::read_to_string(other.path().join("runs.jsonl")).expect("results");
+    std::fs::write(other.path().join("runs.jsonl"), text.trim_end()).expect("written");
+    let (again, done) = played(TEXT, other.path());
+    assert_eq!((again.len(), done), (16, 1));
+    assert_eq!(load(&other.path().join("runs.jsonl")).expect("whole lines").len(), 16);
 }
 
 #[test]
