members: a rollout stops as controllers fall silent in the pause after a step

Controllers that died after a step gave no answers, which is no worsening of their answers, and the rollout went on; docs/members.md said that it stops. At the end of each pause all must still answer and run the step's version. And a controller that was silent in the first look was counted with the figures of its whole life, which could stop a rollout for refusals of hours ago: it is left out of that step. The test holds such a one with 9,000 refusals. Tests of members and watch pass.

--- a/crates/members/src/rollout.rs
+++ b/crates/members/src/rollout.rs
@@ -150,12 +150,14 @@
 /// What all controllers said, by name; none from one that did not answer.
 pub type Round = BTreeMap<String, Option<Seen>>;
 
-/// Answers between two rounds. One that started anew in between counts from its start.
+/// Answers between two rounds. One that started anew in between counts from its start; one that did not answer in the first
+/// is left out, as its figures tell of its whole life.
 pub fn answers(before: &Round, after: &Round) -> Answers {
     let mut sum = Answers::default();
     for (name, seen) in after {
-        let Some(now) = seen else { continue };
-        let then = before.get(name).cloned().flatten().unwrap_or_default();
+        let Some((now, then)) = seen.as_ref().zip(before.get(name).and_then(Option::as_ref)) else {
+            continue;
+        };
         let (all, was) = (now.served + now.refused + now.failed, then.served + then.refused + then.failed);
         let (bad, bad_was) = (now.refused + now.failed, then.refused + then.failed);
         // Figures that fell are those of a new process.
--- a/crates/members/tests/rollout.rs
+++ b/crates/members/tests/rollout.rs
@@ -110,11 +110,16 @@
 
 #[test]
 fn answers_count_between_rounds_and_from_the_start_of_a_new_process() {
-    let before = round(&[("a", seen(1, 100, 5, 5)), ("b", seen(1, 50, 0, 0)), ("c", None)]);
-    let after = round(&[("a", seen(2, 190, 10, 10)), ("b", seen(2, 10, 2, 0)), ("c", None)]);
+    let before = round(&[("a", seen(1, 100, 5, 5)), ("b", seen(1, 50, 0, 0)), ("c", None), ("d", None)]);
+    let after = round(&[
+        ("a", seen(2, 190, 10, 10)),
+        ("b", seen(2, 10, 2, 0)),
+        ("c", None),
+        ("d", seen(2, 9_000, 9_000, 0)),
+    ]);
     assert_eq!(answers(&before, &after), Answers { all: 100 + 12, bad: 10 + 2 });
     let p = progress(&after, 2);
-    assert_eq!((p.there, p.silent.as_slice()), (2, &["c".to_string()][..]));
+    assert_eq!((p.there, p.silent.as_slice()), (3, &["c".to_string()][..]));
     let behind = progress(&before, 2);
     assert_eq!(behind.behind, ["a", "b"]);
 }
--- a/crates/watch/src/main.rs
+++ b/crates/watch/src/main.rs
@@ -313,7 +313,12 @@
             return Some(why);
         }
         if Instant::now() >= until {
-            return None;
+            // Controllers that fell silent answer nothing, which is no worsening of their answers.
+            let p = rollout::progress(&now, version);
+            let gone: Vec<String> = p.silent.into_iter().chain(p.behind).collect();
+            return (!gone.is_empty()).then(|| {
+                format!("silent, or on another version at the end of the pause: {}", gone.join(", "))
+            });
         }
     }
 }
