--- a/crates/controller/src/main.rs
+++ b/crates/controller/src/main.rs
@@ -9,7 +9,7 @@
 use tracing_subscriber::EnvFilter;
 use wheelfield_config::Config;
 use wheelfield_controller::app::App;
-use wheelfield_controller::plant::Plant;
+use wheelfield_gate::plant::Plant;
 
 /// Admits queries of PostgreSQL clients and routes them to a pool of engines.
 ///
@@ -34,7 +34,7 @@
     /// How logs are written.
     #[arg(long, value_enum, default_value_t = LogFormat::Text)]
     log_format: LogFormat,
-    /// What is logged: error, warn, info, debug, or targets as in `wheelfield_controller=debug`.
+    /// What is logged: error, warn, info, debug, or targets as in `wheelfield_gate=debug`.
     #[arg(long, value_name = "LEVEL", default_value = "info")]
     log: String,
     /// A fault for the laboratory's judge to find, in builds that have them.
--- /dev/null
+++ b/crates/controller/src/sockets.rs
@@ -0,0 +1,134 @@
+//! The sockets of a gate's connections: bytes in, bytes out, as far as each side has room.
+
+use mio::net::TcpStream;
+use mio::{Registry, Token};
+use std::io;
+use std::net::SocketAddr;
+use wheelfield_gate::{Gate, Happened};
+use wheelfield_net::Socket;
+use wheelfield_parts::ConnId;
+
+/// Rooms of a gate that own connections.
+const ROOMS: usize = 8;
+/// Read at a time, by whichever connection.
+const SCRATCH: usize = 64 << 10;
+
+/// All sockets, by room and place.
+pub(crate) struct Sockets {
+    rooms: [Vec<Option<(ConnId, Socket)>>; ROOMS],
+    scratch: Vec<u8>,
+}
+
+fn token(id: ConnId) -> Token {
+    // Numbers of connections are far above the tokens of listeners.
+    Token(id.number() as usize)
+}
+
+impl Sockets {
+    pub fn new() -> Sockets {
+        Sockets { rooms: Default::default(), scratch: vec![0; SCRATCH] }
+    }
+
+    fn get(&mut self, id: ConnId) -> Option<&mut Socket> {
+        let place = self.rooms.get_mut(usize::from(id.room()))?.get_mut(id.place())?;
+        place.as_mut().filter(|(of, _)| *of == id).map(|(_, socket)| socket)
+    }
+
+    fn put(&mut self, id: ConnId, socket: Socket) {
+        let room = &mut self.rooms[usize::from(id.room()) % ROOMS];
+        if room.len() <= id.place() {
+            room.resize_with(id.place() + 1, || None);
+        }
+        room[id.place()] = Some((id, socket));
+    }
+
+    /// A connection that was accepted. What came with it is read.
+    pub fn accepted(&mut self, id: ConnId, tcp: TcpStream, registry: &Registry, gate: &mut Gate, now: i64) {
+        match Socket::new(tcp, true, registry, token(id)) {
+            Ok(socket) => {
+                self.put(id, socket);
+                self.read(id, gate, now);
+            }
+            Err(e) => broken(id, false, &e, gate, now),
+        }
+    }
+
+    /// Begins a connect.
+    pub fn connect(&mut self, id: ConnId, to: SocketAddr, registry: &Registry, gate: &mut Gate, now: i64) {
+        match TcpStream::connect(to).and_then(|tcp| Socket::new(tcp, false, registry, token(id))) {
+            Ok(socket) => self.put(id, socket),
+            Err(e) => broken(id, true, &e, gate, now),
+        }
+    }
+
+    /// The system told something of a connection.
+    pub fn on(&mut self, event: &mio::event::Event, gate: &mut Gate, now: i64) {
+        let id = ConnId::of(event.token().0 as u64);
+        let Some(socket) = self.get(id) else { return };
+        let connecting = matches!(socket.connected(), Ok(false));
+        socket.on(event);
+        if connecting {
+            match socket.connected() {
+                Ok(true) => gate.happen(now, Happened::Connected(id)),
+                Ok(false) => return,
+                Err(e) => return broken(id, true, &e, gate, now),
+            }
+        }
+        if self.get(id).is_some_and(|s| s.closing()) {
+            gate.happen(now, Happened::Closing(id));
+        }
+        self.read(id, gate, now);
+        self.write(id, gate, now);
+    }
+
+    /// Reads what there is, as far as the gate has room.
+    pub fn read(&mut self, id: ConnId, gate: &mut Gate, now: i64) {
+        loop {
+            if !self.get(id).is_some_and(|s| s.readable()) {
+                return;
+            }
+            let room = gate.room(id).min(SCRATCH);
+            if room == 0 {
+                return;
+            }
+            let mut scratch = std::mem::take(&mut self.scratch);
+            let Some(socket) = self.get(id) else { return };
+            let got = socket.read(&mut scratch[..room]);
+            let ended = socket.ended();
+            match got {
+                Ok(0) if ended => gate.happen(now, Happened::Ended(id)),
+                Ok(0) => {}
+                Ok(n) => gate.happen(now, Happened::Received(id, &scratch[..n])),
+                Err(e) => broken(id, false, &e, gate, now),
+            }
+            self.scratch = scratch;
+        }
+    }
+
+    /// Writes what is to go, as far as the other side takes it.
+    pub fn write(&mut self, id: ConnId, gate: &mut Gate, now: i64) {
+        loop {
+            let Some(socket) = self.get(id).filter(|s| s.writable()) else { return };
+            if !matches!(socket.connected(), Ok(true)) {
+                return;
+            }
+            match socket.write(gate.output(id)) {
+                Ok(0) => return,
+                Ok(n) => gate.wrote(now, id, n),
+                Err(e) => return broken(id, true, &e, gate, now),
+            }
+        }
+    }
+
+    /// Closes a connection, and frees its place.
+    pub fn close(&mut self, id: ConnId, registry: &Registry) {
+        let place = self.rooms.get_mut(usize::from(id.room())).and_then(|r| r.get_mut(id.place()));
+        if let Some((_, socket)) = place.and_then(|p| p.take_if(|(of, _)| *of == id)) {
+            socket.close(registry, false);
+        }
+    }
+}
+
+fn broken(id: ConnId, writing: bool, e: &io::Error, gate: &mut Gate, now: i64) {
+    gate.happen(now, Happened::Broken { id, writing, reason: &e.to_string() });
+}
--- /dev/null
+++ b/crates/gate/src/cancels.rs
@@ -0,0 +1,87 @@
+//! Requests to cancel: connections of their own, over once the engine closes them.
+
+use crate::out::{Effect, Out};
+use crate::wake::Wake;
+use crate::wire::Wire;
+use bytes::Bytes;
+use std::net::SocketAddr;
+use wheelfield_parts::{ConnId, Slots, TimerKey};
+use wheelfield_pg::front;
+
+pub(crate) const ROOM: u8 = 3;
+/// Requests under way at once; without room for one the session is closed instead.
+const MOST: usize = 1024;
+/// Bytes of an answer that nobody reads.
+const READ: usize = 4096;
+
+#[derive(Debug)]
+struct Request {
+    wire: Wire,
+    session: ConnId,
+    timer: Option<TimerKey>,
+}
+
+/// The requests under way.
+#[derive(Debug)]
+pub(crate) struct Cancels {
+    all: Slots<Request>,
+}
+
+impl Cancels {
+    pub fn new() -> Cancels {
+        Cancels { all: Slots::new(ROOM) }
+    }
+
+    /// Begins a request; false if too many are under way.
+    pub fn begin(
+        &mut self,
+        session: ConnId,
+        to: SocketAddr,
+        (pid, key): &(i32, Bytes),
+        patience: i64,
+        out: &mut Out,
+    ) -> bool {
+        if self.all.len() >= MOST {
+            return false;
+        }
+        let mut wire = Wire::default();
+        front::put_cancel(*pid, key, &mut wire.output);
+        let id = self.all.insert(Request { wire, session, timer: None });
+        if let Some(r) = self.all.get_mut(id) {
+            r.timer = Some(out.wake_after(patience, Wake::Cancel(id)));
+        }
+        out.push(Effect::Connect(id, to));
+        true
+    }
+
+    pub fn wire(&mut self, id: ConnId) -> Option<&mut Wire> {
+        self.all.get_mut(id).map(|r| &mut r.wire)
+    }
+
+    pub fn room(&mut self, id: ConnId) -> usize {
+        self.all.get_mut(id).map_or(0, |r| r.wire.room(READ))
+    }
+
+    /// It is connected: the request goes out.
+    pub fn connected(&mut self, id: ConnId, out: &mut Out) {
+        if let Some(r) = self.all.get_mut(id) {
+            r.wire.flush(id, out);
+        }
+    }
+
+    /// Something came that nobody reads.
+    pub fn received(&mut self, id: ConnId, out: &mut Out) {
+        if let Some(r) = self.all.get_mut(id) {
+            r.wire.input.clear();
+            r.wire.refill(id, READ, out);
+        }
+    }
+
+    /// A request is over, in whatever way. Its session.
+    pub fn over(&mut self, id: ConnId, out: &mut Out) -> Option<ConnId> {
+        let mut r = self.all.remove(id)?;
+        out.call_off(&mut r.timer);
+        out.push(Effect::Close(id));
+        Some(r.session)
+    }
+}
--- /dev/null
+++ b/crates/gate/src/clients.rs
@@ -0,0 +1,320 @@
+//! Sessions of clients: their messages in, their answers out, their keys to cancel.
+
+use crate::out::{Effect, Out};
+use crate::wake::Wake;
+use crate::wire::Wire;
+use bytes::{Bytes, BytesMut};
+use rand::rngs::StdRng;
+use rand::RngExt as _;
+use std::collections::BTreeMap;
+use tracing::{debug, info};
+use wheelfield::interface::QueryId;
+use wheelfield_config::Config;
+use wheelfield_parts::{ConnId, Slots, TimerKey};
+use wheelfield_pg::back::Trouble;
+use wheelfield_pg::client::{self, Ask, Session, Unit};
+
+pub(crate) const ROOM: u8 = 1;
+/// Read ahead of a client whose query runs.
+const READ_AHEAD: usize = 16 << 10;
+/// A client that takes nothing of its answer for so many times the stall of an engine is gone.
+const READER_PATIENCE: i64 = 6;
+
+/// What a client wants.
+pub(crate) enum Said {
+    /// A unit is to run.
+    Run(Unit),
+    /// More of the open unit of this query.
+    More(QueryId, Bytes, Vec<bool>, bool),
+    /// The query of another session is to end.
+    Cancel(i32, Bytes),
+    /// It can be told nothing more.
+    Gone,
+}
+
+#[derive(Debug)]
+struct Client {
+    wire: Wire,
+    session: Session,
+    pid: i32,
+    running: Option<QueryId>,
+    /// It is closed once all has gone.
+    last: bool,
+    startup: Option<TimerKey>,
+    /// A session with an engine that waits until this client has taken some of its answer.
+    pauses: Option<ConnId>,
+    /// When it last took some.
+    moved: i64,
+}
+
+impl Client {
+    /// Bytes of it that may wait to be taken.
+    fn limit(&self, message: usize) -> usize {
+        match self.session.running() {
+            _ if self.last => 0,
+            true => READ_AHEAD,
+            false => message + READ_AHEAD,
+        }
+    }
+}
+
+/// What was counted.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Counts {
+    pub accepted: u64,
+    pub turned_away: u64,
+    pub malformed: u64,
+}
+
+/// All clients.
+#[derive(Debug)]
+pub(crate) struct Clients {
+    all: Slots<Client>,
+    keys: BTreeMap<i32, (i32, ConnId)>,
+    next_pid: i32,
+    chance: StdRng,
+    limits: client::Limits,
+    most: usize,
+    buffer: usize,
+    startup: i64,
+    patience: i64,
+    pub counts: Counts,
+}
+
+impl Clients {
+    /// `chance` makes the keys to cancel: it must not be guessed.
+    pub fn new(config: &Config, chance: StdRng) -> Clients {
+        let l = config.limits;
+        Clients {
+            all: Slots::new(ROOM),
+            keys: BTreeMap::new(),
+            next_pid: 0,
+            chance,
+            limits: client::Limits { message: l.message, statements: l.statements, held: l.prepared },
+            most: l.clients,
+            buffer: l.buffer,
+            startup: config.timing.startup.0,
+            patience: config.timing.stall.0 * READER_PATIENCE,
+            counts: Counts::default(),
+        }
+    }
+
+    pub fn len(&self) -> usize {
+        self.all.len()
+    }
+
+    /// A client has connected.
+    pub fn accept(&mut self, out: &mut Out) -> ConnId {
+        self.counts.accepted += 1;
+        let crowded = self.all.len() >= self.most;
+        self.next_pid = self.next_pid.checked_add(1).unwrap_or(1);
+        let (pid, key) = (self.next_pid, self.chance.random::<i32>());
+        let id = self.all.insert(Client {
+            wire: Wire::default(),
+            session: Session::new(self.limits, pid, key),
+            pid,
+            running: None,
+            last: crowded,
+            startup: None,
+            pauses: None,
+            moved: out.now,
+        });
+        let Some(c) = self.all.get_mut(id) else { return id };
+        if crowded {
+            self.counts.turned_away += 1;
+            let trouble = Trouble::fatal("53300", "too many clients").hint("come back in some seconds");
+            c.session.end(&trouble, &mut c.wire.output);
+            c.wire.flush(id, out);
+        } else {
+            c.startup = Some(out.wake_after(self.startup, Wake::Startup(id)));
+            self.keys.insert(pid, (key, id));
+        }
+        id
+    }
+
+    /// What the socket does next with its bytes.
+    pub fn wire(&mut self, id: ConnId) -> Option<&mut Wire> {
+        self.all.get_mut(id).map(|c| &mut c.wire)
+    }
+
+    /// Bytes that may come from a client now.
+    pub fn room(&mut self, id: ConnId) -> usize {
+        let message = self.limits.message;
+        self.all.get_mut(id).map_or(0, |c| {
+            let limit = c.limit(message);
+            c.wire.room(limit)
+        })
+    }
+
+    /// Reads a client's messages up to the first thing that must be done for it.
+    pub fn next(&mut self, id: ConnId, out: &mut Out) -> Option<Said> {
+        let message = self.limits.message;
+        let c = self.all.get_mut(id)?;
+        while !c.last {
+            match c.session.feed(&mut c.wire.input, &mut c.wire.output) {
+                Err(fault) => {
+                    self.counts.malformed += 1;
+                    c.last = true;
+                    info!(%fault, "client ended");
+                }
+                Ok(None) => {
+                    if c.wire.ended || (c.wire.closing && c.session.running()) {
+                        return Some(Said::Gone);
+                    }
+                    let limit = c.limit(message);
+                    c.wire.refill(id, limit, out);
+                    break;
+                }
+                Ok(Some(Ask::Started(who))) => {
+                    out.call_off(&mut c.startup);
+                    debug!(user = %who.user, database = %who.database, application = %who.application, "client");
+                }
+                Ok(Some(Ask::Run(unit))) => return Some(Said::Run(unit)),
+                Ok(Some(Ask::More { frames, swallow, sealed })) => {
+                    if let Some(query) = c.running {
+                        return Some(Said::More(query, frames, swallow, sealed));
+                    }
+                }
+                Ok(Some(Ask::Cancel { pid, key })) => {
+                    c.last = true;
+                    return Some(Said::Cancel(pid, key));
+                }
+                Ok(Some(Ask::Closed)) => c.last = true,
+            }
+        }
+        if c.last && (c.session.running() || c.wire.output.is_empty()) {
+            return Some(Said::Gone);
+        }
+        c.wire.flush(id, out);
+        None
+    }
+
+    pub fn session(&self, id: ConnId) -> Option<&Session> {
+        self.all.get(id).map(|c| &c.session)
+    }
+
+    /// The query of a client's unit.
+    pub fn runs(&mut self, id: ConnId, query: QueryId) {
+        if let Some(c) = self.all.get_mut(id) {
+            c.running = Some(query);
+        }
+    }
+
+    /// The query that the holder of a key runs.
+    pub fn query_of(&self, pid: i32, key: &[u8]) -> Option<(ConnId, QueryId)> {
+        let (known, id) = self.keys.get(&pid)?;
+        let query = self.all.get(*id).filter(|_| known.to_be_bytes() == key)?.running?;
+        Some((*id, query))
+    }
+
+    /// Where the answer of a client goes.
+    pub fn sink(&mut self, id: ConnId) -> Option<&mut BytesMut> {
+        self.all.get_mut(id).map(|c| &mut c.wire.output)
+    }
+
+    /// Something went to a client's output.
+    pub fn flush(&mut self, id: ConnId, out: &mut Out) {
+        if let Some(c) = self.all.get_mut(id) {
+            c.wire.flush(id, out);
+        }
+    }
+
+    /// A client's unit ended without an answer of an engine. Look at its [`Clients::next`].
+    pub fn unserved(&mut self, id: ConnId, trouble: &Trouble) {
+        if let Some(c) = self.all.get_mut(id) {
+            c.running = None;
+            c.session.unserved(trouble, &mut c.wire.output);
+        }
+    }
+
+    /// A client's unit was served. Look at its [`Clients::next`].
+    pub fn served(&mut self, id: ConnId, errored: bool) {
+        if let Some(c) = self.all.get_mut(id) {
+            c.running = None;
+            c.session.served(errored, &mut c.wire.output);
+        }
+    }
+
+    /// Bytes have gone to a client. The session with an engine that may go on, and whether the client is done with.
+    pub fn wrote(&mut self, id: ConnId, n: usize, out: &mut Out) -> (Option<ConnId>, bool) {
+        let Some(c) = self.all.get_mut(id) else { return (None, false) };
+        let all = c.wire.wrote(n);
+        if n > 0 {
+            c.moved = out.now;
+        }
+        // A session that waits goes on once half of the room is free.
+        let go_on = if c.wire.output.len() <= self.buffer / 2 { c.pauses.take() } else { None };
+        (go_on, all && c.last)
+    }
+
+    /// A client's output is full: its engine waits, but not for ever.
+    pub fn pause(&mut self, id: ConnId, session: ConnId, out: &mut Out) {
+        if let Some(c) = self.all.get_mut(id) {
+            if c.pauses.replace(session).is_none() {
+                out.wake_after(self.patience, Wake::Reader(id));
+            }
+            c.wire.flush(id, out);
+        }
+    }
+
+    /// Whether a session waits for a client.
+    pub fn pauses(&self, id: ConnId, session: ConnId) -> bool {
+        self.all.get(id).is_some_and(|c| c.pauses == Some(session))
+    }
+
+    /// A session waits no more for a client.
+    pub fn unpause(&mut self, id: ConnId, session: ConnId) {
+        if let Some(c) = self.all.get_mut(id) {
+            c.pauses = c.pauses.filter(|paused| *paused != session);
+        }
+    }
+
+    /// True for a client that has taken nothing of its answer for too long.
+    pub fn reader_stalled(&mut self, id: ConnId, out: &mut Out) -> bool {
+        let Some(c) = self.all.get(id).filter(|c| c.pauses.is_some()) else { return false };
+        if out.now - c.moved >= self.patience {
+            info!("a client that takes nothing of its answer is closed");
+            return true;
+        }
+        let at = c.moved + self.patience;
+        out.wake_at(at, Wake::Reader(id));
+        false
+    }
+
+    /// A client has not introduced itself in time.
+    pub fn startup_late(&mut self, id: ConnId, out: &mut Out) {
+        let Some(c) = self.all.get_mut(id).filter(|c| !c.session.started()) else { return };
+        c.startup = None;
+        c.session.end(&Trouble::fatal("08P01", "no startup packet in time"), &mut c.wire.output);
+        c.last = true;
+        c.wire.flush(id, out);
+    }
+
+    /// The controller stops: ends all with nothing running.
+    pub fn end_idle(&mut self, out: &mut Out) {
+        let all: Vec<ConnId> = self.all.iter().map(|(id, _)| id).collect();
+        for id in all {
+            self.end(id, out);
+        }
+    }
+
+    /// The controller stops: ends a client with nothing running.
+    pub fn end(&mut self, id: ConnId, out: &mut Out) {
+        let Some(c) = self.all.get_mut(id).filter(|c| c.running.is_none() && !c.last) else { return };
+        let trouble = Trouble::fatal("57P01", "the controller stops").hint("connect again, to another one");
+        c.session.end(&trouble, &mut c.wire.output);
+        c.last = true;
+        c.wire.flush(id, out);
+    }
+
+    /// A client can be told nothing more: its connection closes. The query that it waited for is told.
+    pub fn remove(&mut self, id: ConnId, out: &mut Out) -> Option<QueryId> {
+        let mut c = self.all.remove(id)?;
+        out.call_off(&mut c.startup);
+        if self.keys.get(&c.pid).is_some_and(|(_, of)| *of == id) {
+            self.keys.remove(&c.pid);
+        }
+        out.push(Effect::Close(id));
+        c.running
+    }
+}
--- /dev/null
+++ b/crates/gate/src/engines.rs
@@ -0,0 +1,499 @@
+//! The side of the engines: sessions are opened, kept, given to attempts and probes, and broken. What must be known of
+//! it comes out as [`Word`]s; nothing here knows of clients but by the numbers of their connections.
+
+use crate::cancels::Cancels;
+use crate::out::{Effect, Out};
+use crate::pools::Pools;
+use crate::sessions::{Fed, Job, Sessions};
+use crate::units::InHand;
+use crate::wake::Wake;
+use bytes::BytesMut;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use tracing::debug;
+use wheelfield::interface::{EngineId, Note, Outcome, QueryId, Report};
+use wheelfield_config::Config;
+use wheelfield_driver::{AttemptId, Terms};
+use wheelfield_parts::ConnId;
+use wheelfield_pg::backend::{self, Heard};
+
+/// A session whose answer nobody wants must come clean within so many microseconds, if engines heed cancels,
+const ABANDON: i64 = 2_000_000;
+/// and if not: then the query runs to its end.
+const ABANDON_UNHEEDED: i64 = 60_000_000;
+
+/// What came of the engines' side.
+#[derive(Debug)]
+pub(crate) enum Word {
+    /// A session is there for an attempt.
+    Free(ConnId, AttemptId),
+    /// An attempt's answer has its first row, for this client. Let it begin, or discard it; then read on.
+    Begins(ConnId, AttemptId, ConnId),
+    /// Word on an attempt.
+    Noted(AttemptId, Note),
+    /// The answer of an attempt is whole. End it by [`Engines::over`].
+    Served { session: ConnId, attempt: AttemptId, client: Option<ConnId>, errored: bool, clean: bool },
+    /// An attempt ended otherwise. The reason is for the log.
+    Ended { attempt: AttemptId, engine: EngineId, outcome: Outcome, report: Report, reason: Option<String> },
+    /// A probe came back, or did not.
+    Probed(EngineId, Outcome, Report),
+    /// A client got part of a row: no error can be told it.
+    Cut(ConnId),
+    /// A session may be read on; the client that it waited for wants nothing more of it.
+    Readable(ConnId, Option<ConnId>),
+}
+
+/// How far a session was read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Progress {
+    /// As far as it goes.
+    Done,
+    /// There may be more once what came of it is known.
+    More,
+    /// Its client must take something first.
+    Full(ConnId),
+}
+
+/// An engine's load as the module reads it.
+pub(crate) fn report(load: backend::Load) -> Report {
+    Report {
+        utilisation: load.util,
+        in_flight: load.in_flight,
+        queue: load.queue,
+        memory: load.memory,
+        disks: load.disks,
+    }
+}
+
+/// The side of the engines.
+#[derive(Debug)]
+pub(crate) struct Engines {
+    pub sessions: Sessions,
+    pub pools: Pools,
+    cancels: Cancels,
+    words: VecDeque<Word>,
+    most: usize,
+    heeded: bool,
+    timing: wheelfield_config::Timing,
+    /// Sessions with engines that take no work are kept: a planted fault.
+    pub keeps_all: bool,
+}
+
+impl Engines {
+    pub fn new(config: &Config) -> Engines {
+        Engines {
+            sessions: Sessions::new(config),
+            pools: Pools::default(),
+            cancels: Cancels::new(),
+            words: VecDeque::new(),
+            most: config.limits.sessions,
+            heeded: config.settings.cancel,
+            timing: config.timing,
+            keeps_all: false,
+        }
+    }
+
+    /// The next thing that must be known.
+    pub fn word(&mut self) -> Option<Word> {
+        self.words.pop_front()
+    }
+
+    /// An engine as it is listed now.
+    pub fn listed(&mut self, engine: EngineId, address: SocketAddr, up: bool, out: &mut Out) {
+        for id in self.pools.listed(engine, address, up) {
+            self.drop(id, out);
+        }
+    }
+
+    // --- attempts ---
+
+    /// Finds a session for an attempt, or opens one.
+    pub fn launch(&mut self, attempt: AttemptId, engine: EngineId, out: &mut Out) {
+        let Some(pool) = self.pools.get_mut(engine) else {
+            return self.ended(attempt, engine, Outcome::ConnectFailed);
+        };
+        while let Some(id) = pool.idle.pop() {
+            if self.sessions.get(id).is_some_and(|s| !s.wire.closing && !s.wire.ended) {
+                return self.words.push_back(Word::Free(id, attempt));
+            }
+        }
+        if pool.sessions >= self.most {
+            debug!(query = attempt.query.0, engine = engine.0, "no session free");
+            return self.ended(attempt, engine, Outcome::Full);
+        }
+        pool.waiting.push_back(attempt);
+        self.open(engine, out);
+    }
+
+    fn ended(&mut self, attempt: AttemptId, engine: EngineId, outcome: Outcome) {
+        let report = Report::default();
+        self.words.push_back(Word::Ended { attempt, engine, outcome, report, reason: None });
+    }
+
+    /// Opens a session with an engine.
+    pub fn open(&mut self, engine: EngineId, out: &mut Out) {
+        let Some(pool) = self.pools.get_mut(engine) else { return };
+        (pool.sessions, pool.connecting) = (pool.sessions + 1, pool.connecting + 1);
+        let address = pool.address;
+        let id = self.sessions.open(engine, out);
+        if let Some(s) = self.sessions.get_mut(id) {
+            out.instead(&mut s.timer, self.timing.connect.0, Wake::Connect(id));
+        }
+        out.push(Effect::Connect(id, address));
+    }
+
+    /// A session that was to come did not: the first that waits for one is told.
+    fn none_for_waiting(&mut self, engine: EngineId, outcome: Outcome) {
+        let Some(pool) = self.pools.get_mut(engine) else { return };
+        if std::mem::take(&mut pool.probing) {
+            self.words.push_back(Word::Probed(engine, outcome, Report::default()));
+        }
+        if pool.waiting.len() > pool.connecting {
+            if let Some(attempt) = pool.waiting.pop_front() {
+                self.ended(attempt, engine, outcome);
+            }
+        }
+    }
+
+    /// Writes an attempt to a session that is there for it.
+    pub fn put(&mut self, id: ConnId, attempt: AttemptId, unit: &InHand, out: &mut Out) {
+        self.sessions.put(id, attempt, unit, out);
+    }
+
+    /// A clean session takes the next that waits for one, or rests.
+    pub fn rest(&mut self, id: ConnId, out: &mut Out) {
+        let Some(s) = self.sessions.get_mut(id).filter(|s| s.free()) else { return };
+        out.call_off(&mut s.timer);
+        s.idle_since = out.now;
+        let engine = s.engine;
+        let Some(pool) = self.pools.get_mut(engine) else { return self.drop(id, out) };
+        if std::mem::take(&mut pool.probing) {
+            return self.put_probe(id, out);
+        }
+        if let Some(attempt) = pool.waiting.pop_front() {
+            return self.words.push_back(Word::Free(id, attempt));
+        }
+        if pool.up || self.keeps_all {
+            pool.idle.push(id);
+        } else {
+            self.drop(id, out);
+        }
+    }
+
+    /// A session is connected: its startup goes out.
+    pub fn connected(&mut self, id: ConnId, out: &mut Out) {
+        if let Some(s) = self.sessions.get_mut(id) {
+            s.wire.flush(id, out);
+        }
+    }
+
+    /// Reads a session on.
+    pub fn read(&mut self, id: ConnId, sink: Option<&mut BytesMut>, out: &mut Out) -> Progress {
+        match self.sessions.feed(id, sink, out) {
+            Fed::Dry => Progress::Done,
+            Fed::Full(client) => Progress::Full(client),
+            Fed::Lost(reason) => {
+                self.lost(id, Outcome::Reset, &reason, out);
+                Progress::Done
+            }
+            Fed::Heard(heard) => {
+                self.heard(id, heard, out);
+                Progress::More
+            }
+        }
+    }
+
+    fn heard(&mut self, id: ConnId, heard: Heard, out: &mut Out) {
+        let Some(s) = self.sessions.get_mut(id) else { return };
+        let engine = s.engine;
+        match heard {
+            Heard::Nothing => {}
+            Heard::Started => {
+                if let Some(pool) = self.pools.get_mut(engine) {
+                    pool.connecting = pool.connecting.saturating_sub(1);
+                }
+                self.rest(id, out);
+            }
+            Heard::TurnedAway { state, message } => {
+                let outcome = if state.starts_with("53") { Outcome::Full } else { Outcome::ConnectFailed };
+                self.lost(id, outcome, &format!("{state} {message}"), out);
+            }
+            Heard::Begins => match s.job {
+                Some(Job::Attempt { id: attempt, client: Some(client) }) => {
+                    self.words.push_back(Word::Begins(id, attempt, client));
+                }
+                _ => self.discard(id, out),
+            },
+            Heard::Note(note) => {
+                if let Some(Job::Attempt { id: attempt, .. }) = s.job {
+                    let note = match note {
+                        backend::Note::Progress(share) => Note::Progress(share),
+                        backend::Note::Spills(mb) => Note::Spills(mb),
+                        backend::Note::WaitsForMemory => Note::WaitsForMemory,
+                        backend::Note::WaitsForLoad => Note::WaitsForLoad,
+                    };
+                    self.words.push_back(Word::Noted(attempt, note));
+                }
+            }
+            Heard::Served { errored, clean } => match s.job.take() {
+                Some(Job::Attempt { id: attempt, client }) => {
+                    self.sessions.landed(attempt);
+                    self.words.push_back(Word::Served { session: id, attempt, client, errored, clean });
+                }
+                job => {
+                    if let Some(Job::Probe) = job {
+                        let report = report(s.backend.load());
+                        self.words.push_back(Word::Probed(engine, Outcome::Served, report));
+                    }
+                    self.over(id, clean, out);
+                }
+            },
+            Heard::Troubled { state, message, clean } => {
+                let begun = s.backend.begun();
+                let report = report(s.backend.load());
+                let outcome = match state.as_str() {
+                    "53300" | "57P03" if !begun => Outcome::Full,
+                    backend::CANCELLED => Outcome::Cancelled,
+                    _ => Outcome::Error,
+                };
+                match s.job.take() {
+                    Some(Job::Attempt { id: attempt, .. }) => {
+                        self.sessions.landed(attempt);
+                        let reason = Some(format!("{state} {message}"));
+                        self.words.push_back(Word::Ended { attempt, engine, outcome, report, reason });
+                    }
+                    Some(Job::Probe) => self.words.push_back(Word::Probed(engine, outcome, report)),
+                    Some(Job::Aside) | None => {}
+                }
+                self.over(id, clean, out);
+            }
+            Heard::Dropped { clean } => {
+                let report = report(s.backend.load());
+                if let Some(Job::Attempt { id: attempt, .. }) = s.job.take() {
+                    self.sessions.landed(attempt);
+                    let outcome = Outcome::Cancelled;
+                    self.words.push_back(Word::Ended { attempt, engine, outcome, report, reason: None });
+                }
+                self.over(id, clean, out);
+            }
+        }
+    }
+
+    /// An answer goes to its client from here on: what was held back goes first.
+    pub fn begin(&mut self, id: ConnId, sink: &mut BytesMut, out: &mut Out) {
+        let stall = self.timing.stall.0;
+        if let Some(s) = self.sessions.get_mut(id) {
+            s.backend.begin(sink);
+            out.instead(&mut s.timer, stall, Wake::Stall(id));
+        }
+    }
+
+    /// A unit is over: the session is kept if it is clean.
+    pub fn over(&mut self, id: ConnId, clean: bool, out: &mut Out) {
+        if let Some(s) = self.sessions.get_mut(id) {
+            out.call_off(&mut s.timer);
+        }
+        if clean {
+            self.rest(id, out);
+        } else {
+            self.drop(id, out);
+        }
+    }
+
+    /// A session broke, or never came about.
+    pub fn lost(&mut self, id: ConnId, outcome: Outcome, reason: &str, out: &mut Out) {
+        let Some(s) = self.sessions.get_mut(id) else { return };
+        let (engine, starting) = (s.engine, s.backend.starting());
+        let job = s.job;
+        // What the engine told before it went is more than that it went.
+        let outcome = match s.backend.last_words() {
+            Some((state, _)) if outcome == Outcome::Reset && state != backend::CANCELLED => Outcome::Error,
+            _ => outcome,
+        };
+        let amid_row = s.backend.amid_row();
+        self.drop(id, out);
+        if starting {
+            debug!(engine = engine.0, reason, "no session");
+            let outcome = if outcome == Outcome::Full { Outcome::Full } else { Outcome::ConnectFailed };
+            return self.none_for_waiting(engine, outcome);
+        }
+        match job {
+            Some(Job::Attempt { id: attempt, client }) => {
+                if let Some(client) = client.filter(|_| amid_row) {
+                    self.words.push_back(Word::Cut(client));
+                }
+                let (report, reason) = (Report::default(), Some(reason.to_string()));
+                self.words.push_back(Word::Ended { attempt, engine, outcome, report, reason });
+            }
+            Some(Job::Probe) => self.words.push_back(Word::Probed(engine, outcome, Report::default())),
+            Some(Job::Aside) | None => {}
+        }
+    }
+
+    /// Its socket broke.
+    pub fn broken(&mut self, id: ConnId, writing: bool, reason: &str, out: &mut Out) {
+        let Some(s) = self.sessions.get(id) else { return };
+        let unsent = s.backend.starting() || (writing && s.unsent.is_some());
+        self.lost(id, if unsent { Outcome::ConnectFailed } else { Outcome::Reset }, reason, out);
+    }
+
+    /// Bytes have gone to an engine.
+    pub fn wrote(&mut self, id: ConnId, n: usize) {
+        let Some(s) = self.sessions.get_mut(id) else { return };
+        s.wire.wrote(n);
+        if s.unsent.is_some_and(|unsent| s.wire.output.len() < unsent) {
+            s.unsent = None;
+        }
+    }
+
+    /// Closes a session; whatever it did is not told.
+    fn drop(&mut self, id: ConnId, out: &mut Out) {
+        if let Some(s) = self.sessions.remove(id, out) {
+            self.pools.closed(s.engine, id, s.backend.starting());
+        }
+    }
+
+    // --- withdrawing ---
+
+    /// Ends an attempt at its engine. While its answer is `wanted`, one that crosses the request still counts.
+    pub fn withdraw(&mut self, attempt: AttemptId, wanted: bool, out: &mut Out) {
+        let Some(id) = self.sessions.carrier(attempt) else { return self.pools.forget(attempt) };
+        if let Some(s) = self.sessions.get_mut(id) {
+            s.backend.cancelling();
+        }
+        if !wanted {
+            self.discard(id, out);
+        }
+        if self.heeded {
+            self.send_cancel(id, out);
+        }
+    }
+
+    /// A query has its final answer: whatever still comes for it goes to nobody, withdrawn or not.
+    pub fn detach(&mut self, query: QueryId, out: &mut Out) {
+        for id in self.sessions.carriers(query) {
+            self.discard(id, out);
+        }
+    }
+
+    /// Nobody wants a session's answer any more.
+    pub fn discard(&mut self, id: ConnId, out: &mut Out) {
+        let patience = if self.heeded { ABANDON } else { ABANDON_UNHEEDED };
+        let client = self.sessions.discard(id, patience, out);
+        // What it was not let read while its client was slow is read now.
+        self.words.push_back(Word::Readable(id, client));
+    }
+
+    fn send_cancel(&mut self, id: ConnId, out: &mut Out) {
+        let Some(s) = self.sessions.get_mut(id).filter(|s| !s.cancelling) else { return };
+        let Some(key) = s.backend.key() else { return };
+        let Some(to) = self.pools.get(s.engine).map(|p| p.address) else { return };
+        if self.cancels.begin(id, to, key, 2 * self.timing.connect.0, out) {
+            s.cancelling = true;
+        } else {
+            self.lost(id, Outcome::Cancelled, "too many requests to cancel", out);
+        }
+    }
+
+    /// The connections of requests to cancel.
+    pub fn cancels(&mut self) -> &mut Cancels {
+        &mut self.cancels
+    }
+
+    /// A request to cancel is over: its engine has closed the connection, or there is none.
+    pub fn cancel_over(&mut self, id: ConnId, out: &mut Out) {
+        let Some(session) = self.cancels.over(id, out) else { return };
+        if let Some(s) = self.sessions.get_mut(session) {
+            s.cancelling = false;
+            self.rest(session, out);
+        }
+    }
+
+    /// A request that was not taken may yet be, and would then end another query: the session is of no more use.
+    pub fn cancel_late(&mut self, id: ConnId, out: &mut Out) {
+        if let Some(session) = self.cancels.over(id, out) {
+            self.lost(session, Outcome::Cancelled, "a request to cancel was not taken", out);
+        }
+    }
+
+    // --- time ---
+
+    /// An engine has not let us in in time.
+    pub fn connect_late(&mut self, id: ConnId, out: &mut Out) {
+        if self.sessions.get(id).is_some_and(|s| s.backend.starting()) {
+            self.lost(id, Outcome::ConnectFailed, "no session in time", out);
+        }
+    }
+
+    /// Looks whether an engine that has begun an answer goes on; `paused` if it waits for its client.
+    pub fn stalled(&mut self, id: ConnId, paused: bool, out: &mut Out) {
+        let stall = self.timing.stall.0;
+        let Some(s) = self.sessions.get_mut(id) else { return };
+        s.timer = None;
+        if s.client().is_none() {
+            return;
+        }
+        if paused {
+            s.progress = out.now;
+        }
+        if out.now - s.progress >= stall {
+            return self.lost(id, Outcome::TimedOut, "the engine sends nothing more", out);
+        }
+        s.timer = Some(out.wake_at(s.progress + stall, Wake::Stall(id)));
+    }
+
+    /// An answer that nobody wants does not end.
+    pub fn abandon(&mut self, id: ConnId, out: &mut Out) {
+        self.lost(id, Outcome::Cancelled, "an answer that nobody wants does not end", out);
+    }
+
+    /// Closes sessions that were not used for long.
+    pub fn close_idle(&mut self, out: &mut Out) {
+        let before = out.now - self.timing.session_idle.0;
+        let resting = self.pools.iter().flat_map(|(_, p)| &p.idle).copied();
+        let old: Vec<ConnId> =
+            resting.filter(|id| self.sessions.get(*id).is_some_and(|s| s.idle_since < before)).collect();
+        for id in old {
+            self.drop(id, out);
+        }
+    }
+
+    // --- beside queries ---
+
+    /// Asks an engine for its load.
+    pub fn probe(&mut self, engine: EngineId, out: &mut Out) {
+        let most = self.most;
+        let Some(pool) = self.pools.get_mut(engine) else { return };
+        if let Some(id) = pool.idle.pop() {
+            return self.put_probe(id, out);
+        }
+        if pool.probing || pool.sessions >= most {
+            return self.words.push_back(Word::Probed(engine, Outcome::Skipped, Report::default()));
+        }
+        pool.probing = true;
+        self.open(engine, out);
+    }
+
+    fn put_probe(&mut self, id: ConnId, out: &mut Out) {
+        if let Some(s) = self.sessions.get_mut(id) {
+            out.instead(&mut s.timer, self.timing.probe.0, Wake::Probe(id));
+        }
+        self.sessions.put_own(id, Job::Probe, "SHOW wheelfield.load", out);
+    }
+
+    /// A probe did not come back in time.
+    pub fn probe_late(&mut self, id: ConnId, out: &mut Out) {
+        if self.sessions.get(id).is_some_and(|s| matches!(s.job, Some(Job::Probe))) {
+            self.lost(id, Outcome::TimedOut, "a probe without an answer", out);
+        }
+    }
+
+    /// Changes the priority of what runs, by a second session.
+    pub fn set_terms(&mut self, attempt: AttemptId, terms: Terms, out: &mut Out) {
+        let Some(s) = self.sessions.carrier(attempt).and_then(|id| self.sessions.get(id)) else { return };
+        let Some((pid, _)) = s.backend.key() else { return };
+        let text = format!("SELECT wheelfield.set_priority({pid}, {})", terms.priority);
+        let Some(id) = self.pools.get_mut(s.engine).and_then(|p| p.idle.pop()) else { return };
+        self.sessions.put_own(id, Job::Aside, &text, out);
+    }
+}
--- /dev/null
+++ b/crates/gate/src/gate.rs
@@ -0,0 +1,208 @@
+//! The door of a controller: what happened in, effects out.
+
+use crate::clients;
+use crate::flow::Flow;
+use crate::happened::{Door, Happened};
+use crate::out::Effect;
+use crate::start::Start;
+use crate::wire::Wire;
+use crate::{cancels, registry, sessions};
+use tracing::{info, warn};
+use wheelfield_capture::Recorder;
+use wheelfield_config::Config;
+use wheelfield_driver::Input;
+use wheelfield_parts::ConnId;
+
+/// A controller.
+pub struct Gate {
+    flow: Flow,
+}
+
+impl Gate {
+    /// A controller that has not started.
+    pub fn new(config: Config, start: Start) -> Gate {
+        Gate { flow: Flow::new(config, start) }
+    }
+
+    /// The bytes of a connection.
+    fn wire(&mut self, id: ConnId) -> Option<&mut Wire> {
+        match id.room() {
+            clients::ROOM => self.flow.clients.wire(id),
+            sessions::ROOM => self.flow.engines.sessions.wire(id),
+            cancels::ROOM => self.flow.engines.cancels().wire(id),
+            registry::ROOM => self.flow.call.wire(id),
+            _ => self.flow.admin.wire(id),
+        }
+    }
+
+    /// Somebody has connected; none if there is no room, and the socket is to be closed. Read from it at once.
+    pub fn accept(&mut self, now: i64, door: Door) -> Option<ConnId> {
+        self.flow.out.now = now;
+        match door {
+            Door::Clients => Some(self.flow.clients.accept(&mut self.flow.out)),
+            Door::Admin => self.flow.admin.accept(),
+        }
+    }
+
+    /// Bytes that may come on a connection now. After none, [`Effect::Read`] tells when some may.
+    pub fn room(&mut self, id: ConnId) -> usize {
+        match id.room() {
+            clients::ROOM => self.flow.clients.room(id),
+            sessions::ROOM => self.flow.engines.sessions.room(id),
+            cancels::ROOM => self.flow.engines.cancels().room(id),
+            registry::ROOM => self.flow.call.room(id),
+            _ => self.flow.admin.room(id),
+        }
+    }
+
+    /// What is to go on a connection.
+    pub fn output(&mut self, id: ConnId) -> &[u8] {
+        self.wire(id).map_or(&[], |w| &w.output)
+    }
+
+    /// So much of it has gone.
+    pub fn wrote(&mut self, now: i64, id: ConnId, n: usize) {
+        self.flow.out.now = now;
+        match id.room() {
+            clients::ROOM => {
+                let (go_on, done) = self.flow.clients.wrote(id, n, &mut self.flow.out);
+                self.flow.readable.extend(go_on);
+                if done {
+                    self.flow.client_gone(id);
+                }
+            }
+            sessions::ROOM => self.flow.engines.wrote(id, n),
+            cancels::ROOM => {
+                self.flow.engines.cancels().wire(id).map(|w| w.wrote(n));
+            }
+            registry::ROOM => {
+                self.flow.call.wire(id).map(|w| w.wrote(n));
+            }
+            _ => self.flow.admin.wrote(id, n, &mut self.flow.out),
+        }
+        self.flow.settle();
+    }
+
+    /// When [`Gate::due`] is next wanted.
+    pub fn next_due(&self) -> Option<i64> {
+        [self.flow.tape.mind().next_due().map(|t| t.0), self.flow.out.next()].into_iter().flatten().min()
+    }
+
+    /// Lets the time pass.
+    pub fn due(&mut self, now: i64) {
+        self.flow.out.now = now;
+        self.flow.tape.due(now);
+        self.flow.settle();
+        while let Some(wake) = self.flow.out.due() {
+            self.flow.woken(wake);
+            self.flow.settle();
+        }
+    }
+
+    /// What is to be done outside; `into` is emptied first.
+    pub fn effects(&mut self, into: &mut Vec<Effect>) {
+        self.flow.out.take(into);
+    }
+
+    /// Something happened.
+    pub fn happen(&mut self, now: i64, what: Happened<'_>) {
+        self.flow.out.now = now;
+        match what {
+            Happened::Started => self.flow.started(),
+            Happened::Connected(id) => match id.room() {
+                sessions::ROOM => self.flow.engines.connected(id, &mut self.flow.out),
+                cancels::ROOM => self.flow.engines.cancels().connected(id, &mut self.flow.out),
+                _ => self.flow.call.connected(id, &mut self.flow.out),
+            },
+            Happened::Received(id, bytes) => self.received(id, bytes, false),
+            Happened::Ended(id) => self.received(id, &[], true),
+            Happened::Closing(id) => match id.room() {
+                clients::ROOM => {
+                    if let Some(wire) = self.flow.clients.wire(id) {
+                        wire.closing = true;
+                        self.flow.ready.push_back(id);
+                    }
+                }
+                sessions::ROOM => {
+                    if let Some(wire) = self.flow.engines.sessions.wire(id) {
+                        wire.closing = true;
+                    }
+                }
+                _ => {}
+            },
+            Happened::Broken { id, writing, reason } => match id.room() {
+                clients::ROOM => self.flow.client_gone(id),
+                sessions::ROOM => self.flow.engines.broken(id, writing, reason, &mut self.flow.out),
+                cancels::ROOM => self.flow.engines.cancel_over(id, &mut self.flow.out),
+                registry::ROOM => {
+                    let told = self.flow.call.failed(reason, &mut self.flow.out);
+                    self.flow.registry_told(told);
+                }
+                _ => self.flow.admin.remove(id, &mut self.flow.out),
+            },
+            Happened::Words(from, datagram) => {
+                let words = self.flow.peering.as_mut().and_then(|p| p.hear(from, datagram));
+                if let Some(words) = words {
+                    self.flow.tape.tell(now, Input::Told(words));
+                }
+            }
+            Happened::Gossip(from, datagram) => {
+                if let Some(gossip) = &mut self.flow.gossip {
+                    gossip.hear(from, datagram, &mut self.flow.out);
+                }
+            }
+            Happened::Files(news) => {
+                let change = self.flow.sets.news(news, now);
+                self.flow.changed(change);
+            }
+            Happened::Keys(news) => {
+                if let Some(gossip) = &mut self.flow.gossip {
+                    gossip.keys(news);
+                }
+            }
+            Happened::Stop => {
+                if self.flow.stop.begin(
+                    self.flow.clients.len(),
+                    self.flow.config.timing.drain.0,
+                    &mut self.flow.out,
+                ) {
+                    self.flow.clients.end_idle(&mut self.flow.out);
+                }
+            }
+            Happened::Keep => {
+                if self.flow.tape.ask(now) {
+                    info!("the capture in memory is asked for");
+                } else {
+                    warn!("a capture is asked for, and there is no [capture]");
+                }
+            }
+        }
+        self.flow.settle();
+    }
+
+    /// The controller ends: a goodbye to the others. Its recorder, to be ended too.
+    pub fn end(&mut self, now: i64) -> Option<Recorder> {
+        self.flow.out.now = now;
+        if let Some(gossip) = &mut self.flow.gossip {
+            gossip.leave(&mut self.flow.out);
+        }
+        self.flow.tape.take_recorder()
+    }
+
+    fn received(&mut self, id: ConnId, bytes: &[u8], ended: bool) {
+        let Some(wire) = self.wire(id) else { return };
+        wire.receive(bytes);
+        wire.ended |= ended;
+        match id.room() {
+            clients::ROOM => self.flow.ready.push_back(id),
+            sessions::ROOM => self.flow.readable.push_back(id),
+            cancels::ROOM if ended => self.flow.engines.cancel_over(id, &mut self.flow.out),
+            cancels::ROOM => self.flow.engines.cancels().received(id, &mut self.flow.out),
+            registry::ROOM => {
+                let told = self.flow.call.read(id, &mut self.flow.out);
+                self.flow.registry_told(told);
+            }
+            _ => self.flow.operator(id),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gate/src/peering.rs
@@ -0,0 +1,58 @@
+//! Words to and from the other controllers.
+
+use crate::out::{Effect, Out, Port};
+use crate::peers::{Dropped, Listener, Speaker};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use tracing::debug;
+use wheelfield::interface::Word;
+use wheelfield_config::Config;
+
+/// The other controllers.
+#[derive(Debug)]
+pub(crate) struct Peering {
+    addresses: Vec<SocketAddr>,
+    known: BTreeSet<SocketAddr>,
+    speaker: Speaker,
+    listener: Listener,
+    /// Datagrams that were none, old, or a stranger's.
+    pub dropped: u64,
+}
+
+impl Peering {
+    /// `own` is where this one listens; `now` the time of its start.
+    pub fn new(config: &Config, own: Option<SocketAddr>, now: i64) -> Option<Peering> {
+        let peers = config.peers.as_ref()?;
+        let addresses: Vec<SocketAddr> =
+            peers.addresses.iter().copied().filter(|a| Some(*a) != own).collect();
+        let (index, count) = (config.settings.index as u32, config.settings.gateways as u32);
+        Some(Peering {
+            known: addresses.iter().copied().collect(),
+            addresses,
+            speaker: Speaker::new(index, now as u64),
+            listener: Listener::new(count, index),
+            dropped: 0,
+        })
+    }
+
+    /// Tells all others.
+    pub fn tell(&mut self, words: &[Word], out: &mut Out) {
+        for datagram in self.speaker.datagrams(words) {
+            for to in &self.addresses {
+                out.push(Effect::Send(Port::Peers, *to, datagram.clone()));
+            }
+        }
+    }
+
+    /// What a datagram tells.
+    pub fn hear(&mut self, from: SocketAddr, datagram: &[u8]) -> Option<Vec<Word>> {
+        let heard =
+            if self.known.contains(&from) { self.listener.hear(datagram) } else { Err(Dropped::Stranger) };
+        heard
+            .inspect_err(|why| {
+                self.dropped += 1;
+                debug!(%from, %why, "message dropped");
+            })
+            .ok()
+    }
+}
--- a/crates/controller/src/plant.rs
+++ b/crates/gate/src/plant.rs
@@ -11,6 +11,8 @@
     Drained,
     /// Queries are sent far more often than the budget allows.
     Budget,
+    /// The text of another client's query is sent in place of one's own.
+    Swap,
 }
 
 impl Plant {
@@ -27,8 +29,11 @@
             "lose" => Plant::Lose,
             "drained" => Plant::Drained,
             "budget" => Plant::Budget,
+            "swap" => Plant::Swap,
             other => {
-                return Err(format!("no fault is named `{other}`; known: resend, lose, drained, budget"))
+                return Err(format!(
+                    "no fault is named `{other}`; known: resend, lose, drained, budget, swap"
+                ))
             }
         })
     }
--- /dev/null
+++ b/crates/gate/src/start.rs
@@ -0,0 +1,27 @@
+//! What a controller starts with.
+
+use crate::mind::Mind;
+use crate::plant::Plant;
+use std::net::SocketAddr;
+use wheelfield_capture::Recorder;
+use wheelfield_gossip::seal::Keys;
+
+/// What a controller starts with.
+pub struct Start {
+    /// The time, in microseconds.
+    pub now: i64,
+    /// Seed of what the gossip draws.
+    pub seed: u64,
+    /// Makes the keys to cancel: from the system where it must not be guessed.
+    pub secret: [u8; 32],
+    /// What decides.
+    pub mind: Box<dyn Mind>,
+    /// Records what that is told and answers.
+    pub recorder: Option<Recorder>,
+    /// Where words of other controllers come in.
+    pub peers: Option<SocketAddr>,
+    /// Where gossip comes in, and its keys.
+    pub gossip: Option<(SocketAddr, Keys)>,
+    /// A fault for a judge to find.
+    pub plant: Option<Plant>,
+}
--- /dev/null
+++ b/crates/gate/src/tape.rs
@@ -0,0 +1,95 @@
+//! What decides, and the record of all that it is told and answers.
+
+use crate::mind::Mind;
+use std::collections::VecDeque;
+use wheelfield::interface::{EngineId, Micros, QueryId};
+use wheelfield_capture::{Recorder, Told};
+use wheelfield_driver::{Arrival, Crowded, Input, Instruction};
+
+/// The one door to what decides. Whatever goes through it is recorded, where a capture is wanted.
+pub(crate) struct Tape {
+    mind: Box<dyn Mind>,
+    recorder: Option<Recorder>,
+    fresh: Vec<Instruction>,
+    waiting: VecDeque<Instruction>,
+}
+
+impl Tape {
+    pub fn new(mind: Box<dyn Mind>, recorder: Option<Recorder>) -> Tape {
+        Tape { mind, recorder, fresh: Vec::new(), waiting: VecDeque::new() }
+    }
+
+    /// Tells what happened.
+    pub fn tell(&mut self, now: i64, input: Input) {
+        let told = self.recorder.is_some().then(|| Told::Input(input.clone()));
+        self.mind.tell(Micros(now), input, &mut self.fresh);
+        self.keep(now, told, None);
+    }
+
+    /// Hands in a query.
+    pub fn arrive(&mut self, now: i64, arrival: Arrival, label: &str) -> Result<QueryId, Crowded> {
+        let told = self
+            .recorder
+            .is_some()
+            .then(|| Told::Arrive { arrival: arrival.clone(), label: label.to_string() });
+        let taken = self.mind.arrive(Micros(now), arrival, &mut self.fresh);
+        self.keep(now, told, taken.ok());
+        taken
+    }
+
+    /// Lets the time pass.
+    pub fn due(&mut self, now: i64) {
+        if self.mind.due(Micros(now), &mut self.fresh) {
+            self.keep(now, Some(Told::Due), None);
+        }
+    }
+
+    /// Records a step, and keeps what is to be done.
+    fn keep(&mut self, now: i64, told: Option<Told>, taken: Option<QueryId>) {
+        if let (Some(recorder), Some(told)) = (&mut self.recorder, told) {
+            recorder.step(Micros(now), &told, taken, &self.fresh);
+            self.tend(now);
+        }
+        self.waiting.extend(self.fresh.drain(..));
+    }
+
+    /// The next thing to be done.
+    pub fn next(&mut self) -> Option<Instruction> {
+        self.waiting.pop_front()
+    }
+
+    pub fn mind(&self) -> &dyn Mind {
+        &*self.mind
+    }
+
+    /// Engines by name, for whoever reads the capture.
+    pub fn engines(&mut self, now: i64, names: impl Iterator<Item = (EngineId, String)>) {
+        if let Some(recorder) = &mut self.recorder {
+            recorder.engines(Micros(now), names);
+        }
+    }
+
+    /// Once a second and after each step: checkpoints, reasons to keep a capture.
+    pub fn tend(&mut self, now: i64) {
+        if let (Some(recorder), Some(driver)) = (&mut self.recorder, self.mind.driver()) {
+            recorder.tend(driver, Micros(now));
+        }
+    }
+
+    /// Asks for the capture that is held in memory; false if there is none.
+    pub fn ask(&mut self, now: i64) -> bool {
+        let Some(recorder) = &mut self.recorder else { return false };
+        recorder.ask(Micros(now));
+        self.tend(now);
+        true
+    }
+
+    pub fn captured(&self) -> wheelfield_capture::State {
+        self.recorder.as_ref().map(Recorder::state).unwrap_or_default()
+    }
+
+    /// The recorder, to be ended.
+    pub fn take_recorder(&mut self) -> Option<Recorder> {
+        self.recorder.take()
+    }
+}
--- /dev/null
+++ b/crates/gate/src/wire.rs
@@ -0,0 +1,73 @@
+//! The bytes of one connection: what came and was not taken, what is to go and has not gone.
+
+use crate::out::{Effect, Out};
+use bytes::{Buf, BytesMut};
+use wheelfield_parts::ConnId;
+
+/// Buffers of an idle connection keep no more than this.
+const KEPT: usize = 2048;
+
+/// The bytes of a connection. Its socket is elsewhere.
+#[derive(Debug, Default)]
+pub(crate) struct Wire {
+    /// What came and was not taken yet.
+    pub input: BytesMut,
+    /// What is to go.
+    pub output: BytesMut,
+    /// The other side will send no more, and all it sent is here.
+    pub ended: bool,
+    /// The other side has closed, though something it sent may still be outside.
+    pub closing: bool,
+    /// Whoever writes was asked to.
+    asked: bool,
+    /// Whoever reads was told that there is no room.
+    starved: bool,
+}
+
+impl Wire {
+    /// Takes what came.
+    pub fn receive(&mut self, bytes: &[u8]) {
+        self.input.extend_from_slice(bytes);
+    }
+
+    /// Bytes that may come now, if at most `limit` are to wait.
+    pub fn room(&mut self, limit: usize) -> usize {
+        if self.ended {
+            return 0;
+        }
+        let room = limit.saturating_sub(self.input.len());
+        self.starved |= room == 0;
+        room
+    }
+
+    /// Has the other side read again, if there is room again; gives back the memory of an emptied input.
+    pub fn refill(&mut self, id: ConnId, limit: usize, out: &mut Out) {
+        if self.starved && self.input.len() < limit {
+            self.starved = false;
+            out.push(Effect::Read(id));
+        }
+        if self.input.is_empty() {
+            self.input = BytesMut::new();
+        }
+    }
+
+    /// Has what is to go written.
+    pub fn flush(&mut self, id: ConnId, out: &mut Out) {
+        if !self.output.is_empty() && !std::mem::replace(&mut self.asked, true) {
+            out.push(Effect::Write(id));
+        }
+    }
+
+    /// So much has gone; true once all has.
+    pub fn wrote(&mut self, n: usize) -> bool {
+        self.output.advance(n.min(self.output.len()));
+        let all = self.output.is_empty();
+        if all {
+            self.asked = false;
+            if self.output.capacity() > KEPT {
+                self.output = BytesMut::new();
+            }
+        }
+        all
+    }
+}
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -13,9 +13,12 @@
 pub mod file;
 pub mod keeper;
 pub mod merge;
+mod news;
 pub mod rollout;
 pub mod tracker;
 
+pub use news::News;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use wheelfield::interface::{EngineEntry, EngineId, Status};
--- /dev/null
+++ b/crates/members/src/news.rs
@@ -0,0 +1,27 @@
+//! What whoever watches engine files has to tell.
+
+use crate::EngineSet;
+use std::sync::Arc;
+use wheelfield::interface::Micros;
+use wheelfield_config::Fault;
+
+/// What there is to tell.
+#[derive(Clone, Debug, PartialEq)]
+pub enum News {
+    /// A set is in force now.
+    Set(Arc<EngineSet>),
+    /// The set that was kept is in force, as there is no better one; so old it is.
+    Kept(Arc<EngineSet>, Micros),
+    /// The set that was kept can't be used.
+    KeptBad(String),
+    /// What the files hold is not taken; the set in force stays.
+    Refused(Fault),
+    /// It is sound, but would take away too much; until when it is held, if it is taken then.
+    Held(String, Option<Micros>),
+    /// The files hold again what is in force.
+    Fine,
+    /// The set in force could not be kept.
+    NotKept(String),
+    /// The system tells of no changes; there is the poll alone.
+    PollOnly(String),
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,4 +1,4 @@
-//! Sockets, clock and timers: what the programs share of the outside world.
+//! Sockets and clock: what the programs share of the outside world.
 //!
 //! All of it is non-blocking and bounded. Nothing here knows of queries.
 #![forbid(unsafe_code)]
@@ -7,8 +7,7 @@
 mod clock;
 pub mod http;
 mod stream;
-mod timers;
 
 pub use clock::Clock;
-pub use stream::{connect, connect_from, datagrams, listen, Stream};
-pub use timers::{TimerKey, Timers};
+pub use stream::{connect, connect_from, datagrams, listen, Socket, Stream};
+pub use wheelfield_parts::{TimerKey, Timers};
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -4,7 +4,7 @@
 use mio::event::Event;
 use mio::net::{TcpListener, TcpStream, UdpSocket};
 use mio::{Interest, Registry, Token};
-use socket2::{Domain, Protocol, Socket, Type};
+use socket2::{Domain, Protocol, Type};
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
 
@@ -15,14 +15,10 @@
 /// Buffers of an idle stream keep no more than this.
 const KEPT: usize = 2048;
 
-/// A stream with what came and what is to go.
+/// A socket without buffers: what it is ready for, as the system last told.
 #[derive(Debug)]
-pub struct Stream {
+pub struct Socket {
     socket: TcpStream,
-    /// What came and was not taken yet.
-    pub input: BytesMut,
-    /// What is to go.
-    pub output: BytesMut,
     readable: bool,
     writable: bool,
     closing: bool,
@@ -30,7 +26,7 @@
     connected: bool,
 }
 
-impl Stream {
+impl Socket {
     /// Takes a socket over and registers it for all it does. `connected` is false for one still connecting.
     ///
     /// # Errors
@@ -40,16 +36,14 @@
         connected: bool,
         registry: &Registry,
         token: Token,
-    ) -> io::Result<Stream> {
+    ) -> io::Result<Socket> {
         let _ = socket.set_nodelay(true);
         // A peer that vanished without a word is found out, and gives its place free.
         let keepalive = socket2::TcpKeepalive::new().with_time(KEEPALIVE).with_interval(KEEPALIVE / 4);
         let _ = socket2::SockRef::from(&socket).set_tcp_keepalive(&keepalive);
         registry.register(&mut socket, token, Interest::READABLE | Interest::WRITABLE)?;
-        Ok(Stream {
+        Ok(Socket {
             socket,
-            input: BytesMut::new(),
-            output: BytesMut::new(),
             readable: connected,
             writable: connected,
             closing: false,
@@ -90,22 +84,18 @@
         }
     }
 
-    /// Reads what there is, until `limit` bytes wait to be taken. `scratch` is shared by all streams, so that idle
-    /// ones hold nothing.
+    /// Reads once what there is; zero if there is nothing now, or never more ([`Socket::ended`]).
     ///
     /// # Errors
-    /// As the system tells; the stream is of no more use.
-    pub fn fill(&mut self, limit: usize, scratch: &mut [u8]) -> io::Result<usize> {
-        let mut got = 0;
-        while self.readable && !self.ended && self.input.len() < limit {
-            let room = scratch.len().min(limit - self.input.len());
-            match self.socket.read(&mut scratch[..room]) {
+    /// As the system tells; the socket is of no more use.
+    pub fn read(&mut self, into: &mut [u8]) -> io::Result<usize> {
+        while self.readable() && !into.is_empty() {
+            match self.socket.read(into) {
                 Ok(0) => self.ended = true,
                 Ok(n) => {
-                    self.input.extend_from_slice(&scratch[..n]);
-                    got += n;
                     // A short read has emptied the socket, unless its end waits behind.
-                    self.readable = n == room || self.closing;
+                    self.readable = n == into.len() || self.closing;
+                    return Ok(n);
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.readable = false,
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
@@ -115,34 +105,24 @@
                 }
             }
         }
-        Ok(got)
+        Ok(0)
     }
 
-    /// Writes what it can; true once all has gone.
+    /// Writes once what can go; zero if nothing can now.
     ///
     /// # Errors
-    /// As the system tells; the stream is of no more use.
-    pub fn flush(&mut self) -> io::Result<bool> {
-        while self.writable && !self.output.is_empty() {
-            match self.socket.write(&self.output) {
+    /// As the system tells; the socket is of no more use.
+    pub fn write(&mut self, from: &[u8]) -> io::Result<usize> {
+        while self.writable && !from.is_empty() {
+            match self.socket.write(from) {
                 Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
-                Ok(n) => self.output.advance(n),
+                Ok(n) => return Ok(n),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.writable = false,
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) => return Err(e),
             }
         }
-        if self.output.is_empty() && self.output.capacity() > KEPT {
-            self.output = BytesMut::new();
-        }
-        Ok(self.output.is_empty())
-    }
-
-    /// Gives back the memory of an emptied input.
-    pub fn relax(&mut self) {
-        if self.input.is_empty() {
-            self.input = BytesMut::new();
-        }
+        Ok(0)
     }
 
     /// More could be read now.
@@ -150,6 +130,11 @@
         self.readable && !self.ended
     }
 
+    /// More could be written now.
+    pub fn writable(&self) -> bool {
+        self.writable
+    }
+
     /// The other side will send no more, and all it sent was read.
     pub fn ended(&self) -> bool {
         self.ended
@@ -178,12 +163,118 @@
     }
 }
 
+/// A socket with what came and what is to go.
+#[derive(Debug)]
+pub struct Stream {
+    socket: Socket,
+    /// What came and was not taken yet.
+    pub input: BytesMut,
+    /// What is to go.
+    pub output: BytesMut,
+}
+
+impl Stream {
+    /// As [`Socket::new`].
+    ///
+    /// # Errors
+    /// As the system tells.
+    pub fn new(socket: TcpStream, connected: bool, registry: &Registry, token: Token) -> io::Result<Stream> {
+        let socket = Socket::new(socket, connected, registry, token)?;
+        Ok(Stream { socket, input: BytesMut::new(), output: BytesMut::new() })
+    }
+
+    /// Takes note of what the system told.
+    pub fn on(&mut self, event: &Event) {
+        self.socket.on(event);
+    }
+
+    /// As [`Socket::connected`].
+    ///
+    /// # Errors
+    /// Why it failed.
+    pub fn connected(&mut self) -> io::Result<bool> {
+        self.socket.connected()
+    }
+
+    /// Reads what there is, until `limit` bytes wait to be taken. `scratch` is shared by all streams, so that idle
+    /// ones hold nothing.
+    ///
+    /// # Errors
+    /// As the system tells; the stream is of no more use.
+    pub fn fill(&mut self, limit: usize, scratch: &mut [u8]) -> io::Result<usize> {
+        let mut got = 0;
+        while self.input.len() < limit {
+            let room = scratch.len().min(limit - self.input.len());
+            match self.socket.read(&mut scratch[..room])? {
+                0 => break,
+                n => {
+                    self.input.extend_from_slice(&scratch[..n]);
+                    got += n;
+                }
+            }
+        }
+        Ok(got)
+    }
+
+    /// Writes what it can; true once all has gone.
+    ///
+    /// # Errors
+    /// As the system tells; the stream is of no more use.
+    pub fn flush(&mut self) -> io::Result<bool> {
+        while !self.output.is_empty() {
+            match self.socket.write(&self.output)? {
+                0 => break,
+                n => self.output.advance(n),
+            }
+        }
+        if self.output.is_empty() && self.output.capacity() > KEPT {
+            self.output = BytesMut::new();
+        }
+        Ok(self.output.is_empty())
+    }
+
+    /// Gives back the memory of an emptied input.
+    pub fn relax(&mut self) {
+        if self.input.is_empty() {
+            self.input = BytesMut::new();
+        }
+    }
+
+    /// More could be read now.
+    pub fn readable(&self) -> bool {
+        self.socket.readable()
+    }
+
+    /// The other side will send no more, and all it sent was read.
+    pub fn ended(&self) -> bool {
+        self.socket.ended()
+    }
+
+    /// The other side has closed, though something it sent may still wait to be read.
+    pub fn closing(&self) -> bool {
+        self.socket.closing()
+    }
+
+    /// Whom it is connected to.
+    ///
+    /// # Errors
+    /// As the system tells.
+    pub fn peer(&self) -> io::Result<SocketAddr> {
+        self.socket.peer()
+    }
+
+    /// As [`Socket::close`].
+    pub fn close(self, registry: &Registry, reset: bool) {
+        self.socket.close(registry, reset);
+    }
+}
+
 /// A listening socket on a loopback address; port 0 lets the system choose.
 ///
 /// # Errors
 /// As the system tells.
 pub fn listen(address: SocketAddr, backlog: u32) -> io::Result<TcpListener> {
-    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    let socket = socket2::Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_reuse_address(true)?;
     socket.set_nonblocking(true)?;
     socket.bind(&address.into())?;
@@ -210,7 +301,7 @@
     token: Token,
 ) -> io::Result<Stream> {
     let Some(source) = source else { return connect(address, registry, token) };
-    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    let socket = socket2::Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_nonblocking(true)?;
     socket.bind(&source.into())?;
     match socket.connect(&address.into()) {
--- /dev/null
+++ b/crates/parts/src/slots.rs
@@ -0,0 +1,120 @@
+//! Places for connections. A place is used again, its number is not: word of a connection that is closed finds nobody.
+
+use slab::Slab;
+
+const GENERATION: u32 = 29;
+const PLACE: u32 = 32;
+
+/// Names a connection: the room that owns it, its place there, and which user of the place it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ConnId(u64);
+
+impl ConnId {
+    fn new(room: u8, generation: u32, place: usize) -> ConnId {
+        let generation = u64::from(generation) & ((1 << GENERATION) - 1);
+        ConnId(u64::from(room) << (GENERATION + PLACE) | generation << PLACE | place as u64)
+    }
+
+    /// The room that owns it, from 1 to 7.
+    pub fn room(self) -> u8 {
+        (self.0 >> (GENERATION + PLACE)) as u8
+    }
+
+    /// Its place in the room.
+    pub fn place(self) -> usize {
+        (self.0 & u64::from(u32::MAX)) as usize
+    }
+
+    /// As one number; at least 2 to the power of 61.
+    pub fn number(self) -> u64 {
+        self.0
+    }
+
+    /// The connection of a number.
+    pub fn of(number: u64) -> ConnId {
+        ConnId(number)
+    }
+}
+
+/// What a room holds of each of its connections. Bounded by whoever inserts.
+#[derive(Debug)]
+pub struct Slots<T> {
+    room: u8,
+    generation: u32,
+    places: Slab<(ConnId, T)>,
+}
+
+impl<T> Slots<T> {
+    /// An empty room; `room` is 1 to 7.
+    pub fn new(room: u8) -> Slots<T> {
+        debug_assert!((1..8).contains(&room));
+        Slots { room, generation: 0, places: Slab::new() }
+    }
+
+    /// Gives a connection a place.
+    pub fn insert(&mut self, what: T) -> ConnId {
+        self.generation = self.generation.wrapping_add(1);
+        let entry = self.places.vacant_entry();
+        let id = ConnId::new(self.room, self.generation, entry.key());
+        entry.insert((id, what));
+        id
+    }
+
+    /// What is held of a connection.
+    pub fn get(&self, id: ConnId) -> Option<&T> {
+        self.places.get(id.place()).filter(|(held, _)| *held == id).map(|(_, what)| what)
+    }
+
+    /// What is held of a connection, to be changed.
+    pub fn get_mut(&mut self, id: ConnId) -> Option<&mut T> {
+        self.places.get_mut(id.place()).filter(|(held, _)| *held == id).map(|(_, what)| what)
+    }
+
+    /// Frees the place of a connection.
+    pub fn remove(&mut self, id: ConnId) -> Option<T> {
+        self.get(id)?;
+        self.places.try_remove(id.place()).map(|(_, what)| what)
+    }
+
+    /// All that are held.
+    pub fn iter(&self) -> impl Iterator<Item = (ConnId, &T)> {
+        self.places.iter().map(|(_, (id, what))| (*id, what))
+    }
+
+    /// How many are held.
+    pub fn len(&self) -> usize {
+        self.places.len()
+    }
+
+    /// None is held.
+    pub fn is_empty(&self) -> bool {
+        self.places.is_empty()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_place_is_used_again_and_its_number_is_not() {
+        let mut slots = Slots::new(3);
+        let a = slots.insert('a');
+        assert_eq!(slots.remove(a), Some('a'));
+        let b = slots.insert('b');
+        assert_eq!((a.place(), b.place(), b.room()), (0, 0, 3));
+        assert_ne!(a, b);
+        assert_eq!((slots.get(a), slots.get(b)), (None, Some(&'b')));
+        assert_eq!(slots.remove(a), None);
+        assert_eq!(ConnId::of(b.number()), b);
+        assert!(b.number() >= 1 << 61);
+    }
+
+    #[test]
+    fn a_generation_that_wraps_stays_within_its_bits() {
+        let mut slots = Slots::new(7);
+        slots.generation = u32::MAX;
+        let id = slots.insert(());
+        assert_eq!((id.room(), id.place(), slots.len()), (7, 0, 1));
+    }
+}
--- a/crates/net/src/timers.rs
+++ b/crates/parts/src/timers.rs
@@ -6,7 +6,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct TimerKey(i64, u64);
 
-/// Timers by time. Times are microseconds of the process's [`crate::Clock`].
+/// Timers by time. Times are microseconds of whatever clock their owner has.
 #[derive(Debug)]
 pub struct Timers<T> {
     set: u64,
--- a/crates/watch/src/lib.rs
+++ b/crates/watch/src/lib.rs
@@ -18,10 +18,9 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 use wheelfield::interface::Micros;
-use wheelfield_config::Fault;
 use wheelfield_members::file::Places;
 use wheelfield_members::keeper::{Keeper, Policy, Verdict};
-use wheelfield_members::EngineSet;
+pub use wheelfield_members::News;
 use wheelfield_net::Clock;
 
 /// Where the system tells of no changes (it has a limit of watchers for each user), files are read so often: a drain must be
@@ -46,27 +45,6 @@
     pub last_good: Option<PathBuf>,
 }
 
-/// What there is to tell.
-#[derive(Clone, Debug, PartialEq)]
-pub enum News {
-    /// A set is in force now.
-    Set(Arc<EngineSet>),
-    /// The set that was kept is in force, as there is no better one; so old it is.
-    Kept(Arc<EngineSet>, Micros),
-    /// The set that was kept can't be used.
-    KeptBad(String),
-    /// What the files hold is not taken; the set in force stays.
-    Refused(Fault),
-    /// It is sound, but would take away too much; until when it is held, if it is taken then.
-    Held(String, Option<Micros>),
-    /// The files hold again what is in force.
-    Fine,
-    /// The set in force could not be kept.
-    NotKept(String),
-    /// The system tells of no changes; there is the poll alone.
-    PollOnly(String),
-}
-
 /// A watching thread; ends when dropped.
 #[derive(Debug)]
 pub struct Watching {
