--- a/crates/check/src/gather.rs
+++ b/crates/check/src/gather.rs
@@ -236,6 +236,7 @@
                         end: None,
                         answers: 0,
                         after: None,
+                        wrong: None,
                     });
                     if let Some(work) = arrival.work_hint {
                         self.works(arrival.class, work);
--- a/crates/engine/src/answer.rs
+++ b/crates/engine/src/answer.rs
@@ -40,6 +40,8 @@
         count: u64,
         /// Bytes of the text of each.
         bytes: usize,
+        /// Of the name of its query: each row is marked with it.
+        of: u64,
     },
     /// No rows: the tag says it all.
     Tag(String),
@@ -49,6 +51,9 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct ItemOf(Item);
 
+/// Bytes of a row's text where a query asks for no other length.
+const ROW_BYTES: usize = 16;
+
 /// An attempt with a bad plan takes so many times as long.
 pub const BAD_PLAN: f64 = 10.0;
 
@@ -112,13 +117,19 @@
             load: flag("load"),
             waits: flag("waits"),
             rows: get("rows").and_then(|v| v.parse().ok()),
-            row_bytes: number("row_bytes").map_or(16, |n| n.min(1e9) as usize),
+            row_bytes: number("row_bytes").map_or(ROW_BYTES, |n| n.min(1e9) as usize),
             sqlstate: get("sqlstate")
                 .filter(|s| s.len() == 5 && s.bytes().all(|b| b.is_ascii_alphanumeric())),
         }
     }
 }
 
+impl Wanted {
+    fn mark(&self) -> u64 {
+        self.id.as_deref().map_or(0, name_mark)
+    }
+}
+
 /// Splits a select list at its commas, outside of strings and brackets.
 fn items(list: &str) -> Vec<&str> {
     let (mut out, mut start, mut depth, mut quote) = (Vec::new(), 0, 0, None);
@@ -201,7 +212,7 @@
     let bare = sql::folded_as_written(text);
     let first = bare.split_whitespace().next().unwrap_or("").to_ascii_uppercase();
     if let Some(count) = wanted.rows {
-        return Plan::Rows { count, bytes: wanted.row_bytes };
+        return Plan::Rows { count, bytes: wanted.row_bytes, of: wanted.mark() };
     }
     match first.as_str() {
         "SELECT" | "VALUES" | "WITH" | "TABLE" | "EXPLAIN" => {
@@ -209,7 +220,7 @@
             let values: Option<Vec<_>> = items(list).into_iter().map(|text| item(text, declared)).collect();
             match values.filter(|_| first == "SELECT") {
                 Some(values) => Plan::Values(values),
-                None => Plan::Rows { count: 1, bytes: wanted.row_bytes },
+                None => Plan::Rows { count: 1, bytes: wanted.row_bytes, of: wanted.mark() },
             }
         }
         "INSERT" => Plan::Tag("INSERT 0 1".into()),
@@ -252,6 +263,34 @@
     types
 }
 
+/// What marks a row: drawn from its query's name, its position and the number of rows.
+fn mark(of: u64, n: u64, count: u64) -> [u8; 16] {
+    // The finish of splitmix64: every bit of what goes in moves every bit of what comes out.
+    let mut x = of ^ n.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ count.rotate_left(32);
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^= x >> 31;
+    let mut text = [0; 16];
+    for (i, digit) in text.iter_mut().enumerate() {
+        *digit = b"0123456789abcdef"[(x >> (4 * i)) as usize & 15];
+    }
+    text
+}
+
+/// Of a query's name.
+fn name_mark(id: &str) -> u64 {
+    u64::from(crc32fast::hash(id.as_bytes())) << 32 | id.len() as u64
+}
+
+/// Whether a `DataRow` in text is row `n`, from 0, of `count` that the stand-in gives to the query of this name, where its
+/// rows have the usual length.
+pub fn is_row(message: &[u8], id: &str, n: u64, count: u64) -> bool {
+    let mut expected = BytesMut::new();
+    let plan = Plan::Rows { count, bytes: ROW_BYTES, of: name_mark(id) };
+    plan.put_row(n, &Given::default(), &mut expected);
+    n < count && message == &expected[..]
+}
+
 impl Plan {
     /// Its columns; none where it has no rows.
     pub fn columns(&self) -> Vec<Column> {
@@ -292,7 +331,7 @@
                     .collect();
                 back::row(cells.iter().map(|c| c.as_deref()), out);
             }
-            Plan::Rows { bytes, .. } => {
+            Plan::Rows { bytes, count, of } => {
                 let number = match given.result(0) {
                     1 => Bytes::copy_from_slice(&(n as i64 + 1).to_be_bytes()),
                     _ => Bytes::from((n + 1).to_string()),
@@ -304,7 +343,10 @@
                 out.put_i32(number.len() as i32);
                 out.put_slice(&number);
                 out.put_i32(*bytes as i32);
-                out.put_bytes(b'a' + (n % 26) as u8, *bytes);
+                let mark = mark(*of, n, *count);
+                let marked = mark.len().min(*bytes);
+                out.put_slice(&mark[..marked]);
+                out.put_bytes(b'a' + (n % 26) as u8, bytes - marked);
             }
             Plan::Tag(_) => {}
         }
--- a/crates/engine/src/host.rs
+++ b/crates/engine/src/host.rs
@@ -1,23 +1,22 @@
 //! Many stand-ins in one process: their sockets, a registry that lists them, and faults on command.
 
-use crate::model::{Happened, Job, Model};
+use crate::desk::Desk;
 use crate::registry::{Line, Registry, Standing};
-use crate::session::{Ask, Session};
 use crate::setup::Setup;
+use crate::stand::{Do, Entry, Stand};
 use anyhow::{bail, Context, Result};
-use mio::net::TcpListener;
+use bytes::BytesMut;
+use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token};
-use rand::{RngExt as _, SeedableRng as _};
-use rand_pcg::Pcg64Mcg;
 use serde_json::{json, Value};
 use slab::Slab;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::HashMap;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
-use wheelfield_net::{http, listen, Clock, Stream};
-use wheelfield_pg::back::Trouble;
+use wheelfield_net::{http, listen, Clock, Socket};
+use wheelfield_parts::ConnId;
 
 /// Tokens of connections come behind those of the listeners.
 const CONNECTIONS: usize = 1 << 20;
@@ -25,72 +24,37 @@
 const REGISTRY: Token = Token(CONNECTIONS - 2);
 /// Connections of all engines together; more are closed as they come.
 const MOST_CONNECTIONS: usize = 18_000;
-/// Bytes of a session's input that wait to be read.
-const INPUT: usize = 128 << 10;
 /// Accepted in one turn by one listener.
 const ACCEPTS: usize = 256;
-
-/// What ails an engine.
-#[derive(Clone, Copy, Debug, Default)]
-struct Faults {
-    hangs: bool,
-    full: bool,
-    drains: bool,
-    errors: f64,
-    loses: f64,
-    halves: f64,
-}
-
-struct Engine {
-    name: String,
-    kind: String,
-    zone: String,
-    cell: i64,
-    address: SocketAddr,
-    listener: Option<TcpListener>,
-    model: Model,
-    faults: Faults,
-    connections: BTreeSet<usize>,
-    /// Whose query a job is.
-    jobs: BTreeMap<u64, usize>,
-}
-
-/// What runs on a connection.
-struct Work {
-    job: u64,
-    query: Option<String>,
-    class: Option<String>,
+/// Bytes of a command.
+const LONGEST_COMMAND: usize = 64 << 10;
+
+/// Whose connection it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Owner {
+    Engine(usize),
+    Desk,
 }
 
 enum Role {
-    Engine {
-        engine: usize,
-        session: Box<Session>,
-        work: Option<Work>,
-        mute: bool,
-    },
-    Control,
-    /// A call to the registry; one that waits has its version, its end and who it is.
-    Registry {
-        waits: Option<(u64, i64, String)>,
-    },
+    Of(Owner, ConnId),
+    Control { input: BytesMut, output: BytesMut },
 }
 
 struct Connection {
-    stream: Stream,
+    socket: Socket,
     role: Role,
-    /// To be closed once all is written.
-    last: bool,
 }
 
 /// Writes what happens as JSON lines.
 struct Journal(Option<std::io::BufWriter<std::fs::File>>);
 
 impl Journal {
-    fn write(&mut self, line: &Value) {
+    fn write(&mut self, entry: &Entry) {
         if let Some(out) = &mut self.0 {
             // A full disk loses lines, not queries; the reader of the log finds the gap.
-            let _ = writeln!(out, "{line}");
+            let _ = serde_json::to_writer(&mut *out, entry);
+            let _ = out.write_all(b"\n");
         }
     }
     fn flush(&mut self) {
@@ -104,26 +68,26 @@
 pub struct Host {
     clock: Clock,
     poll: Poll,
-    engines: Vec<Engine>,
+    stands: Vec<Stand>,
+    addresses: Vec<SocketAddr>,
+    listeners: Vec<Option<TcpListener>>,
     control: TcpListener,
-    registry_listener: TcpListener,
+    desk: Desk,
+    desk_listener: TcpListener,
     connections: Slab<Connection>,
+    by_owner: HashMap<(Owner, ConnId), usize>,
     gone: Vec<usize>,
-    registry: Registry,
     notice: i64,
     listed_after: i64,
     /// Added to both for a while.
     stale: i64,
     journal: Journal,
-    chance: Pcg64Mcg,
-    next_job: u64,
-    next_pid: i32,
-    happened: Vec<Happened>,
+    doing: Vec<Do>,
     scratch: Vec<u8>,
 }
 
 impl Host {
-    /// Opens all sockets, on ports that the system chooses unless `ports` names the first of them.
+    /// Opens all sockets, on ports that the system chooses.
     ///
     /// # Errors
     /// As the system tells.
@@ -136,32 +100,25 @@
             poll.registry().register(&mut listener, token, Interest::READABLE)?;
             Ok(listener)
         };
-        let (control, registry_listener) = (bind(CONTROL)?, bind(REGISTRY)?);
-        let mut engines = Vec::new();
+        let (control, desk_listener) = (bind(CONTROL)?, bind(REGISTRY)?);
+        let (mut stands, mut addresses, mut listeners, mut lines) =
+            (Vec::new(), Vec::new(), Vec::new(), Vec::new());
         for (i, hosted) in setup.engines.into_iter().enumerate() {
             let listener = bind(Token(i))?;
-            engines.push(Engine {
-                name: hosted.name,
-                kind: hosted.kind,
-                zone: hosted.zone,
+            let address = listener.local_addr()?;
+            lines.push(Line {
+                id: hosted.name.clone(),
+                address: address.to_string(),
+                zone: hosted.zone.clone(),
+                kind: hosted.kind.clone(),
                 cell: hosted.cell,
-                address: listener.local_addr()?,
-                listener: Some(listener),
-                model: Model::new(hosted.spec, clock.now()),
-                faults: Faults::default(),
-                connections: BTreeSet::new(),
-                jobs: BTreeMap::new(),
+                status: Standing::Up,
+                started_us: None,
             });
+            stands.push(Stand::new(hosted, clock.now(), seed.wrapping_mul(1_000_003) ^ i as u64));
+            addresses.push(address);
+            listeners.push(Some(listener));
         }
-        let line = |e: &Engine| Line {
-            id: e.name.clone(),
-            address: e.address.to_string(),
-            zone: e.zone.clone(),
-            kind: e.kind.clone(),
-            cell: e.cell,
-            status: Standing::Up,
-            started_us: None,
-        };
         let file = match log {
             Some(path) => Some(
                 std::fs::File::create(path).with_context(|| format!("cannot write {}", path.display()))?,
@@ -171,20 +128,20 @@
         Ok(Host {
             clock,
             poll,
-            registry: Registry::new(engines.iter().map(line)),
-            engines,
+            stands,
+            addresses,
+            listeners,
             control,
-            registry_listener,
+            desk: Desk::new(Registry::new(lines.into_iter())),
+            desk_listener,
             connections: Slab::new(),
+            by_owner: HashMap::new(),
             gone: Vec::new(),
             notice: setup.notice,
             listed_after: setup.listed_after,
             stale: 0,
             journal: Journal(file.map(std::io::BufWriter::new)),
-            chance: Pcg64Mcg::seed_from_u64(seed),
-            next_job: 0,
-            next_pid: 0,
-            happened: Vec::new(),
+            doing: Vec::new(),
             scratch: vec![0; 64 << 10],
         })
     }
@@ -192,12 +149,13 @@
     /// Where everything listens, for whoever started the process.
     pub fn addresses(&self) -> Value {
         let engines: Vec<Value> = self
-            .engines
+            .stands
             .iter()
-            .map(|e| json!({"id": e.name, "address": e.address.to_string(), "zone": e.zone, "kind": e.kind, "cell": e.cell}))
+            .zip(&self.addresses)
+            .map(|(e, at)| json!({"id": e.name, "address": at.to_string(), "zone": e.zone, "kind": e.kind, "cell": e.cell}))
             .collect();
         let address = |l: &TcpListener| l.local_addr().map(|a| a.to_string()).unwrap_or_default();
-        json!({"control": address(&self.control), "registry": address(&self.registry_listener), "engines": engines})
+        json!({"control": address(&self.control), "registry": address(&self.desk_listener), "engines": engines})
     }
 
     /// Serves until `stop` is set.
@@ -208,12 +166,8 @@
         let mut events = Events::with_capacity(4096);
         while !stop.load(Ordering::Relaxed) {
             let now = self.clock.now();
-            let models = self.engines.iter().filter_map(|e| e.model.next_event());
-            let watchers = self.connections.iter().filter_map(|(_, c)| match &c.role {
-                Role::Registry { waits: Some((_, end, _)) } => Some(*end),
-                _ => None,
-            });
-            let next = models.chain(watchers).chain(self.registry.next()).min().unwrap_or(i64::MAX);
+            let models = self.stands.iter().filter_map(Stand::next);
+            let next = models.chain(self.desk.next()).min().unwrap_or(i64::MAX);
             // Woken now and then to look at `stop`.
             let wait = self.clock.until(next.min(now + 100_000));
             match self.poll.poll(&mut events, Some(wait)) {
@@ -221,479 +175,255 @@
                 _ => {}
             }
             for event in &events {
-                self.on_event(event);
+                self.on_event(event)?;
             }
             let now = self.clock.now();
-            for i in 0..self.engines.len() {
-                self.advance(i, now);
+            for i in 0..self.stands.len() {
+                self.stands[i].advance(now);
+                self.carry_out(Owner::Engine(i))?;
             }
-            if self.registry.advance(now) {
-                self.told(now);
-            }
-            self.end_watches(now);
+            self.desk.advance(now);
+            self.carry_out(Owner::Desk)?;
             for id in std::mem::take(&mut self.gone) {
-                self.close(id, false);
+                if let Some(c) = self.connections.try_remove(id) {
+                    c.socket.close(self.poll.registry(), false);
+                }
             }
             self.journal.flush();
         }
         Ok(())
     }
 
-    fn on_event(&mut self, event: &mio::event::Event) {
+    fn on_event(&mut self, event: &mio::event::Event) -> Result<()> {
         match event.token() {
-            CONTROL => self.accept(None, true),
-            REGISTRY => self.accept(None, false),
-            Token(t) if t < CONNECTIONS => self.accept(Some(t), false),
+            CONTROL => self.accept(None),
+            REGISTRY => self.accept(Some(Owner::Desk)),
+            Token(t) if t < CONNECTIONS => self.accept(Some(Owner::Engine(t))),
             Token(t) => {
                 let id = t - CONNECTIONS;
-                if let Some(c) = self.connections.get_mut(id) {
-                    c.stream.on(event);
-                    self.attend(id);
+                let Some(c) = self.connections.get_mut(id) else { return Ok(()) };
+                c.socket.on(event);
+                self.read(id)?;
+                self.write(id);
+                let owner = self.connections.get(id).map(|c| &c.role);
+                if let Some(Role::Of(owner, _)) = owner {
+                    let owner = *owner;
+                    self.carry_out(owner)?;
                 }
+                Ok(())
             }
         }
     }
 
-    fn accept(&mut self, engine: Option<usize>, control: bool) {
+    fn accept(&mut self, owner: Option<Owner>) -> Result<()> {
         for _ in 0..ACCEPTS {
-            let accepted = match engine {
-                Some(i) => match self.engines.get(i).and_then(|e| e.listener.as_ref()) {
+            let accepted = match owner {
+                Some(Owner::Engine(i)) => match self.listeners.get(i).and_then(Option::as_ref) {
                     Some(listener) => listener.accept(),
-                    None => return,
+                    None => return Ok(()),
                 },
-                None if control => self.control.accept(),
-                None => self.registry_listener.accept(),
+                Some(Owner::Desk) => self.desk_listener.accept(),
+                None => self.control.accept(),
             };
-            let Ok((socket, _)) = accepted else { return };
-            if self.connections.len() >= MOST_CONNECTIONS {
-                continue;
+            let Ok((socket, _)) = accepted else { return Ok(()) };
+            if self.connections.len() < MOST_CONNECTIONS {
+                self.accepted(socket, owner)?;
             }
-            let entry = self.connections.vacant_entry();
-            let id = entry.key();
-            let Ok(stream) = Stream::new(socket, true, self.poll.registry(), Token(CONNECTIONS + id)) else {
-                continue;
-            };
-            let role = match engine {
-                Some(engine) => {
-                    self.next_pid = self.next_pid.wrapping_add(1).max(1);
-                    let session = Box::new(Session::new(self.next_pid, self.chance.random()));
-                    self.engines[engine].connections.insert(id);
-                    Role::Engine { engine, session, work: None, mute: false }
-                }
-                None if control => Role::Control,
-                None => Role::Registry { waits: None },
-            };
-            entry.insert(Connection { stream, role, last: false });
-            self.attend(id);
         }
         // More wait: the listener will not tell of them again.
-        let token = engine.map_or(if control { CONTROL } else { REGISTRY }, Token);
-        let listener = match engine {
-            Some(i) => self.engines[i].listener.as_mut(),
-            None if control => Some(&mut self.control),
-            None => Some(&mut self.registry_listener),
+        let (listener, token) = match owner {
+            Some(Owner::Engine(i)) => (self.listeners[i].as_mut(), Token(i)),
+            Some(Owner::Desk) => (Some(&mut self.desk_listener), REGISTRY),
+            None => (Some(&mut self.control), CONTROL),
         };
         if let Some(listener) = listener {
             let _ = self.poll.registry().reregister(listener, token, Interest::READABLE);
         }
+        Ok(())
     }
 
-    /// Reads, answers and writes one connection, as far as it goes.
-    fn attend(&mut self, id: usize) {
-        let hangs = |h: &Host, id: usize| match &h.connections[id].role {
-            Role::Engine { engine, .. } => h.engines[*engine].faults.hangs,
-            _ => false,
+    fn accepted(&mut self, socket: TcpStream, owner: Option<Owner>) -> Result<()> {
+        let entry = self.connections.vacant_entry();
+        let id = entry.key();
+        let Ok(socket) = Socket::new(socket, true, self.poll.registry(), Token(CONNECTIONS + id)) else {
+            return Ok(());
         };
-        if !self.connections.contains(id) || hangs(self, id) {
-            return;
-        }
-        loop {
-            let c = &mut self.connections[id];
-            if c.stream.fill(INPUT, &mut self.scratch).is_err() {
-                return self.gone.push(id);
-            }
-            let before = c.stream.input.len();
-            let asked = match c.role {
-                Role::Engine { .. } => self.serve_session(id),
-                _ => self.serve_http(id),
-            };
-            let Some(c) = self.connections.get_mut(id) else { return };
-            match c.stream.flush() {
-                Err(_) => return self.gone.push(id),
-                Ok(true) if c.last => return self.gone.push(id),
-                Ok(_) => {}
-            }
-            let c = &self.connections[id];
-            let more = match &c.role {
-                Role::Engine { session, .. } => session.giving() && c.stream.output.is_empty(),
-                _ => false,
-            };
-            if !(asked || more || (c.stream.readable() && c.stream.input.len() < before.max(INPUT))) {
-                break;
+        let conn = match owner {
+            Some(Owner::Engine(i)) => Some(self.stands[i].accept()),
+            Some(Owner::Desk) => Some(self.desk.accept()),
+            None => None,
+        };
+        let role = match owner.zip(conn) {
+            Some((owner, conn)) => {
+                self.by_owner.insert((owner, conn), id);
+                Role::Of(owner, conn)
             }
-        }
-        let c = &mut self.connections[id];
-        c.stream.relax();
-        if c.stream.ended() || c.stream.closing() {
-            self.gone.push(id);
-        }
+            None => Role::Control { input: BytesMut::new(), output: BytesMut::new() },
+        };
+        entry.insert(Connection { socket, role });
+        self.read(id)
     }
 
-    /// Lets a session read; true if it has got on.
-    fn serve_session(&mut self, id: usize) -> bool {
-        let c = &mut self.connections[id];
-        let Role::Engine { engine, session, mute, .. } = &mut c.role else { return false };
-        if *mute {
-            c.stream.input.clear();
-            return false;
-        }
-        let engine = *engine;
-        match session.feed(&mut c.stream.input, &mut c.stream.output) {
-            Ok(None) => false,
-            Ok(Some(Ask::Close)) => {
-                c.last = true;
-                false
-            }
-            Err(_) => {
-                c.last = true;
-                false
-            }
-            Ok(Some(Ask::Cancel(pid, key))) => {
-                c.last = true;
-                self.cancel(engine, pid, &key);
-                false
-            }
-            Ok(Some(Ask::Priority(pid, priority))) => {
-                let now = self.clock.now();
-                if let Some((_, job)) = self.job_of(engine, pid) {
-                    self.engines[engine].model.set_priority(now, job, priority, &mut self.happened);
-                    self.carry_out(engine, now);
+    /// Reads what there is, as far as there is room.
+    fn read(&mut self, id: usize) -> Result<()> {
+        let now = self.clock.now();
+        loop {
+            let Some(c) = self.connections.get_mut(id) else { return Ok(()) };
+            let room = match &c.role {
+                Role::Of(Owner::Engine(i), conn) => self.stands[*i].room(*conn),
+                _ => LONGEST_COMMAND,
+            };
+            let room = room.min(self.scratch.len());
+            let got = c.socket.read(&mut self.scratch[..room]);
+            let over = got.is_err() || c.socket.ended() || c.socket.closing();
+            let n = got.unwrap_or(0);
+            let bytes = &self.scratch[..n];
+            match &mut c.role {
+                Role::Of(Owner::Engine(i), conn) if n > 0 => self.stands[*i].receive(*conn, bytes, now),
+                Role::Of(Owner::Desk, conn) if n > 0 => self.desk.receive(*conn, bytes, now),
+                Role::Control { input, .. } if n > 0 => {
+                    input.extend_from_slice(bytes);
+                    self.serve_control(id, now)?;
                 }
-                true
+                _ => {}
             }
-            Ok(Some(Ask::Run(wanted))) => {
-                let load = self.engines[engine].model.load();
-                let now = self.clock.now();
-                self.next_job += 1;
-                let unlucky = wanted.bad > 0.0 && self.chance.random::<f64>() < wanted.bad;
-                let plan = if unlucky { crate::answer::BAD_PLAN } else { 1.0 };
-                let job = Job {
-                    id: self.next_job,
-                    work: wanted.run_ms.unwrap_or(wanted.work_ms) / 1e3 * plan,
-                    usual: wanted.usual_ms.unwrap_or(wanted.work_ms) / 1e3,
-                    threads: wanted.threads,
-                    io: wanted.io,
-                    memory_mb: wanted.memory_mb,
-                    grant_mb: session.grant_mb,
-                    priority: session.priority,
-                    tables: wanted.tables,
-                    load: wanted.load,
-                    waits: wanted.waits,
-                };
-                let e = &mut self.engines[engine];
-                let (pid, _) = session.secret();
-                self.journal.write(&json!({
-                    "t": now, "engine": e.name, "event": "received", "query": wanted.id, "class": wanted.class,
-                    "key": wanted.key, "by": session.label, "session": pid, "work_ms": wanted.work_ms,
-                    "run_ms": job.work * 1e3, "warmth": e.model.warmth(now), "zone": e.zone, "kind": e.kind, "cell": e.cell,
-                }));
-                let turned_away = if e.faults.drains {
-                    Some(("57P03", "the engine is draining"))
-                } else if e.faults.full {
-                    Some(("53300", "too many sessions"))
-                } else if e.faults.errors > 0.0 && self.chance.random::<f64>() < e.faults.errors {
-                    Some(("58000", "something this engine depends on has failed"))
-                } else {
-                    None
-                };
-                let trouble = if let Some((state, message)) = turned_away {
-                    Some(Trouble::error(state, message))
-                } else {
-                    wanted.sqlstate.as_ref().map(|state| Trouble::error(state, "as was asked for"))
-                };
-                if let Some(trouble) = trouble {
-                    let refused = matches!(trouble.state.as_str(), "53300" | "57P03");
-                    let event = if refused { "refused" } else { "errored" };
-                    self.journal.write(&json!({"t": now, "engine": e.name, "event": event, "query": wanted.id, "by": session.label, "state": trouble.state}));
-                    session.tell_load(load, None, &mut c.stream.output);
-                    session.failed(&trouble, &mut c.stream.output);
-                    return true;
-                }
-                if job.work <= 0.0 {
-                    // What costs nothing needs no model.
-                    self.journal.write(&json!({"t": now, "engine": e.name, "event": "finished", "query": wanted.id, "by": session.label}));
-                    session.done(load, 0.0, &mut c.stream.output);
-                    return true;
-                }
-                let number = job.id;
-                let taken = e.model.submit(now, job, &mut self.happened);
-                if taken.is_ok() {
-                    e.jobs.insert(number, id);
-                    if let Role::Engine { work, .. } = &mut c.role {
-                        *work = Some(Work { job: number, query: wanted.id, class: wanted.class });
-                    }
-                } else {
-                    self.journal.write(&json!({"t": now, "engine": e.name, "event": "refused", "query": wanted.id, "by": session.label, "state": "53300"}));
-                    session.tell_load(load, None, &mut c.stream.output);
-                    session.failed(&Trouble::error("53300", "too many sessions"), &mut c.stream.output);
-                }
-                self.carry_out(engine, now);
-                true
+            if n > 0 {
+                continue;
             }
-        }
-    }
-
-    /// The connection and job of a session that has one.
-    fn job_of(&self, engine: usize, pid: i32) -> Option<(usize, u64)> {
-        self.engines[engine].connections.iter().find_map(|id| match &self.connections[*id].role {
-            Role::Engine { session, work: Some(work), .. } if session.secret().0 == pid => {
-                Some((*id, work.job))
+            let hangs = matches!(&self.connections[id].role,
+                Role::Of(Owner::Engine(i), _) if self.stands[*i].hangs());
+            if over && !hangs {
+                self.over(id, now);
             }
-            _ => None,
-        })
+            return Ok(());
+        }
     }
 
-    fn cancel(&mut self, engine: usize, pid: i32, key: &[u8]) {
-        let now = self.clock.now();
-        let Some((id, job)) = self.job_of(engine, pid) else { return };
-        let c = &mut self.connections[id];
-        let Role::Engine { session, work, .. } = &mut c.role else { return };
-        if session.secret().1 != key {
-            return;
+    /// The other side of a connection has gone.
+    fn over(&mut self, id: usize, now: i64) {
+        match &self.connections[id].role {
+            Role::Of(Owner::Engine(i), conn) => self.stands[*i].gone(*conn, now),
+            Role::Of(Owner::Desk, conn) => self.desk.gone(*conn),
+            Role::Control { .. } => self.gone.push(id),
         }
-        let query = work.take().and_then(|w| w.query);
-        let e = &mut self.engines[engine];
-        e.jobs.remove(&job);
-        e.model.cancel(now, job, &mut self.happened);
-        self.journal.write(&json!({"t": now, "engine": e.name, "event": "dropped", "query": query, "by": session.label, "why": "cancelled"}));
-        session.tell_load(e.model.load(), None, &mut c.stream.output);
-        session.failed(
-            &Trouble::error("57014", "canceling statement due to user request"),
-            &mut c.stream.output,
-        );
-        self.carry_out(engine, now);
-        self.attend(id);
     }
 
-    fn advance(&mut self, engine: usize, now: i64) {
-        let e = &mut self.engines[engine];
-        if e.model.next_event().is_some_and(|at| at <= now) {
-            e.model.advance(now, &mut self.happened);
-            self.carry_out(engine, now);
+    /// Writes what is to go, as far as the other side takes it.
+    fn write(&mut self, id: usize) {
+        let now = self.clock.now();
+        while let Some(c) = self.connections.get_mut(id) {
+            let bytes = match &c.role {
+                Role::Of(Owner::Engine(i), conn) => self.stands[*i].output(*conn),
+                Role::Of(Owner::Desk, conn) => self.desk.output(*conn),
+                Role::Control { output, .. } => &output[..],
+            };
+            let sent = c.socket.write(bytes);
+            match (&mut c.role, sent) {
+                (_, Ok(0)) => return,
+                (Role::Of(Owner::Engine(i), conn), Ok(n)) => self.stands[*i].wrote(*conn, n, now),
+                (Role::Of(Owner::Desk, conn), Ok(n)) => self.desk.wrote(*conn, n),
+                (Role::Control { output, .. }, Ok(n)) => drop(output.split_to(n)),
+                (_, Err(_)) => return self.over(id, now),
+            }
         }
     }
 
-    /// Tells sessions what happened inside their engine.
-    fn carry_out(&mut self, engine: usize, now: i64) {
-        let mut touched = Vec::new();
-        for happened in std::mem::take(&mut self.happened) {
-            let e = &mut self.engines[engine];
-            let (id, told) = match happened {
-                Happened::FellOver => {
-                    let name = e.name.clone();
-                    self.journal.write(&json!({"t": now, "engine": name, "event": "fell_over"}));
-                    self.kill(engine, now);
-                    continue;
-                }
-                Happened::Started(id)
-                | Happened::Finished { id, .. }
-                | Happened::Progress(id, _)
-                | Happened::Spills(id, _)
-                | Happened::WaitsForMemory(id)
-                | Happened::WaitsForLoad(id) => (e.jobs.get(&id).copied(), id),
-            };
-            let Some(c) = id.and_then(|id| self.connections.get_mut(id)) else { continue };
-            let Role::Engine { session, work, mute, .. } = &mut c.role else { continue };
-            if work.as_ref().is_none_or(|w| w.job != told) {
-                continue;
+    /// Does what an engine or the desk wants done.
+    fn carry_out(&mut self, owner: Owner) -> Result<()> {
+        loop {
+            let mut doing = std::mem::take(&mut self.doing);
+            match owner {
+                Owner::Engine(i) => self.stands[i].doings(&mut doing),
+                Owner::Desk => self.desk.doings(&mut doing),
             }
-            touched.extend(id);
-            let out = &mut c.stream.output;
-            match happened {
-                Happened::Started(_) => {
-                    let w = work.as_ref();
-                    self.journal.write(&json!({
-                        "t": now, "engine": e.name, "event": "started", "by": session.label,
-                        "query": w.and_then(|w| w.query.as_deref()), "class": w.and_then(|w| w.class.as_deref()),
-                    }));
-                }
-                Happened::Progress(_, share) => session.tell("progress", &format!("{share:.4}"), out),
-                Happened::Spills(_, mb) => session.tell("spills", &format!("{mb:.0}"), out),
-                Happened::WaitsForMemory(_) => session.tell("waits", "memory", out),
-                Happened::WaitsForLoad(_) => session.tell("waits", "load", out),
-                Happened::Finished { work: done, .. } => {
-                    e.jobs.remove(&told);
-                    let query = work.take().and_then(|w| w.query);
-                    let chance: f64 = self.chance.random();
-                    let (lost, half) = (chance < e.faults.loses, chance < e.faults.loses + e.faults.halves);
-                    self.journal.write(&json!({
-                        "t": now, "engine": e.name, "event": "finished", "query": query, "by": session.label,
-                        "work_ms": done * 1e3, "answer": if lost { "lost" } else if half { "half" } else { "whole" },
-                    }));
-                    if lost {
-                        *mute = true;
-                        continue;
+            if doing.is_empty() {
+                self.doing = doing;
+                break;
+            }
+            for what in doing.drain(..) {
+                let place = |host: &Host, conn: ConnId| host.by_owner.get(&(owner, conn)).copied();
+                match (what, owner) {
+                    (Do::Write(conn), _) => {
+                        if let Some(id) = place(self, conn) {
+                            self.write(id);
+                        }
+                    }
+                    (Do::Read(conn), _) => {
+                        if let Some(id) = place(self, conn) {
+                            self.read(id)?;
+                        }
                     }
-                    let before = out.len();
-                    session.done(e.model.load(), done, out);
-                    if half {
-                        out.truncate(before + (out.len() - before) / 2);
-                        c.last = true;
+                    (Do::Close(conn, reset), _) => {
+                        let id = self.by_owner.remove(&(owner, conn));
+                        if let Some(c) = id.and_then(|id| self.connections.try_remove(id)) {
+                            c.socket.close(self.poll.registry(), reset);
+                        }
                     }
+                    (Do::Died, Owner::Engine(i)) => {
+                        if let Some(mut listener) = self.listeners[i].take() {
+                            let _ = self.poll.registry().deregister(&mut listener);
+                        }
+                        let at = self.clock.now() + self.notice + self.stale;
+                        self.desk.change(at, &self.stands[i].name, Standing::Removed, None);
+                    }
+                    (Do::Started, Owner::Engine(i)) => {
+                        let now = self.clock.now();
+                        let mut listener = listen(self.addresses[i], 4096)?;
+                        self.poll.registry().register(&mut listener, Token(i), Interest::READABLE)?;
+                        self.listeners[i] = Some(listener);
+                        let at = now + self.listed_after + self.stale;
+                        self.desk.change(at, &self.stands[i].name, Standing::Up, Some(now));
+                    }
+                    (Do::Died | Do::Started, Owner::Desk) => {}
                 }
-                Happened::FellOver => {}
             }
+            self.doing = doing;
         }
-        for id in touched {
-            self.attend(id);
-        }
-    }
-
-    /// An engine's process dies: its sockets break.
-    fn kill(&mut self, engine: usize, now: i64) {
-        let e = &mut self.engines[engine];
-        e.model.kill(now);
-        e.faults = Faults::default();
-        e.jobs.clear();
-        if let Some(mut listener) = e.listener.take() {
-            let _ = self.poll.registry().deregister(&mut listener);
-        }
-        let name = e.name.clone();
-        self.journal.write(&json!({"t": now, "engine": name, "event": "killed"}));
-        for id in std::mem::take(&mut self.engines[engine].connections) {
-            self.close(id, true);
-        }
-        self.registry.change(now + self.notice + self.stale, &name, Standing::Removed, None);
-    }
-
-    fn start(&mut self, engine: usize, now: i64) -> Result<()> {
-        let e = &mut self.engines[engine];
-        if e.listener.is_some() {
-            return Ok(());
+        match owner {
+            Owner::Engine(i) => self.stands[i].journal().for_each(|e| self.journal.write(&e)),
+            Owner::Desk => self.desk.journal().for_each(|e| self.journal.write(&e)),
         }
-        let mut listener = listen(e.address, 4096)?;
-        self.poll.registry().register(&mut listener, Token(engine), Interest::READABLE)?;
-        e.listener = Some(listener);
-        e.model.start(now);
-        let name = e.name.clone();
-        self.journal.write(&json!({"t": now, "engine": name, "event": "restarted"}));
-        self.registry.change(now + self.listed_after + self.stale, &name, Standing::Up, Some(now));
         Ok(())
     }
 
-    fn close(&mut self, id: usize, reset: bool) {
-        let Some(c) = self.connections.try_remove(id) else { return };
-        let now = self.clock.now();
-        if let Role::Engine { engine, session, work, .. } = c.role {
-            let e = &mut self.engines[engine];
-            e.connections.remove(&id);
-            if let Some(work) = work {
-                e.jobs.remove(&work.job);
-                e.model.cancel(now, work.job, &mut self.happened);
-                self.journal.write(&json!({
-                    "t": now, "engine": e.name, "event": "dropped", "query": work.query, "by": session.label,
-                    "why": if reset { "killed" } else { "client gone" },
-                }));
-                c.stream.close(self.poll.registry(), reset);
-                return self.carry_out(engine, now);
-            }
-        }
-        c.stream.close(self.poll.registry(), reset);
-    }
-
-    // --- the registry and the control port ---
+    // --- the control port ---
 
-    fn serve_http(&mut self, id: usize) -> bool {
-        let c = &mut self.connections[id];
-        let request = match http::take_request(&mut c.stream.input, 64 << 10) {
-            Ok(Some(request)) => request,
-            Ok(None) => return false,
-            Err(fault) => {
-                http::put_response(400, "text/plain", fault.to_string().as_bytes(), &mut c.stream.output);
-                c.last = true;
-                return false;
-            }
-        };
-        let now = self.clock.now();
-        if matches!(c.role, Role::Control) {
-            let (status, body) = match self.command(&request, now) {
-                Ok(body) => (200, body),
-                Err(fault) => (400, format!("{fault:#}\n")),
+    fn serve_control(&mut self, id: usize, now: i64) -> Result<()> {
+        loop {
+            let Some(Connection { role: Role::Control { input, .. }, .. }) = self.connections.get_mut(id)
+            else {
+                return Ok(());
             };
-            let c = &mut self.connections[id];
-            http::put_response(status, "application/json", body.as_bytes(), &mut c.stream.output);
-            return true;
-        }
-        if request.route() != "/engines" {
-            http::put_response(404, "text/plain", b"GET /engines\n", &mut c.stream.output);
-            return true;
-        }
-        if !self.registry.available(now) {
-            http::put_response(503, "text/plain", b"unavailable\n", &mut c.stream.output);
-            return true;
-        }
-        let since = request.value("since").and_then(|v| v.parse::<u64>().ok()).unwrap_or(0);
-        let wait = request.value("wait_ms").and_then(|v| v.parse::<i64>().ok()).unwrap_or(0).clamp(0, 60_000);
-        let who = request.value("who").unwrap_or("").to_string();
-        if since >= self.registry.version() && wait > 0 {
-            c.role = Role::Registry { waits: Some((since, now + wait * 1000, who)) };
-            return false;
-        }
-        self.tell_list(id, &who, now);
-        true
-    }
-
-    fn tell_list(&mut self, id: usize, who: &str, now: i64) {
-        let Some(c) = self.connections.get_mut(id) else { return };
-        c.role = Role::Registry { waits: None };
-        http::put_response(200, "application/json", self.registry.list().as_bytes(), &mut c.stream.output);
-        let not_up: Vec<Value> =
-            self.registry.not_up().iter().map(|(id, s)| json!({"engine": id, "status": s})).collect();
-        self.journal.write(&json!({"t": now, "event": "told", "who": who, "version": self.registry.version(), "not_up": not_up}));
-    }
-
-    /// The list has changed: all that wait for it are told.
-    fn told(&mut self, now: i64) {
-        let waiting: Vec<(usize, String)> = self.watchers(|since, _| since < self.registry.version());
-        for (id, who) in waiting {
-            if self.registry.available(now) {
-                self.tell_list(id, &who, now);
-                self.attend(id);
-            }
-        }
-    }
-
-    fn watchers(&self, which: impl Fn(u64, i64) -> bool) -> Vec<(usize, String)> {
-        let waiting = self.connections.iter().filter_map(|(id, c)| match &c.role {
-            Role::Registry { waits: Some((since, end, who)) } if which(*since, *end) => {
-                Some((id, who.clone()))
-            }
-            _ => None,
-        });
-        waiting.collect()
-    }
-
-    fn end_watches(&mut self, now: i64) {
-        for (id, who) in self.watchers(|_, end| end <= now) {
-            if self.registry.available(now) {
-                self.tell_list(id, &who, now);
-            } else if let Some(c) = self.connections.get_mut(id) {
-                c.role = Role::Registry { waits: None };
-                http::put_response(503, "text/plain", b"unavailable\n", &mut c.stream.output);
+            let (status, kind, body) = match http::take_request(input, LONGEST_COMMAND) {
+                Ok(Some(request)) => match self.command(&request, now) {
+                    Ok(body) => (200, "application/json", body),
+                    Err(fault) => (400, "application/json", format!("{fault:#}\n")),
+                },
+                Ok(None) => break,
+                Err(fault) => {
+                    input.clear();
+                    self.gone.push(id);
+                    (400, "text/plain", fault.to_string())
+                }
+            };
+            if let Some(Connection { role: Role::Control { output, .. }, .. }) = self.connections.get_mut(id)
+            {
+                http::put_response(status, kind, body.as_bytes(), output);
             }
-            self.attend(id);
         }
+        self.write(id);
+        Ok(())
     }
 
     fn command(&mut self, request: &http::Request, now: i64) -> Result<String> {
         match (request.method.as_str(), request.route()) {
             ("GET", "/state") => {
                 let engines: Vec<Value> = self
-                    .engines
+                    .stands
                     .iter()
-                    .map(|e| json!({"id": e.name, "up": e.model.up(), "in_hand": e.model.in_hand(), "warmth": e.model.warmth(now), "sessions": e.connections.len()}))
+                    .map(|e| json!({"id": e.name, "up": e.model.up(), "in_hand": e.model.in_hand(), "warmth": e.model.warmth(now), "sessions": e.sessions()}))
                     .collect();
-                Ok(json!({"t": now, "version": self.registry.version(), "engines": engines}).to_string())
+                Ok(json!({"t": now, "version": self.desk.registry.version(), "engines": engines}).to_string())
             }
             ("POST", "/registry") => {
                 if let Some(ms) = request.value("stale_ms") {
@@ -702,64 +432,31 @@
                 }
                 let ms = request.value("unavailable_ms").context("expected unavailable_ms=N or stale_ms=N")?;
                 let ms: i64 = ms.parse().context("unavailable_ms is no number")?;
-                self.registry.unavailable(now + ms * 1000);
-                self.journal.write(&json!({"t": now, "event": "registry_unavailable", "ms": ms}));
+                self.desk.registry.unavailable(now + ms * 1000);
+                let event = "registry_unavailable";
+                self.journal.write(&Entry { t: now, event, value: Some(ms as f64), ..Entry::default() });
                 Ok("{}".into())
             }
             ("POST", "/fault") => {
                 let name = request.value("engine").context("expected engine=NAME")?;
-                let engine = self.engines.iter().position(|e| e.name == name);
+                let engine = self.stands.iter().position(|e| e.name == name);
                 let engine = engine.with_context(|| format!("no engine is named `{name}`"))?;
                 let kind = request.value("kind").context("expected kind=KIND")?;
                 let value = match request.value("value") {
                     Some(v) => v.parse::<f64>().ok().filter(|x| x.is_finite() && *x >= 0.0).context("value is no number of 0 or more")?,
                     None => 1.0,
                 };
-                self.journal.write(&json!({"t": now, "engine": name, "event": "fault", "kind": kind, "value": value}));
-                self.ail(engine, kind, value, now)?;
+                if !self.stands[engine].ail(kind, value, now) {
+                    bail!("no fault is named `{kind}`; known: kill, start, hang, slow, errors, lose, half, full, flush, drain, shut");
+                }
+                if kind == "drain" {
+                    let standing = if value > 0.0 { Standing::Draining } else { Standing::Up };
+                    self.desk.change(now, name, standing, None);
+                }
+                self.carry_out(Owner::Engine(engine))?;
                 Ok("{}".into())
             }
             _ => bail!("known: GET /state, POST /fault?engine=NAME&kind=KIND&value=X, POST /registry?unavailable_ms=N"),
         }
     }
-
-    /// Makes an engine ail, or well again.
-    fn ail(&mut self, engine: usize, kind: &str, value: f64, now: i64) -> Result<()> {
-        let name = self.engines[engine].name.clone();
-        let e = &mut self.engines[engine];
-        match kind {
-            "kill" => self.kill(engine, now),
-            "start" => self.start(engine, now)?,
-            "hang" => {
-                e.faults.hangs = value > 0.0;
-                e.model.advance(now, &mut self.happened);
-                self.carry_out(engine, now);
-                let e = &mut self.engines[engine];
-                e.model.freeze(now, value > 0.0);
-                // What came meanwhile is read now.
-                let all: Vec<usize> = e.connections.iter().copied().collect();
-                for id in all {
-                    self.attend(id);
-                }
-            }
-            "slow" => {
-                e.model.advance(now, &mut self.happened);
-                e.model.slow(now, value.max(0.01));
-                self.carry_out(engine, now);
-            }
-            "errors" => e.faults.errors = value,
-            "lose" => e.faults.loses = value,
-            "half" => e.faults.halves = value,
-            "full" => e.faults.full = value > 0.0,
-            "flush" => e.model.flush(),
-            "drain" => {
-                // It goes on with what it has; only the list tells that nothing new is wanted.
-                let standing = if value > 0.0 { Standing::Draining } else { Standing::Up };
-                self.registry.change(now, &name, standing, None);
-            }
-            "shut" => e.faults.drains = value > 0.0,
-            other => bail!("no fault is named `{other}`; known: kill, start, hang, slow, errors, lose, half, full, flush, drain, shut"),
-        }
-        Ok(())
-    }
 }
--- a/crates/lab/examples/scale.rs
+++ b/crates/lab/examples/scale.rs
@@ -12,7 +12,7 @@
 use wheelfield_lab::plan::Plan;
 use wheelfield_lab::report::{lines, Line, Plot};
 use wheelfield_lab::virtual_time::mind::Mind;
-use wheelfield_lab::virtual_time::play_with;
+use wheelfield_lab::virtual_time::{play_with, Conditions};
 
 struct Timed {
     driver: Driver,
@@ -41,6 +41,9 @@
     fn next_due(&self) -> Option<Micros> {
         Driver::next_due(&self.driver)
     }
+    fn is_out(&self, attempt: AttemptId) -> bool {
+        Driver::is_out(&self.driver, attempt)
+    }
     fn may_write(&self, attempt: AttemptId) -> bool {
         Driver::may_write(&self.driver, attempt)
     }
@@ -60,7 +63,8 @@
         let driver = Driver::new(settings, seed, Bounds::default());
         Box::new(Timed { driver, spent: spent.clone() })
     };
-    let played = play_with(&day, &plan, 1, &minds).unwrap_or_else(|fault| panic!("{fault}"));
+    let played =
+        play_with(&day, &plan, 1, &minds, Conditions::default()).unwrap_or_else(|fault| panic!("{fault}"));
     (spent.get().as_secs_f64() * 1e6 / played.tries.len().max(1) as f64, played.tries.len())
 }
 
--- a/crates/lab/src/crowd.rs
+++ b/crates/lab/src/crowd.rs
@@ -1,31 +1,21 @@
-//! The clients of a day, in an open loop: what is to be sent is sent at its time, whatever has become of the rest.
+//! The clients of a day on their sockets, and what is known of each of their tries.
 
-use crate::clients::{again, door, Door};
+use crate::people::{People, Wish};
 use crate::plan::{Arrival, Plan};
 use crate::stage::Change;
 use anyhow::Result;
-use bytes::{Bytes, BytesMut};
+use mio::net::TcpStream;
 use mio::{Events, Poll, Token};
-use rand::SeedableRng as _;
-use rand_pcg::Pcg64Mcg;
 use serde::Serialize;
-use slab::Slab;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::HashMap;
 use std::fmt::Write as _;
 use std::net::SocketAddr;
 use std::sync::mpsc::Receiver;
 use std::time::Duration;
-use wheelfield_net::{connect, Clock, Stream, Timers};
-use wheelfield_pg::{back, frame, front};
+use wheelfield_net::{Clock, Socket};
+use wheelfield_parts::ConnId;
 use wheelfield_rules::End;
 
-/// An answer that is late is still waited for so long, to be told from one that never comes.
-const WAITS_ON: i64 = 1_000_000;
-/// Read from a controller at a time.
-const READ: usize = 256 << 10;
-/// Connections that are being made must be there within this.
-const CONNECTS_WITHIN: i64 = 3_000_000;
-
 /// One try of a query.
 #[derive(Clone, Debug, Serialize)]
 pub struct Try {
@@ -53,6 +43,8 @@
     pub answers: u32,
     /// What came on the connection after the answer was whole, by its type.
     pub after: Option<char>,
+    /// What is wrong with its answer, if it is another query's or not whole.
+    pub wrong: Option<&'static str>,
     /// Advice on when to come back, in milliseconds.
     pub advice_ms: Option<u64>,
     /// So late it was sent, as this process had other things to do, in microseconds.
@@ -75,36 +67,18 @@
             rows: 0,
             answers: 0,
             after: None,
+            wrong: None,
             advice_ms: None,
             late_us: 0,
         }
     }
-}
-
-struct Connection {
-    stream: Stream,
-    controller: usize,
-    tenant: usize,
-    ready: bool,
-    /// The try that runs here.
-    runs: Option<usize>,
-    /// The last that ran here, which nothing may follow.
-    last: Option<usize>,
-    /// It leaves by asking to cancel.
-    pid: i32,
-    key: Bytes,
-    gone: bool,
-    since: i64,
-}
 
-#[derive(Clone, Copy, Debug)]
-enum Wake {
-    Send(usize),
-    Again(usize, u32),
-    Due(usize),
-    Leave(usize),
-    Over(usize),
-    Connect(usize),
+    /// Notes the first thing that is wrong with its answer.
+    pub fn is_wrong(&mut self, wrong: bool, what: &'static str) {
+        if wrong {
+            self.wrong.get_or_insert(what);
+        }
+    }
 }
 
 /// What the crowd counts as it goes, for a line on the screen.
@@ -137,36 +111,6 @@
     pub seed: u64,
 }
 
-/// The clients.
-pub struct Crowd<'a> {
-    clock: Clock,
-    poll: Poll,
-    plan: &'a Plan,
-    manners: Manners,
-    start: i64,
-    doors: Vec<Door>,
-    addresses: Vec<Option<SocketAddr>>,
-    changes: Receiver<Change>,
-    connections: Slab<Connection>,
-    /// Ready and unused, by controller and customer.
-    idle: BTreeMap<(usize, usize), Vec<usize>>,
-    /// Tries that wait for a connection, by controller and customer.
-    waiting: BTreeMap<(usize, usize), VecDeque<usize>>,
-    who: Vec<usize>,
-    /// The connection that carries a try.
-    carrier: Vec<Option<usize>>,
-    tries: Vec<Try>,
-    timers: Timers<Wake>,
-    open: usize,
-    /// Sends that are still to come.
-    coming: usize,
-    dead: Vec<usize>,
-    scratch: Vec<u8>,
-    chance: Pcg64Mcg,
-    /// What was counted.
-    pub tally: Tally,
-}
-
 /// The text of a query with all that it tells of itself.
 pub fn text(arrival: &Arrival, class: &crate::day::Class, id: &str, due_ms: i64) -> String {
     let mut out = String::new();
@@ -202,6 +146,19 @@
     out
 }
 
+/// The clients on their sockets.
+pub struct Crowd<'a> {
+    clock: Clock,
+    poll: Poll,
+    people: People<'a>,
+    start: i64,
+    addresses: Vec<Option<SocketAddr>>,
+    changes: Receiver<Change>,
+    sockets: HashMap<ConnId, Socket>,
+    scratch: Vec<u8>,
+    wishes: Vec<Wish>,
+}
+
 impl<'a> Crowd<'a> {
     /// A crowd that begins at `start`, in microseconds of the wall clock.
     ///
@@ -215,32 +172,16 @@
         clock: Clock,
         start: i64,
     ) -> Result<Crowd<'a>> {
-        let mut timers = Timers::default();
-        if let Some(first) = plan.arrivals.first() {
-            timers.set(start + first.at, Wake::Send(0));
-        }
         Ok(Crowd {
             clock,
             poll: Poll::new()?,
-            plan,
+            people: People::new(plan, manners, controllers, start),
             start,
-            doors: vec![Door::default(); controllers],
             addresses: vec![None; controllers],
             changes,
-            connections: Slab::new(),
-            idle: BTreeMap::new(),
-            waiting: BTreeMap::new(),
-            who: Vec::new(),
-            carrier: Vec::new(),
-            tries: Vec::new(),
-            timers,
-            open: 0,
-            coming: plan.arrivals.len(),
-            dead: Vec::new(),
+            sockets: HashMap::new(),
             scratch: vec![0; 64 << 10],
-            chance: Pcg64Mcg::seed_from_u64(manners.seed),
-            manners,
-            tally: Tally::default(),
+            wishes: Vec::new(),
         })
     }
 
@@ -257,350 +198,114 @@
             while let Ok(change) = self.changes.try_recv() {
                 match change {
                     Change::Up(i, address) => {
-                        self.doors[i] = Door { known: true, ..Door::default() };
+                        self.people.up(i);
                         self.addresses[i] = Some(address);
                     }
-                    Change::Down(i) => (self.doors[i].down, self.doors[i].since) = (true, now),
-                }
-            }
-            while let Some(wake) = self.timers.pop(now) {
-                self.on_wake(wake, now);
-            }
-            for id in std::mem::take(&mut self.dead) {
-                if let Some(c) = self.connections.try_remove(id) {
-                    c.stream.close(self.poll.registry(), false);
+                    Change::Down(i) => self.people.down(i, now),
                 }
             }
+            self.people.pass(now);
+            self.carry_out(now);
             if now >= next_watch {
-                watch(now - self.start, self.tally);
+                watch(now - self.start, self.people.tally);
                 next_watch += 1_000_000;
             }
-            if (self.coming == 0 && self.open == 0) || now >= end {
-                return Ok(self.tries);
+            if self.people.done() || now >= end {
+                return Ok(self.people.into_tries());
             }
-            let next = self.timers.next().unwrap_or(now + 50_000).min(next_watch).min(now + 50_000);
+            let next = self.people.next().unwrap_or(now + 50_000).min(next_watch).min(now + 50_000);
             match self.poll.poll(&mut events, Some(self.clock.until(next).max(Duration::from_micros(1)))) {
                 Err(e) if e.kind() != std::io::ErrorKind::Interrupted => return Err(e.into()),
                 _ => {}
             }
             for event in &events {
-                let Token(id) = event.token();
-                if let Some(c) = self.connections.get_mut(id) {
-                    c.stream.on(event);
-                    self.attend(id);
-                }
+                self.on_event(event);
             }
         }
     }
 
-    fn on_wake(&mut self, wake: Wake, now: i64) {
-        match wake {
-            Wake::Send(arrival) => {
-                let plan: &'a Plan = self.plan;
-                if let Some(next) = plan.arrivals.get(arrival + 1) {
-                    self.timers.set(self.start + next.at, Wake::Send(arrival + 1));
-                }
-                self.send(arrival, 0, now);
-            }
-            Wake::Again(arrival, number) => self.send(arrival, number, now),
-            // Its time is up: an answer that comes after this is late, but told from none at all.
-            Wake::Due(t) => {
-                if self.tries[t].end.is_none() {
-                    self.timers.set(now + WAITS_ON, Wake::Over(t));
-                }
-            }
-            Wake::Over(t) => self.leave(t, End::NoAnswer, now),
-            Wake::Leave(t) => {
-                let cancels =
-                    self.plan.arrivals[self.tries[t].arrival].leaves.is_some_and(|(_, cancels)| cancels);
-                if self.tries[t].end.is_some() {
-                } else if cancels {
-                    self.cancel(t);
-                } else {
-                    self.leave(t, End::Left, now);
-                }
-            }
-            Wake::Connect(id) => {
-                if self
-                    .connections
-                    .get(id)
-                    .is_some_and(|c| !c.ready && !c.gone && now - c.since >= CONNECTS_WITHIN)
-                {
-                    self.broke(id, now);
-                }
-            }
+    fn on_event(&mut self, event: &mio::event::Event) {
+        let now = self.clock.now();
+        let id = ConnId::of(event.token().0 as u64);
+        let Some(socket) = self.sockets.get_mut(&id) else { return };
+        let connecting = matches!(socket.connected(), Ok(false));
+        socket.on(event);
+        match socket.connected() {
+            Ok(true) if connecting => self.people.connected(id),
+            Ok(true) => {}
+            Ok(false) => return,
+            Err(_) => self.people.broke(id, now),
+        }
+        if socket.closing() {
+            self.people.closing(id);
         }
+        self.write(id, now);
+        self.read(id, now);
+        self.carry_out(now);
     }
 
-    fn send(&mut self, a: usize, number: u32, now: i64) {
-        let plan: &'a Plan = self.plan;
-        let arrival = &plan.arrivals[a];
-        self.coming -= 1;
-        let controller = door(&self.doors, &self.manners.habits, arrival, number, now);
-        let t = self.tries.len();
-        let due = now + arrival.patience;
-        let planned = self.start + arrival.at;
-        let late_us = if number == 0 { now - planned } else { 0 };
-        self.tries.push(Try { late_us, ..Try::new(a, number, controller, now, due) });
-        self.who.push(arrival.tenant.unwrap_or(0));
-        self.carrier.push(None);
-        self.tally.sent += 1;
-        self.open += 1;
-        self.timers.set(due, Wake::Due(t));
-        if let Some((after, _)) = arrival.leaves.filter(|_| number == 0) {
-            self.timers.set(now + after, Wake::Leave(t));
-        }
-        let place = (controller, self.who[t]);
-        while let Some(id) = self.idle.get_mut(&place).and_then(Vec::pop) {
-            if self.connections.get(id).is_some_and(|c| c.ready && !c.gone && !c.stream.closing()) {
-                return self.put(id, t, now);
+    fn read(&mut self, id: ConnId, now: i64) {
+        while let Some(socket) = self.sockets.get_mut(&id) {
+            match socket.read(&mut self.scratch) {
+                Ok(0) if socket.ended() => return self.people.broke(id, now),
+                Ok(0) => return,
+                Ok(n) => self.people.receive(id, &self.scratch[..n], now),
+                Err(_) => return self.people.broke(id, now),
             }
         }
-        self.waiting.entry(place).or_default().push_back(t);
-        self.connect(place, now);
     }
 
-    fn connect(&mut self, place: (usize, usize), now: i64) {
-        if self.connections.len() >= self.manners.connections {
-            // One that rests elsewhere makes room.
-            let rests = self.idle.values_mut().find_map(Vec::pop);
-            if let Some(id) = rests {
-                self.bury(id);
-            } else {
+    fn write(&mut self, id: ConnId, now: i64) {
+        while let Some(socket) = self.sockets.get_mut(&id) {
+            if !matches!(socket.connected(), Ok(true)) {
                 return;
             }
-        }
-        let entry = self.connections.vacant_entry();
-        let id = entry.key();
-        let address = self.addresses[place.0];
-        let Some(Ok(mut stream)) = address.map(|a| connect(a, self.poll.registry(), Token(id))) else {
-            return self.unreachable(place, now);
-        };
-        let user = self.manners.tenants.get(place.1).map_or("lab", String::as_str);
-        front::put_startup(
-            &[("user", user), ("database", "lab"), ("application_name", "wheelfield-lab")],
-            &mut stream.output,
-        );
-        entry.insert(Connection {
-            stream,
-            controller: place.0,
-            tenant: place.1,
-            ready: false,
-            runs: None,
-            last: None,
-            pid: 0,
-            key: Bytes::new(),
-            gone: false,
-            since: now,
-        });
-        self.timers.set(now + CONNECTS_WITHIN, Wake::Connect(id));
-    }
-
-    /// A connection that was to come did not.
-    fn unreachable(&mut self, place: (usize, usize), now: i64) {
-        if let Some(t) = self.waiting.get_mut(&place).and_then(VecDeque::pop_front) {
-            self.over(t, End::Unreachable, now);
-        }
-    }
-
-    /// Writes a try on a connection.
-    fn put(&mut self, id: usize, t: usize, now: i64) {
-        let plan: &'a Plan = self.plan;
-        let tried = &mut self.tries[t];
-        if tried.end.is_some() {
-            return;
-        }
-        let arrival = &plan.arrivals[tried.arrival];
-        let class = &self.manners.classes[arrival.class];
-        // What was spent on connecting is not the controller's: the try begins as it is written.
-        let spent = now - tried.sent;
-        let left_ms = (tried.due - now) / 1000;
-        (tried.sent, tried.late_us) = (now, tried.late_us + spent);
-        let text = text(arrival, class, &tried.id, left_ms.max(1));
-        if let Some(c) = self.connections.get_mut(id) {
-            c.runs = Some(t);
-            self.carrier[t] = Some(id);
-            front::put_query(&text, &mut c.stream.output);
-            if c.stream.flush().is_err() {
-                self.broke(id, now);
+            match socket.write(self.people.output(id)) {
+                Ok(0) => return,
+                Ok(n) => self.people.wrote(id, n),
+                Err(_) => return self.people.broke(id, now),
             }
         }
     }
 
-    fn attend(&mut self, id: usize) {
-        let now = self.clock.now();
-        let Some(c) = self.connections.get_mut(id).filter(|c| !c.gone) else { return };
-        match c.stream.connected() {
-            Ok(true) => {}
-            Ok(false) => return,
-            Err(_) => return self.broke(id, now),
-        }
-        let mut failed = c.stream.flush().is_err();
+    fn carry_out(&mut self, now: i64) {
         loop {
-            let Some(c) = self.connections.get_mut(id).filter(|c| !c.gone) else { return };
-            failed |= c.stream.fill(READ, &mut self.scratch).is_err();
-            match frame::take(&mut c.stream.input, READ) {
-                Ok(Some((tag, message))) => self.on_message(id, tag, &message, now),
-                Ok(None) => break,
-                Err(_) => {
-                    failed = true;
-                    break;
-                }
+            let mut wishes = std::mem::take(&mut self.wishes);
+            self.people.wishes(&mut wishes);
+            if wishes.is_empty() {
+                self.wishes = wishes;
+                return;
             }
-        }
-        let Some(c) = self.connections.get_mut(id).filter(|c| !c.gone) else { return };
-        c.stream.relax();
-        if failed || c.stream.ended() {
-            self.broke(id, now);
-        }
-    }
-
-    fn on_message(&mut self, id: usize, tag: u8, message: &Bytes, now: i64) {
-        let Some(c) = self.connections.get_mut(id) else { return };
-        if !c.ready {
-            match tag {
-                b'K' => {
-                    if let Ok((pid, key)) = back::key_of(message) {
-                        (c.pid, c.key) = (pid, key);
+            for wish in wishes.drain(..) {
+                match wish {
+                    Wish::Connect(id, controller) => {
+                        let token = Token(id.number() as usize);
+                        let registry = self.poll.registry();
+                        let connect = |at| TcpStream::connect(at);
+                        let socket = self.addresses[controller]
+                            .and_then(|at| connect(at).ok())
+                            .and_then(|tcp| Socket::new(tcp, false, registry, token).ok());
+                        match socket {
+                            Some(socket) => drop(self.sockets.insert(id, socket)),
+                            None => self.people.broke(id, now),
+                        }
+                    }
+                    Wish::Write(id) => self.write(id, now),
+                    Wish::Close(id) => {
+                        if let Some(socket) = self.sockets.remove(&id) {
+                            socket.close(self.poll.registry(), false);
+                        }
+                    }
+                    Wish::Cancel(controller, bytes) => {
+                        let Some(at) = self.addresses[controller] else { continue };
+                        let patience = Duration::from_millis(200);
+                        if let Ok(mut stream) = std::net::TcpStream::connect_timeout(&at, patience) {
+                            let _ = std::io::Write::write_all(&mut stream, &bytes);
+                        }
                     }
                 }
-                b'Z' => {
-                    c.ready = true;
-                    self.rest(id, now);
-                }
-                b'E' => self.broke(id, now),
-                _ => {}
-            }
-            return;
-        }
-        let Some(t) = c.runs else {
-            // On a connection at rest nothing may come but word that it ends.
-            let fatal = tag == b'E' && back::trouble(message).is_ok_and(|(state, _)| state == "57P01");
-            if let Some(last) = c.last.filter(|_| !fatal && !matches!(tag, b'S' | b'N')) {
-                self.tries[last].after = Some(tag as char);
-            }
-            return;
-        };
-        let tried = &mut self.tries[t];
-        match tag {
-            b'D' => tried.rows += 1,
-            b'C' => tried.answers += 1,
-            b'E' => {
-                tried.answers += 1;
-                let (state, _) = back::trouble(message).unwrap_or_default();
-                let text = String::from_utf8_lossy(message);
-                let advice = text.split("retry_after_ms=").nth(1);
-                tried.advice_ms =
-                    advice.and_then(|a| a.split(|c: char| !c.is_ascii_digit()).next()?.parse().ok());
-                tried.state = state;
-            }
-            b'Z' => {
-                let end = match tried.state.as_str() {
-                    "" => End::Served,
-                    "53300" => End::Refused,
-                    _ => End::Failed,
-                };
-                c.runs = None;
-                c.last = Some(t);
-                self.over(t, end, now);
-                self.rest(id, now);
-            }
-            _ => {}
-        }
-    }
-
-    /// A connection takes the next try that waits, or rests.
-    fn rest(&mut self, id: usize, now: i64) {
-        let Some(c) = self.connections.get(id) else { return };
-        let place = (c.controller, c.tenant);
-        while let Some(t) = self.waiting.get_mut(&place).and_then(VecDeque::pop_front) {
-            if self.tries[t].end.is_none() {
-                return self.put(id, t, now);
             }
-        }
-        self.idle.entry(place).or_default().push(id);
-    }
-
-    /// A connection broke, or was never made.
-    fn broke(&mut self, id: usize, now: i64) {
-        let Some(c) = self.connections.get(id).filter(|c| !c.gone) else { return };
-        let (place, ready, runs) = ((c.controller, c.tenant), c.ready, c.runs);
-        self.bury(id);
-        if let Some(t) = runs {
-            self.over(t, End::Broke, now);
-        } else if !ready {
-            self.unreachable(place, now);
-        }
-    }
-
-    fn bury(&mut self, id: usize) {
-        if let Some(c) = self.connections.get_mut(id).filter(|c| !c.gone) {
-            c.gone = true;
-            // Its number will be another's.
-            if let Some(idle) = self.idle.get_mut(&(c.controller, c.tenant)) {
-                idle.retain(|i| *i != id);
-            }
-            self.dead.push(id);
-        }
-    }
-
-    fn connection_of(&self, t: usize) -> Option<usize> {
-        let id = self.carrier[t]?;
-        self.connections.get(id).filter(|c| c.runs == Some(t) && !c.gone).map(|_| id)
-    }
-
-    /// A client leaves without waiting any longer.
-    fn leave(&mut self, t: usize, end: End, now: i64) {
-        if self.tries[t].end.is_some() {
-            return;
-        }
-        if let Some(id) = self.connection_of(t) {
-            self.bury(id);
-        }
-        self.over(t, end, now);
-    }
-
-    /// A client asks that its query end; the answer still comes.
-    fn cancel(&mut self, t: usize) {
-        let Some(id) = self.connection_of(t) else { return };
-        let c = &self.connections[id];
-        let Some(address) = self.addresses[c.controller] else { return };
-        // A request to cancel is a connection of its own, which is closed without an answer.
-        if let Ok(mut stream) = std::net::TcpStream::connect_timeout(&address, Duration::from_millis(200)) {
-            let mut out = BytesMut::new();
-            front::put_cancel(c.pid, &c.key, &mut out);
-            let _ = std::io::Write::write_all(&mut stream, &out);
-        }
-    }
-
-    fn over(&mut self, t: usize, end: End, now: i64) {
-        let tried = &mut self.tries[t];
-        if tried.end.is_some() {
-            return;
-        }
-        tried.end = Some(end);
-        tried.ended = now;
-        self.open -= 1;
-        match end {
-            End::Served => self.tally.served += 1,
-            End::Refused => self.tally.refused += 1,
-            End::Failed => self.tally.failed += 1,
-            _ => self.tally.other += 1,
-        }
-        self.maybe_again(t, end, now);
-    }
-
-    /// A refused query, or one whose controller could not be had, is tried again within the client's habits.
-    fn maybe_again(&mut self, t: usize, end: End, now: i64) {
-        let plan: &'a Plan = self.plan;
-        let tried = &self.tries[t];
-        let a = &plan.arrivals[tried.arrival];
-        let class = &self.manners.classes[a.class];
-        let left = self.start + a.at + class.deadline.0 .0 - now;
-        let wait = again(class, &self.manners.habits, a, tried, end, left, &mut self.chance);
-        if let Some(wait) = wait {
-            self.coming += 1;
-            self.timers.set(now + wait, Wake::Again(tried.arrival, tried.number + 1));
+            self.wishes = wishes;
         }
     }
 }
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -444,6 +444,15 @@
         if self.registry.files {
             text.push_str("[members]\nfiles = [\"engines.toml\"]\n");
         }
+        if self.registry.gossip {
+            let seeds: Vec<String> =
+                (0..self.controllers.min(3)).map(|i| format!("127.0.0.1:{}", 20_000 + i)).collect();
+            let _ = writeln!(
+                text,
+                "[gossip]\nlisten = \"127.0.0.1:20000\"\nseeds = {}\nkeys = \"keys\"\nsettle = \"5s\"",
+                quoted(&seeds)
+            );
+        }
         wheelfield_config::parse("generated", &text)
     }
 
--- a/crates/lab/src/evidence.rs
+++ b/crates/lab/src/evidence.rs
@@ -53,6 +53,7 @@
             end: t.end,
             answers: t.answers,
             after: t.after,
+            wrong: t.wrong.map(str::to_string),
         }
     }
 
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -9,7 +9,8 @@
 //! - [`stage`]: the processes.
 //! - [`clients`]: what clients do by habit; no I/O.
 //! - [`virtual_time`]: a day in one process and in virtual time; no I/O.
-//! - [`crowd`]: the clients, in an open loop.
+//! - [`people`]: the clients without sockets, in an open loop; no I/O.
+//! - [`crowd`]: their sockets.
 //! - [`evidence`]: a day as the judge of the rules reads it; no I/O.
 //! - [`lists`]: its engines as a file that controllers watch.
 //! - [`measure`]: what a controller costs.
@@ -24,6 +25,7 @@
 pub mod experiment;
 pub mod lists;
 pub mod measure;
+pub mod people;
 pub mod plan;
 pub mod play;
 pub mod report;
--- a/crates/lab/src/virtual_time/mind.rs
+++ b/crates/lab/src/virtual_time/mind.rs
@@ -4,57 +4,9 @@
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, VecDeque};
 use wheelfield::interface::{EngineId, Micros, Outcome, QueryId, Settings, Status};
-use wheelfield_driver::{Answer, Arrival, AttemptId, Crowded, Driver, Input, Instruction, Terms};
-
-/// What a controller asks of whatever decides in it. As the driver's own methods.
-pub trait Mind {
-    /// Takes a query.
-    ///
-    /// # Errors
-    /// [`Crowded`].
-    fn arrive(
-        &mut self,
-        now: Micros,
-        arrival: Arrival,
-        out: &mut Vec<Instruction>,
-    ) -> Result<QueryId, Crowded>;
-    /// Takes one input.
-    fn tell(&mut self, now: Micros, input: Input, out: &mut Vec<Instruction>);
-    /// Lets the time pass.
-    fn due(&mut self, now: Micros, out: &mut Vec<Instruction>) -> bool;
-    /// When [`Mind::due`] is next wanted.
-    fn next_due(&self) -> Option<Micros>;
-    /// Whether an attempt may be written.
-    fn may_write(&self, attempt: AttemptId) -> bool;
-    /// Whether an attempt's answer may go to the client.
-    fn may_answer(&self, attempt: AttemptId) -> bool;
-}
+use wheelfield_driver::{Answer, Arrival, AttemptId, Crowded, Input, Instruction, Terms};
 
-impl Mind for Driver {
-    fn arrive(
-        &mut self,
-        now: Micros,
-        arrival: Arrival,
-        out: &mut Vec<Instruction>,
-    ) -> Result<QueryId, Crowded> {
-        Driver::arrive(self, now, arrival, out)
-    }
-    fn tell(&mut self, now: Micros, input: Input, out: &mut Vec<Instruction>) {
-        Driver::tell(self, now, input, out);
-    }
-    fn due(&mut self, now: Micros, out: &mut Vec<Instruction>) -> bool {
-        Driver::due(self, now, out)
-    }
-    fn next_due(&self) -> Option<Micros> {
-        Driver::next_due(self)
-    }
-    fn may_write(&self, attempt: AttemptId) -> bool {
-        Driver::may_write(self, attempt)
-    }
-    fn may_answer(&self, attempt: AttemptId) -> bool {
-        Driver::may_answer(self, attempt)
-    }
-}
+pub use wheelfield_gate::Mind;
 
 /// How engines are chosen.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, clap::ValueEnum)]
@@ -245,4 +197,8 @@
     fn may_answer(&self, attempt: AttemptId) -> bool {
         self.held.contains_key(&attempt.query)
     }
+
+    fn is_out(&self, attempt: AttemptId) -> bool {
+        self.held.contains_key(&attempt.query)
+    }
 }
--- a/crates/lab/tests/judge.rs
+++ b/crates/lab/tests/judge.rs
@@ -114,6 +114,7 @@
             state: String::new(),
             rows: 0,
             answers,
+            wrong: None,
             after: None,
             advice_ms: None,
             late_us: 0,
--- a/crates/lab/tests/virtual_time.rs
+++ b/crates/lab/tests/virtual_time.rs
@@ -6,7 +6,7 @@
 use wheelfield_lab::plan::Plan;
 use wheelfield_lab::play::{play_virtual, report_virtual, Report};
 use wheelfield_lab::virtual_time::mind::{Mind, Policy};
-use wheelfield_lab::virtual_time::play_with;
+use wheelfield_lab::virtual_time::{play_with, Conditions};
 use wheelfield_rules::End;
 
 fn day(name: &str) -> Day {
@@ -134,6 +134,9 @@
     fn next_due(&self) -> Option<Micros> {
         Driver::next_due(&self.driver)
     }
+    fn is_out(&self, attempt: AttemptId) -> bool {
+        Driver::is_out(&self.driver, attempt)
+    }
     fn may_write(&self, attempt: AttemptId) -> bool {
         attempt.number >= 100 || Driver::may_write(&self.driver, attempt)
     }
@@ -149,7 +152,7 @@
         let driver = Driver::new(settings, seed, Bounds::default());
         Box::new(Planted { driver, plant, listed: false, answers: 0 })
     };
-    let played = play_with(&day, &plan, 3, &minds).expect("sound");
+    let played = play_with(&day, &plan, 3, &minds, Conditions::default()).expect("sound");
     report_virtual(&day, &plan, 3, &played).expect("sound")
 }
 
--- a/crates/rules/src/evidence.rs
+++ b/crates/rules/src/evidence.rs
@@ -47,6 +47,8 @@
     pub answers: u32,
     /// What came on the connection after the answer was whole, by its type.
     pub after: Option<char>,
+    /// What is wrong with its answer, where its client looked: rows of another query, out of turn, or missing.
+    pub wrong: Option<String>,
 }
 
 /// Something that happened at an engine, or was told to a controller.
--- a/crates/rules/src/judge.rs
+++ b/crates/rules/src/judge.rs
@@ -5,8 +5,8 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use wheelfield::interface::{DedupScope, Effect, Micros};
 
-/// The names of the rules, in their order.
-pub const RULES: [&str; 7] = ["lost", "twice", "drain", "cold", "order", "placement", "budget"];
+/// The names of the rules, in their order; and last, that each answer is its own query's and whole.
+pub const RULES: [&str; 8] = ["lost", "twice", "drain", "cold", "order", "placement", "budget", "answer"];
 
 /// A broken rule.
 #[derive(Clone, Debug, Serialize)]
@@ -48,6 +48,7 @@
     judge.order();
     judge.placement();
     judge.budget();
+    judge.answer();
     judge.breaches.sort_by_key(|b| b.at);
     judge.breaches
 }
@@ -91,6 +92,15 @@
         self.breaches.push(Breach { rule, at: at - self.e.start, what });
     }
 
+    /// Each answer is its own client's own query's, and whole if it is told as whole.
+    fn answer(&mut self) {
+        for t in self.e.asked {
+            if let Some(wrong) = &t.wrong {
+                self.breach("answer", t.ended, format!("{}: {wrong}", t.id));
+            }
+        }
+    }
+
     fn gather(&mut self) {
         for line in self.e.log {
             let query = line.query.as_deref();
