--- a/crates/gate/src/admin.rs
+++ b/crates/gate/src/admin.rs
@@ -35,6 +35,10 @@
         (self.calls.len() < MOST).then(|| self.calls.insert(Wire::default()))
     }
 
+    pub fn len(&self) -> usize {
+        self.calls.len()
+    }
+
     pub fn wire(&mut self, id: ConnId) -> Option<&mut Wire> {
         self.calls.get_mut(id)
     }
--- a/crates/gate/src/cancels.rs
+++ b/crates/gate/src/cancels.rs
@@ -32,6 +32,10 @@
         Cancels { all: Slots::new(ROOM) }
     }
 
+    pub fn len(&self) -> usize {
+        self.all.len()
+    }
+
     /// Begins a request; false if too many are under way.
     pub fn begin(
         &mut self,
@@ -77,11 +81,13 @@
         }
     }
 
-    /// A request is over, in whatever way. Its session.
-    pub fn over(&mut self, id: ConnId, out: &mut Out) -> Option<ConnId> {
+    /// A request is over, in whatever way. Its session. `leaks` is a planted fault: the connection stays.
+    pub fn over(&mut self, id: ConnId, leaks: bool, out: &mut Out) -> Option<ConnId> {
         let mut r = self.all.remove(id)?;
         out.call_off(&mut r.timer);
-        out.push(Effect::Close(id));
+        if !leaks {
+            out.push(Effect::Close(id));
+        }
         Some(r.session)
     }
 }
--- a/crates/gate/src/clients.rs
+++ b/crates/gate/src/clients.rs
@@ -1,6 +1,7 @@
 //! Sessions of clients: their messages in, their answers out, their keys to cancel.
 
 use crate::out::{Effect, Out};
+use crate::seen::Seen;
 use crate::wake::Wake;
 use crate::wire::Wire;
 use bytes::{Bytes, BytesMut};
@@ -119,6 +120,7 @@
             pauses: None,
             moved: out.now,
         });
+        out.saw(if crowded { Seen::ClientTurnedAway } else { Seen::ClientAccepted });
         let Some(c) = self.all.get_mut(id) else { return id };
         if crowded {
             self.counts.turned_away += 1;
@@ -154,6 +156,7 @@
             match c.session.feed(&mut c.wire.input, &mut c.wire.output) {
                 Err(fault) => {
                     self.counts.malformed += 1;
+                    out.saw(Seen::ClientMalformed);
                     c.last = true;
                     info!(%fault, "client ended");
                 }
@@ -250,6 +253,7 @@
     /// A client's output is full: its engine waits, but not for ever.
     pub fn pause(&mut self, id: ConnId, session: ConnId, out: &mut Out) {
         if let Some(c) = self.all.get_mut(id) {
+            out.saw(Seen::ClientPaused);
             if c.pauses.replace(session).is_none() {
                 out.wake_after(self.patience, Wake::Reader(id));
             }
@@ -273,6 +277,7 @@
     pub fn reader_stalled(&mut self, id: ConnId, out: &mut Out) -> bool {
         let Some(c) = self.all.get(id).filter(|c| c.pauses.is_some()) else { return false };
         if out.now - c.moved >= self.patience {
+            out.saw(Seen::ClientStalled);
             info!("a client that takes nothing of its answer is closed");
             return true;
         }
@@ -285,6 +290,7 @@
     pub fn startup_late(&mut self, id: ConnId, out: &mut Out) {
         let Some(c) = self.all.get_mut(id).filter(|c| !c.session.started()) else { return };
         c.startup = None;
+        out.saw(Seen::ClientStartupLate);
         c.session.end(&Trouble::fatal("08P01", "no startup packet in time"), &mut c.wire.output);
         c.last = true;
         c.wire.flush(id, out);
@@ -301,6 +307,7 @@
     /// The controller stops: ends a client with nothing running.
     pub fn end(&mut self, id: ConnId, out: &mut Out) {
         let Some(c) = self.all.get_mut(id).filter(|c| c.running.is_none() && !c.last) else { return };
+        out.saw(Seen::ClientStopped);
         let trouble = Trouble::fatal("57P01", "the controller stops").hint("connect again, to another one");
         c.session.end(&trouble, &mut c.wire.output);
         c.last = true;
@@ -314,6 +321,7 @@
         if self.keys.get(&c.pid).is_some_and(|(_, of)| *of == id) {
             self.keys.remove(&c.pid);
         }
+        out.saw(if c.running.is_some() { Seen::ClientGoneRunning } else { Seen::ClientGoneIdle });
         out.push(Effect::Close(id));
         c.running
     }
--- a/crates/gate/src/engines.rs
+++ b/crates/gate/src/engines.rs
@@ -3,7 +3,9 @@
 
 use crate::cancels::Cancels;
 use crate::out::{Effect, Out};
+use crate::plant::Plant;
 use crate::pools::Pools;
+use crate::seen::Seen;
 use crate::sessions::{Fed, Job, Sessions};
 use crate::units::InHand;
 use crate::wake::Wake;
@@ -75,12 +77,12 @@
     most: usize,
     heeded: bool,
     timing: wheelfield_config::Timing,
-    /// Sessions with engines that take no work are kept: a planted fault.
-    pub keeps_all: bool,
+    /// A planted fault.
+    plant: Option<Plant>,
 }
 
 impl Engines {
-    pub fn new(config: &Config) -> Engines {
+    pub fn new(config: &Config, plant: Option<Plant>) -> Engines {
         Engines {
             sessions: Sessions::new(config),
             pools: Pools::default(),
@@ -89,7 +91,7 @@
             most: config.limits.sessions,
             heeded: config.settings.cancel,
             timing: config.timing,
-            keeps_all: false,
+            plant: plant.filter(|_| cfg!(feature = "planted")),
         }
     }
 
@@ -114,10 +116,12 @@
         };
         while let Some(id) = pool.idle.pop() {
             if self.sessions.get(id).is_some_and(|s| !s.wire.closing && !s.wire.ended) {
+                out.saw(Seen::SessionReused);
                 return self.words.push_back(Word::Free(id, attempt));
             }
         }
         if pool.sessions >= self.most {
+            out.saw(Seen::NoneFree);
             debug!(query = attempt.query.0, engine = engine.0, "no session free");
             return self.ended(attempt, engine, Outcome::Full);
         }
@@ -135,6 +139,7 @@
         let Some(pool) = self.pools.get_mut(engine) else { return };
         (pool.sessions, pool.connecting) = (pool.sessions + 1, pool.connecting + 1);
         let address = pool.address;
+        out.saw(Seen::SessionOpened);
         let id = self.sessions.open(engine, out);
         if let Some(s) = self.sessions.get_mut(id) {
             out.instead(&mut s.timer, self.timing.connect.0, Wake::Connect(id));
@@ -162,7 +167,8 @@
 
     /// A clean session takes the next that waits for one, or rests.
     pub fn rest(&mut self, id: ConnId, out: &mut Out) {
-        let Some(s) = self.sessions.get_mut(id).filter(|s| s.free()) else { return };
+        let reused = self.plant == Some(Plant::Reuse);
+        let Some(s) = self.sessions.get_mut(id).filter(|s| s.free(reused)) else { return };
         out.call_off(&mut s.timer);
         s.idle_since = out.now;
         let engine = s.engine;
@@ -173,7 +179,7 @@
         if let Some(attempt) = pool.waiting.pop_front() {
             return self.words.push_back(Word::Free(id, attempt));
         }
-        if pool.up || self.keeps_all {
+        if pool.up || self.plant == Some(Plant::Drained) {
             pool.idle.push(id);
         } else {
             self.drop(id, out);
@@ -256,6 +262,7 @@
                     backend::CANCELLED => Outcome::Cancelled,
                     _ => Outcome::Error,
                 };
+                out.saw(if outcome == Outcome::Full { Seen::EngineRefused } else { Seen::EngineErrored });
                 match s.job.take() {
                     Some(Job::Attempt { id: attempt, .. }) => {
                         self.sessions.landed(attempt);
@@ -284,7 +291,9 @@
         let stall = self.timing.stall.0;
         if let Some(s) = self.sessions.get_mut(id) {
             s.backend.begin(sink);
-            out.instead(&mut s.timer, stall, Wake::Stall(id));
+            if self.plant != Some(Plant::Endless) {
+                out.instead(&mut s.timer, stall, Wake::Stall(id));
+            }
         }
     }
 
@@ -296,6 +305,7 @@
         if clean {
             self.rest(id, out);
         } else {
+            out.saw(Seen::Unclean);
             self.drop(id, out);
         }
     }
@@ -310,7 +320,14 @@
             Some((state, _)) if outcome == Outcome::Reset && state != backend::CANCELLED => Outcome::Error,
             _ => outcome,
         };
-        let amid_row = s.backend.amid_row();
+        let (amid_row, unsent) = (s.backend.amid_row(), s.unsent.is_some());
+        out.saw(match job {
+            _ if starting => Seen::LostStarting,
+            None => Seen::LostIdle,
+            _ if amid_row => Seen::LostAmidRow,
+            _ if unsent => Seen::LostUnsent,
+            _ => Seen::LostRunning,
+        });
         self.drop(id, out);
         if starting {
             debug!(engine = engine.0, reason, "no session");
@@ -357,7 +374,11 @@
 
     /// Ends an attempt at its engine. While its answer is `wanted`, one that crosses the request still counts.
     pub fn withdraw(&mut self, attempt: AttemptId, wanted: bool, out: &mut Out) {
-        let Some(id) = self.sessions.carrier(attempt) else { return self.pools.forget(attempt) };
+        let Some(id) = self.sessions.carrier(attempt) else {
+            out.saw(Seen::WithdrawnWaiting);
+            return self.pools.forget(attempt);
+        };
+        out.saw(Seen::Withdrawn);
         if let Some(s) = self.sessions.get_mut(id) {
             s.backend.cancelling();
         }
@@ -390,11 +411,18 @@
         let Some(to) = self.pools.get(s.engine).map(|p| p.address) else { return };
         if self.cancels.begin(id, to, key, 2 * self.timing.connect.0, out) {
             s.cancelling = true;
+            out.saw(Seen::CancelSent);
         } else {
+            out.saw(Seen::CancelsFull);
             self.lost(id, Outcome::Cancelled, "too many requests to cancel", out);
         }
     }
 
+    /// Connections that are held.
+    pub fn connections(&self) -> usize {
+        self.sessions.len() + self.cancels.len()
+    }
+
     /// The connections of requests to cancel.
     pub fn cancels(&mut self) -> &mut Cancels {
         &mut self.cancels
@@ -402,7 +430,8 @@
 
     /// A request to cancel is over: its engine has closed the connection, or there is none.
     pub fn cancel_over(&mut self, id: ConnId, out: &mut Out) {
-        let Some(session) = self.cancels.over(id, out) else { return };
+        let leaks = self.plant == Some(Plant::Leak);
+        let Some(session) = self.cancels.over(id, leaks, out) else { return };
         if let Some(s) = self.sessions.get_mut(session) {
             s.cancelling = false;
             self.rest(session, out);
@@ -411,7 +440,8 @@
 
     /// A request that was not taken may yet be, and would then end another query: the session is of no more use.
     pub fn cancel_late(&mut self, id: ConnId, out: &mut Out) {
-        if let Some(session) = self.cancels.over(id, out) {
+        if let Some(session) = self.cancels.over(id, false, out) {
+            out.saw(Seen::CancelLate);
             self.lost(session, Outcome::Cancelled, "a request to cancel was not taken", out);
         }
     }
@@ -421,6 +451,7 @@
     /// An engine has not let us in in time.
     pub fn connect_late(&mut self, id: ConnId, out: &mut Out) {
         if self.sessions.get(id).is_some_and(|s| s.backend.starting()) {
+            out.saw(Seen::ConnectLate);
             self.lost(id, Outcome::ConnectFailed, "no session in time", out);
         }
     }
@@ -437,6 +468,7 @@
             s.progress = out.now;
         }
         if out.now - s.progress >= stall {
+            out.saw(Seen::Stalled);
             return self.lost(id, Outcome::TimedOut, "the engine sends nothing more", out);
         }
         s.timer = Some(out.wake_at(s.progress + stall, Wake::Stall(id)));
@@ -444,6 +476,7 @@
 
     /// An answer that nobody wants does not end.
     pub fn abandon(&mut self, id: ConnId, out: &mut Out) {
+        out.saw(Seen::Abandoned);
         self.lost(id, Outcome::Cancelled, "an answer that nobody wants does not end", out);
     }
 
@@ -454,6 +487,7 @@
         let old: Vec<ConnId> =
             resting.filter(|id| self.sessions.get(*id).is_some_and(|s| s.idle_since < before)).collect();
         for id in old {
+            out.saw(Seen::IdleClosed);
             self.drop(id, out);
         }
     }
@@ -494,6 +528,7 @@
         let Some((pid, _)) = s.backend.key() else { return };
         let text = format!("SELECT wheelfield.set_priority({pid}, {})", terms.priority);
         let Some(id) = self.pools.get_mut(s.engine).and_then(|p| p.idle.pop()) else { return };
+        out.saw(Seen::TermsSet);
         self.sessions.put_own(id, Job::Aside, &text, out);
     }
 }
--- a/crates/gate/src/flow.rs
+++ b/crates/gate/src/flow.rs
@@ -9,6 +9,7 @@
 use crate::peering::Peering;
 use crate::plant::Plant;
 use crate::registry::{Call, Told};
+use crate::seen::Seen;
 use crate::sets::Sets;
 use crate::start::Start;
 use crate::stop::Stop;
@@ -58,14 +59,13 @@
     /// The rooms of a controller that has not started.
     pub fn new(config: Config, start: Start) -> Flow {
         let Start { now, seed, secret, mind, recorder, peers, gossip, plant } = start;
-        let mut engines = Engines::new(&config);
-        engines.keeps_all = plant == Some(Plant::Drained);
+        let plant = plant.filter(|_| cfg!(feature = "planted"));
         Flow {
             out: Out::new(now),
             tape: Tape::new(mind, recorder),
             clients: Clients::new(&config, StdRng::from_seed(secret)),
             units: Units::default(),
-            engines,
+            engines: Engines::new(&config, plant),
             sets: Sets::new(&config),
             call: Call::new(&config),
             peering: Peering::new(&config, peers, now),
@@ -123,7 +123,11 @@
                     gossip.tend(out);
                 }
             }
-            Wake::Stop => self.stop.late(self.clients.len(), out),
+            Wake::Stop if self.stop == Stop::Stopped => {}
+            Wake::Stop => {
+                out.saw(Seen::StopLate);
+                self.stop.late(self.clients.len(), out);
+            }
             Wake::Sweep => self.sweep(),
         }
     }
@@ -135,6 +139,7 @@
         let change = self.sets.age(now);
         self.changed(change);
         if let Some((count, index)) = self.gossip.as_mut().and_then(|g| g.news(now)) {
+            self.out.saw(Seen::GatewaysTold);
             self.tape.tell(now, Input::Gateways { count, index });
         }
         self.tape.tend(now);
@@ -156,6 +161,7 @@
             }
         }
         if self.stop == Stop::Stopping && self.clients.len() == 0 {
+            self.out.saw(Seen::StopDone);
             self.stop.over(&mut self.out);
         }
     }
@@ -209,6 +215,13 @@
                 let report = engines::report(s.backend.load());
                 let outcome = Outcome::Served;
                 self.tape.tell(now, Input::Ended { attempt, outcome, billed_work, report });
+                self.out.saw(if accepted.is_none() {
+                    Seen::Crossed
+                } else if errored {
+                    Seen::ServedErrored
+                } else {
+                    Seen::Served
+                });
                 if accepted.is_some() {
                     self.served(attempt.query, errored);
                 }
@@ -225,6 +238,7 @@
             Word::Probed(engine, outcome, report) => {
                 let served = u64::from(outcome == Outcome::Served);
                 self.probes = (self.probes.0 + served, self.probes.1 + 1 - served);
+                self.out.saw(if served > 0 { Seen::Probed } else { Seen::ProbeLost });
                 self.tape.tell(now, Input::Probed { engine, outcome, report });
             }
             Word::Cut(client) => self.client_gone(client),
@@ -241,6 +255,7 @@
     fn dispatch(&mut self, session: ConnId, attempt: AttemptId) {
         let planted = self.plant == Some(Plant::Drained);
         if !self.tape.mind().may_write(attempt) && !planted || self.units.get(attempt.query).is_none() {
+            self.out.saw(Seen::NotWritten);
             return self.engines.rest(session, &mut self.out);
         }
         self.tape.tell(self.out.now, Input::Dispatched(attempt));
@@ -274,6 +289,7 @@
 
     fn start(&mut self, attempt: AttemptId, engine: EngineId, terms: Terms) {
         if attempt.number > 0 {
+            self.out.saw(Seen::Resent);
             let name = self.sets.engines().name(engine);
             let id = self.units.label(attempt.query);
             info!(query = attempt.query.0, id, engine = name, attempt = attempt.number, "resend");
@@ -281,9 +297,7 @@
         if let Some(unit) = self.units.get_mut(attempt.query) {
             unit.terms = terms;
         }
-        if cfg!(feature = "planted") {
-            self.plant_at(attempt, engine);
-        }
+        self.plant_at(attempt, engine);
         self.engines.launch(attempt, engine, &mut self.out);
     }
 
@@ -296,10 +310,12 @@
                 Said::Run(unit) => self.take(id, unit),
                 Said::More(query, frames, swallow, sealed) => {
                     self.engines.sessions.more(query, &frames, &swallow, sealed, &mut self.out);
+                    self.out.saw(Seen::UnitMore);
                     let Some(unit) = self.units.get_mut(query) else { continue };
                     unit.sealed |= sealed;
                     unit.more.push((frames, swallow));
                     if unit.held() > self.config.limits.prepared {
+                        self.out.saw(Seen::UnitTooLong);
                         self.give_up(id, query, &words::too_long());
                     }
                 }
@@ -324,12 +340,14 @@
         let class = routed.arrival.class;
         match self.tape.arrive(now, routed.arrival, &label) {
             Ok(query) => {
+                self.out.saw(if unit.open { Seen::UnitOpen } else { Seen::UnitTaken });
                 let (sealed, more, terms) = (!unit.open, Vec::new(), Terms::default());
                 let of = InHand { client: id, unit, more, sealed, terms, label, class, since: now };
                 self.units.put(query, of);
                 self.clients.runs(id, query);
             }
             Err(_) => {
+                self.out.saw(Seen::UnitCrowded);
                 info!(id = %label, reason = "the controller holds as many queries as it may", "refused");
                 self.clients.unserved(id, &words::crowded());
             }
@@ -348,11 +366,16 @@
     /// A client asks that the query of another session end.
     fn cancel_of(&mut self, pid: i32, key: &[u8]) {
         self.cancels_heard += 1;
-        let Some((id, query)) = self.clients.query_of(pid, key) else { return };
+        let Some((id, query)) = self.clients.query_of(pid, key) else {
+            return self.out.saw(Seen::CancelUnknown);
+        };
+        let (id, query) = self.stranger(query).unwrap_or((id, query));
         info!(query = query.0, id = self.units.label(query), "cancelled by its client");
         if self.engines.sessions.amid_row(query) {
+            self.out.saw(Seen::CancelAmidRow);
             return self.client_gone(id);
         }
+        self.out.saw(Seen::CancelTaken);
         self.give_up(id, query, &words::cancelled());
     }
 
@@ -363,29 +386,35 @@
         let (id, held_us) = (&unit.label, self.out.now - unit.since);
         match answer {
             Answer::Refused { retry_after } => {
+                self.out.saw(Seen::Refused);
                 let retry_after_ms = words::advice_ms(retry_after);
                 info!(query = query.0, id, class, held_us, retry_after_ms, "refused");
             }
             Answer::Failed { may_have_run } => {
+                self.out.saw(if may_have_run { Seen::FailedRun } else { Seen::FailedNotRun });
                 let reason = if may_have_run { "may have run" } else { "not run" };
                 warn!(query = query.0, id, class, held_us, reason, "failed");
             }
             Answer::Broken => {
+                self.out.saw(Seen::Broken);
                 warn!(query = query.0, id, class, held_us, reason = "answer broke off", "failed");
             }
         }
-        self.clients.unserved(unit.client, &words::of(answer));
-        self.ready.push_back(unit.client);
+        let trouble = words::of(answer);
+        self.clients.unserved(unit.client, &trouble);
+        if self.planted(Plant::Twice, 2) {
+            self.clients.sink(unit.client).into_iter().for_each(|sink| trouble.put(sink));
+        }
+        if !self.planted(Plant::Wake, 2) {
+            self.ready.push_back(unit.client);
+        }
     }
 
     /// The client's query was served; its answer is in its output.
     fn served(&mut self, query: QueryId, errored: bool) {
-        if self.plant == Some(Plant::Lose) {
-            self.planted += 1;
-            if self.planted.is_multiple_of(20) {
-                self.units.take(query);
-                return;
-            }
+        if self.planted(Plant::Lose, 20) {
+            self.units.take(query);
+            return;
         }
         let Some(unit) = self.units.take(query) else { return };
         let class = &self.config.names.classes[unit.class];
@@ -397,6 +426,10 @@
     /// A client can be told nothing more: its connection closes.
     pub fn client_gone(&mut self, id: ConnId) {
         let Some(query) = self.clients.remove(id, &mut self.out) else { return };
+        if self.planted(Plant::Leftover, 1) {
+            self.units.take(query);
+            return;
+        }
         if self.units.take(query).is_some() {
             self.engines.detach(query, &mut self.out);
             self.tape.tell(self.out.now, Input::Departed(query));
@@ -408,7 +441,10 @@
     pub fn registry_told(&mut self, told: Option<Told>) {
         match told {
             None => {}
-            Some(Told::Unavailable) => self.tape.tell(self.out.now, Input::ListUnavailable),
+            Some(Told::Unavailable) => {
+                self.out.saw(Seen::ListMissing);
+                self.tape.tell(self.out.now, Input::ListUnavailable);
+            }
             Some(Told::List(body)) => {
                 let version = self.sets.registry_version();
                 match from_registry(&body, &self.config.names, version) {
@@ -418,6 +454,7 @@
                     }
                     Err(fault) => {
                         self.sets.counts.refused += 1;
+                        self.out.saw(Seen::ListRefused);
                         warn!(%fault, "a list of engines was refused; the last one stays");
                     }
                 }
@@ -430,6 +467,7 @@
         let Some(Change { whole, entries }) = change.filter(|c| c.whole || !c.entries.is_empty()) else {
             return;
         };
+        self.out.saw(Seen::ListTaken);
         let known = self.sets.engines();
         for entry in &entries {
             info!(engine = known.name(entry.engine), status = ?entry.status, "engine list");
@@ -457,6 +495,11 @@
         }
     }
 
+    /// Connections that are held.
+    pub fn connections(&self) -> usize {
+        self.clients.len() + self.engines.connections() + self.call.connections() + self.admin.len()
+    }
+
     fn look(&self) -> Look<'_> {
         Look {
             now: self.out.now,
@@ -482,12 +525,23 @@
         self.planted += planted::send_more(plant, once, of, &self.units, &mut self.engines, &mut self.out);
     }
 
+    /// Whose query a cancel ends in place of the one that was meant.
+    fn stranger(&mut self, query: QueryId) -> Option<(ConnId, QueryId)> {
+        let other = self.planted(Plant::Stranger, 1).then(|| self.units.another(query)).flatten()?;
+        Some((self.units.get(other)?.client, other))
+    }
+
     /// Whose text is sent in place of a query's own.
     fn swapped(&mut self, query: QueryId) -> Option<QueryId> {
-        if self.plant != Some(Plant::Swap) {
-            return None;
+        self.planted(Plant::Swap, 20).then(|| self.units.another(query)).flatten()
+    }
+
+    /// Whether a fault strikes now, as one time in so many.
+    pub fn planted(&mut self, plant: Plant, of: u64) -> bool {
+        if self.plant != Some(plant) {
+            return false;
         }
         self.planted += 1;
-        self.planted.is_multiple_of(20).then(|| self.units.another(query)).flatten()
+        self.planted.is_multiple_of(of)
     }
 }
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -4,6 +4,8 @@
 use crate::flow::Flow;
 use crate::happened::{Door, Happened};
 use crate::out::Effect;
+use crate::plant::Plant;
+use crate::seen::Seen;
 use crate::start::Start;
 use crate::wire::Wire;
 use crate::{cancels, registry, sessions};
@@ -104,6 +106,16 @@
         self.flow.out.take(into);
     }
 
+    /// What came to pass in it, by name, and how often since its start.
+    pub fn seen(&self) -> impl Iterator<Item = (&'static str, u64)> + '_ {
+        self.flow.out.seen()
+    }
+
+    /// Connections that it holds, in whatever state.
+    pub fn connections(&self) -> usize {
+        self.flow.connections()
+    }
+
     /// Something happened.
     pub fn happen(&mut self, now: i64, what: Happened<'_>) {
         self.flow.out.now = now;
@@ -142,6 +154,7 @@
             },
             Happened::Words(from, datagram) => {
                 let words = self.flow.peering.as_mut().and_then(|p| p.hear(from, datagram));
+                self.flow.out.saw(if words.is_some() { Seen::WordsHeard } else { Seen::WordsDropped });
                 if let Some(words) = words {
                     self.flow.tape.tell(now, Input::Told(words));
                 }
@@ -152,6 +165,7 @@
                 }
             }
             Happened::Files(news) => {
+                self.flow.out.saw(Seen::FilesTaken);
                 let change = self.flow.sets.news(news, now);
                 self.flow.changed(change);
             }
@@ -190,12 +204,15 @@
     }
 
     fn received(&mut self, id: ConnId, bytes: &[u8], ended: bool) {
+        let cut = id.room() == sessions::ROOM && self.flow.planted(Plant::Cut, 50);
         let Some(wire) = self.wire(id) else { return };
-        wire.receive(bytes);
+        wire.receive(if cut { &bytes[..bytes.len().saturating_sub(1)] } else { bytes });
         wire.ended |= ended;
         match id.room() {
             clients::ROOM => self.flow.ready.push_back(id),
-            sessions::ROOM => self.flow.readable.push_back(id),
+            sessions::ROOM => {
+                self.flow.readable.push_back(id);
+            }
             cancels::ROOM if ended => self.flow.engines.cancel_over(id, &mut self.flow.out),
             cancels::ROOM => self.flow.engines.cancels().received(id, &mut self.flow.out),
             registry::ROOM => {
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -32,6 +32,7 @@
 mod pools;
 mod registry;
 pub mod route;
+mod seen;
 mod sessions;
 mod sets;
 mod start;
--- a/crates/gate/src/out.rs
+++ b/crates/gate/src/out.rs
@@ -1,5 +1,6 @@
 //! What a controller wants done outside, and when it wants to be woken.
 
+use crate::seen::{Counts, Seen};
 use crate::wake::Wake;
 use std::net::SocketAddr;
 use wheelfield_parts::{ConnId, TimerKey, Timers};
@@ -39,11 +40,22 @@
     pub now: i64,
     effects: Vec<Effect>,
     timers: Timers<Wake>,
+    seen: Counts,
 }
 
 impl Out {
     pub fn new(now: i64) -> Out {
-        Out { now, effects: Vec::new(), timers: Timers::default() }
+        Out { now, effects: Vec::new(), timers: Timers::default(), seen: Counts::default() }
+    }
+
+    /// Something came to pass.
+    pub fn saw(&mut self, what: Seen) {
+        self.seen.note(what);
+    }
+
+    /// What came to pass, and how often.
+    pub fn seen(&self) -> impl Iterator<Item = (&'static str, u64)> + '_ {
+        self.seen.iter()
     }
 
     /// Wants something done.
--- a/crates/gate/src/plant.rs
+++ b/crates/gate/src/plant.rs
@@ -1,4 +1,4 @@
-//! Faults planted for the laboratory's judge to find. Without the feature `planted` there are none.
+//! Faults planted for judges and exploration to find. Without the feature `planted` there are none.
 
 /// A fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -13,8 +13,41 @@
     Budget,
     /// The text of another client's query is sent in place of one's own.
     Swap,
+    /// Some refusals and failures are not written until something else happens: a lost wake-up.
+    Wake,
+    /// A session is used again while a request to cancel its last query is under way.
+    Reuse,
+    /// A client's cancel ends the query of another.
+    Stranger,
+    /// Connections of requests to cancel are never closed.
+    Leak,
+    /// Some refusals and failures are told twice.
+    Twice,
+    /// Now and then the last byte of what an engine sent is lost.
+    Cut,
+    /// An engine that stops in the midst of its answer is waited for without end.
+    Endless,
+    /// A client that gives up is not told to the engine: what it waited for goes to whoever comes next.
+    Leftover,
 }
 
+/// All that are known, by name.
+pub const PLANTS: [(&str, Plant); 13] = [
+    ("resend", Plant::Resend),
+    ("lose", Plant::Lose),
+    ("drained", Plant::Drained),
+    ("budget", Plant::Budget),
+    ("swap", Plant::Swap),
+    ("wake", Plant::Wake),
+    ("reuse", Plant::Reuse),
+    ("stranger", Plant::Stranger),
+    ("leak", Plant::Leak),
+    ("twice", Plant::Twice),
+    ("cut", Plant::Cut),
+    ("endless", Plant::Endless),
+    ("leftover", Plant::Leftover),
+];
+
 impl Plant {
     /// The fault of a name.
     ///
@@ -24,17 +57,10 @@
         if !cfg!(feature = "planted") {
             return Err("this build has no planted faults; build with --features planted".to_string());
         }
-        Ok(match name {
-            "resend" => Plant::Resend,
-            "lose" => Plant::Lose,
-            "drained" => Plant::Drained,
-            "budget" => Plant::Budget,
-            "swap" => Plant::Swap,
-            other => {
-                return Err(format!(
-                    "no fault is named `{other}`; known: resend, lose, drained, budget, swap"
-                ))
-            }
+        let known = PLANTS.iter().find(|(n, _)| *n == name).map(|(_, plant)| *plant);
+        known.ok_or_else(|| {
+            let names: Vec<&str> = PLANTS.iter().map(|(n, _)| *n).collect();
+            format!("no fault is named `{name}`; known: {}", names.join(", "))
         })
     }
 }
--- a/crates/gate/src/registry.rs
+++ b/crates/gate/src/registry.rs
@@ -52,6 +52,11 @@
         }
     }
 
+    /// Connections that are held.
+    pub fn connections(&self) -> usize {
+        self.wires.len()
+    }
+
     pub fn wire(&mut self, id: ConnId) -> Option<&mut Wire> {
         self.wires.get_mut(id)
     }
--- a/crates/gate/src/sessions.rs
+++ b/crates/gate/src/sessions.rs
@@ -67,9 +67,9 @@
         }
     }
 
-    /// The session is clean and nothing is to be done on it.
-    pub fn free(&self) -> bool {
-        self.job.is_none() && !self.cancelling && self.backend.idle()
+    /// The session is clean and nothing is to be done on it. `early` is a planted fault: a cancel under way is no hindrance.
+    pub fn free(&self, early: bool) -> bool {
+        self.job.is_none() && (early || !self.cancelling) && self.backend.idle()
     }
 }
 
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`plan`]: the day drawn from it, by seed; no I/O.
 //! - [`experiment`]: many days by seeds and variants, resumable; what they come to.
 //! - [`series`], [`stats`]: a day's course; whether two things differ; no I/O.
+//! - [`explore`]: thousands of drawn days; a failing one made small.
 //! - [`report`]: a page with plots, and a summary.
 //! - [`stage`]: the processes.
 //! - [`clients`]: what clients do by habit; no I/O.
@@ -23,6 +24,7 @@
 pub mod day;
 pub mod evidence;
 pub mod experiment;
+pub mod explore;
 pub mod lists;
 pub mod measure;
 pub mod people;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -8,8 +8,10 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
 use wheelfield_config::units::Time;
+use wheelfield_gate::plant::Plant;
 use wheelfield_lab::day::{Day, KINDS};
 use wheelfield_lab::experiment::{self, Experiment};
+use wheelfield_lab::explore::{self, Scenario};
 use wheelfield_lab::play::{self, Options};
 use wheelfield_lab::stats::Verdict;
 use wheelfield_lab::virtual_time::mind::Policy;
@@ -50,6 +52,8 @@
         #[arg(long, value_name = "NAME")]
         figure: Vec<String>,
     },
+    /// Plays thousands of short drawn days in virtual time and judges them; makes what fails smaller.
+    Explore(ExploreArgs),
     /// Lists the kinds of trouble, or the days that are built in.
     List {
         /// `troubles` or `days`.
@@ -121,6 +125,36 @@
     check: bool,
 }
 
+#[derive(Args)]
+struct ExploreArgs {
+    /// Plays this scenario again, in place of drawn ones.
+    file: Option<PathBuf>,
+    /// The number of the first day.
+    #[arg(long, value_name = "N", default_value_t = 0)]
+    from: u64,
+    /// Days at most.
+    #[arg(long, value_name = "N", default_value_t = 1000)]
+    days: u64,
+    /// Seconds at most.
+    #[arg(long, value_name = "N", default_value_t = 3600)]
+    seconds: u64,
+    /// Days at once; as many as there are cores if not said.
+    #[arg(long, value_name = "N", default_value_t = 0)]
+    jobs: usize,
+    /// Failing days, made small, are written here.
+    #[arg(long, value_name = "DIR")]
+    out: Option<PathBuf>,
+    /// Ends at the first failing day.
+    #[arg(long)]
+    first: bool,
+    /// Tells what came to pass, and what never did.
+    #[arg(long)]
+    seen: bool,
+    /// A fault planted in the controllers, in builds that have them.
+    #[arg(long, value_name = "FAULT", hide = true, value_parser = Plant::parse)]
+    plant: Option<Plant>,
+}
+
 #[derive(Args)]
 struct UpArgs {
     /// Where the controller listens.
@@ -231,6 +265,10 @@
             Err(fault) => return bad_use(&fault),
         },
         Command::Report { dir } => write_report(&dir),
+        Command::Explore(args) => match &args.file {
+            Some(file) => replay(file, args.plant),
+            None => explored(&args),
+        },
         Command::Compare { one, other, figure } => compare(&one, &other, &figure),
         Command::Up(args) => up(&args),
         Command::Measure(args) => figures(&args),
@@ -315,10 +353,7 @@
 }
 
 fn run_experiment(e: &Experiment, text: &str, args: &ExperimentArgs) -> Result<bool> {
-    let jobs = match args.jobs {
-        0 => std::thread::available_parallelism().map_or(1, usize::from),
-        n => n.min(256),
-    };
+    let jobs = jobs_of(args.jobs);
     let read = |name: &str| day_text(name, &args.file);
     let mut progress = |done: usize, all: usize, key: &experiment::Key| {
         eprint!("\r{done} of {all}: {} {} {} seed {}    ", key.day, key.size, key.variant, key.seed);
@@ -360,6 +395,67 @@
     Ok(!cells.iter().any(worse))
 }
 
+fn jobs_of(asked: usize) -> usize {
+    match asked {
+        0 => std::thread::available_parallelism().map_or(1, usize::from),
+        n => n.min(256),
+    }
+}
+
+fn replay(file: &std::path::Path, plant: Option<Plant>) -> Result<bool> {
+    let text = std::fs::read_to_string(file).with_context(|| format!("cannot read {}", file.display()))?;
+    let scenario: Scenario = toml::from_str(&text).with_context(|| format!("{}", file.display()))?;
+    let outcome = explore::play(&scenario, plant)?;
+    println!("{} tries, {} events", outcome.tries, outcome.events);
+    for (rule, what) in &outcome.wrong {
+        println!("{rule}: {what}");
+    }
+    Ok(outcome.sound())
+}
+
+fn explored(args: &ExploreArgs) -> Result<bool> {
+    let began = std::time::Instant::now();
+    let limit = std::time::Duration::from_secs(args.seconds);
+    let last = std::sync::atomic::AtomicU64::new(0);
+    let until = |all: &explore::Explored| {
+        let s = began.elapsed().as_secs();
+        if last.swap(s, std::sync::atomic::Ordering::Relaxed) != s {
+            eprint!("\r{} days, {} failed   ", all.days, all.failed.len());
+        }
+        began.elapsed() >= limit || (args.first && !all.failed.is_empty())
+    };
+    let numbers = args.from..args.from.saturating_add(args.days);
+    let all = explore::explore(numbers, jobs_of(args.jobs), args.plant, until);
+    let took = began.elapsed().as_secs_f64();
+    eprintln!();
+    println!(
+        "{} days in {took:.1} s ({:.0} a second): {} tries, {} events, {} days failed",
+        all.days,
+        all.days as f64 / took.max(1e-9),
+        all.tries,
+        all.events,
+        all.failed.len()
+    );
+    if args.seen {
+        for (what, (days, times)) in &all.seen {
+            println!(
+                "{what:<60} {days:>8} days {times:>10} times{}",
+                if *times == 0 { "  NEVER" } else { "" }
+            );
+        }
+    }
+    for (scenario, rule, what) in &all.failed {
+        println!("seed {}: {rule}: {what}", scenario.seed);
+        let Some(dir) = &args.out else { continue };
+        std::fs::create_dir_all(dir)?;
+        let (small, played) = explore::shrink(scenario, rule, args.plant);
+        let path = dir.join(format!("{}-{rule}.toml", scenario.seed));
+        std::fs::write(&path, toml::to_string(&small)?)?;
+        println!("  made small in {played} days: {}", path.display());
+    }
+    Ok(all.failed.is_empty())
+}
+
 fn up(args: &UpArgs) -> Result<bool> {
     let mut day = read(None)?;
     (day.engines, day.controllers, day.troubles) = (args.engines.clamp(1, 1000), 1, Vec::new());
--- a/crates/lab/src/people.rs
+++ b/crates/lab/src/people.rs
@@ -367,6 +367,8 @@
                 let advice = text.split("retry_after_ms=").nth(1);
                 tried.advice_ms =
                     advice.and_then(|a| a.split(|c: char| !c.is_ascii_digit()).next()?.parse().ok());
+                let cancels = self.plan.arrivals[tried.arrival].leaves.is_some_and(|(_, cancels)| cancels);
+                tried.is_wrong(state == "57014" && !cancels, "a cancel that its client never asked for");
                 tried.state = state;
             }
             b'Z' => {
--- a/crates/lab/src/virtual_time/mod.rs
+++ b/crates/lab/src/virtual_time/mod.rs
@@ -19,7 +19,7 @@
 use network::{At, Network, Passing, Proc, Weather};
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use wheelfield::interface::{Settings, Status};
@@ -79,8 +79,10 @@
     pub events: u64,
     /// Messages between controllers, each to each.
     pub messages: u64,
-    /// Connections that were left open, by whose they are not: a leak.
-    pub left_open: usize,
+    /// Connections that controllers hold and do not know of, at the end.
+    pub leaks: usize,
+    /// What came to pass in controllers, by name, and how often.
+    pub seen: BTreeMap<&'static str, u64>,
 }
 
 /// A process that may be woken.
@@ -118,6 +120,7 @@
     set: EngineSet,
     chance: Pcg64Mcg,
     messages: u64,
+    seen: BTreeMap<&'static str, u64>,
 }
 
 /// How a day is played, beside its script, plan and seed.
@@ -194,13 +197,21 @@
             end = end.min(world.now + AFTERMATH);
         }
     }
-    let left_open = world.net.len();
-    let World { people, log, lived, messages, .. } = world;
+    let mut leaks = 0;
+    for c in 0..world.gates.len() {
+        if let Some(gate) = world.gates[c].take() {
+            if world.stalled[c].is_none() {
+                leaks += world.net.of(Proc::Gate(c)).saturating_sub(gate.connections());
+            }
+            world.note_seen(&gate);
+        }
+    }
+    let World { people, log, lived, messages, seen, .. } = world;
     let mut tries = people.into_tries();
     for t in tries.iter_mut().filter(|t| t.end.is_none()) {
         (t.end, t.ended) = (Some(End::NoAnswer), end);
     }
-    Ok(Played { tries, log, lives: lived, events, messages, left_open })
+    Ok(Played { tries, log, lives: lived, events, messages, leaks, seen })
 }
 
 /// When a day's first query may come.
@@ -274,6 +285,7 @@
             set,
             chance: Pcg64Mcg::seed_from_u64(seed ^ 0x776f_726c_6400),
             messages: 0,
+            seen: BTreeMap::new(),
         };
         (0..n).for_each(|c| world.boot(c));
         for (i, (at, _)) in plan.acts.iter().enumerate() {
@@ -360,10 +372,15 @@
         self.after(Proc::Gate(c));
     }
 
-    fn kill(&mut self, c: usize) {
-        if self.gates[c].take().is_none() {
-            return;
+    fn note_seen(&mut self, gate: &Gate) {
+        for (what, n) in gate.seen() {
+            *self.seen.entry(what).or_default() += n;
         }
+    }
+
+    fn kill(&mut self, c: usize) {
+        let Some(gate) = self.gates[c].take() else { return };
+        self.note_seen(&gate);
         self.lives[c] += 1;
         self.stalled[c] = None;
         self.people.down(c, self.now);
--- a/crates/lab/src/virtual_time/network.rs
+++ b/crates/lab/src/virtual_time/network.rs
@@ -23,8 +23,10 @@
     People,
 }
 
-/// How the network behaves.
-#[derive(Clone, Copy, Debug, PartialEq)]
+/// How the network behaves. Connections break, hang and are refused between controllers and engines alone: what becomes of a
+/// client's own is no fault of a controller's.
+#[derive(Clone, Copy, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Weather {
     /// The chance that what is written at once goes or is read in two parts, at any byte.
     pub torn: f64,
@@ -191,7 +193,9 @@
         let link = self.links.insert([End::new(from, Some(id)), End::new(to, None)]);
         self.by_end.insert((from, id), (link, 0));
         let at = now + self.hop();
-        let (lost, refused) = (self.chance(self.weather.lost_connects), self.chance(self.weather.refused));
+        let engine = matches!(to, Proc::Engine(_));
+        let lost = engine && self.chance(self.weather.lost_connects);
+        let refused = engine && self.chance(self.weather.refused);
         if let Some(ends) = self.links.get_mut(link).filter(|_| lost || refused) {
             ends[1].closed = true;
         }
@@ -230,7 +234,8 @@
     pub fn write(&mut self, now: i64, (link, side): At, bytes: &[u8]) -> Option<usize> {
         let at = now + self.hop();
         let torn = self.chance(self.weather.torn);
-        let reset = self.chance(self.weather.resets);
+        let engine = self.links.get(link).is_some_and(|ends| matches!(ends[1].proc, Proc::Engine(_)));
+        let reset = engine && self.chance(self.weather.resets);
         let ends = self.links.get_mut(link)?;
         if ends[side].broke || ends[side].closed {
             return None;
