--- a/crates/gate/src/engines.rs
+++ b/crates/gate/src/engines.rs
@@ -19,9 +19,9 @@
 use wheelfield_parts::ConnId;
 use wheelfield_pg::backend::{self, Heard};
 
-/// A session whose answer nobody wants must come clean within so many microseconds, if engines heed cancels,
-const ABANDON: i64 = 2_000_000;
-/// and if not: then the query runs to its end.
+/// A session whose answer nobody wants must come clean within so many microseconds, where engines heed no cancels: the query
+/// runs to its end. Where they do, what is not confirmed counts as ended after `timing.withdraw`, and is ended then by the
+/// end of its session.
 const ABANDON_UNHEEDED: i64 = 60_000_000;
 
 /// What came of the engines' side.
@@ -399,7 +399,7 @@
 
     /// Nobody wants a session's answer any more.
     pub fn discard(&mut self, id: ConnId, out: &mut Out) {
-        let patience = if self.heeded { ABANDON } else { ABANDON_UNHEEDED };
+        let patience = if self.heeded { self.timing.withdraw.0 } else { ABANDON_UNHEEDED };
         let client = self.sessions.discard(id, patience, out);
         // What it was not let read while its client was slow is read now.
         self.words.push_back(Word::Readable(id, client));
@@ -428,7 +428,15 @@
         &mut self.cancels
     }
 
-    /// A request to cancel is over: its engine has closed the connection, or there is none.
+    /// A request to cancel could not be handed in: the end of its session ends the query.
+    pub fn cancel_failed(&mut self, id: ConnId, out: &mut Out) {
+        if let Some(session) = self.cancels.over(id, false, out) {
+            out.saw(Seen::CancelFailed);
+            self.lost(session, Outcome::Cancelled, "a request to cancel could not be handed in", out);
+        }
+    }
+
+    /// A request to cancel is over: its engine has closed the connection.
     pub fn cancel_over(&mut self, id: ConnId, out: &mut Out) {
         let leaks = self.plant == Some(Plant::Leak);
         let Some(session) = self.cancels.over(id, leaks, out) else { return };
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -145,7 +145,7 @@
             Happened::Broken { id, writing, reason } => match id.room() {
                 clients::ROOM => self.flow.client_gone(id),
                 sessions::ROOM => self.flow.engines.broken(id, writing, reason, &mut self.flow.out),
-                cancels::ROOM => self.flow.engines.cancel_over(id, &mut self.flow.out),
+                cancels::ROOM => self.flow.engines.cancel_failed(id, &mut self.flow.out),
                 registry::ROOM => {
                     let told = self.flow.call.failed(reason, &mut self.flow.out);
                     self.flow.registry_told(told);
--- a/crates/gate/src/seen.rs
+++ b/crates/gate/src/seen.rs
@@ -55,6 +55,7 @@
     EngineRefused = "attempt turned away",
     EngineErrored = "attempt ended by an error of the engine",
     CancelSent = "request to cancel sent",
+    CancelFailed = "request to cancel could not be handed in",
     CancelLate = "request to cancel not taken",
     CancelsFull = "too many requests to cancel",
     Probed = "probe answered",
--- a/crates/lab/src/explore/mod.rs
+++ b/crates/lab/src/explore/mod.rs
@@ -7,10 +7,11 @@
 pub use scenario::{Ill, Scenario};
 pub use shrink::shrink;
 
+use crate::day::Day;
 use crate::evidence::Known;
 use crate::plan::Plan;
 use crate::virtual_time::mind::Policy;
-use crate::virtual_time::{self, Conditions};
+use crate::virtual_time::{self, Conditions, Played};
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Mutex;
@@ -44,16 +45,25 @@
     }
 }
 
-/// Plays a scenario, with a fault planted if one is named, and judges it.
+/// Plays a scenario, with a fault planted if one is named.
 ///
 /// # Errors
 /// The first fault of its script.
-pub fn play(scenario: &Scenario, plant: Option<Plant>) -> Result<Outcome, Fault> {
+pub fn course(scenario: &Scenario, plant: Option<Plant>) -> Result<(Day, Plan, Played), Fault> {
     let day = scenario.day()?;
-    let settings = day.settings()?;
     let plan = Plan::draw(&day, scenario.seed);
     let conditions = Conditions { weather: scenario.weather, plant };
     let played = virtual_time::play_under(&day, &plan, scenario.seed, Policy::Module, conditions)?;
+    Ok((day, plan, played))
+}
+
+/// Plays a scenario, with a fault planted if one is named, and judges it.
+///
+/// # Errors
+/// The first fault of its script.
+pub fn play(scenario: &Scenario, plant: Option<Plant>) -> Result<Outcome, Fault> {
+    let (day, plan, played) = course(scenario, plant)?;
+    let settings = day.settings()?;
     let known = Known { day: &day, settings: &settings, plan: &plan, start: virtual_time::start() };
     let (breaches, cold_peak) = known.judge(&played.tries, &played.log, &played.lives);
     let mut wrong: Vec<(String, String)> =
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -147,6 +147,9 @@
     /// Ends at the first failing day.
     #[arg(long)]
     first: bool,
+    /// With a scenario: tells its course, what clients sent and were told and what engines saw, in milliseconds.
+    #[arg(long, requires = "file")]
+    course: bool,
     /// Tells what came to pass, and what never did.
     #[arg(long)]
     seen: bool,
@@ -266,7 +269,7 @@
         },
         Command::Report { dir } => write_report(&dir),
         Command::Explore(args) => match &args.file {
-            Some(file) => replay(file, args.plant),
+            Some(file) => replay(file, &args),
             None => explored(&args),
         },
         Command::Compare { one, other, figure } => compare(&one, &other, &figure),
@@ -402,9 +405,42 @@
     }
 }
 
-fn replay(file: &std::path::Path, plant: Option<Plant>) -> Result<bool> {
+fn tell_course(scenario: &Scenario, plant: Option<Plant>) -> Result<()> {
+    let (_, _, played) = explore::course(scenario, plant)?;
+    let start = wheelfield_lab::virtual_time::start();
+    let ms = |t: i64| (t - start) as f64 / 1e3;
+    let mut lines: Vec<(i64, String)> = Vec::new();
+    for t in &played.tries {
+        lines.push((t.sent, format!("client     {:<10} sent to controller {}", t.id, t.controller)));
+        let wrong = t.wrong.map(|w| format!(", {w}")).unwrap_or_default();
+        let answers = t.answers;
+        lines.push((
+            t.ended,
+            format!("client     {:<10} {:?} {} ({answers} answers{wrong})", t.id, t.end, t.state),
+        ));
+    }
+    for l in &played.log {
+        let query = l.query.as_deref().unwrap_or("");
+        let told: Vec<String> = l.not_up.iter().map(|n| format!("{} {}", n.engine, n.status)).collect();
+        lines.push((
+            l.t,
+            format!("{:<10} {query:<10} {} {} {} {}", l.engine, l.event, l.by, l.who, told.join(", ")),
+        ));
+    }
+    lines.sort_by_key(|(t, _)| *t);
+    for (t, line) in lines {
+        println!("{:>10.3} {}", ms(t), line.trim_end());
+    }
+    Ok(())
+}
+
+fn replay(file: &std::path::Path, args: &ExploreArgs) -> Result<bool> {
+    let plant = args.plant;
     let text = std::fs::read_to_string(file).with_context(|| format!("cannot read {}", file.display()))?;
     let scenario: Scenario = toml::from_str(&text).with_context(|| format!("{}", file.display()))?;
+    if args.course {
+        tell_course(&scenario, plant)?;
+    }
     let outcome = explore::play(&scenario, plant)?;
     println!("{} tries, {} events", outcome.tries, outcome.events);
     for (rule, what) in &outcome.wrong {
--- a/crates/lab/src/virtual_time/mod.rs
+++ b/crates/lab/src/virtual_time/mod.rs
@@ -21,7 +21,6 @@
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
-use std::sync::Arc;
 use wheelfield::interface::{Settings, Status};
 use wheelfield_config::{Config, Fault};
 use wheelfield_driver::{Bounds, Driver};
@@ -61,7 +60,8 @@
     EngineDue(usize),
     DeskDue,
     PeopleDue,
-    Files(usize, u64, Arc<EngineSet>),
+    /// A controller reads the file as it is then.
+    Files(usize, u64),
     Boot(usize),
     Act(usize),
 }
@@ -320,7 +320,7 @@
                     self.people.pass(self.now);
                     self.after(Proc::People);
                 }
-                Event::Files(c, life, set) => self.read_file(c, life, set),
+                Event::Files(c, life) => self.read_file(c, life),
                 Event::Boot(c) => self.boot(c),
                 Event::Act(i) => self.act(i),
             }
@@ -367,7 +367,7 @@
         });
         if self.day.registry.files {
             let at = self.now + HOP;
-            self.events.set(at, Event::Files(c, life, Arc::new(self.set.clone())));
+            self.events.set(at, Event::Files(c, life));
         }
         self.after(Proc::Gate(c));
     }
@@ -461,7 +461,6 @@
                 status: wheelfield_members::word(k.entry.status).to_string(),
             })
             .collect();
-        let set = Arc::new(self.set.clone());
         for c in 0..self.gates.len() {
             // From the writing on: the judge is to be the stricter for it.
             self.log.push(Line {
@@ -472,7 +471,7 @@
                 ..Line::default()
             });
             let at = self.now + SETTLES + self.chance.random_range(0..SETTLES);
-            self.events.set(at, Event::Files(c, self.lives[c], set.clone()));
+            self.events.set(at, Event::Files(c, self.lives[c]));
         }
     }
 }
--- a/crates/lab/src/virtual_time/procs.rs
+++ b/crates/lab/src/virtual_time/procs.rs
@@ -9,7 +9,7 @@
 use wheelfield_engine::registry::Standing;
 use wheelfield_engine::stand::{Do, Entry};
 use wheelfield_gate::{Door, Effect, Happened, Port};
-use wheelfield_members::{EngineSet, News};
+use wheelfield_members::News;
 use wheelfield_parts::ConnId;
 use wheelfield_rules::{Line, NotUp};
 
@@ -266,7 +266,8 @@
         self.after(Proc::Gate(to));
     }
 
-    pub(super) fn read_file(&mut self, c: usize, life: u64, set: Arc<EngineSet>) {
+    pub(super) fn read_file(&mut self, c: usize, life: u64) {
+        let set = Arc::new(self.set.clone());
         let Some(gate) = self.gates[c].as_mut().filter(|_| self.lives[c] == life) else { return };
         gate.happen(self.now, Happened::Files(News::Set(set)));
         self.after(Proc::Gate(c));
--- a/crates/pg/src/backend.rs
+++ b/crates/pg/src/backend.rs
@@ -105,6 +105,9 @@
     key: Option<(i32, Bytes)>,
     swallow: VecDeque<bool>,
     held: BytesMut,
+    /// The end of a statement, kept back until it is known that the unit goes on or is over: an engine lost between leaves
+    /// its client with an error, and not with an end and an error.
+    tail: Bytes,
     begun: bool,
     /// The first row is in, and the host is to be asked.
     asks: bool,
@@ -133,6 +136,7 @@
             key: None,
             swallow: VecDeque::new(),
             held: BytesMut::new(),
+            tail: Bytes::new(),
             begun: false,
             asks: false,
             dropped: false,
@@ -199,6 +203,7 @@
         (self.trouble, self.work_ms, self.cancelled) = (None, None, false);
         self.sealed = !open;
         self.held.clear();
+        self.tail = Bytes::new();
     }
 
     /// More of an open unit.
@@ -221,6 +226,7 @@
         self.asks = false;
         self.dropped = true;
         self.held = BytesMut::new();
+        self.tail = Bytes::new();
         if !std::mem::replace(&mut self.sealed, true) {
             back::put_bare(b'S', out);
         }
@@ -297,6 +303,7 @@
     /// Takes a row, or its part that is there.
     fn row(&mut self, whole: usize, input: &mut BytesMut, sink: &mut BytesMut) -> Option<Heard> {
         let there = whole.min(input.len());
+        self.release(sink);
         if self.dropped {
             input.advance(there);
             self.passing = whole - there;
@@ -321,10 +328,19 @@
         None
     }
 
+    /// The unit goes on behind the end of a statement.
+    fn release(&mut self, sink: &mut BytesMut) {
+        if !self.tail.is_empty() {
+            let tail = std::mem::take(&mut self.tail);
+            if self.begun { sink } else { &mut self.held }.extend_from_slice(&tail);
+        }
+    }
+
     fn forward(&mut self, message: &Bytes, sink: &mut BytesMut) -> Result<(), Malformed> {
         if self.dropped {
             return Ok(());
         }
+        self.release(sink);
         if self.begun {
             sink.extend_from_slice(message);
             return Ok(());
@@ -374,6 +390,11 @@
                 }
             }
             (b'3' | b't' | b'T' | b'n', Phase::Busy) => self.forward(&message, sink)?,
+            (b'C' | b'I' | b's', Phase::Busy) if self.sealed && !self.dropped => {
+                self.release(sink);
+                self.tail = message;
+            }
+            // Of a batch that is open its client waits for each end.
             (b'C' | b'I' | b's', Phase::Busy) => {
                 self.forward(&message, sink)?;
                 self.asks |= !self.begun && !self.dropped;
@@ -388,7 +409,12 @@
                     self.forward(&message, sink)?;
                 }
             }
-            (b'Z', Phase::Busy) => return Ok(Some(self.over(message.get(5) == Some(&b'I')))),
+            (b'Z', Phase::Busy) => {
+                if self.trouble.is_none() {
+                    self.release(sink);
+                }
+                return Ok(Some(self.over(message.get(5) == Some(&b'I'))));
+            }
             (b'E', Phase::Idle) => {
                 let (state, message) = back::trouble(&message)?;
                 self.phase = Phase::Closed;
