--- a/crates/gate/src/engines.rs
+++ b/crates/gate/src/engines.rs
@@ -291,9 +291,7 @@
         let stall = self.timing.stall.0;
         if let Some(s) = self.sessions.get_mut(id) {
             s.backend.begin(sink);
-            if self.plant != Some(Plant::Endless) {
-                out.instead(&mut s.timer, stall, Wake::Stall(id));
-            }
+            out.instead(&mut s.timer, stall, Wake::Stall(id));
         }
     }
 
@@ -400,6 +398,14 @@
     /// Nobody wants a session's answer any more.
     pub fn discard(&mut self, id: ConnId, out: &mut Out) {
         let patience = if self.heeded { self.timing.withdraw.0 } else { ABANDON_UNHEEDED };
+        // What has not gone whole need not go at all: its engine never runs it, and sees the session end.
+        let attempt = |job: Option<Job>| matches!(job, Some(Job::Attempt { .. }));
+        if self.sessions.get(id).is_some_and(|s| attempt(s.job) && !s.wire.output.is_empty()) {
+            out.saw(Seen::HalfWritten);
+            let unsent = self.sessions.get(id).is_some_and(|s| s.unsent.is_some());
+            let outcome = if unsent { Outcome::ConnectFailed } else { Outcome::Cancelled };
+            return self.lost(id, outcome, "given up before it was written", out);
+        }
         let client = self.sessions.discard(id, patience, out);
         // What it was not let read while its client was slow is read now.
         self.words.push_back(Word::Readable(id, client));
--- a/crates/gate/src/flow.rs
+++ b/crates/gate/src/flow.rs
@@ -148,14 +148,15 @@
     /// Does what is to be done until nothing is left.
     pub fn settle(&mut self) {
         loop {
+            // All that came is heard before anything is sent: a client may have left.
             if let Some(word) = self.engines.word() {
                 self.heed(word);
-            } else if let Some(instruction) = self.tape.next() {
-                self.carry_out(instruction);
             } else if let Some(id) = self.readable.pop_front() {
                 self.read(id);
             } else if let Some(id) = self.ready.pop_front() {
                 self.attend(id);
+            } else if let Some(instruction) = self.tape.next() {
+                self.carry_out(instruction);
             } else {
                 break;
             }
@@ -426,10 +427,6 @@
     /// A client can be told nothing more: its connection closes.
     pub fn client_gone(&mut self, id: ConnId) {
         let Some(query) = self.clients.remove(id, &mut self.out) else { return };
-        if self.planted(Plant::Leftover, 1) {
-            self.units.take(query);
-            return;
-        }
         if self.units.take(query).is_some() {
             self.engines.detach(query, &mut self.out);
             self.tape.tell(self.out.now, Input::Departed(query));
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -82,7 +82,6 @@
             }
             _ => self.flow.admin.wrote(id, n, &mut self.flow.out),
         }
-        self.flow.settle();
     }
 
     /// When [`Gate::due`] is next wanted.
@@ -90,9 +89,10 @@
         [self.flow.tape.mind().next_due().map(|t| t.0), self.flow.out.next()].into_iter().flatten().min()
     }
 
-    /// Lets the time pass.
+    /// Lets the time pass, once all that happened until now is told.
     pub fn due(&mut self, now: i64) {
         self.flow.out.now = now;
+        self.flow.settle();
         self.flow.tape.due(now);
         self.flow.settle();
         while let Some(wake) = self.flow.out.due() {
@@ -101,8 +101,10 @@
         }
     }
 
-    /// What is to be done outside; `into` is emptied first.
+    /// What is to be done outside, of all that happened since the last call; `into` is emptied first. Tell all that is known
+    /// to have happened before: a query whose client has left is not sent then.
     pub fn effects(&mut self, into: &mut Vec<Effect>) {
+        self.flow.settle();
         self.flow.out.take(into);
     }
 
@@ -116,7 +118,7 @@
         self.flow.connections()
     }
 
-    /// Something happened.
+    /// Something happened. What comes of it is told by [`Gate::effects`].
     pub fn happen(&mut self, now: i64, what: Happened<'_>) {
         self.flow.out.now = now;
         match what {
@@ -191,7 +193,6 @@
                 }
             }
         }
-        self.flow.settle();
     }
 
     /// The controller ends: a goodbye to the others. Its recorder, to be ended too.
--- a/crates/gate/src/seen.rs
+++ b/crates/gate/src/seen.rs
@@ -50,6 +50,7 @@
     Abandoned = "discarded answer did not end",
     Resent = "attempt after the first",
     NotWritten = "attempt taken back before it was written",
+    HalfWritten = "attempt given up before it was written whole",
     Withdrawn = "attempt withdrawn",
     WithdrawnWaiting = "attempt withdrawn before it had a session",
     EngineRefused = "attempt turned away",
--- a/crates/lab/src/explore/mod.rs
+++ b/crates/lab/src/explore/mod.rs
@@ -57,11 +57,20 @@
     Ok((day, plan, played))
 }
 
-/// Plays a scenario, with a fault planted if one is named, and judges it.
+/// Plays a scenario, with a fault planted if one is named, and judges it. A panic is a finding of its own, `panic`.
 ///
 /// # Errors
 /// The first fault of its script.
 pub fn play(scenario: &Scenario, plant: Option<Plant>) -> Result<Outcome, Fault> {
+    std::panic::catch_unwind(|| judged(scenario, plant)).unwrap_or_else(|panic| {
+        let text = panic.downcast_ref::<String>().cloned();
+        let text = text.or_else(|| panic.downcast_ref::<&str>().map(|s| (*s).to_string()));
+        let wrong = vec![("panic".to_string(), text.unwrap_or_default())];
+        Ok(Outcome { wrong, ..Outcome::default() })
+    })
+}
+
+fn judged(scenario: &Scenario, plant: Option<Plant>) -> Result<Outcome, Fault> {
     let (day, plan, played) = course(scenario, plant)?;
     let settings = day.settings()?;
     let known = Known { day: &day, settings: &settings, plan: &plan, start: virtual_time::start() };
--- a/crates/lab/src/people.rs
+++ b/crates/lab/src/people.rs
@@ -40,6 +40,8 @@
     tenant: usize,
     ready: bool,
     closing: bool,
+    /// A request to cancel is on its way, and might end the next query: nothing more runs here.
+    cancelled: bool,
     /// The try that runs here.
     runs: Option<usize>,
     /// The last that ran here, which nothing may follow.
@@ -228,6 +230,7 @@
             tenant: place.1,
             ready: false,
             closing: false,
+            cancelled: false,
             runs: None,
             last: None,
             pid: 0,
@@ -390,6 +393,9 @@
     /// A connection takes the next try that waits, or rests.
     fn rest(&mut self, id: ConnId, now: i64) {
         let Some(c) = self.connections.get(id) else { return };
+        if c.cancelled {
+            return self.bury(id);
+        }
         let place = (c.controller, c.tenant);
         while let Some(t) = self.waiting.get_mut(&place).and_then(VecDeque::pop_front) {
             if self.tries[t].end.is_none() {
@@ -438,7 +444,9 @@
 
     /// A client asks that its query end; the answer still comes.
     fn cancel(&mut self, t: usize) {
-        let Some((_, c)) = self.connection_of(t) else { return };
+        let Some((id, _)) = self.connection_of(t) else { return };
+        let Some(c) = self.connections.get_mut(id) else { return };
+        c.cancelled = true;
         // A request to cancel is a connection of its own, which is closed without an answer.
         let mut out = BytesMut::new();
         front::put_cancel(c.pid, &c.key, &mut out);
--- a/crates/lab/src/virtual_time/mod.rs
+++ b/crates/lab/src/virtual_time/mod.rs
@@ -114,6 +114,8 @@
     lived: Vec<Life>,
     /// What reached a controller that stands still.
     stalled: Vec<Option<Vec<Event>>>,
+    /// A controller that is being told of much at once.
+    batch: Option<usize>,
     log: Vec<Line>,
     desk: Desk,
     stale: i64,
@@ -279,6 +281,7 @@
             lives: vec![0; n],
             lived: Vec::new(),
             stalled: (0..n).map(|_| None).collect(),
+            batch: None,
             log: Vec::new(),
             desk: Desk::new(registry),
             stale: 0,
@@ -432,9 +435,12 @@
                 if let Some(last) = life.and_then(|l| l.stalls.last_mut()) {
                     last.1 = self.now;
                 }
+                // Its system tells it of all that at once.
+                self.batch = Some(*c);
                 for event in waiting {
                     self.happen(event);
                 }
+                self.batch = None;
                 let life = self.lives[*c];
                 self.happen(Event::GateDue(*c, life));
             }
--- a/crates/lab/src/virtual_time/procs.rs
+++ b/crates/lab/src/virtual_time/procs.rs
@@ -278,6 +278,7 @@
     /// Does what a process wants done, and sees to its next waking.
     pub(super) fn after(&mut self, proc: Proc) {
         let next = match proc {
+            Proc::Gate(c) if self.batch == Some(c) => return,
             Proc::Gate(c) => self.after_gate(c),
             Proc::Engine(e) => self.after_engine(e),
             Proc::Desk => self.after_desk(),
