Resets of a session that holds nothing are answered as a server would; DEALLOCATE by name

asyncpg's pool sends SELECT pg_advisory_unlock_all(); CLOSE ALL; UNLISTEN *; RESET ALL; after each use and failed in 300 of 300 queries with 0A000, though nothing is held. The controller answers these, DISCARD in its four forms and DEALLOCATE ALL with a server's tags; DEALLOCATE name took all prepared statements with it and takes that one now, 26000 if there is none. BEGIN is still refused: that needs pinned sessions.

--- a/crates/engine/src/answer.rs
+++ b/crates/engine/src/answer.rs
@@ -388,8 +388,9 @@
                 "t".into()
             }
         }
-        (oid::INT2, 2) => i16::from_be_bytes(value.try_into().ok()?).to_string(),
-        (oid::INT4, 4) => i32::from_be_bytes(value.try_into().ok()?).to_string(),
+        // A cast may widen what its client sent as a shorter one.
+        (oid::INT2 | oid::INT4 | oid::INT8, 2) => i16::from_be_bytes(value.try_into().ok()?).to_string(),
+        (oid::INT4 | oid::INT8, 4) => i32::from_be_bytes(value.try_into().ok()?).to_string(),
         (oid::INT8, 8) => i64::from_be_bytes(value.try_into().ok()?).to_string(),
         (oid::FLOAT8, 8) => f64::from_be_bytes(value.try_into().ok()?).to_string(),
         _ => String::from_utf8(value.to_vec()).ok()?,
@@ -466,6 +467,19 @@
         assert_eq!(&out[7..], [0, 0, 0, 1, b'7', 255, 255, 255, 255]);
     }
 
+    #[test]
+    fn a_short_number_is_widened_by_its_cast() {
+        let plan = plan("select $1::int8", &Wanted::default(), &[oid::INT2]);
+        let given = Given {
+            values: vec![Some(Bytes::from_static(&[0xff, 0xfe]))],
+            formats: vec![1],
+            results: vec![0],
+        };
+        let mut out = BytesMut::new();
+        plan.put_row(0, &given, &mut out);
+        assert!(out.ends_with(b"-2"), "{out:?}");
+    }
+
     #[test]
     fn hints_ask_for_rows_and_errors() {
         let text = "select * from t /*rows='3',row_bytes='5',sqlstate='22012',run_ms='7'*/";
--- a/crates/pg/src/chatter.rs
+++ b/crates/pg/src/chatter.rs
@@ -13,6 +13,8 @@
 /// Settings kept for a session at most, and bytes of a value.
 pub const MOST_SETTINGS: usize = 64;
 const LONGEST_VALUE: usize = 1024;
+/// The type of what returns nothing.
+const VOID: u32 = 2278;
 
 /// Settings told at the start, and again as they change.
 const REPORTED: [(&str, &str); 10] = [
@@ -143,15 +145,30 @@
         };
         match first {
             "set" => self.set(statement, rest),
-            "reset" | "discard" => {
-                if matches!(rest, "all" | "") || first == "discard" {
-                    self.values.retain(|name, _| name == "application_name");
+            "reset" => {
+                if matches!(rest, "all" | "") {
+                    self.forget();
                 } else {
                     self.values.remove(rest);
                 }
-                Ok(done(if first == "reset" { "RESET" } else { "DISCARD ALL" }))
+                Ok(done("RESET"))
             }
+            "discard" => match rest {
+                "all" => {
+                    self.forget();
+                    Ok(done("DISCARD ALL"))
+                }
+                // Nothing of these is held here.
+                "plans" => Ok(done("DISCARD PLANS")),
+                "sequences" => Ok(done("DISCARD SEQUENCES")),
+                "temp" | "temporary" => Ok(done("DISCARD TEMP")),
+                other => Err(Trouble::error("42601", format!("syntax error at or near \"{other}\""))
+                    .hint("known: DISCARD ALL, PLANS, SEQUENCES, TEMP")),
+            },
+            "deallocate" if matches!(rest, "all" | "prepare all") => Ok(done("DEALLOCATE ALL")),
             "deallocate" => Ok(done("DEALLOCATE")),
+            "close" => Ok(done("CLOSE CURSOR ALL")),
+            "unlisten" => Ok(done("UNLISTEN")),
             "show" => {
                 let name = match rest {
                     "transaction isolation level" => "transaction_isolation",
@@ -173,6 +190,10 @@
                 "current_database()" => row("current_database", self.database.clone()),
                 "pg_backend_pid()" => row("pg_backend_pid", self.pid.to_string()),
                 "pg_is_in_recovery()" => row("pg_is_in_recovery", "f".into()),
+                "pg_advisory_unlock_all()" => Reply {
+                    columns: vec![Column { name: "pg_advisory_unlock_all".into(), type_id: VOID, size: 4 }],
+                    ..row("", String::new())
+                },
                 "session_user" => row("session_user", self.user.clone()),
                 "current_user" => row("current_user", self.user.clone()),
                 _ => row("current_setting", self.value("server_version_num")),
@@ -185,6 +206,11 @@
         }
     }
 
+    /// All settings are as they were at the start, but for the label.
+    fn forget(&mut self) {
+        self.values.retain(|name, _| name == "application_name");
+    }
+
     fn show_all(&self) -> Reply {
         let rows = self.values.iter().map(|(n, v)| vec![n.clone(), v.clone()]).collect();
         Reply {
--- a/crates/pg/src/client.rs
+++ b/crates/pg/src/client.rs
@@ -454,9 +454,22 @@
         out: &mut BytesMut,
     ) -> Result<(), Trouble> {
         let reply = self.settings.answer(statement)?;
-        if sql::folded(statement).starts_with("deallocate") || sql::folded(statement) == "discard all" {
-            self.statements.clear();
-            self.statement_bytes = 0;
+        let folded = sql::folded(statement);
+        let of = folded.strip_prefix("deallocate ").map(|of| of.strip_prefix("prepare ").unwrap_or(of));
+        match of {
+            Some(name) if name != "all" => {
+                let name = name.trim_matches('"');
+                let Some(statement) = self.statements.remove(name) else {
+                    let message = format!("prepared statement \"{name}\" does not exist");
+                    return Err(Trouble::error("26000", message));
+                };
+                self.statement_bytes -= statement.frame.len() + statement.text.len();
+            }
+            None if folded != "discard all" => {}
+            _ => {
+                self.statements.clear();
+                self.statement_bytes = 0;
+            }
         }
         reply.notices.iter().for_each(|n| n.put(out));
         if describe && !reply.columns.is_empty() {
--- a/crates/pg/src/sql.rs
+++ b/crates/pg/src/sql.rs
@@ -213,7 +213,7 @@
 }
 
 /// Selects that drivers send at the start and that a controller can answer.
-pub const OWN_SELECTS: [&str; 8] = [
+pub const OWN_SELECTS: [&str; 9] = [
     "select version()",
     "select current_schema()",
     "select current_database()",
@@ -222,6 +222,7 @@
     "select pg_backend_pid()",
     "select pg_is_in_recovery()",
     "select current_setting('server_version_num')",
+    "select pg_advisory_unlock_all()",
 ];
 
 /// The longest text that is compared with those.
@@ -237,11 +238,15 @@
     let [first, second, third] = first_words(statement);
     match first.as_str() {
         "set" | "reset" | "show" | "discard" | "deallocate" => Kind::Local,
+        // Drivers' pools send them after each use; a session that holds nothing has nothing to close.
+        "unlisten" => Kind::Local,
+        "close" if second == "all" => Kind::Local,
         "commit" | "end" | "rollback" | "abort" if second != "prepared" && second != "to" => Kind::Local,
         "begin" | "start" | "savepoint" | "release" | "commit" | "rollback" => Kind::Transaction,
         "prepare" if second == "transaction" => Kind::Transaction,
-        "prepare" | "execute" | "declare" | "fetch" | "move" | "close" | "listen" | "unlisten" | "notify"
-        | "lock" => Kind::SessionState,
+        "prepare" | "execute" | "declare" | "fetch" | "move" | "close" | "listen" | "notify" | "lock" => {
+            Kind::SessionState
+        }
         "create"
             if matches!(second.as_str(), "temp" | "temporary")
                 || (matches!(second.as_str(), "local" | "global")
--- a/crates/pg/tests/client_session.rs
+++ b/crates/pg/tests/client_session.rs
@@ -362,3 +362,67 @@
     assert_eq!(state_of(&out), "54000");
     assert!(session.closed());
 }
+
+fn told(session: &mut Session, input: &mut BytesMut) -> (String, String) {
+    let mut out = BytesMut::new();
+    let asked = session.feed(input, &mut out).expect("well-formed");
+    assert!(asked.is_none(), "nothing of it is for an engine");
+    (tags(&out), String::from_utf8_lossy(&out).into_owned())
+}
+
+#[test]
+fn resets_of_a_session_that_holds_nothing_are_answered_as_a_server_would() {
+    let mut session = session();
+    // As drivers' pools send it after each use, in one text.
+    let mut input = BytesMut::new();
+    let text = "SELECT pg_advisory_unlock_all();\nCLOSE ALL;\nUNLISTEN *;\nRESET ALL;";
+    front::put_query(text, &mut input);
+    let (tags, words) = told(&mut session, &mut input);
+    assert_eq!(tags, "TDCCCCZ");
+    for tag in ["pg_advisory_unlock_all", "SELECT 1\0", "CLOSE CURSOR ALL\0", "UNLISTEN\0", "RESET\0"] {
+        assert!(words.contains(tag), "{tag}: {words:?}");
+    }
+    for (text, tag) in [
+        ("DISCARD ALL", "DISCARD ALL\0"),
+        ("discard plans", "DISCARD PLANS\0"),
+        ("DISCARD SEQUENCES;", "DISCARD SEQUENCES\0"),
+        ("DISCARD TEMPORARY", "DISCARD TEMP\0"),
+        ("DEALLOCATE ALL", "DEALLOCATE ALL\0"),
+        ("deallocate prepare all", "DEALLOCATE ALL\0"),
+        ("UNLISTEN news", "UNLISTEN\0"),
+    ] {
+        let mut input = BytesMut::new();
+        front::put_query(text, &mut input);
+        let (tags, words) = told(&mut session, &mut input);
+        assert!(tags == "CZ" && words.contains(tag), "{text}: {words:?}");
+    }
+    let mut input = BytesMut::new();
+    front::put_query("DISCARD EVERYTHING", &mut input);
+    assert_eq!(told(&mut session, &mut input).0, "EZ");
+    // A cursor that was never there is not closed by name.
+    let mut input = BytesMut::new();
+    front::put_query("CLOSE c", &mut input);
+    assert_eq!(told(&mut session, &mut input).0, "EZ");
+}
+
+#[test]
+fn deallocate_takes_one_statement_and_leaves_the_others() {
+    let mut session = session();
+    let mut input = BytesMut::new();
+    parse("one", "select 1", &mut input);
+    parse("two", "select 2", &mut input);
+    message(b'S', b"", &mut input);
+    assert_eq!(told(&mut session, &mut input).0, "11Z");
+    for (text, tags) in [
+        ("DEALLOCATE one", "CZ"),
+        ("DEALLOCATE one", "EZ"),
+        ("DEALLOCATE \"two\"", "CZ"),
+        ("DEALLOCATE two", "EZ"),
+    ] {
+        let mut input = BytesMut::new();
+        front::put_query(text, &mut input);
+        let (got, words) = told(&mut session, &mut input);
+        assert_eq!(got, tags, "{text}");
+        assert!(tags == "CZ" || words.contains("26000"), "{words:?}");
+    }
+}
