--- a/crates/lab/src/explore/mod.rs
+++ b/crates/lab/src/explore/mod.rs
@@ -52,7 +52,8 @@
 pub fn course(scenario: &Scenario, plant: Option<Plant>) -> Result<(Day, Plan, Played), Fault> {
     let day = scenario.day()?;
     let plan = Plan::draw(&day, scenario.seed);
-    let conditions = Conditions { weather: scenario.weather, plant };
+    let visits = scenario.visits_ms as i64 * 1000;
+    let conditions = Conditions { weather: scenario.weather, plant, visits };
     let played = virtual_time::play_under(&day, &plan, scenario.seed, Policy::Module, conditions)?;
     Ok((day, plan, played))
 }
--- a/crates/lab/src/explore/scenario.rs
+++ b/crates/lab/src/explore/scenario.rs
@@ -74,6 +74,9 @@
     pub leaves: f64,
     /// Further tries of a client.
     pub retries: u64,
+    /// Somebody who is no client comes so often, in milliseconds; zero for never.
+    #[serde(default)]
+    pub visits_ms: u64,
     /// What goes wrong.
     pub troubles: Vec<Ill>,
     /// The network.
@@ -173,6 +176,8 @@
             gossip,
             leaves: if r.random::<f64>() < 0.5 { r.random_range(0.0..0.4) } else { 0.0 },
             retries: r.random_range(0..3),
+            // Drawn last, so that what is above is what it was before.
+            visits_ms: if r.random::<f64>() < 0.3 { r.random_range(5..200) } else { 0 },
             troubles,
             weather,
         }
--- a/crates/lab/src/explore/shrink.rs
+++ b/crates/lab/src/explore/shrink.rs
@@ -34,6 +34,7 @@
             push(&|s| drop(s.classes.remove(i)));
         }
     }
+    push(&|s| s.visits_ms = 0);
     push(&|s| s.leaves = 0.0);
     push(&|s| s.retries = 0);
     push(&|s| s.rows = 1);
--- a/crates/lab/src/people.rs
+++ b/crates/lab/src/people.rs
@@ -5,7 +5,7 @@
 use crate::crowd::{text, Manners, Tally, Try};
 use crate::plan::{Arrival, Plan};
 use bytes::{Buf, Bytes, BytesMut};
-use rand::SeedableRng as _;
+use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, VecDeque};
 use wheelfield_engine::answer;
@@ -59,6 +59,7 @@
     Leave(usize),
     Over(usize),
     Connect(ConnId),
+    Visit,
 }
 
 /// The clients of a day.
@@ -82,6 +83,8 @@
     coming: usize,
     chance: Pcg64Mcg,
     wishes: Vec<Wish>,
+    /// Somebody who is no client comes so often, in microseconds; zero for never.
+    visits: i64,
     /// What was counted.
     pub tally: Tally,
 }
@@ -109,10 +112,19 @@
             chance: Pcg64Mcg::seed_from_u64(manners.seed),
             manners,
             wishes: Vec::new(),
+            visits: 0,
             tally: Tally::default(),
         }
     }
 
+    /// From the day's start on, somebody who is no client comes so often: with half a startup, nonsense, or a key that is none.
+    pub fn visited(&mut self, every: i64) {
+        self.visits = every;
+        if every > 0 {
+            self.timers.set(self.start, Wake::Visit);
+        }
+    }
+
     /// What is to be done; `into` is emptied first.
     pub fn wishes(&mut self, into: &mut Vec<Wish>) {
         into.clear();
@@ -167,6 +179,14 @@
                 }
             }
             Wake::Over(t) => self.leave(t, End::NoAnswer, now),
+            Wake::Visit => {
+                if self.coming > 0 {
+                    self.timers.set(now + self.visits, Wake::Visit);
+                    let controller = self.chance.random_range(0..self.doors.len());
+                    let bytes = visitor(&mut self.chance);
+                    self.wishes.push(Wish::Cancel(controller, bytes));
+                }
+            }
             Wake::Leave(t) => {
                 let leaves = self.plan.arrivals[self.tries[t].arrival].leaves;
                 if self.tries[t].end.is_some() {
@@ -483,6 +503,25 @@
     }
 }
 
+/// What somebody sends who is no client.
+fn visitor(chance: &mut Pcg64Mcg) -> Bytes {
+    let mut out = BytesMut::new();
+    front::put_startup(&[("user", "nobody"), ("database", "lab")], &mut out);
+    match chance.random_range(0..6) {
+        0 => out.truncate(chance.random_range(0..out.len())),
+        1 => out = (0..chance.random_range(1..600)).map(|_| chance.random::<u8>()).collect(),
+        2 => front::put_cancel(chance.random_range(0..50), &Bytes::from_static(b"none"), &mut out),
+        3 => {
+            out.clear();
+            front::put_cancel(chance.random_range(0..50), &Bytes::from_static(b"none"), &mut out);
+        }
+        // A message without an end, and one of a length that can't be.
+        4 => out.extend_from_slice(b"Q\0\0\0\x20select"),
+        _ => out.extend_from_slice(&[b'P', 0xff, 0xff, 0xff, 0xff, 0, 0]),
+    }
+    out.freeze()
+}
+
 /// The description that the stand-in gives of its rows: two columns, `n` and `data`.
 fn described(message: &[u8]) -> bool {
     let mut expected = BytesMut::new();
--- a/crates/lab/src/virtual_time/mod.rs
+++ b/crates/lab/src/virtual_time/mod.rs
@@ -132,11 +132,13 @@
     pub weather: Weather,
     /// A fault planted in the controllers.
     pub plant: Option<Plant>,
+    /// Somebody who is no client comes so often, in microseconds; zero for never.
+    pub visits: i64,
 }
 
 impl Default for Conditions {
     fn default() -> Self {
-        Conditions { weather: Weather::FAIR, plant: None }
+        Conditions { weather: Weather::FAIR, plant: None, visits: 0 }
     }
 }
 
@@ -290,6 +292,7 @@
             messages: 0,
             seen: BTreeMap::new(),
         };
+        world.people.visited(conditions.visits);
         (0..n).for_each(|c| world.boot(c));
         for (i, (at, _)) in plan.acts.iter().enumerate() {
             world.events.set(start() + at, Event::Act(i));
