--- a/crates/gate/src/flow.rs
+++ b/crates/gate/src/flow.rs
@@ -148,15 +148,15 @@
     /// Does what is to be done until nothing is left.
     pub fn settle(&mut self) {
         loop {
-            // All that came is heard before anything is sent: a client may have left.
+            // Clients are heard before anything is sent, as one may have left; engines after, as an answer may be long.
             if let Some(word) = self.engines.word() {
                 self.heed(word);
-            } else if let Some(id) = self.readable.pop_front() {
-                self.read(id);
             } else if let Some(id) = self.ready.pop_front() {
                 self.attend(id);
             } else if let Some(instruction) = self.tape.next() {
                 self.carry_out(instruction);
+            } else if let Some(id) = self.readable.pop_front() {
+                self.read(id);
             } else {
                 break;
             }
