engine, controller: a long answer holds up nobody: bounded parts in a turn on both sides

The host of the stand-ins wrote one connection as long as its reader kept up, making rows on the way; a controller that read and dropped them had a second session connect for over 500 ms, was told 'no session in time' and refused a query (where_nothing_can_be_withdrawn..., red or not by chance since the stand-ins left their sockets). 16 parts of 64 kB go in a turn, then all others have theirs; 16 rounds of effects in a controller's turn, 1000 before.

--- a/crates/controller/src/app.rs
+++ b/crates/controller/src/app.rs
@@ -27,8 +27,8 @@
 const HEARD: usize = 512;
 /// Longest datagram that is read whole; a longer one is cut, and does not open.
 const DATAGRAM: usize = 2048;
-/// Rounds of effects before the sockets are looked at again.
-const ROUNDS: usize = 1000;
+/// Rounds of effects before the sockets are looked at again: a long answer takes one for each 64 kB, and is not to hold up others.
+const ROUNDS: usize = 16;
 /// At the start, a first set of engine files is waited for so long.
 const FIRST: Duration = Duration::from_secs(2);
 /// Where no more connections can be had, it is tried again after so many microseconds.
--- a/crates/engine/src/host.rs
+++ b/crates/engine/src/host.rs
@@ -24,6 +24,8 @@
 const REGISTRY: Token = Token(CONNECTIONS - 2);
 /// Connections of all engines together; more are closed as they come.
 const MOST_CONNECTIONS: usize = 18_000;
+/// Written on one connection in a turn, in parts of 64 kB: rows are made as they go, and others must get on meanwhile.
+const WRITES: usize = 16;
 /// Accepted in one turn by one listener.
 const ACCEPTS: usize = 256;
 /// Bytes of a command.
@@ -77,6 +79,8 @@
     connections: Slab<Connection>,
     by_owner: HashMap<(Owner, ConnId), usize>,
     gone: Vec<usize>,
+    /// More is to be written on these in the next turn.
+    later: Vec<usize>,
     notice: i64,
     listed_after: i64,
     /// Added to both for a while.
@@ -137,6 +141,7 @@
             connections: Slab::new(),
             by_owner: HashMap::new(),
             gone: Vec::new(),
+            later: Vec::new(),
             notice: setup.notice,
             listed_after: setup.listed_after,
             stale: 0,
@@ -169,6 +174,7 @@
             let models = self.stands.iter().filter_map(Stand::next);
             let next = models.chain(self.desk.next()).min().unwrap_or(i64::MAX);
             // Woken now and then to look at `stop`.
+            let next = if self.later.is_empty() { next } else { now };
             let wait = self.clock.until(next.min(now + 100_000));
             match self.poll.poll(&mut events, Some(wait)) {
                 Err(e) if e.kind() != std::io::ErrorKind::Interrupted => return Err(e.into()),
@@ -177,6 +183,9 @@
             for event in &events {
                 self.on_event(event)?;
             }
+            for id in std::mem::take(&mut self.later) {
+                self.write(id);
+            }
             let now = self.clock.now();
             for i in 0..self.stands.len() {
                 self.stands[i].advance(now);
@@ -311,7 +320,8 @@
     /// Writes what is to go, as far as the other side takes it.
     fn write(&mut self, id: usize) {
         let now = self.clock.now();
-        while let Some(c) = self.connections.get_mut(id) {
+        for _ in 0..WRITES {
+            let Some(c) = self.connections.get_mut(id) else { return };
             let bytes = match &c.role {
                 Role::Of(Owner::Engine(i), conn) => self.stands[*i].output(*conn),
                 Role::Of(Owner::Desk, conn) => self.desk.output(*conn),
@@ -326,10 +336,18 @@
                 (_, Err(_)) => return self.over(id, now),
             }
         }
+        self.write_later(id);
+    }
+
+    fn write_later(&mut self, id: usize) {
+        if !self.later.contains(&id) {
+            self.later.push(id);
+        }
     }
 
     /// Does what an engine or the desk wants done.
     fn carry_out(&mut self, owner: Owner) -> Result<()> {
+        let mut written: Vec<usize> = Vec::new();
         loop {
             let mut doing = std::mem::take(&mut self.doing);
             match owner {
@@ -343,11 +361,15 @@
             for what in doing.drain(..) {
                 let place = |host: &Host, conn: ConnId| host.by_owner.get(&(owner, conn)).copied();
                 match (what, owner) {
-                    (Do::Write(conn), _) => {
-                        if let Some(id) = place(self, conn) {
+                    (Do::Write(conn), _) => match place(self, conn) {
+                        // What makes rows as it is written would go on for ever.
+                        Some(id) if written.contains(&id) => self.write_later(id),
+                        Some(id) => {
+                            written.push(id);
                             self.write(id);
                         }
-                    }
+                        None => {}
+                    },
                     (Do::Read(conn), _) => {
                         if let Some(id) = place(self, conn) {
                             self.read(id)?;
