--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -1,9 +1,12 @@
-//! The running controller: a shell around [`wheelfield_gate::Gate`]. It brings what happens on sockets, in files and by
-//! signals to the gate, and carries out the effects that come of it. One thread, one loop on mio.
+//! The running controller: one shell around a controller without I/O. That is [`wheelfield_gate::Gate`] for PostgreSQL clients
+//! ([`app`]) and [`wheelfield_platform::Platform`] on the operators' platform ([`node`]). The shell brings what happens on
+//! sockets, in files and by signals to it, and carries out the effects that come of it. One thread, one loop on mio.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 pub mod app;
 mod keys;
+pub mod node;
 mod record;
+mod shell;
 mod sockets;
--- /dev/null
+++ b/crates/controller/src/node.rs
@@ -0,0 +1,92 @@
+//! The controller on the operators' platform, on its sockets: the same shell around [`Platform`]. It listens for clients and for
+//! other controllers, and writes no file.
+
+use crate::shell::{bind, bind_datagrams, Shell};
+use anyhow::{Context, Result};
+use std::net::SocketAddr;
+use std::os::unix::net::UnixStream;
+use std::path::{Path, PathBuf};
+use tracing::{info, warn};
+use wheelfield_net::Clock;
+use wheelfield_parts::{Door, Inside, Port};
+use wheelfield_platform::{Launch, Platform};
+
+/// Connections that wait to be taken, at most.
+const BACKLOG: u32 = 1_024;
+
+/// A controller on its sockets.
+pub struct Node {
+    shell: Shell<Platform>,
+    config: PathBuf,
+}
+
+fn read(config: &Path) -> Result<String> {
+    std::fs::read_to_string(config).with_context(|| format!("cannot read {}", config.display()))
+}
+
+/// Reads a configuration.
+///
+/// # Errors
+/// If there is none there, or it can't be used.
+pub fn load(config: &Path) -> Result<Launch> {
+    Launch::read(&read(config)?).with_context(|| format!("{}", config.display()))
+}
+
+impl Node {
+    /// Opens the sockets of a configuration, which may be read anew from `config` later.
+    ///
+    /// # Errors
+    /// As the system tells.
+    pub fn open(launch: Launch, config: &Path) -> Result<Node> {
+        let clients = bind(launch.listen, BACKLOG)?;
+        let peers = launch.peer_listen.map(|at| bind_datagrams(at, "messages")).transpose()?;
+        let names = bind_datagrams(SocketAddr::new(launch.listen.ip(), 0), "the name service")?;
+        let mut shell = Shell::new(Clock::start(), |now| Ok(Platform::new(launch, now)))?;
+        shell.listen(Door::Clients, clients)?;
+        shell.hear_on(Port::Names, names)?;
+        if let Some(peers) = peers {
+            shell.hear_on(Port::Peers, peers)?;
+        }
+        Ok(Node { shell, config: config.to_path_buf() })
+    }
+
+    /// Where clients connect; none once it listens no longer.
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.shell.address(Door::Clients)
+    }
+
+    /// A byte on this stream asks the controller to stop: it serves those who do not know yet, answers what it has, and ends.
+    ///
+    /// # Errors
+    /// As the system tells.
+    pub fn stop_on(&mut self, signal: UnixStream) -> Result<()> {
+        self.shell.bell(signal, Box::new(|core, now| core.stop(now)))
+    }
+
+    /// Each byte on this stream has the configuration read anew. One that can't be used changes nothing.
+    ///
+    /// # Errors
+    /// As the system tells.
+    pub fn reload_on(&mut self, signal: UnixStream) -> Result<()> {
+        let config = self.config.clone();
+        let reload = move |core: &mut Platform, now: i64| match read(&config)
+            .and_then(|text| Ok(Launch::resolver(&text)?))
+        {
+            Ok(resolver) => core.turn_to(now, resolver),
+            Err(fault) => warn!("the configuration stays as it is: {fault:#}"),
+        };
+        self.shell.bell(signal, Box::new(reload))
+    }
+
+    /// Serves until asked to stop and all is answered.
+    ///
+    /// # Errors
+    /// As the system tells of the poll itself; a connection's trouble is its own.
+    pub fn run(&mut self) -> Result<()> {
+        info!(listen = ?self.address(), "started");
+        self.shell.core.started(self.shell.now);
+        self.shell.run()?;
+        info!("stopped");
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/controller/src/shell.rs
@@ -0,0 +1,283 @@
+//! The loop around a controller without I/O, whichever protocol it speaks: listeners, datagrams, signals and time in; effects
+//! out. One thread.
+
+use crate::sockets::Sockets;
+use anyhow::{Context, Result};
+use mio::net::{TcpListener, UdpSocket, UnixStream};
+use mio::{Events, Interest, Poll, Token};
+use std::io::{ErrorKind, Read as _};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tracing::warn;
+use wheelfield_net::{datagrams, listen, Clock};
+use wheelfield_parts::{Door, Effect, Inside, Port, Socketed};
+
+/// Accepted in one turn of the loop; the rest waits for the next.
+const ACCEPTS: usize = 256;
+/// Datagrams read in one turn.
+const HEARD: usize = 512;
+/// Longest datagram that is read whole; a longer one is cut, and is not understood. A name service's answer has 8,000 bytes.
+const DATAGRAM: usize = 16 << 10;
+/// Rounds of effects before the sockets are looked at again: a long answer takes one for each 64 kB, and is not to hold up others.
+const ROUNDS: usize = 16;
+/// Where no more connections can be had, it is tried again after so many microseconds.
+const ACCEPT_AGAIN: i64 = 50_000;
+
+/// Tokens of doors, ports and bells; numbers of connections are far above.
+const DOORS: usize = 0;
+const PORTS: usize = 8;
+const BELLS: usize = 16;
+
+/// What is done with a controller when something outside its sockets happened, at a time.
+pub(crate) type Hand<C> = Box<dyn FnMut(&mut C, i64)>;
+
+/// A listening socket.
+struct Listening {
+    socket: TcpListener,
+    door: Door,
+    /// More may wait, though the system will not tell so.
+    again: Option<i64>,
+    /// Connections could not be had, and that was told.
+    failing: bool,
+}
+
+/// A controller on its sockets.
+pub(crate) struct Shell<C> {
+    pub core: C,
+    pub clock: Clock,
+    pub now: i64,
+    poll: Poll,
+    sockets: Sockets,
+    listening: Vec<Listening>,
+    ports: Vec<(Port, UdpSocket)>,
+    bells: Vec<(UnixStream, Hand<C>)>,
+    each_turn: Vec<Hand<C>>,
+    effects: Vec<Effect>,
+    stopped: bool,
+}
+
+fn door_token(door: Door) -> Token {
+    Token(DOORS + door as usize)
+}
+
+fn port_token(port: Port) -> Token {
+    Token(PORTS + port as usize)
+}
+
+impl<C: Inside> Shell<C> {
+    /// A shell with no sockets yet. `make` is given the time.
+    ///
+    /// # Errors
+    /// As the system tells, or as `make` does.
+    pub fn new(clock: Clock, make: impl FnOnce(i64) -> Result<C>) -> Result<Shell<C>> {
+        let now = clock.now();
+        Ok(Shell {
+            core: make(now)?,
+            clock,
+            now,
+            poll: Poll::new()?,
+            sockets: Sockets::new(),
+            listening: Vec::new(),
+            ports: Vec::new(),
+            bells: Vec::new(),
+            each_turn: Vec::new(),
+            effects: Vec::new(),
+            stopped: false,
+        })
+    }
+
+    /// Listens for those who come by a door.
+    ///
+    /// # Errors
+    /// As the system tells.
+    pub fn listen(&mut self, door: Door, mut socket: TcpListener) -> Result<()> {
+        self.poll.registry().register(&mut socket, door_token(door), Interest::READABLE)?;
+        self.listening.push(Listening { socket, door, again: None, failing: false });
+        Ok(())
+    }
+
+    /// Takes datagrams of a port.
+    ///
+    /// # Errors
+    /// As the system tells.
+    pub fn hear_on(&mut self, port: Port, mut socket: UdpSocket) -> Result<()> {
+        self.poll.registry().register(&mut socket, port_token(port), Interest::READABLE)?;
+        self.ports.push((port, socket));
+        Ok(())
+    }
+
+    /// A byte on this stream has `hand` called.
+    ///
+    /// # Errors
+    /// As the system tells.
+    pub fn bell(&mut self, signal: std::os::unix::net::UnixStream, hand: Hand<C>) -> Result<()> {
+        signal.set_nonblocking(true)?;
+        let mut bell = UnixStream::from_std(signal);
+        let token = Token(BELLS + self.bells.len());
+        self.poll.registry().register(&mut bell, token, Interest::READABLE)?;
+        self.bells.push((bell, hand));
+        Ok(())
+    }
+
+    /// `hand` is called in each turn of the loop.
+    pub fn each_turn(&mut self, hand: Hand<C>) {
+        self.each_turn.push(hand);
+    }
+
+    /// Where a door is, if it is open.
+    pub fn address(&self, door: Door) -> Option<SocketAddr> {
+        self.listening.iter().find(|l| l.door == door)?.socket.local_addr().ok()
+    }
+
+    /// Where a port is.
+    pub fn port(&self, port: Port) -> Option<SocketAddr> {
+        self.ports.iter().find(|(p, _)| *p == port)?.1.local_addr().ok()
+    }
+
+    /// Serves until the controller has stopped.
+    ///
+    /// # Errors
+    /// As the system tells of the poll itself; a connection's trouble is its own.
+    pub fn run(&mut self) -> Result<()> {
+        let mut events = Events::with_capacity(1024);
+        while !self.stopped {
+            let wait = if self.carry_out() { Duration::ZERO } else { self.wait() };
+            match self.poll.poll(&mut events, Some(wait)) {
+                Err(e) if e.kind() != ErrorKind::Interrupted => return Err(e.into()),
+                _ => {}
+            }
+            self.now = self.clock.now();
+            for event in &events {
+                self.on_event(event);
+            }
+            for at in 0..self.listening.len() {
+                if self.listening[at].again.is_some_and(|again| again <= self.now) {
+                    self.accept(at);
+                }
+            }
+            for hand in &mut self.each_turn {
+                hand(&mut self.core, self.now);
+            }
+            self.core.due(self.now);
+        }
+        Ok(())
+    }
+
+    /// Until something is due.
+    fn wait(&self) -> Duration {
+        let again = self.listening.iter().filter_map(|l| l.again);
+        let next = again.chain(self.core.next_due()).min();
+        next.map_or(Duration::from_secs(1), |at| self.clock.until(at))
+    }
+
+    /// Carries out effects; true if there are more.
+    pub fn carry_out(&mut self) -> bool {
+        let registry = self.poll.registry();
+        let (sockets, core, now) = (&mut self.sockets, &mut self.core, self.now);
+        for _ in 0..ROUNDS {
+            core.effects(&mut self.effects);
+            if self.effects.is_empty() {
+                return false;
+            }
+            for effect in self.effects.drain(..) {
+                match effect {
+                    Effect::Connect(id, to) => sockets.connect(id, to, registry, core, now),
+                    Effect::Write(id) => sockets.write(id, core, now),
+                    Effect::Read(id) => sockets.read(id, core, now),
+                    Effect::Close(id) => sockets.close(id, registry),
+                    Effect::Send(port, to, datagram) => {
+                        let socket = self.ports.iter().find(|(p, _)| *p == port);
+                        // What can't go is lost, as datagrams may be.
+                        let _ = socket.map(|(_, s)| s.send_to(&datagram, to));
+                    }
+                    Effect::StopListening => {
+                        for l in self.listening.iter_mut().filter(|l| l.door == Door::Clients) {
+                            let _ = registry.deregister(&mut l.socket);
+                        }
+                        self.listening.retain(|l| l.door != Door::Clients);
+                    }
+                    Effect::Stopped => self.stopped = true,
+                }
+            }
+        }
+        true
+    }
+
+    fn on_event(&mut self, event: &mio::event::Event) {
+        let token = event.token();
+        if token.0 >= BELLS + self.bells.len() {
+            return self.sockets.on(event, &mut self.core, self.now);
+        }
+        if let Some(at) = self.listening.iter().position(|l| door_token(l.door) == token) {
+            self.accept(at);
+        } else if let Some(at) = self.ports.iter().position(|(port, _)| port_token(*port) == token) {
+            self.hear(at);
+        } else if let Some((bell, hand)) = token.0.checked_sub(BELLS).and_then(|at| self.bells.get_mut(at)) {
+            let mut bytes = [0; 64];
+            while matches!(bell.read(&mut bytes), Ok(n) if n > 0) {}
+            hand(&mut self.core, self.now);
+        }
+    }
+
+    fn accept(&mut self, at: usize) {
+        let (now, l) = (self.now, &mut self.listening[at]);
+        l.again = None;
+        for _ in 0..ACCEPTS {
+            match l.socket.accept() {
+                Ok((tcp, _)) => {
+                    l.failing = false;
+                    if let Some(id) = self.core.accept(now, l.door) {
+                        self.sockets.accepted(id, tcp, self.poll.registry(), &mut self.core, now);
+                    }
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                // It had gone before it was taken.
+                Err(e) if matches!(e.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {}
+                Err(e) => {
+                    // No descriptors or memory left: those that wait stay in the backlog for a moment.
+                    if !std::mem::replace(&mut l.failing, true) {
+                        warn!(fault = %e, door = ?l.door, "no more connections can be taken for now");
+                    }
+                    l.again = Some(now + ACCEPT_AGAIN);
+                    return;
+                }
+            }
+        }
+        // More may wait, and the listener will not tell of them again.
+        l.again = Some(now);
+    }
+
+    /// Reads datagrams.
+    fn hear(&mut self, at: usize) {
+        let (port, socket) = &mut self.ports[at];
+        let mut buffer = [0; DATAGRAM];
+        for _ in 0..HEARD {
+            match socket.recv_from(&mut buffer) {
+                Ok((n, from)) => {
+                    self.core.socketed(self.now, Socketed::Datagram(*port, from, &buffer[..n]));
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                // One that is not there any more shows as an error of the socket.
+                Err(_) => {}
+            }
+        }
+        // More wait: ask to be told again.
+        let _ = self.poll.registry().reregister(socket, port_token(*port), Interest::READABLE);
+    }
+}
+
+/// Binds a listening socket.
+///
+/// # Errors
+/// As the system tells.
+pub(crate) fn bind(address: SocketAddr, backlog: u32) -> Result<TcpListener> {
+    listen(address, backlog).with_context(|| format!("cannot listen on {address}"))
+}
+
+/// Binds a datagram socket.
+///
+/// # Errors
+/// As the system tells.
+pub(crate) fn bind_datagrams(address: SocketAddr, what: &str) -> Result<UdpSocket> {
+    datagrams(address).with_context(|| format!("cannot listen for {what} on {address}"))
+}
--- a/crates/controller/src/sockets.rs
+++ b/crates/controller/src/sockets.rs
@@ -1,14 +1,13 @@
-//! The sockets of a gate's connections: bytes in, bytes out, as far as each side has room.
+//! The sockets of a controller's connections: bytes in, bytes out, as far as each side has room.
 
 use mio::net::TcpStream;
 use mio::{Registry, Token};
 use std::io;
 use std::net::SocketAddr;
-use wheelfield_gate::{Gate, Happened};
 use wheelfield_net::Socket;
-use wheelfield_parts::ConnId;
+use wheelfield_parts::{ConnId, Inside, Socketed};
 
-/// Rooms of a gate that own connections.
+/// Rooms of a controller that own connections.
 const ROOMS: usize = 8;
 /// Read at a time, by whichever connection.
 const SCRATCH: usize = 64 << 10;
@@ -43,51 +42,65 @@
     }
 
     /// A connection that was accepted. What came with it is read.
-    pub fn accepted(&mut self, id: ConnId, tcp: TcpStream, registry: &Registry, gate: &mut Gate, now: i64) {
+    pub fn accepted(
+        &mut self,
+        id: ConnId,
+        tcp: TcpStream,
+        registry: &Registry,
+        core: &mut dyn Inside,
+        now: i64,
+    ) {
         match Socket::new(tcp, true, registry, token(id)) {
             Ok(socket) => {
                 self.put(id, socket);
-                self.read(id, gate, now);
+                self.read(id, core, now);
             }
-            Err(e) => broken(id, false, &e, gate, now),
+            Err(e) => broken(id, false, &e, core, now),
         }
     }
 
     /// Begins a connect.
-    pub fn connect(&mut self, id: ConnId, to: SocketAddr, registry: &Registry, gate: &mut Gate, now: i64) {
+    pub fn connect(
+        &mut self,
+        id: ConnId,
+        to: SocketAddr,
+        registry: &Registry,
+        core: &mut dyn Inside,
+        now: i64,
+    ) {
         match TcpStream::connect(to).and_then(|tcp| Socket::new(tcp, false, registry, token(id))) {
             Ok(socket) => self.put(id, socket),
-            Err(e) => broken(id, true, &e, gate, now),
+            Err(e) => broken(id, true, &e, core, now),
         }
     }
 
     /// The system told something of a connection.
-    pub fn on(&mut self, event: &mio::event::Event, gate: &mut Gate, now: i64) {
+    pub fn on(&mut self, event: &mio::event::Event, core: &mut dyn Inside, now: i64) {
         let id = ConnId::of(event.token().0 as u64);
         let Some(socket) = self.get(id) else { return };
         let connecting = matches!(socket.connected(), Ok(false));
         socket.on(event);
         if connecting {
             match socket.connected() {
-                Ok(true) => gate.happen(now, Happened::Connected(id)),
+                Ok(true) => core.socketed(now, Socketed::Connected(id)),
                 Ok(false) => return,
-                Err(e) => return broken(id, true, &e, gate, now),
+                Err(e) => return broken(id, true, &e, core, now),
             }
         }
         if self.get(id).is_some_and(|s| s.closing()) {
-            gate.happen(now, Happened::Closing(id));
+            core.socketed(now, Socketed::Closing(id));
         }
-        self.read(id, gate, now);
-        self.write(id, gate, now);
+        self.read(id, core, now);
+        self.write(id, core, now);
     }
 
-    /// Reads what there is, as far as the gate has room.
-    pub fn read(&mut self, id: ConnId, gate: &mut Gate, now: i64) {
+    /// Reads what there is, as far as the controller has room.
+    pub fn read(&mut self, id: ConnId, core: &mut dyn Inside, now: i64) {
         loop {
             if !self.get(id).is_some_and(|s| s.readable()) {
                 return;
             }
-            let room = gate.room(id).min(SCRATCH);
+            let room = core.room(id).min(SCRATCH);
             if room == 0 {
                 return;
             }
@@ -96,26 +109,26 @@
             let got = socket.read(&mut scratch[..room]);
             let ended = socket.ended();
             match got {
-                Ok(0) if ended => gate.happen(now, Happened::Ended(id)),
+                Ok(0) if ended => core.socketed(now, Socketed::Ended(id)),
                 Ok(0) => {}
-                Ok(n) => gate.happen(now, Happened::Received(id, &scratch[..n])),
-                Err(e) => broken(id, false, &e, gate, now),
+                Ok(n) => core.socketed(now, Socketed::Received(id, &scratch[..n])),
+                Err(e) => broken(id, false, &e, core, now),
             }
             self.scratch = scratch;
         }
     }
 
     /// Writes what is to go, as far as the other side takes it.
-    pub fn write(&mut self, id: ConnId, gate: &mut Gate, now: i64) {
+    pub fn write(&mut self, id: ConnId, core: &mut dyn Inside, now: i64) {
         loop {
             let Some(socket) = self.get(id).filter(|s| s.writable()) else { return };
             if !matches!(socket.connected(), Ok(true)) {
                 return;
             }
-            match socket.write(gate.output(id)) {
+            match socket.write(core.output(id)) {
                 Ok(0) => return,
-                Ok(n) => gate.wrote(now, id, n),
-                Err(e) => return broken(id, true, &e, gate, now),
+                Ok(n) => core.wrote(now, id, n),
+                Err(e) => return broken(id, true, &e, core, now),
             }
         }
     }
@@ -129,6 +142,6 @@
     }
 }
 
-fn broken(id: ConnId, writing: bool, e: &io::Error, gate: &mut Gate, now: i64) {
-    gate.happen(now, Happened::Broken { id, writing, reason: &e.to_string() });
+fn broken(id: ConnId, writing: bool, e: &io::Error, core: &mut dyn Inside, now: i64) {
+    core.socketed(now, Socketed::Broken { id, writing, reason: &e.to_string() });
 }
--- a/crates/driver/src/books.rs
+++ b/crates/driver/src/books.rs
@@ -219,6 +219,12 @@
         self.queries.get(&query).map(|t| t.due)
     }
 
+    /// When an attempt's time is up: of its wakes the limit is set first.
+    pub fn limit_of(&self, id: AttemptId) -> Option<Micros> {
+        let first = self.attempt(id)?.wakes.first()?;
+        matches!(self.wakes.get(first), Some(Wake::Limit(_))).then_some(first.0)
+    }
+
     /// Notes the final answer; false if there was one.
     pub fn answer(&mut self, query: QueryId) -> bool {
         let Some(taken) = self.queries.get_mut(&query).filter(|t| !t.answered) else { return false };
--- a/crates/driver/src/lib.rs
+++ b/crates/driver/src/lib.rs
@@ -409,6 +409,11 @@
         self.books.due_of(query)
     }
 
+    /// When an attempt is given up if it has not ended by then; none once it is settled, or where the wire tells that.
+    pub fn limit_of(&self, attempt: AttemptId) -> Option<Micros> {
+        self.books.limit_of(attempt)
+    }
+
     /// Queries held, answered ones with an attempt out among them.
     pub fn held(&self) -> usize {
         self.books.held()
--- a/crates/gate/src/admin.rs
+++ b/crates/gate/src/admin.rs
@@ -1,7 +1,7 @@
 //! What operators ask over HTTP.
 
 use crate::out::{Effect, Out};
-use crate::wire::Wire;
+use wheelfield_parts::Wire;
 use wheelfield_parts::{http, ConnId, Slots};
 
 pub(crate) const ROOM: u8 = 5;
--- a/crates/gate/src/cancels.rs
+++ b/crates/gate/src/cancels.rs
@@ -2,9 +2,9 @@
 
 use crate::out::{Effect, Out};
 use crate::wake::Wake;
-use crate::wire::Wire;
 use bytes::Bytes;
 use std::net::SocketAddr;
+use wheelfield_parts::Wire;
 use wheelfield_parts::{ConnId, Slots, TimerKey};
 use wheelfield_pg::front;
 
--- a/crates/gate/src/clients.rs
+++ b/crates/gate/src/clients.rs
@@ -3,7 +3,6 @@
 use crate::out::{Effect, Out};
 use crate::seen::Seen;
 use crate::wake::Wake;
-use crate::wire::Wire;
 use bytes::{Bytes, BytesMut};
 use rand::rngs::StdRng;
 use rand::RngExt as _;
@@ -11,6 +10,7 @@
 use tracing::{debug, info};
 use wheelfield::interface::QueryId;
 use wheelfield_config::Config;
+use wheelfield_parts::Wire;
 use wheelfield_parts::{ConnId, Slots, TimerKey};
 use wheelfield_pg::back::Trouble;
 use wheelfield_pg::client::{self, Ask, Session, Unit};
--- a/crates/gate/src/figures.rs
+++ b/crates/gate/src/figures.rs
@@ -6,9 +6,9 @@
 use crate::peering::Peering;
 use crate::registry::Call;
 use crate::sets::Sets;
-use crate::tape::Tape;
 use serde_json::{json, Map, Value};
 use std::fmt::Write as _;
+use wheelfield_tape::Tape;
 
 /// The rooms that are looked into.
 pub(crate) struct Look<'a> {
--- a/crates/gate/src/flow.rs
+++ b/crates/gate/src/flow.rs
@@ -13,7 +13,6 @@
 use crate::sets::Sets;
 use crate::start::Start;
 use crate::stop::Stop;
-use crate::tape::Tape;
 use crate::units::{InHand, Units};
 use crate::wake::Wake;
 use crate::{planted, route, words};
@@ -27,6 +26,7 @@
 use wheelfield_parts::ConnId;
 use wheelfield_pg::back::Trouble;
 use wheelfield_pg::client::Unit;
+use wheelfield_tape::Tape;
 
 /// Idle sessions, ages and captures are looked at so often.
 const SWEEP: i64 = 1_000_000;
@@ -153,7 +153,7 @@
                 self.heed(word);
             } else if let Some(id) = self.ready.pop_front() {
                 self.attend(id);
-            } else if let Some(instruction) = self.tape.next() {
+            } else if let Some(instruction) = self.tape.take() {
                 self.carry_out(instruction);
             } else if let Some(id) = self.readable.pop_front() {
                 self.read(id);
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -2,18 +2,17 @@
 
 use crate::clients;
 use crate::flow::Flow;
-use crate::happened::{Door, Happened};
-use crate::out::Effect;
+use crate::happened::Happened;
 use crate::plant::Plant;
 use crate::seen::Seen;
 use crate::start::Start;
-use crate::wire::Wire;
 use crate::{cancels, registry, sessions};
 use tracing::{info, warn};
 use wheelfield_capture::Recorder;
 use wheelfield_config::Config;
 use wheelfield_driver::Input;
-use wheelfield_parts::ConnId;
+use wheelfield_parts::Wire;
+use wheelfield_parts::{ConnId, Door, Effect, Inside, Port, Socketed};
 
 /// A controller.
 pub struct Gate {
@@ -224,3 +223,46 @@
         }
     }
 }
+
+impl Inside for Gate {
+    fn started(&mut self, now: i64) {
+        self.happen(now, Happened::Started);
+    }
+    fn accept(&mut self, now: i64, door: Door) -> Option<ConnId> {
+        Gate::accept(self, now, door)
+    }
+    fn socketed(&mut self, now: i64, what: Socketed<'_>) {
+        let what = match what {
+            Socketed::Connected(id) => Happened::Connected(id),
+            Socketed::Received(id, bytes) => Happened::Received(id, bytes),
+            Socketed::Closing(id) => Happened::Closing(id),
+            Socketed::Ended(id) => Happened::Ended(id),
+            Socketed::Broken { id, writing, reason } => Happened::Broken { id, writing, reason },
+            Socketed::Datagram(Port::Peers, from, bytes) => Happened::Words(from, bytes),
+            Socketed::Datagram(Port::Gossip, from, bytes) => Happened::Gossip(from, bytes),
+            Socketed::Datagram(Port::Names, ..) => return,
+        };
+        self.happen(now, what);
+    }
+    fn stop(&mut self, now: i64) {
+        self.happen(now, Happened::Stop);
+    }
+    fn room(&mut self, id: ConnId) -> usize {
+        Gate::room(self, id)
+    }
+    fn output(&mut self, id: ConnId) -> &[u8] {
+        Gate::output(self, id)
+    }
+    fn wrote(&mut self, now: i64, id: ConnId, n: usize) {
+        Gate::wrote(self, now, id, n);
+    }
+    fn next_due(&self) -> Option<i64> {
+        Gate::next_due(self)
+    }
+    fn due(&mut self, now: i64) {
+        Gate::due(self, now);
+    }
+    fn effects(&mut self, into: &mut Vec<Effect>) {
+        Gate::effects(self, into);
+    }
+}
--- a/crates/gate/src/happened.rs
+++ b/crates/gate/src/happened.rs
@@ -5,15 +5,6 @@
 use wheelfield_members::News;
 use wheelfield_parts::ConnId;
 
-/// A listening socket of a controller.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Door {
-    /// Clients come here.
-    Clients,
-    /// Operators do.
-    Admin,
-}
-
 /// Something that happened outside.
 #[derive(Clone, Debug)]
 pub enum Happened<'a> {
--- a/crates/gate/src/registry.rs
+++ b/crates/gate/src/registry.rs
@@ -2,10 +2,10 @@
 
 use crate::out::{Effect, Out};
 use crate::wake::Wake;
-use crate::wire::Wire;
 use bytes::Bytes;
 use tracing::{debug, warn};
 use wheelfield_config::{Config, Refresh, Registry};
+use wheelfield_parts::Wire;
 use wheelfield_parts::{http, ConnId, Slots, TimerKey};
 
 pub(crate) const ROOM: u8 = 4;
--- a/crates/gate/src/sessions.rs
+++ b/crates/gate/src/sessions.rs
@@ -2,11 +2,11 @@
 
 use crate::out::{Effect, Out};
 use crate::wake::Wake;
-use crate::wire::Wire;
 use bytes::BytesMut;
 use std::collections::BTreeMap;
 use wheelfield::interface::{EngineId, QueryId};
 use wheelfield_driver::{AttemptId, Terms};
+use wheelfield_parts::Wire;
 use wheelfield_parts::{ConnId, Slots, TimerKey};
 use wheelfield_pg::backend::{Backend, Heard};
 use wheelfield_pg::front;
--- a/crates/gate/src/start.rs
+++ b/crates/gate/src/start.rs
@@ -1,10 +1,10 @@
 //! What a controller starts with.
 
-use crate::mind::Mind;
 use crate::plant::Plant;
 use std::net::SocketAddr;
 use wheelfield_capture::Recorder;
 use wheelfield_gossip::seal::Keys;
+use wheelfield_tape::Mind;
 
 /// What a controller starts with.
 pub struct Start {
--- a/crates/lab/src/virtual_time/procs.rs
+++ b/crates/lab/src/virtual_time/procs.rs
@@ -261,6 +261,7 @@
         let what = match port {
             Port::Peers => Happened::Words(from, bytes),
             Port::Gossip => Happened::Gossip(from, bytes),
+            Port::Names => return,
         };
         gate.happen(self.now, what);
         self.after(Proc::Gate(to));
@@ -338,6 +339,7 @@
         let (target, from) = match port {
             // Peers are numbered by their ports, from 1 on.
             Port::Peers => (usize::from(to.port()).wrapping_sub(1), peers.get(c).copied()),
+            Port::Names => return,
             Port::Gossip => {
                 let own = SocketAddr::new(to.ip(), GOSSIP_PORTS + c as u16);
                 (usize::from(to.port().wrapping_sub(GOSSIP_PORTS)), Some(own))
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -313,12 +313,10 @@
     Stream::new(TcpStream::from_std(socket.into()), false, registry, token)
 }
 
-/// A datagram socket, registered.
+/// A datagram socket.
 ///
 /// # Errors
 /// As the system tells.
-pub fn datagrams(address: SocketAddr, registry: &Registry, token: Token) -> io::Result<UdpSocket> {
-    let mut socket = UdpSocket::bind(address)?;
-    registry.register(&mut socket, token, Interest::READABLE)?;
-    Ok(socket)
+pub fn datagrams(address: SocketAddr) -> io::Result<UdpSocket> {
+    UdpSocket::bind(address)
 }
--- /dev/null
+++ b/crates/parts/src/out.rs
@@ -0,0 +1,103 @@
+//! What a controller without I/O wants done outside, and when it wants to be woken.
+
+use crate::{ConnId, TimerKey, Timers};
+use std::net::SocketAddr;
+
+/// A listening socket of a controller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Door {
+    /// Clients come here.
+    Clients,
+    /// Operators do.
+    Admin,
+}
+
+/// A datagram socket of a controller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Port {
+    /// Words between controllers.
+    Peers,
+    /// Which controllers there are.
+    Gossip,
+    /// Questions to a name service.
+    Names,
+}
+
+/// Something to be done outside.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Begin to connect; [`crate::Socketed::Connected`] or [`crate::Socketed::Broken`] tells how it went.
+    Connect(ConnId, SocketAddr),
+    /// Write what [`crate::Inside::output`] holds, as far as it goes, and tell by [`crate::Inside::wrote`].
+    Write(ConnId),
+    /// There is room again for what comes: go on reading, as [`crate::Inside::room`] allows.
+    Read(ConnId),
+    /// Close a connection; it is forgotten here already.
+    Close(ConnId),
+    /// Send a datagram; one that can't go is lost.
+    Send(Port, SocketAddr, Vec<u8>),
+    /// Take no more clients.
+    StopListening,
+    /// All is over.
+    Stopped,
+}
+
+/// Where effects and timers go. Rooms add to it and never look at what others added.
+#[derive(Debug)]
+pub struct Out<W> {
+    /// The time of this turn, in microseconds.
+    pub now: i64,
+    effects: Vec<Effect>,
+    timers: Timers<W>,
+}
+
+impl<W> Out<W> {
+    /// With nothing to do.
+    pub fn new(now: i64) -> Out<W> {
+        Out { now, effects: Vec::new(), timers: Timers::default() }
+    }
+
+    /// Wants something done.
+    pub fn push(&mut self, effect: Effect) {
+        self.effects.push(effect);
+    }
+
+    /// Wants to be woken after so many microseconds.
+    pub fn wake_after(&mut self, after: i64, wake: W) -> TimerKey {
+        self.wake_at(self.now.saturating_add(after), wake)
+    }
+
+    /// Wants to be woken at a time.
+    pub fn wake_at(&mut self, at: i64, wake: W) -> TimerKey {
+        self.timers.set(at, wake)
+    }
+
+    /// Calls a timer off, if there is one.
+    pub fn call_off(&mut self, timer: &mut Option<TimerKey>) {
+        if let Some(key) = timer.take() {
+            self.timers.cancel(key);
+        }
+    }
+
+    /// A timer in place of another.
+    pub fn instead(&mut self, timer: &mut Option<TimerKey>, after: i64, wake: W) {
+        self.call_off(timer);
+        *timer = Some(self.wake_after(after, wake));
+    }
+
+    /// When the next timer is due.
+    pub fn next(&self) -> Option<i64> {
+        self.timers.next()
+    }
+
+    /// A timer that is due.
+    pub fn due(&mut self) -> Option<W> {
+        self.timers.pop(self.now)
+    }
+
+    /// Hands over what is to be done; `into` is emptied first.
+    pub fn take(&mut self, into: &mut Vec<Effect>) {
+        into.clear();
+        std::mem::swap(&mut self.effects, into);
+    }
+}
--- a/crates/gate/src/wire.rs
+++ b/crates/parts/src/wire.rs
@@ -1,15 +1,15 @@
 //! The bytes of one connection: what came and was not taken, what is to go and has not gone.
 
 use crate::out::{Effect, Out};
+use crate::ConnId;
 use bytes::{Buf, BytesMut};
-use wheelfield_parts::ConnId;
 
 /// Buffers of an idle connection keep no more than this.
 const KEPT: usize = 2048;
 
 /// The bytes of a connection. Its socket is elsewhere.
 #[derive(Debug, Default)]
-pub(crate) struct Wire {
+pub struct Wire {
     /// What came and was not taken yet.
     pub input: BytesMut,
     /// What is to go.
@@ -41,7 +41,7 @@
     }
 
     /// Has the other side read again, if there is room again; gives back the memory of an emptied input.
-    pub fn refill(&mut self, id: ConnId, limit: usize, out: &mut Out) {
+    pub fn refill(&mut self, id: ConnId, limit: usize, out: &mut Out<impl Sized>) {
         if self.starved && self.input.len() < limit {
             self.starved = false;
             out.push(Effect::Read(id));
@@ -52,7 +52,7 @@
     }
 
     /// Has what is to go written.
-    pub fn flush(&mut self, id: ConnId, out: &mut Out) {
+    pub fn flush(&mut self, id: ConnId, out: &mut Out<impl Sized>) {
         if !self.output.is_empty() && !std::mem::replace(&mut self.asked, true) {
             out.push(Effect::Write(id));
         }
--- a/crates/pg/src/sql.rs
+++ b/crates/pg/src/sql.rs
@@ -128,6 +128,49 @@
     }
 }
 
+/// A part of a statement, as far as names matter: strings, comments and blanks are left out.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Token<'a> {
+    /// A word, or a quoted name without its quotes.
+    Name(Cow<'a, str>),
+    /// One other character.
+    Other(char),
+}
+
+/// The names of a text and what stands between them.
+pub fn tokens(text: &str) -> impl Iterator<Item = Token<'_>> {
+    let bytes = text.as_bytes();
+    let word = |b: &u8| b.is_ascii_alphanumeric() || matches!(b, b'_' | b'$') || *b >= 0x80;
+    let mut at = 0;
+    std::iter::from_fn(move || {
+        while at < bytes.len() {
+            let start = at;
+            if word(&bytes[at]) && bytes[at] != b'$' {
+                at += bytes[at..].iter().position(|b| !word(b)).unwrap_or(bytes.len() - at);
+                // A string with a prefix: E'..', U&'..'.
+                if bytes.get(at) == Some(&b'\'') {
+                    at = step(bytes, at).0.min(bytes.len());
+                    continue;
+                }
+                return Some(Token::Name(Cow::Borrowed(&text[start..at])));
+            }
+            let (next, comment) = step(bytes, at);
+            at = next.min(bytes.len());
+            match bytes[start] {
+                b'"' => {
+                    let inner = &text[start + 1..at];
+                    let inner = inner.strip_suffix('"').unwrap_or(inner);
+                    return Some(Token::Name(Cow::Owned(inner.replace("\"\"", "\""))));
+                }
+                b'\'' | b'$' => {}
+                b if comment || b.is_ascii_whitespace() => {}
+                b => return Some(Token::Other(char::from(b))),
+            }
+        }
+        None
+    })
+}
+
 /// The statements of a text, each without its semicolon; empty ones are left out.
 pub fn statements(text: &str) -> Vec<&str> {
     let bytes = text.as_bytes();
--- /dev/null
+++ b/crates/platform/src/clients.rs
@@ -0,0 +1,275 @@
+//! The side of the clients: their connections, one call at a time on each.
+
+use crate::front::{self, Bad, Head, Reply, Wants, LONGEST_BODY, LONGEST_HEAD};
+use crate::wake::Wake;
+use bytes::{Buf, Bytes};
+use wheelfield_parts::{ConnId, Effect, Out, Slots, Wire};
+
+/// The room of these connections.
+pub const ROOM: u8 = 1;
+/// A first call must be whole in this time after its client came, and each other after its first byte, in microseconds.
+const WHOLE_WITHIN: i64 = 2_000_000;
+/// What still comes after a call that can't be used is read and dropped, so that its client sees the answer: for so long, in
+/// microseconds, and so many bytes.
+const DRAIN_FOR: i64 = 500_000;
+const DRAIN: usize = 8 << 20;
+/// A client that takes nothing of its answer for so long is closed, in microseconds.
+const UNREAD: i64 = 5_000_000;
+/// Connections that ask nothing more are kept for so long, in microseconds.
+const KEPT: i64 = 30_000_000;
+/// Read on while a call is in hand: its client may send the next one ahead.
+const AHEAD: usize = 4 << 10;
+
+/// What a connection is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    /// It may ask.
+    Open,
+    /// Its call is in hand.
+    Busy,
+    /// Its last answer goes out; what still comes is dropped.
+    Ending { until: i64, left: usize },
+}
+
+#[derive(Debug)]
+struct Client {
+    wire: Wire,
+    state: State,
+    /// It has asked something that could be used.
+    asked: bool,
+    /// When it came, asked or was answered last.
+    since: i64,
+    /// When a call began to come.
+    begun: Option<i64>,
+    /// The connection ends after the answer to the call in hand.
+    close: bool,
+    /// When it last took something of what is to go.
+    took: i64,
+}
+
+/// What a client wants.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Call {
+    /// Who.
+    pub client: ConnId,
+    /// What.
+    pub wants: Wants,
+    /// The statement.
+    pub body: Bytes,
+}
+
+/// What is counted of this side since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Who came.
+    pub accepted: u64,
+    /// Closed to make room, or as they asked nothing for long.
+    pub evicted: u64,
+    /// Calls that got nothing.
+    pub bad: u64,
+    /// Closed as there was no room.
+    pub turned_away: u64,
+}
+
+/// All clients.
+#[derive(Debug)]
+pub struct Clients {
+    most: usize,
+    all: Slots<Client>,
+    /// What was counted.
+    pub counts: Counts,
+}
+
+impl Clients {
+    /// None yet, and so many at most.
+    pub fn new(most: usize) -> Clients {
+        Clients { most, all: Slots::new(ROOM), counts: Counts::default() }
+    }
+
+    /// Somebody came; none if all others have calls in hand.
+    pub fn accept(&mut self, out: &mut Out<Wake>) -> Option<ConnId> {
+        if self.all.len() >= self.most && !self.evict(out) {
+            self.counts.turned_away += 1;
+            return None;
+        }
+        self.counts.accepted += 1;
+        Some(self.all.insert(Client {
+            wire: Wire::default(),
+            state: State::Open,
+            asked: false,
+            since: out.now,
+            begun: None,
+            close: false,
+            took: out.now,
+        }))
+    }
+
+    /// Closes one with no call in hand: who never asked before who did, who is silent for longest first.
+    fn evict(&mut self, out: &mut Out<Wake>) -> bool {
+        let resting = |c: &Client| c.state != State::Busy && c.wire.output.is_empty();
+        let idle = self.all.iter().filter(|(_, c)| resting(c));
+        let Some((id, _)) = idle.min_by_key(|(_, c)| (c.asked, c.begun.is_some(), c.since)) else {
+            return false;
+        };
+        self.counts.evicted += 1;
+        self.close(id, out);
+        true
+    }
+
+    /// How many there are.
+    pub fn len(&self) -> usize {
+        self.all.len()
+    }
+
+    /// The bytes of a connection.
+    pub fn wire(&mut self, id: ConnId) -> Option<&mut Wire> {
+        self.all.get_mut(id).map(|c| &mut c.wire)
+    }
+
+    fn limit(state: State) -> usize {
+        match state {
+            State::Open => LONGEST_HEAD + LONGEST_BODY,
+            State::Busy => AHEAD,
+            State::Ending { .. } => 64 << 10,
+        }
+    }
+
+    /// Bytes that may come on a connection.
+    pub fn room(&mut self, id: ConnId) -> usize {
+        self.all.get_mut(id).map_or(0, |c| c.wire.room(Clients::limit(c.state)))
+    }
+
+    /// So much of an answer has gone; true if the connection may have more to say.
+    pub fn wrote(&mut self, id: ConnId, n: usize, out: &mut Out<Wake>) {
+        let Some(c) = self.all.get_mut(id) else { return };
+        c.took = out.now;
+        if c.wire.wrote(n) && c.wire.ended {
+            self.close(id, out);
+        }
+    }
+
+    /// The next call on a connection, if it is whole.
+    pub fn next(&mut self, id: ConnId, out: &mut Out<Wake>) -> Option<Call> {
+        let c = self.all.get_mut(id)?;
+        if let State::Ending { until, left } = c.state {
+            let came = c.wire.input.len();
+            c.wire.input.clear();
+            c.state = State::Ending { until, left: left.saturating_sub(came) };
+            if c.wire.ended || came > left {
+                self.close(id, out);
+            } else {
+                c.wire.refill(id, Clients::limit(c.state), out);
+            }
+            return None;
+        }
+        if c.state == State::Busy {
+            return None;
+        }
+        if c.wire.ended || c.wire.closing {
+            // Whoever has left wants no answer.
+            if c.wire.output.is_empty() || c.wire.closing {
+                self.close(id, out);
+            }
+            return None;
+        }
+        if c.wire.input.is_empty() {
+            c.begun = None;
+            c.wire.refill(id, Clients::limit(c.state), out);
+            return None;
+        }
+        c.begun = c.begun.or(Some(out.now));
+        let head = match front::head(&c.wire.input) {
+            Ok(Some(head)) => head,
+            Ok(None) => return None,
+            Err(bad) => {
+                self.bad(id, bad, out);
+                return None;
+            }
+        };
+        let Head { length, body, close, wants } = head;
+        if c.wire.input.len() < length {
+            return None;
+        }
+        (c.begun, c.close, c.state, c.since) = (None, close, State::Busy, out.now);
+        c.wire.input.advance(length - body);
+        // Its own memory, so that the buffer it came in is free again.
+        let body = Bytes::copy_from_slice(&c.wire.input.split_to(body));
+        c.wire.refill(id, Clients::limit(c.state), out);
+        match wants {
+            Ok(wants) => {
+                c.asked = true;
+                Some(Call { client: id, wants, body })
+            }
+            Err(bad) => {
+                self.bad(id, bad, out);
+                None
+            }
+        }
+    }
+
+    /// A call that gets nothing.
+    pub fn bad(&mut self, id: ConnId, bad: Bad, out: &mut Out<Wake>) {
+        self.counts.bad += 1;
+        if let Some(c) = self.all.get_mut(id) {
+            c.close |= bad.ends();
+        }
+        self.answer(id, &Reply::Bad(bad), out);
+    }
+
+    /// Answers the call in hand.
+    pub fn answer(&mut self, id: ConnId, reply: &Reply, out: &mut Out<Wake>) {
+        let Some(c) = self.all.get_mut(id) else { return };
+        front::put(reply, c.close, &mut c.wire.output);
+        (c.since, c.took) = (out.now, out.now);
+        c.state =
+            if c.close { State::Ending { until: out.now + DRAIN_FOR, left: DRAIN } } else { State::Open };
+        c.wire.flush(id, out);
+        c.wire.refill(id, Clients::limit(c.state), out);
+    }
+
+    /// Whether a call of this client is in hand.
+    pub fn busy(&self, id: ConnId) -> bool {
+        self.all.get(id).is_some_and(|c| c.state == State::Busy)
+    }
+
+    /// A connection is no more.
+    pub fn close(&mut self, id: ConnId, out: &mut Out<Wake>) {
+        if self.all.remove(id).is_some() {
+            out.push(Effect::Close(id));
+        }
+    }
+
+    /// Now and then: who is silent, slow, or does not read.
+    pub fn sweep(&mut self, out: &mut Out<Wake>) {
+        let now = out.now;
+        let (mut slow, mut over) = (Vec::new(), Vec::new());
+        for (id, c) in self.all.iter() {
+            let unread = !c.wire.output.is_empty() && now - c.took > UNREAD;
+            let begun = c.begun.or((!c.asked).then_some(c.since));
+            match c.state {
+                State::Ending { until, .. } if now >= until && c.wire.output.is_empty() => over.push(id),
+                _ if unread => over.push(id),
+                State::Open if begun.is_some_and(|at| now - at > WHOLE_WITHIN) => {
+                    if c.begun.is_some() { &mut slow } else { &mut over }.push(id);
+                }
+                State::Open if c.wire.output.is_empty() && now - c.since > KEPT => over.push(id),
+                _ => {}
+            }
+        }
+        slow.into_iter().for_each(|id| self.bad(id, Bad::Slow, out));
+        self.counts.evicted += over.len() as u64;
+        over.into_iter().for_each(|id| self.close(id, out));
+    }
+
+    /// The end: who has no call in hand is closed, and the others after their answer.
+    pub fn end(&mut self, out: &mut Out<Wake>) {
+        let resting = |c: &Client| c.state != State::Busy && c.wire.output.is_empty();
+        let idle: Vec<ConnId> = self.all.iter().filter(|(_, c)| resting(c)).map(|(id, _)| id).collect();
+        idle.into_iter().for_each(|id| self.close(id, out));
+    }
+
+    /// Something is still to go to somebody, or to be answered.
+    pub fn owed(&self) -> bool {
+        self.all.iter().any(|(_, c)| c.state == State::Busy || !c.wire.output.is_empty())
+    }
+}
--- /dev/null
+++ b/crates/platform/src/executors.rs
@@ -0,0 +1,583 @@
+//! The side of the executors: connections to them, and the attempts that each carries.
+
+use crate::lines::{self, Answer, RequestId, Spoilt, Word};
+use crate::rows;
+use crate::wake::Wake;
+use bytes::Bytes;
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use wheelfield::interface::{EngineId, Note, Outcome, Report};
+use wheelfield_driver::{AttemptId, Terms};
+use wheelfield_parts::{ConnId, Effect, Out, Slots, TimerKey, Wire};
+use wheelfield_settings::take_figure;
+
+/// The room of these connections.
+pub const ROOM: u8 = 2;
+/// An answer that has begun to come and does not go on for so long is spoilt, and so is a page that does not come, in
+/// microseconds.
+const STALL: i64 = 500_000;
+/// Of the time after which executors close an idle connection, so much is used: one that both sides close at once would take a
+/// request along.
+const IDLE_SHARE: f64 = 0.5;
+/// Ids given up on a connection that are remembered: an answer that crosses the word may still come under them. With more the
+/// connection is closed once it is idle.
+const GIVEN_UP: usize = 64;
+/// Bytes that may wait to go to an executor; with more, other connections are used.
+const BACKLOG: usize = 256 << 10;
+
+/// What is to be sent to an executor.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// Which attempt.
+    pub attempt: AttemptId,
+    /// Under which id.
+    pub id: RequestId,
+    /// On which terms.
+    pub terms: Terms,
+    /// It was to go on another connection, which broke before any of it was written.
+    moved: bool,
+}
+
+impl Job {
+    /// An attempt that goes nowhere yet.
+    pub fn new(attempt: AttemptId, id: RequestId, terms: Terms) -> Job {
+        Job { attempt, id, terms, moved: false }
+    }
+}
+
+/// What has become of an attempt.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Told {
+    /// Word on it.
+    Noted(AttemptId, Note),
+    /// It is over.
+    Ended(Box<Ended>),
+}
+
+/// The end of an attempt.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ended {
+    /// Which.
+    pub attempt: AttemptId,
+    /// How.
+    pub outcome: Outcome,
+    /// Work in seconds of one thread, where the answer tells.
+    pub billed_work: Option<f64>,
+    /// The executor's load, where told.
+    pub report: Report,
+    /// All pages of the result of one that was served.
+    pub pages: Vec<Bytes>,
+}
+
+impl Ended {
+    fn bare(attempt: AttemptId, outcome: Outcome) -> Told {
+        Ended::with(attempt, outcome, None, Report::default(), Vec::new())
+    }
+
+    fn with(
+        attempt: AttemptId,
+        outcome: Outcome,
+        billed_work: Option<f64>,
+        report: Report,
+        pages: Vec<Bytes>,
+    ) -> Told {
+        Told::Ended(Box::new(Ended { attempt, outcome, billed_work, report, pages }))
+    }
+}
+
+/// A good answer whose further pages are on their way.
+#[derive(Debug)]
+struct Hit {
+    billed_work: Option<f64>,
+    report: Report,
+    pages: Vec<Option<Bytes>>,
+    missing: usize,
+    bytes: usize,
+    /// When the last of them came.
+    at: i64,
+}
+
+/// An attempt on a connection.
+#[derive(Debug)]
+struct Running {
+    attempt: AttemptId,
+    /// Its request is written whole once so many bytes of the connection are.
+    written_at: u64,
+    hit: Option<Hit>,
+}
+
+/// A connection.
+#[derive(Debug)]
+struct Conn {
+    engine: EngineId,
+    wire: Wire,
+    up: bool,
+    connecting: Option<TimerKey>,
+    waiting: Vec<Job>,
+    running: BTreeMap<RequestId, Running>,
+    given_up: Vec<RequestId>,
+    /// Bytes put to be written, and written, since its start.
+    put: u64,
+    written: u64,
+    /// Since when nothing of it was used.
+    idle_since: i64,
+    /// Since when a part of an answer waits for the rest.
+    partial: Option<i64>,
+}
+
+impl Conn {
+    fn load(&self) -> usize {
+        self.waiting.len() + self.running.len()
+    }
+
+    fn takes(&self, id: RequestId, streams: usize) -> bool {
+        let used = self.given_up.contains(&id) || self.running.contains_key(&id);
+        !used && !self.wire.closing && self.load() < streams && self.wire.output.len() < BACKLOG
+    }
+
+    fn put(&mut self, line: impl FnOnce(&mut bytes::BytesMut)) {
+        let before = self.wire.output.len();
+        line(&mut self.wire.output);
+        self.put += (self.wire.output.len() - before) as u64;
+    }
+}
+
+/// An executor.
+#[derive(Debug)]
+struct Executor {
+    at: SocketAddr,
+    conns: Vec<ConnId>,
+    /// The list names it still.
+    listed: bool,
+}
+
+/// What is counted of the executors' side since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Connections begun.
+    pub connects: u64,
+    /// Connections closed as something on them could not be read.
+    pub spoilt: u64,
+    /// Answers that belong to nothing.
+    pub strays: u64,
+    /// Attempts that found no connection.
+    pub no_room: u64,
+}
+
+/// Limits of this side.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Connections.
+    pub connections: usize,
+    /// Attempts that a connection carries at once.
+    pub streams: usize,
+    /// A connect that is not through has failed, in microseconds.
+    pub connect: i64,
+    /// Executors close an idle connection after this, in microseconds.
+    pub idle: i64,
+}
+
+/// All executors and the connections to them.
+#[derive(Debug)]
+pub struct Executors {
+    bounds: Bounds,
+    all: BTreeMap<EngineId, Executor>,
+    conns: Slots<Conn>,
+    places: BTreeMap<AttemptId, (ConnId, RequestId)>,
+    told: VecDeque<Told>,
+    /// What was counted.
+    pub counts: Counts,
+}
+
+impl Executors {
+    /// None yet.
+    pub fn new(bounds: Bounds) -> Executors {
+        Executors {
+            bounds,
+            all: BTreeMap::new(),
+            conns: Slots::new(ROOM),
+            places: BTreeMap::new(),
+            told: VecDeque::new(),
+            counts: Counts::default(),
+        }
+    }
+
+    /// The whole list: who is on it, and where.
+    pub fn listed(&mut self, list: impl Iterator<Item = (EngineId, SocketAddr)>, out: &mut Out<Wake>) {
+        self.all.values_mut().for_each(|e| e.listed = false);
+        for (engine, at) in list {
+            let e =
+                self.all.entry(engine).or_insert_with(|| Executor { at, conns: Vec::new(), listed: true });
+            if e.at != at {
+                e.at = at;
+            }
+            e.listed = true;
+        }
+        let gone: Vec<ConnId> = self
+            .conns
+            .iter()
+            .filter(|(_, c)| c.load() == 0 && !self.all.get(&c.engine).is_some_and(|e| e.listed))
+            .map(|(id, _)| id)
+            .collect();
+        gone.into_iter().for_each(|id| self.close(id, out));
+        self.all.retain(|_, e| e.listed || !e.conns.is_empty());
+    }
+
+    /// Connections held.
+    pub fn len(&self) -> usize {
+        self.conns.len()
+    }
+
+    /// The bytes of a connection.
+    pub fn wire(&mut self, id: ConnId) -> Option<&mut Wire> {
+        self.conns.get_mut(id).map(|c| &mut c.wire)
+    }
+
+    /// Bytes that may come on a connection.
+    pub fn room(&mut self, id: ConnId) -> usize {
+        self.wire(id).map_or(0, |w| w.room(4 * lines::LONGEST_ANSWER))
+    }
+
+    /// So much of it has gone.
+    pub fn wrote(&mut self, id: ConnId, n: usize) {
+        if let Some(c) = self.conns.get_mut(id) {
+            c.written += n as u64;
+            c.wire.wrote(n);
+        }
+    }
+
+    /// What was told of attempts since the last call.
+    pub fn told(&mut self) -> Option<Told> {
+        self.told.pop_front()
+    }
+
+    /// Finds a connection for an attempt. One that is up has it at once: its number is given.
+    pub fn launch(&mut self, engine: EngineId, job: Job, out: &mut Out<Wake>) -> Option<ConnId> {
+        let Some(executor) = self.all.get(&engine) else {
+            self.told.push_back(Ended::bare(job.attempt, Outcome::ConnectFailed));
+            return None;
+        };
+        let of = |id: &ConnId| self.conns.get(*id).map(|c| (*id, c));
+        let mut takers: Vec<(ConnId, &Conn)> = executor.conns.iter().filter_map(of).collect();
+        takers.retain(|(_, c)| c.takes(job.id, self.bounds.streams));
+        // An idle one, the last used first, so that the others grow old. Alone on its connection an attempt loses nothing by
+        // the spoilt answer of another.
+        let idle = takers.iter().filter(|(_, c)| c.up && c.load() == 0).max_by_key(|(_, c)| c.idle_since);
+        let chosen = match idle.map(|(id, _)| *id) {
+            Some(id) => Some(id),
+            None if self.conns.len() < self.bounds.connections => None,
+            None => takers.iter().min_by_key(|(_, c)| (!c.up, c.load())).map(|(id, _)| *id),
+        };
+        let id = match chosen {
+            Some(id) => id,
+            None => {
+                if self.conns.len() >= self.bounds.connections && !self.evict(out) {
+                    self.counts.no_room += 1;
+                    self.told.push_back(Ended::bare(job.attempt, Outcome::Full));
+                    return None;
+                }
+                self.connect(engine, out)?
+            }
+        };
+        let conn = self.conns.get_mut(id)?;
+        self.places.insert(job.attempt, (id, job.id));
+        conn.waiting.push(job);
+        conn.up.then_some(id)
+    }
+
+    fn connect(&mut self, engine: EngineId, out: &mut Out<Wake>) -> Option<ConnId> {
+        let executor = self.all.get_mut(&engine)?;
+        let id = self.conns.insert(Conn {
+            engine,
+            wire: Wire::default(),
+            up: false,
+            connecting: None,
+            waiting: Vec::new(),
+            running: BTreeMap::new(),
+            given_up: Vec::new(),
+            put: 0,
+            written: 0,
+            idle_since: out.now,
+            partial: None,
+        });
+        let timer = out.wake_after(self.bounds.connect, Wake::Connect(id));
+        self.conns.get_mut(id)?.connecting = Some(timer);
+        executor.conns.push(id);
+        self.counts.connects += 1;
+        out.push(Effect::Connect(id, executor.at));
+        Some(id)
+    }
+
+    /// Closes the connection that is idle for longest; false if none is.
+    fn evict(&mut self, out: &mut Out<Wake>) -> bool {
+        let idle = self.conns.iter().filter(|(_, c)| c.up && c.load() == 0);
+        let oldest = idle.min_by_key(|(_, c)| c.idle_since).map(|(id, _)| id);
+        oldest.map(|id| self.close(id, out)).is_some()
+    }
+
+    /// A connect is through.
+    pub fn connected(&mut self, id: ConnId, out: &mut Out<Wake>) {
+        if let Some(c) = self.conns.get_mut(id) {
+            c.up = true;
+            c.idle_since = out.now;
+            out.call_off(&mut c.connecting);
+        }
+    }
+
+    /// An attempt that waits to be written on a connection that is up.
+    pub fn ready(&mut self, id: ConnId) -> Option<Job> {
+        let c = self.conns.get_mut(id).filter(|c| c.up)?;
+        let job = (!c.waiting.is_empty()).then(|| c.waiting.remove(0))?;
+        self.places.remove(&job.attempt);
+        Some(job)
+    }
+
+    /// Writes a request.
+    pub fn write(
+        &mut self,
+        id: ConnId,
+        job: &Job,
+        (class, limit_ms, statement): (&str, i64, &[u8]),
+        out: &mut Out<Wake>,
+    ) {
+        let Some(c) = self.conns.get_mut(id) else { return };
+        c.put(|to| lines::put_request(job.id, class, limit_ms, job.terms.priority, statement, to));
+        c.running.insert(job.id, Running { attempt: job.attempt, written_at: c.put, hit: None });
+        self.places.insert(job.attempt, (id, job.id));
+        c.wire.flush(id, out);
+    }
+
+    /// New terms for an attempt that is out.
+    pub fn set_terms(&mut self, attempt: AttemptId, terms: Terms, out: &mut Out<Wake>) {
+        let Some((id, request)) = self.places.get(&attempt).copied() else { return };
+        let Some(c) = self.conns.get_mut(id) else { return };
+        if c.running.get(&request).is_some_and(|r| r.hit.is_none()) {
+            c.put(|to| lines::put_priority(request, terms.priority, to));
+            c.wire.flush(id, out);
+        }
+    }
+
+    /// Gives an attempt up. An answer that crosses the word finds nobody.
+    pub fn withdraw(&mut self, attempt: AttemptId, out: &mut Out<Wake>) {
+        let Some((id, request)) = self.places.remove(&attempt) else { return };
+        let Some(c) = self.conns.get_mut(id) else { return };
+        c.waiting.retain(|job| job.attempt != attempt);
+        if let Some(running) = c.running.remove(&request) {
+            // A good answer has ended it: the executor keeps its pages only.
+            match running.hit {
+                Some(_) => c.put(|to| lines::put_end(request, to)),
+                None => c.put(|to| lines::put_stop(request, to)),
+            }
+            c.given_up.push(request);
+            c.idle_since = out.now;
+            c.wire.flush(id, out);
+        }
+        self.tidy(id, out);
+    }
+
+    /// Closes a connection that has too many ids given up, once it is idle.
+    fn tidy(&mut self, id: ConnId, out: &mut Out<Wake>) {
+        let done = |c: &Conn| c.load() == 0 && c.wire.output.is_empty();
+        let worn = |c: &Conn| c.given_up.len() >= GIVEN_UP || c.wire.closing;
+        if self.conns.get(id).is_some_and(|c| done(c) && worn(c)) {
+            self.close(id, out);
+        }
+    }
+
+    /// Reads the answers that came on a connection.
+    pub fn read(&mut self, id: ConnId, out: &mut Out<Wake>) {
+        loop {
+            let Some(c) = self.conns.get_mut(id) else { return };
+            let answer = match lines::take(&mut c.wire.input) {
+                Ok(Some(answer)) => answer,
+                Ok(None) => {
+                    let waits = !c.wire.input.is_empty();
+                    c.partial = waits.then(|| c.partial.unwrap_or(out.now));
+                    c.wire.refill(id, 4 * lines::LONGEST_ANSWER, out);
+                    break;
+                }
+                Err(spoilt) => return self.spoilt(id, spoilt, out),
+            };
+            c.partial = None;
+            if let Err(spoilt) = self.answer(id, answer, out) {
+                return self.spoilt(id, spoilt, out);
+            }
+        }
+        if self.conns.get(id).is_some_and(|c| c.wire.ended) {
+            self.broken(id, out);
+        } else {
+            self.tidy(id, out);
+        }
+    }
+
+    fn spoilt(&mut self, id: ConnId, spoilt: Spoilt, out: &mut Out<Wake>) {
+        tracing::debug!(%spoilt, "an executor's connection is given up");
+        self.counts.spoilt += 1;
+        self.broken(id, out);
+    }
+
+    /// Takes an answer.
+    fn answer(&mut self, id: ConnId, answer: Answer, out: &mut Out<Wake>) -> Result<(), Spoilt> {
+        let request = RequestId::read(&answer.id);
+        let Some(c) = self.conns.get_mut(id) else { return Ok(()) };
+        let Some((request, running)) = request.and_then(|r| Some((r, c.running.get_mut(&r)?))) else {
+            self.counts.strays += u64::from(answer.word != Word::Pong);
+            return Ok(());
+        };
+        let attempt = running.attempt;
+        let mut report = Report::default();
+        for figure in answer.text("meter").unwrap_or("").split(';') {
+            let told = figure.split_once(':').and_then(|(n, v)| Some((n, v.parse::<f64>().ok()?)));
+            if let Some((name, value)) = told.filter(|(_, v)| v.is_finite()) {
+                take_figure(&mut report, name, value);
+            }
+        }
+        let ended = match (answer.word, &mut running.hit) {
+            (Word::Info, None) => {
+                let value = answer.number("v").unwrap_or(0.0);
+                let note = match answer.text("tell") {
+                    Some("pct") => Note::Progress(value),
+                    Some("overflow") => Note::Spills(value),
+                    Some("queued") if value < 2.0 => Note::WaitsForMemory,
+                    Some("queued") => Note::WaitsForLoad,
+                    _ => Note::Other,
+                };
+                self.told.push_back(Told::Noted(attempt, note));
+                return Ok(());
+            }
+            (Word::Hit, None) => {
+                let pages = answer.number("pages").unwrap_or(1.0);
+                if !(1.0..=rows::MOST_PAGES as f64).contains(&pages) || !rows::is_page(&answer.body) {
+                    return Err(Spoilt::Line);
+                }
+                let pages = pages as usize;
+                // Pages are asked for in one go: no wait for each.
+                if pages > 1 {
+                    let mut hit = Hit {
+                        billed_work: answer.number("cost").map(|ms| ms / 1e3),
+                        report,
+                        pages: vec![None; pages],
+                        missing: pages - 1,
+                        bytes: answer.body.len(),
+                        at: out.now,
+                    };
+                    hit.pages[0] = Some(answer.body);
+                    running.hit = Some(hit);
+                    for page in 1..pages {
+                        c.put(|to| lines::put_fetch(request, page, to));
+                    }
+                    c.wire.flush(id, out);
+                    return Ok(());
+                }
+                let billed = answer.number("cost").map(|ms| ms / 1e3);
+                Ended::with(attempt, Outcome::Served, billed, report, vec![answer.body])
+            }
+            (Word::Part, Some(hit)) => {
+                let number = answer.number("page").ok_or(Spoilt::Line)?;
+                let place = hit.pages.get_mut(number as usize).filter(|p| p.is_none());
+                let Some(place) = place else {
+                    // A second copy.
+                    self.counts.strays += 1;
+                    return Ok(());
+                };
+                hit.bytes += answer.body.len();
+                if !rows::is_page(&answer.body) || hit.bytes > rows::LONGEST_RESULT {
+                    return Err(Spoilt::Line);
+                }
+                *place = Some(answer.body);
+                hit.missing -= 1;
+                hit.at = out.now;
+                if hit.missing > 0 {
+                    return Ok(());
+                }
+                let pages = hit.pages.iter_mut().filter_map(Option::take).collect();
+                let told = Ended::with(attempt, Outcome::Served, hit.billed_work, hit.report, pages);
+                c.put(|to| lines::put_end(request, to));
+                c.wire.flush(id, out);
+                told
+            }
+            // The executor no longer has the pages of what it has run.
+            (Word::Fault, _) => Ended::with(attempt, Outcome::Error, None, report, Vec::new()),
+            (Word::Shed, None) => Ended::with(attempt, Outcome::Full, None, report, Vec::new()),
+            (Word::Late, None) => Ended::with(attempt, Outcome::Skipped, None, report, Vec::new()),
+            _ => {
+                self.counts.strays += 1;
+                return Ok(());
+            }
+        };
+        c.running.remove(&request);
+        // A second copy of this answer may follow, and must not be taken for that of another attempt under the same id.
+        if !matches!(&ended, Told::Ended(e) if e.outcome == Outcome::Served) {
+            c.given_up.push(request);
+        }
+        c.idle_since = out.now;
+        self.places.remove(&attempt);
+        self.told.push_back(ended);
+        Ok(())
+    }
+
+    /// A connection is no more, or can't be used any more: what each of its attempts knows of itself.
+    pub fn broken(&mut self, id: ConnId, out: &mut Out<Wake>) {
+        let Some(c) = self.conns.get_mut(id) else { return };
+        let (engine, up, fresh) = (c.engine, c.up, c.written == 0);
+        let (waiting, running) = (std::mem::take(&mut c.waiting), std::mem::take(&mut c.running));
+        let written = c.written;
+        self.close(id, out);
+        for running in running.into_values() {
+            self.places.remove(&running.attempt);
+            let whole = written >= running.written_at;
+            let outcome = if whole { Outcome::Reset } else { Outcome::ConnectFailed };
+            self.told.push_back(Ended::bare(running.attempt, outcome));
+        }
+        for mut job in waiting {
+            self.places.remove(&job.attempt);
+            // A connection that came up and broke says nothing against its executor: another is tried once.
+            if up && fresh && !std::mem::replace(&mut job.moved, true) {
+                self.launch(engine, job, out);
+            } else {
+                self.told.push_back(Ended::bare(job.attempt, Outcome::ConnectFailed));
+            }
+        }
+    }
+
+    /// A connection that nothing was sent on, or whose other side has closed, is no more of use once it carries nothing.
+    pub fn closing(&mut self, id: ConnId, out: &mut Out<Wake>) {
+        if let Some(c) = self.conns.get_mut(id) {
+            c.wire.closing = true;
+            if c.load() == 0 {
+                self.close(id, out);
+            }
+        }
+    }
+
+    fn close(&mut self, id: ConnId, out: &mut Out<Wake>) {
+        let Some(mut c) = self.conns.remove(id) else { return };
+        out.call_off(&mut c.connecting);
+        if let Some(e) = self.all.get_mut(&c.engine) {
+            e.conns.retain(|other| *other != id);
+        }
+        out.push(Effect::Close(id));
+    }
+
+    /// Now and then: connections that are idle for long or belong to nobody, answers that stopped short.
+    pub fn sweep(&mut self, out: &mut Out<Wake>) {
+        let now = out.now;
+        let idle = (self.bounds.idle as f64 * IDLE_SHARE) as i64;
+        let (mut old, mut stalled) = (Vec::new(), Vec::new());
+        for (id, c) in self.conns.iter() {
+            let listed = self.all.get(&c.engine).is_some_and(|e| e.listed);
+            let page = |r: &Running| r.hit.as_ref().is_some_and(|h| now - h.at > STALL);
+            if c.partial.is_some_and(|at| now - at > STALL) || c.running.values().any(page) {
+                stalled.push(id);
+            } else if c.up && c.load() == 0 && (!listed || now - c.idle_since > idle) {
+                old.push(id);
+            }
+        }
+        old.into_iter().for_each(|id| self.close(id, out));
+        for id in stalled {
+            self.counts.spoilt += 1;
+            self.broken(id, out);
+        }
+        self.all.retain(|_, e| e.listed || !e.conns.is_empty());
+    }
+}
--- /dev/null
+++ b/crates/platform/src/flow.rs
@@ -0,0 +1,362 @@
+//! Hands the words of one room to the others, until nothing is left.
+
+use crate::clients::{Call, Clients};
+use crate::executors::{self, Ended, Executors, Job, Told};
+use crate::front::{Asked, Bad, Reply, Wants};
+use crate::launch::{Launch, Listed};
+use crate::names::{self, Feed, Unused};
+use crate::open::{InHand, Open};
+use crate::peers::Peers;
+use crate::rows;
+use crate::stop::Stop;
+use crate::tables::table_group;
+use crate::wake::Wake;
+use std::collections::VecDeque;
+use tracing::{debug, info, warn};
+use wheelfield::interface::{Micros, Outcome};
+use wheelfield_driver::{Answer, Arrival, AttemptId, Bounds, Driver, Input, Instruction};
+use wheelfield_parts::{ConnId, Effect, Out, Port};
+use wheelfield_settings::{position, Names};
+use wheelfield_tape::Tape;
+
+/// An answer leaves so long before its client gives up, in microseconds: it has a network before it.
+const EARLY: i64 = 20_000;
+/// Connections are looked through so often, in microseconds.
+const SWEEP: i64 = 100_000;
+/// What was counted is logged so often, in microseconds.
+const TELL: i64 = 10_000_000;
+/// Descriptors kept for listeners, datagrams, signals, logs, and what waits to be closed.
+const RESERVE: usize = 32;
+/// Of the others so many parts of ten are for clients; they hold a third of all.
+const CLIENTS: usize = 5;
+/// Lines of the module that are logged between two counts.
+const LINES: u32 = 20;
+
+/// All rooms.
+pub struct Flow {
+    pub out: Out<Wake>,
+    pub clients: Clients,
+    pub executors: Executors,
+    pub tape: Tape,
+    pub ready: VecDeque<ConnId>,
+    names: Names,
+    open: Open,
+    feed: Feed,
+    peers: Peers,
+    stop: Stop,
+    executors_at_start: Vec<Listed>,
+    chance: fastrand::Rng,
+    stopped: bool,
+    told_at: i64,
+    lines: u32,
+    unused: [u64; 6],
+}
+
+impl Flow {
+    pub fn new(launch: Launch, now: i64) -> Flow {
+        let free = launch.limits.sockets.saturating_sub(RESERVE).max(16);
+        let clients = free * CLIENTS / 10;
+        let bounds = Bounds { queries: launch.ceilings.most_held.max(1), ..Bounds::default() };
+        let index = launch.settings.index as usize;
+        let driver = Driver::new(launch.settings, launch.seed, bounds);
+        Flow {
+            out: Out::new(now),
+            clients: Clients::new(clients),
+            executors: Executors::new(executors::Bounds {
+                connections: free - clients,
+                streams: launch.ceilings.max_streams.max(1),
+                connect: launch.ceilings.connect_timeout_us,
+                idle: launch.ceilings.conn_idle_us,
+            }),
+            tape: Tape::new(Box::new(driver), None),
+            ready: VecDeque::new(),
+            names: launch.names,
+            open: Open::default(),
+            feed: Feed::new(launch.resolver, launch.serial),
+            peers: Peers::new(&launch.peers, index, launch.peers_all),
+            stop: Stop::default(),
+            executors_at_start: launch.executors,
+            chance: fastrand::Rng::with_seed(!launch.seed),
+            stopped: false,
+            told_at: now,
+            lines: LINES,
+            unused: [0; 6],
+        }
+    }
+
+    pub fn started(&mut self) {
+        self.tape.tell(self.out.now, Input::Started);
+        let list = std::mem::take(&mut self.executors_at_start);
+        self.listed(&list);
+        self.out.wake_after(0, Wake::Ask);
+        self.out.wake_after(SWEEP, Wake::Sweep);
+    }
+
+    /// The whole list of executors.
+    fn listed(&mut self, list: &[Listed]) {
+        self.names.engines.clear();
+        let entries: Vec<_> = list.iter().map(|l| l.entry(&mut self.names)).collect();
+        let at = entries.iter().zip(list).map(|(e, l)| (e.engine, l.at));
+        self.executors.listed(at, &mut self.out);
+        self.tape.tell(self.out.now, Input::Engines { whole: true, entries });
+    }
+
+    /// Words of another controller.
+    pub fn words(&mut self, from: std::net::SocketAddr, datagram: &[u8]) {
+        if let Some(words) = self.peers.hear(from, self.names.engines.keys(), datagram) {
+            self.tape.tell(self.out.now, Input::Told(words));
+        }
+    }
+
+    /// An answer of the name service.
+    pub fn resolved(&mut self, from: std::net::SocketAddr, datagram: &[u8]) {
+        match self.feed.hear(from, datagram) {
+            Ok(list) => {
+                debug!(executors = list.len(), "the list of executors has changed");
+                self.listed(&list);
+            }
+            Err(unused) => {
+                self.unused[unused as usize] += 1;
+                if !matches!(unused, Unused::Older | Unused::Unasked) {
+                    debug!(%unused, "an answer of the name service is left");
+                }
+            }
+        }
+    }
+
+    /// Another name service.
+    pub fn turn_to(&mut self, resolver: std::net::SocketAddr) {
+        info!(%resolver, "another name service");
+        self.feed.turn_to(resolver);
+        self.ask();
+    }
+
+    fn ask(&mut self) {
+        if let Some((to, question)) = self.feed.ask(self.chance.u16(..)) {
+            self.out.push(Effect::Send(Port::Names, to, question));
+        }
+    }
+
+    /// The word to stop.
+    pub fn stop(&mut self) {
+        if let Some(at) = self.stop.begin(self.out.now) {
+            info!(open = self.open.len(), "asked to stop");
+            self.out.wake_at(at, Wake::Stop);
+        }
+    }
+
+    /// A client has left.
+    pub fn client_gone(&mut self, id: ConnId) {
+        self.clients.close(id, &mut self.out);
+        if let Some(query) = self.open.of(id) {
+            self.open.take(query);
+            self.tape.tell(self.out.now, Input::Departed(query));
+        }
+    }
+
+    /// Something came from a client, or it closed.
+    fn read_client(&mut self, id: ConnId) {
+        if self.clients.busy(id) {
+            let left = self.clients.wire(id).is_some_and(|w| w.ended || w.closing);
+            if left {
+                self.client_gone(id);
+            }
+            return;
+        }
+        if let Some(call) = self.clients.next(id, &mut self.out) {
+            self.call(call);
+        }
+    }
+
+    fn call(&mut self, call: Call) {
+        let Call { client, wants, body } = call;
+        let asked = match wants {
+            Wants::Health => {
+                let reply = Reply::Health(!self.stop.begun());
+                return self.answer(client, &reply);
+            }
+            Wants::Run(asked) => asked,
+        };
+        let Asked { class, id, wait, work, memory } = asked;
+        let Some(class) = position(&self.names.classes, &class) else {
+            return self.bad(client, Bad::NoPath);
+        };
+        let Some(statement) = std::str::from_utf8(&body).ok().filter(|s| !s.trim().is_empty()) else {
+            return self.bad(client, Bad::Field);
+        };
+        if self.open.uses(id) {
+            return self.bad(client, Bad::Doubled);
+        }
+        let arrival = Arrival {
+            class,
+            due: Micros(self.out.now + (wait - EARLY).max(1)),
+            work_hint: work,
+            memory_hint: memory,
+            tables: table_group(statement).unwrap_or(0),
+            ..Arrival::default()
+        };
+        match self.tape.arrive(self.out.now, arrival, "") {
+            Ok(query) => self.open.put(query, InHand { client, id, class, statement: body }),
+            // Nothing of it ran.
+            Err(_) => self.answer(client, &Reply::Refused(0)),
+        }
+    }
+
+    fn bad(&mut self, client: ConnId, bad: Bad) {
+        self.clients.bad(client, bad, &mut self.out);
+        self.ready.push_back(client);
+    }
+
+    fn answer(&mut self, client: ConnId, reply: &Reply) {
+        self.clients.answer(client, reply, &mut self.out);
+        // Its next call may be here already.
+        self.ready.push_back(client);
+    }
+
+    /// Lets all rooms hear of each other.
+    pub fn settle(&mut self) {
+        loop {
+            if let Some(id) = self.ready.pop_front() {
+                self.read_client(id);
+            } else if let Some(instruction) = self.tape.take() {
+                self.carry_out(instruction);
+            } else if let Some(told) = self.executors.told() {
+                self.told(told);
+            } else {
+                break;
+            }
+        }
+        let owed = self.open.len() > 0 || self.clients.owed();
+        if !self.stopped && self.stop.over(self.out.now, owed) {
+            self.stopped = true;
+            self.out.push(Effect::Stopped);
+        }
+    }
+
+    fn carry_out(&mut self, instruction: Instruction) {
+        match instruction {
+            Instruction::Start { attempt, engine, terms } => {
+                let Some(unit) = self.open.get(attempt.query) else { return };
+                let job = Job::new(attempt, unit.id, terms);
+                if let Some(conn) = self.executors.launch(engine, job, &mut self.out) {
+                    self.write(conn);
+                }
+            }
+            Instruction::SetTerms(attempt, terms) => {
+                self.executors.set_terms(attempt, terms, &mut self.out);
+            }
+            Instruction::Withdraw(attempt) => {
+                self.executors.withdraw(attempt, &mut self.out);
+                // It is given up with the word itself: no echo comes.
+                self.ended(attempt, Outcome::Cancelled);
+            }
+            Instruction::Answer(query, answer) => {
+                let Some(unit) = self.open.take(query) else { return };
+                let reply = match answer {
+                    Answer::Refused { retry_after } => Reply::Refused((retry_after.0 + 999) / 1000),
+                    Answer::Failed { .. } | Answer::Broken => Reply::Failed,
+                };
+                self.answer(unit.client, &reply);
+            }
+            Instruction::Tell(words) => {
+                let (datagram, to) = self.peers.tell(&words);
+                for to in to {
+                    self.out.push(Effect::Send(Port::Peers, to, datagram.clone()));
+                }
+            }
+            Instruction::Log(line) => {
+                if self.lines > 0 {
+                    self.lines -= 1;
+                    info!("{line}");
+                }
+            }
+            // Probes are not part of this protocol, and the list comes without being subscribed to.
+            Instruction::Probe(_) | Instruction::Subscribe => {}
+        }
+    }
+
+    fn ended(&mut self, attempt: AttemptId, outcome: Outcome) {
+        if self.tape.mind().is_out(attempt) {
+            let (billed_work, report) = (None, wheelfield::interface::Report::default());
+            self.tape.tell(self.out.now, Input::Ended { attempt, outcome, billed_work, report });
+        }
+    }
+
+    /// Writes what waits for a connection that is up.
+    pub fn write(&mut self, conn: ConnId) {
+        while let Some(job) = self.executors.ready(conn) {
+            let mind = self.tape.mind();
+            let limit = mind.driver().and_then(|d| d.limit_of(job.attempt));
+            let Some(unit) = self.open.get(job.attempt.query).filter(|_| mind.may_write(job.attempt)) else {
+                self.ended(job.attempt, Outcome::Skipped);
+                continue;
+            };
+            let left = limit.map_or(1, |at| (at.0 - self.out.now + 999) / 1000).max(1);
+            let Some(class) = self.names.classes.get(unit.class) else { continue };
+            self.executors.write(conn, &job, (class, left, &unit.statement), &mut self.out);
+            self.open.spend(job.id);
+            self.tape.tell(self.out.now, Input::Dispatched(job.attempt));
+        }
+    }
+
+    fn told(&mut self, told: Told) {
+        match told {
+            Told::Noted(attempt, note) => self.tape.tell(self.out.now, Input::Noted(attempt, note)),
+            Told::Ended(ended) => {
+                let Ended { attempt, outcome, billed_work, report, pages } = *ended;
+                let served = outcome == Outcome::Served && self.tape.mind().may_answer(attempt);
+                let unit = if served { self.open.take(attempt.query) } else { None };
+                self.tape.tell(self.out.now, Input::Ended { attempt, outcome, billed_work, report });
+                if let Some(unit) = unit {
+                    self.answer(unit.client, &Reply::Rows(rows::answer(&pages)));
+                }
+            }
+        }
+    }
+
+    pub fn woken(&mut self, wake: Wake) {
+        match wake {
+            Wake::Ask => {
+                self.ask();
+                self.out.wake_after(names::EVERY, Wake::Ask);
+            }
+            Wake::Sweep => {
+                self.clients.sweep(&mut self.out);
+                self.executors.sweep(&mut self.out);
+                if self.stop.nobody_comes(self.out.now) {
+                    self.clients.end(&mut self.out);
+                }
+                if self.out.now - self.told_at >= TELL {
+                    self.figures();
+                }
+                self.out.wake_after(SWEEP, Wake::Sweep);
+            }
+            Wake::Connect(id) => self.executors.broken(id, &mut self.out),
+            Wake::Stop => {
+                self.out.push(Effect::StopListening);
+                self.clients.end(&mut self.out);
+            }
+        }
+    }
+
+    /// Logs what was counted.
+    fn figures(&mut self) {
+        self.told_at = self.out.now;
+        self.lines = LINES;
+        let driver = self.tape.mind().driver().map(Driver::counts).unwrap_or_default();
+        let (clients, executors) = (self.clients.counts, self.executors.counts);
+        info!(
+            open = self.open.len(),
+            clients = self.clients.len(),
+            connections = self.executors.len(),
+            ?driver,
+            ?clients,
+            ?executors,
+            unused = ?self.unused,
+            "counts"
+        );
+        if executors.no_room > 0 {
+            warn!(times = executors.no_room, "attempts found no connection");
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/front.rs
@@ -0,0 +1,220 @@
+//! HTTP/1.1 as clients speak it: a call taken apart, and the answers.
+
+use crate::lines::RequestId;
+use bytes::BytesMut;
+use std::fmt::Write as _;
+
+/// Bytes of a head at most.
+pub const LONGEST_HEAD: usize = 8 << 10;
+/// Headers of a call at most.
+const MOST_HEADERS: usize = 48;
+/// Bytes of a statement at most.
+pub const LONGEST_BODY: usize = 64 << 10;
+/// A client waits this long at most, in milliseconds: an hour.
+const LONGEST_WAIT: f64 = 3_600_000.0;
+/// Most work in milliseconds, and most memory in MB, that an estimate may state.
+const MOST_COST: f64 = 1e8;
+const MOST_NEED: f64 = 1e7;
+
+/// What a call asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Wants {
+    /// Whether the controller takes clients.
+    Health,
+    /// A statement of this class to be run.
+    Run(Asked),
+}
+
+/// A statement's head.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Asked {
+    /// The class, by name.
+    pub class: String,
+    /// Its id.
+    pub id: RequestId,
+    /// How long the client waits, in microseconds.
+    pub wait: i64,
+    /// Estimated work in seconds of one thread.
+    pub work: Option<f64>,
+    /// Estimated memory in MB.
+    pub memory: Option<f64>,
+}
+
+/// A head that was read.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Head {
+    /// Its bytes, and those of the body after it.
+    pub length: usize,
+    /// Bytes of the body.
+    pub body: usize,
+    /// The client will close the connection after the answer, or expects us to.
+    pub close: bool,
+    /// What it asks for, or why it gets nothing.
+    pub wants: Result<Wants, Bad>,
+}
+
+/// Why a call gets nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Bad {
+    /// It is no HTTP, or a length in it can't be: what follows can't be told apart.
+    #[error("a call that can't be read")]
+    Malformed,
+    /// Its head is over the limit.
+    #[error("a head that is too long")]
+    LongHead,
+    /// Its body is over the limit.
+    #[error("a body that is too long")]
+    LongBody,
+    /// The length of its body is not told.
+    #[error("a body whose length is not told")]
+    NoLength,
+    /// A field is missing, doubled or out of range.
+    #[error("a field that is missing or can't be used")]
+    Field,
+    /// There is no such class or path.
+    #[error("no such path")]
+    NoPath,
+    /// That can't be done with this path.
+    #[error("no such method")]
+    Method,
+    /// The id is in use.
+    #[error("an id that is in use, or was")]
+    Doubled,
+    /// It did not come in time.
+    #[error("a call that did not come in time")]
+    Slow,
+}
+
+impl Bad {
+    /// The status it is answered with.
+    pub fn status(self) -> u16 {
+        match self {
+            Bad::Malformed | Bad::Field => 400,
+            Bad::NoPath => 404,
+            Bad::Method => 405,
+            Bad::Slow => 408,
+            Bad::Doubled => 409,
+            Bad::NoLength => 411,
+            Bad::LongBody => 413,
+            Bad::LongHead => 431,
+        }
+    }
+
+    /// Nothing behind it can be read as a call.
+    pub fn ends(self) -> bool {
+        matches!(self, Bad::Malformed | Bad::LongHead | Bad::LongBody | Bad::NoLength | Bad::Slow)
+    }
+}
+
+/// Reads a head off the front of `buf`, which stays as it is; none until all of it has come.
+///
+/// # Errors
+/// [`Bad`], if nothing behind it can be read as a call.
+pub fn head(buf: &[u8]) -> Result<Option<Head>, Bad> {
+    let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
+    let mut request = httparse::Request::new(&mut headers);
+    let length = match request.parse(buf) {
+        Ok(httparse::Status::Complete(length)) if length <= LONGEST_HEAD => length,
+        Ok(httparse::Status::Partial) if buf.len() < LONGEST_HEAD => return Ok(None),
+        Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(Bad::LongHead),
+        Err(_) => return Err(Bad::Malformed),
+    };
+    let headers = &request.headers[..];
+    // One of each that matters: two readers may take different ones of a doubled field.
+    let one = |name: &str| -> Result<Option<&str>, ()> {
+        let mut all = headers.iter().filter(|h| h.name.eq_ignore_ascii_case(name));
+        let first =
+            all.next().map(|h| std::str::from_utf8(h.value).map(str::trim).map_err(|_| ())).transpose()?;
+        all.next().map_or(Ok(first), |_| Err(()))
+    };
+    let told = one("content-length").map_err(|()| Bad::Malformed)?;
+    let encoded = headers.iter().any(|h| h.name.eq_ignore_ascii_case("transfer-encoding"));
+    let method = request.method.unwrap_or("");
+    let body = match told {
+        _ if encoded && told.is_some() => return Err(Bad::Malformed),
+        _ if encoded => return Err(Bad::NoLength),
+        Some(digits) if !digits.is_empty() && digits.bytes().all(|b| b.is_ascii_digit()) => {
+            digits.parse::<usize>().ok().filter(|n| *n <= LONGEST_BODY).ok_or(Bad::LongBody)?
+        }
+        Some(_) => return Err(Bad::Malformed),
+        None if method == "POST" => return Err(Bad::NoLength),
+        None => 0,
+    };
+    let connection = one("connection").ok().flatten().unwrap_or("");
+    let says = |word: &str| connection.split(',').any(|w| w.trim().eq_ignore_ascii_case(word));
+    let close = says("close") || (request.version == Some(0) && !says("keep-alive"));
+    let path = request.path.unwrap_or("").split('?').next().unwrap_or("");
+    let wants = match (method, path, path.strip_prefix("/rpc/")) {
+        ("GET", "/health", _) => Ok(Wants::Health),
+        (_, "/health", _) => Err(Bad::Method),
+        // We give no paths of results: all rows are in the last answer.
+        ("GET" | "DELETE", ..) => Err(Bad::NoPath),
+        ("POST", _, Some(class)) if !class.is_empty() && !class.contains('/') => {
+            asked(class, one).ok_or(Bad::Field).map(Wants::Run)
+        }
+        ("POST", ..) => Err(Bad::NoPath),
+        _ => Err(Bad::Method),
+    };
+    Ok(Some(Head { length: length + body, body, close, wants }))
+}
+
+/// The fields of a statement's head; none if one is missing or can't be used.
+fn asked<'a>(class: &str, one: impl Fn(&str) -> Result<Option<&'a str>, ()>) -> Option<Asked> {
+    // Digits alone, with a point or without: no sign, no exponent, no words for what is no number.
+    let plain = |text: &str| text.bytes().all(|b| b.is_ascii_digit() || b == b'.') && text.len() <= 24;
+    let figure = |name: &str, most: f64| -> Option<Option<f64>> {
+        let Some(text) = one(name).ok()? else { return Some(None) };
+        let number = Some(text).filter(|t| plain(t)).and_then(|t| t.parse::<f64>().ok());
+        number.filter(|x| (0.0..=most).contains(x)).map(Some)
+    };
+    let id = RequestId::read(one("x-request-id").ok()??.as_bytes())?;
+    let wait = figure("x-timeout-ms", LONGEST_WAIT)?.filter(|ms| *ms >= 1.0)?;
+    let known = |x: Option<f64>| x.filter(|x| *x > 0.0);
+    let work = known(figure("x-cost-ms", MOST_COST)?).map(|ms| ms / 1e3);
+    let memory = known(figure("x-need-mb", MOST_NEED)?);
+    match one("x-retry").ok()? {
+        None | Some("0" | "1") => {}
+        Some(_) => return None,
+    }
+    Some(Asked { class: class.to_string(), id, wait: (wait * 1e3) as i64, work, memory })
+}
+
+/// What a client is told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    /// All rows, as JSON.
+    Rows(Vec<u8>),
+    /// Trying again is harmless, after so many milliseconds.
+    Refused(i64),
+    /// Nothing is promised.
+    Failed,
+    /// The controller takes clients, or no more.
+    Health(bool),
+    /// The call gets nothing.
+    Bad(Bad),
+}
+
+/// Appends an answer; with `close` it says that the connection ends.
+pub fn put(reply: &Reply, close: bool, out: &mut BytesMut) {
+    let (status, reason, body): (u16, &str, &[u8]) = match reply {
+        Reply::Rows(rows) => (200, "OK", rows),
+        Reply::Refused(_) => (503, "Service Unavailable", b"{\"reason\":\"TryLater\"}"),
+        Reply::Failed => (500, "Internal Server Error", b"{\"reason\":\"Aborted\"}"),
+        Reply::Health(true) => (200, "OK", b"{}"),
+        Reply::Health(false) => (503, "Service Unavailable", b"{\"reason\":\"TryLater\"}"),
+        Reply::Bad(bad) => (bad.status(), "Bad Call", b"{\"reason\":\"Aborted\"}"),
+    };
+    let mut head = format!("HTTP/1.1 {status} {reason}\r\nContent-Type: application/json\r\n");
+    // Writing to a string can't fail.
+    let _ = write!(head, "Content-Length: {}\r\n", body.len());
+    match reply {
+        Reply::Refused(ms) if *ms > 0 => {
+            let _ = write!(head, "Retry-After-Ms: {ms}\r\n");
+        }
+        _ => {}
+    }
+    head.push_str(if close { "Connection: close\r\n\r\n" } else { "\r\n" });
+    out.reserve(head.len() + body.len());
+    out.extend_from_slice(head.as_bytes());
+    out.extend_from_slice(body);
+}
--- /dev/null
+++ b/crates/platform/src/lines.rs
@@ -0,0 +1,221 @@
+//! The executors' protocol: lines of words that end in CR LF; a length as the last word has so many bytes follow.
+
+use crate::rows::LONGEST_PAGE;
+use bytes::{Buf, Bytes, BytesMut};
+use std::fmt;
+
+/// Bytes of a line at most, its end included.
+const LONGEST_LINE: usize = 1_024;
+/// Fields of a line at most.
+const MOST_FIELDS: usize = 32;
+/// Bytes that may wait to be read as answers: a line and a page, and the end of both.
+pub const LONGEST_ANSWER: usize = LONGEST_LINE + LONGEST_PAGE + 2;
+
+/// The id of a request: 16 hex digits, as the client wrote them.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestId([u8; 16]);
+
+impl RequestId {
+    /// Reads an id; none if it is not 16 hex digits.
+    pub fn read(text: &[u8]) -> Option<RequestId> {
+        let id: [u8; 16] = text.try_into().ok()?;
+        id.iter().all(u8::is_ascii_hexdigit).then_some(RequestId(id))
+    }
+
+    /// As text.
+    pub fn as_str(&self) -> &str {
+        std::str::from_utf8(&self.0).unwrap_or("")
+    }
+}
+
+impl fmt::Display for RequestId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+impl fmt::Debug for RequestId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+/// What an executor says of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Word {
+    /// Done: the first page.
+    Hit,
+    /// Full: it never ran.
+    Shed,
+    /// It may have run.
+    Fault,
+    /// It was over already: it never ran.
+    Late,
+    /// Not yet over.
+    Info,
+    /// A further page.
+    Part,
+    /// The connection works.
+    Pong,
+}
+
+/// An answer of an executor.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Answer {
+    /// Of what; not always an id of a request.
+    pub id: Bytes,
+    /// What it says.
+    pub word: Word,
+    /// Its fields.
+    fields: Vec<(Bytes, Bytes)>,
+    /// What follows.
+    pub body: Bytes,
+}
+
+impl Answer {
+    /// A field as text.
+    pub fn text(&self, name: &str) -> Option<&str> {
+        let value = self.fields.iter().find(|(n, _)| n == name.as_bytes()).map(|(_, v)| v)?;
+        std::str::from_utf8(value).ok()
+    }
+
+    /// A field as a finite number.
+    pub fn number(&self, name: &str) -> Option<f64> {
+        self.text(name)?.parse().ok().filter(|x: &f64| x.is_finite())
+    }
+}
+
+/// What came can't be read: nothing after it can.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Spoilt {
+    /// No end within the longest line.
+    #[error("a line that does not end")]
+    Endless,
+    /// Not as lines are.
+    #[error("a line that can't be read")]
+    Line,
+    /// More than a page.
+    #[error("a length that is no length of a page")]
+    Length,
+    /// What follows does not end where it should.
+    #[error("a length that does not fit")]
+    Misfit,
+}
+
+/// Where a line ends, its CR LF left out; none until it has come.
+fn line_end(buf: &[u8]) -> Result<Option<usize>, Spoilt> {
+    let within = &buf[..buf.len().min(LONGEST_LINE)];
+    match memchr::memchr(b'\n', within) {
+        Some(0) => Err(Spoilt::Line),
+        Some(n) if within[n - 1] != b'\r' => Err(Spoilt::Line),
+        Some(n) => Ok(Some(n - 1)),
+        None if buf.len() >= LONGEST_LINE => Err(Spoilt::Endless),
+        None => Ok(None),
+    }
+}
+
+/// The fields of a list, by where they stand in the line.
+fn fields(line: &Bytes, list: &[u8]) -> Result<Vec<(Bytes, Bytes)>, Spoilt> {
+    if list == b"-" {
+        return Ok(Vec::new());
+    }
+    let mut all = Vec::new();
+    for pair in list.split(|b| *b == b',') {
+        let at = memchr::memchr(b'=', pair).ok_or(Spoilt::Line)?;
+        all.push((line.slice_ref(&pair[..at]), line.slice_ref(&pair[at + 1..])));
+    }
+    if all.len() > MOST_FIELDS {
+        return Err(Spoilt::Line);
+    }
+    Ok(all)
+}
+
+/// Takes an answer off the front of `buf`; none until all of it has come.
+///
+/// # Errors
+/// [`Spoilt`]; the connection is of no further use.
+pub fn take(buf: &mut BytesMut) -> Result<Option<Answer>, Spoilt> {
+    let Some(end) = line_end(buf)? else { return Ok(None) };
+    let words: Vec<&[u8]> = buf[..end].split(|b| *b == b' ').collect();
+    let word = match words.get(1) {
+        Some(&b"HIT") => Word::Hit,
+        Some(&b"SHED") => Word::Shed,
+        Some(&b"FAULT") => Word::Fault,
+        Some(&b"LATE") => Word::Late,
+        Some(&b"INFO") => Word::Info,
+        Some(&b"PART") => Word::Part,
+        Some(&b"PONG") => Word::Pong,
+        _ => return Err(Spoilt::Line),
+    };
+    let length = match words[2..] {
+        [] if word == Word::Pong => None,
+        [_, length] => Some(length),
+        _ => return Err(Spoilt::Line),
+    };
+    let length = match length {
+        None => None,
+        Some(digits) => {
+            let number = std::str::from_utf8(digits).ok().filter(|d| d.bytes().all(|b| b.is_ascii_digit()));
+            let number = number.and_then(|d| d.parse::<usize>().ok()).ok_or(Spoilt::Line)?;
+            Some(number).filter(|n| *n <= LONGEST_PAGE).ok_or(Spoilt::Length).map(Some)?
+        }
+    };
+    // What follows the line, and its own CR LF.
+    let whole = end + 2 + length.map_or(0, |n| n + 2);
+    if buf.len() < whole {
+        return Ok(None);
+    }
+    if length.is_some() && &buf[whole - 2..whole] != b"\r\n" {
+        return Err(Spoilt::Misfit);
+    }
+    let (id, list) = (words[0].len(), words.get(2).map(|w| w.len()));
+    let line = buf.split_to(end).freeze();
+    buf.advance(2);
+    let mut body = length.map(|n| buf.split_to(n).freeze()).unwrap_or_default();
+    if length.is_some() {
+        buf.advance(2);
+    }
+    if !body.is_empty() {
+        // Its own memory, so that the buffer it came in is free again.
+        body = Bytes::copy_from_slice(&body);
+    }
+    let start = id + 1 + line[id + 1..].iter().position(|b| *b == b' ').map_or(0, |n| n + 1);
+    let fields = list.map(|n| fields(&line, &line[start..start + n])).transpose()?.unwrap_or_default();
+    Ok(Some(Answer { id: line.slice(..id), word, fields, body }))
+}
+
+/// A request: its class, how long we wait in milliseconds, its priority, its statement.
+pub fn put_request(
+    id: RequestId,
+    class: &str,
+    limit_ms: i64,
+    priority: u8,
+    statement: &[u8],
+    out: &mut BytesMut,
+) {
+    let length = statement.len();
+    let line = format!("REQ {id} cls={class},limit={limit_ms},prio={priority} {length}\r\n");
+    out.extend_from_slice(line.as_bytes());
+    out.extend_from_slice(statement);
+    out.extend_from_slice(b"\r\n");
+}
+
+/// Gives a request up.
+pub fn put_stop(id: RequestId, out: &mut BytesMut) {
+    out.extend_from_slice(format!("STOP {id}\r\n").as_bytes());
+}
+
+/// A new priority.
+pub fn put_priority(id: RequestId, priority: u8, out: &mut BytesMut) {
+    out.extend_from_slice(format!("NICE {id} {priority}\r\n").as_bytes());
+}
+
+/// Asks for a page, from 1.
+pub fn put_fetch(id: RequestId, page: usize, out: &mut BytesMut) {
+    out.extend_from_slice(format!("FETCH {id} {page}\r\n").as_bytes());
+}
+
+/// No more pages are wanted.
+pub fn put_end(id: RequestId, out: &mut BytesMut) {
+    out.extend_from_slice(format!("END {id}\r\n").as_bytes());
+}
--- /dev/null
+++ b/crates/platform/src/stop.rs
@@ -0,0 +1,37 @@
+//! The end: clients that do not know of it yet are served as before for a while.
+
+/// After the word to stop, connections arrive for 0.4 s and calls on them for 0.2 s more; a call that crosses the end of its
+/// connection is another 50 ms on its way. In microseconds.
+const COMING: i64 = 700_000;
+/// Then what goes out may take so long, and what is in hand as long as its deadline: at most so long in all, in microseconds.
+const LONGEST: i64 = 60_000_000;
+
+/// How far the end has come.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Stop {
+    since: Option<i64>,
+}
+
+impl Stop {
+    /// The word to stop; when clients have had their time to come. None if it had come before.
+    pub fn begin(&mut self, now: i64) -> Option<i64> {
+        let first = self.since.is_none();
+        self.since = self.since.or(Some(now));
+        first.then_some(now + COMING)
+    }
+
+    /// The word has come.
+    pub fn begun(&self) -> bool {
+        self.since.is_some()
+    }
+
+    /// Nobody comes any more.
+    pub fn nobody_comes(&self, now: i64) -> bool {
+        self.since.is_some_and(|since| now - since >= COMING)
+    }
+
+    /// All is over, where so much is `owed`.
+    pub fn over(&self, now: i64, owed: bool) -> bool {
+        self.nobody_comes(now) && (!owed || self.since.is_some_and(|since| now - since >= LONGEST))
+    }
+}
--- /dev/null
+++ b/crates/platform/src/wake.rs
@@ -0,0 +1,16 @@
+//! What a timer is for.
+
+use wheelfield_parts::ConnId;
+
+/// What a timer is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Wake {
+    /// The name service is asked again.
+    Ask,
+    /// Connections are looked through.
+    Sweep,
+    /// An executor must have let us in.
+    Connect(ConnId),
+    /// Clients had their time to come.
+    Stop,
+}
--- a/crates/gate/src/tape.rs
+++ b/crates/tape/src/tape.rs
@@ -7,7 +7,7 @@
 use wheelfield_driver::{Arrival, Crowded, Input, Instruction};
 
 /// The one door to what decides. Whatever goes through it is recorded, where a capture is wanted.
-pub(crate) struct Tape {
+pub struct Tape {
     mind: Box<dyn Mind>,
     recorder: Option<Recorder>,
     fresh: Vec<Instruction>,
@@ -15,6 +15,7 @@
 }
 
 impl Tape {
+    /// A tape around what decides.
     pub fn new(mind: Box<dyn Mind>, recorder: Option<Recorder>) -> Tape {
         Tape { mind, recorder, fresh: Vec::new(), waiting: VecDeque::new() }
     }
@@ -53,11 +54,12 @@
         self.waiting.extend(self.fresh.drain(..));
     }
 
-    /// The next thing to be done.
-    pub fn next(&mut self) -> Option<Instruction> {
+    /// Takes the next thing to be done.
+    pub fn take(&mut self) -> Option<Instruction> {
         self.waiting.pop_front()
     }
 
+    /// What decides.
     pub fn mind(&self) -> &dyn Mind {
         &*self.mind
     }
@@ -84,6 +86,7 @@
         true
     }
 
+    /// How the capture stands.
     pub fn captured(&self) -> wheelfield_capture::State {
         self.recorder.as_ref().map(Recorder::state).unwrap_or_default()
     }
--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -10,7 +10,7 @@
 use tape::{Tally, Tape};
 use wheelfield::choice::Gateway;
 use wheelfield::interface::{Action, Event, Micros, Settings};
-use wire::{Line, ListEntry, Names};
+use wire::{Line, ListEntry, Wording};
 
 /// Hosts the decision module on the simulator's wire, standard input to standard output.
 ///
@@ -24,7 +24,7 @@
 }
 
 struct Instance {
-    names: Names,
+    names: Wording,
     gateway: Gateway,
     tape: Option<Tape>,
 }
@@ -86,7 +86,7 @@
                 return Ok(());
             }
             "up" => {
-                let (names, settings) = Names::settings(line.text("env")?)?;
+                let (names, settings) = Wording::settings(line.text("env")?)?;
                 let seed = line.number("rng_seed")?;
                 self.end(id);
                 let tape = self.tape(id, &names, &settings, seed, now)?;
@@ -110,7 +110,7 @@
     fn tape(
         &mut self,
         id: u32,
-        names: &Names,
+        names: &Wording,
         settings: &Settings,
         seed: u64,
         now: Micros,
--- a/crates/wirehost/src/tape.rs
+++ b/crates/wirehost/src/tape.rs
@@ -1,7 +1,7 @@
 //! A day on the wire as captures: the same driver as the controller's is told what the module here is told, and what it
 //! wants done is held against what the module here wants done. Nothing of it reaches the wire.
 
-use crate::wire::Names;
+use crate::wire::Wording;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::path::{Path, PathBuf};
 use wheelfield::interface::*;
@@ -63,7 +63,7 @@
     pub fn begin(
         dir: &Path,
         (instance, life): (u32, u32),
-        names: &Names,
+        names: &Wording,
         settings: &Settings,
         seed: u64,
         now: Micros,
@@ -74,7 +74,7 @@
             format!("controller-{instance}-{life}")
         };
         let bounds = Bounds { queries: usize::MAX, withdraw_wait: Bounds::TOLD };
-        let (classes, tenants) = names.lists();
+        let (classes, tenants) = (names.0.classes.clone(), names.0.tenants.clone());
         let start = Start {
             build: format!("{} {}", env!("CARGO_PKG_NAME"), env!("CARGO_PKG_VERSION")),
             index: instance,
@@ -113,7 +113,7 @@
         event: Event,
         attempt: Option<usize>,
         actions: &[Action],
-        names: &Names,
+        names: &Wording,
     ) {
         self.now = now;
         if let Event::Ended(e) = &event {
@@ -123,7 +123,7 @@
             self.wants(action);
         }
         if matches!(event, Event::EngineList(_) | Event::EngineChanges(_)) {
-            self.recorder.engines(now, names.engines());
+            self.recorder.engines(now, names.0.engines.iter().map(|(id, name)| (*id, name.clone())));
         }
         if let Some(told) = told(event, attempt) {
             self.step(told);
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -1,9 +1,9 @@
 //! Reading and printing the wire. No decision is made here and no figure of the mechanism stands here.
 
 use base64::{engine::general_purpose::STANDARD, Engine as _};
-use serde_json::Value;
 use std::collections::BTreeMap;
 use wheelfield::interface::*;
+use wheelfield_settings::{engine_id, message, position, take_figure, words, Names};
 
 /// The parts of one line: its first word and its `name=value` fields.
 pub struct Line<'a> {
@@ -114,153 +114,15 @@
     }
 }
 
-/// The names one instance knows, and the numbers the module knows them by.
-pub struct Names {
-    classes: Vec<String>,
-    tenants: Vec<String>,
-    zones: Vec<String>,
-    kinds: Vec<String>,
-    engines: BTreeMap<EngineId, String>,
-}
-
-fn position(names: &[String], name: &str) -> Option<usize> {
-    names.iter().position(|n| n == name)
-}
-
-/// The same number for the same name at every instance.
-fn engine_id(name: &str) -> EngineId {
-    EngineId(
-        name.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3)),
-    )
-}
-
-fn strings(value: &Value) -> Vec<String> {
-    let items = value.as_array().map(Vec::as_slice).unwrap_or(&[]);
-    items.iter().filter_map(|v| v.as_str().map(str::to_string)).collect()
-}
-
-fn reals(value: &Value) -> Vec<f64> {
-    let items = value.as_array().map(Vec::as_slice).unwrap_or(&[]);
-    items.iter().map(|v| v.as_f64().unwrap_or(0.0)).collect()
-}
-
-fn micros(value: &Value) -> Micros {
-    Micros(value.as_i64().or_else(|| value.as_f64().map(|x| x as i64)).unwrap_or(0))
-}
-
-fn real(value: &Value) -> f64 {
-    value.as_f64().unwrap_or(0.0)
-}
-
-fn flag(value: &Value) -> bool {
-    value.as_bool().unwrap_or(false)
-}
+/// The names of one instance, as the wire uses them.
+pub struct Wording(pub Names);
 
-impl Names {
+impl Wording {
     /// Reads the settings of an `up` line.
-    pub fn settings(env: &str) -> Result<(Names, Settings), String> {
-        let v: Value = serde_json::from_str(env).map_err(|e| format!("up: 'env' is not JSON: {e}"))?;
-        let named = |key: &str| -> Vec<String> {
-            let items = v[key].as_array().map(Vec::as_slice).unwrap_or(&[]);
-            items.iter().map(|g| g["name"].as_str().unwrap_or("").to_string()).collect()
-        };
-        let names = Names {
-            classes: named("grades"),
-            tenants: named("tenants"),
-            zones: strings(&v["zones"]),
-            kinds: strings(&v["skus"]),
-            engines: BTreeMap::new(),
-        };
-        let (limits, info, safety) = (&v["ceilings"], &v["family_info"], &v["safety"]);
-        let grades = v["grades"].as_array().map(Vec::as_slice).unwrap_or(&[]);
-        let mut classes = Vec::new();
-        for (i, g) in grades.iter().enumerate() {
-            classes.push(names.class(g, i, info)?);
-        }
-        let settings = Settings {
-            gateways: real(&v["balancers"]),
-            index: real(&v["me"]),
-            zone: v["my_zone"].as_str().and_then(|z| position(&names.zones, z)),
-            classes,
-            allowances: v["tenants"]
-                .as_array()
-                .map(|t| t.iter().map(|t| real(&t["allowance_per_s"])).collect())
-                .unwrap_or_default(),
-            cores: reals(&info["cpu_of_kind"]),
-            memory_mb: reals(&info["memory_by_kind_mb"]),
-            max_grant_share: real(&info["max_grant_share"]),
-            waits: info["when_short"] == "wait",
-            pages: info["when_short"] == "page",
-            grants: flag(&info["grants"]),
-            priorities: flag(&info["lanes_count"]),
-            bills: flag(&info["bills"]),
-            note_every: micros(&info["tells_every_us"]),
-            cancel: flag(&limits["cancel"]),
-            probes: flag(&limits["probes"]),
-            peers: flag(&limits["peer_messages"]),
-            probe_price: real(&v["charges"]["probe"]),
-            message_price: real(&v["charges"]["peer"]) * 1024.0 / MESSAGE_UNIT,
-            reports: v["telemetry"]["how"] != "none",
-            reports_utilisation: strings(&v["telemetry"]["columns"]).iter().any(|c| c == "cpu_share"),
-            reports_by_probe: v["telemetry"]["how"] == "probe",
-            subscribe: v["registry_mode"] == "subscribe",
-            second_copies: flag(&limits["second_copies"]),
-            max_attempts: limits["send_cap"].as_u64().unwrap_or(0) as usize,
-            max_retry_after: if flag(&limits["retry_after"]) {
-                micros(&limits["max_retry_after_us"])
-            } else {
-                Micros(0)
-            },
-            cross_zone_price: real(&v["charges"]["cross_zone"]),
-            cold_from: real(&safety["cold_from"]),
-            cold_for: micros(&safety["ramp_time_us"]),
-            fall_multiple: real(&safety["tip_multiple"]),
-            fall_span: micros(&safety["fall_us"]),
-            order_pause: micros(&safety["order_pause_us"]),
-            attempt_budget: safety.get("resend_ratio").or(safety.get("extra_free")).map(|_| AttemptBudget {
-                free: real(&safety["extra_free"]),
-                share: real(&safety["resend_ratio"]),
-                span: micros(&safety["budget_span_us"]),
-            }),
-        };
-        Ok((names, settings))
-    }
-
-    fn class(&self, g: &Value, index: usize, info: &Value) -> Result<Class, String> {
-        let open_to = |key: &str, all: &[String]| -> (Vec<usize>, bool) {
-            let named = strings(&g[key]);
-            let known: Vec<usize> = named.iter().filter_map(|n| position(all, n)).collect();
-            let nowhere = !named.is_empty() && known.is_empty();
-            (known, nowhere)
-        };
-        let (zones, no_zone) = open_to("zones_open", &self.zones);
-        let (kinds, no_kind) = open_to("bound_to", &self.kinds);
-        Ok(Class {
-            aim: micros(&g["on_time_us"]),
-            aim_stretch: real(&g["aim_stretch"]),
-            deadline: micros(&g["give_up_us"]),
-            worth: real(&g["gain"]),
-            late_value: real(&g["late_value"]),
-            effect: match g["effect"].as_str() {
-                Some("repeatable") => Effect::Repeatable,
-                Some("by_key") => Effect::ByKey,
-                Some("once") => Effect::Once,
-                other => return Err(format!("up: unknown effect {other:?} of class {index}")),
-            },
-            scope: match g["dedup_scope"].as_str() {
-                Some("zone") => DedupScope::Zone,
-                Some("cell") => DedupScope::Cell,
-                _ => DedupScope::All,
-            },
-            window: micros(&g["window_us"]),
-            in_order: flag(&g["in_order"]),
-            kinds,
-            zones,
-            nowhere: no_zone || no_kind,
-            threads: info["parallelism"][index].as_f64().unwrap_or(1.0),
-            is_load: flag(&info["writes_tables"][index]),
-            waits_for_loads: flag(&info["yields_to_loads"][index]),
-        })
+    pub fn settings(env: &str) -> Result<(Wording, Settings), String> {
+        let v = serde_json::from_str(env).map_err(|e| format!("up: 'env' is not JSON: {e}"))?;
+        let (names, settings) = Names::settings(&v).map_err(|e| format!("up: {e}"))?;
+        Ok((Wording(names), settings))
     }
 
     /// Translates an event line. `None` for an event of no use to the module.
@@ -274,10 +136,10 @@
             "fleet" => return self.fleet(line, lists).map(Some),
             "query" => Event::Arrived(Query {
                 id: line.query_id()?,
-                class: self.known(&self.classes, line.text("tier_class")?, "class")?,
+                class: self.known(&self.0.classes, line.text("tier_class")?, "class")?,
                 tenant: match line.get("realm") {
                     None | Some("0") | Some("") => None,
-                    Some(name) => Some(self.known(&self.tenants, name, "tenant")?),
+                    Some(name) => Some(self.known(&self.0.tenants, name, "tenant")?),
                 },
                 key: line.get("relation").filter(|k| !k.is_empty()).map(str::to_string),
                 due: Micros(line.number("due_us")?),
@@ -311,7 +173,10 @@
             }),
             "expired" => Event::Departed(line.query_id()?),
             "tick_due" => Event::TimerDue(line.number("handle")?),
-            "inbox" => Event::Told(self.words(&STANDARD.decode(line.text("blob")?).unwrap_or_default())),
+            "inbox" => Event::Told(words(
+                self.0.engines.keys(),
+                &STANDARD.decode(line.text("blob")?).unwrap_or_default(),
+            )),
             "status_back" => Event::Probed {
                 engine: engine_id(line.text("executor")?),
                 outcome: outcome(line)?,
@@ -321,32 +186,6 @@
         }))
     }
 
-    /// Reads a message. What is unreadable, or of an engine that no list has named, is left out.
-    fn words(&self, bytes: &[u8]) -> Vec<Word> {
-        let Some((mask, mut rest)) = bytes.split_first() else { return Vec::new() };
-        let mut words = Vec::new();
-        let length = 3 + FIELDS.iter().filter(|(bit, _)| mask & bit != 0).count();
-        while rest.len() >= length {
-            let (word, tail) = rest.split_at(length);
-            rest = tail;
-            let mut values = word[3..].iter();
-            let mut field = |i: usize| {
-                let (bit, unit) = FIELDS[i];
-                (mask & bit != 0).then(|| values.next().map(|b| f64::from(*b) * unit)).flatten()
-            };
-            let report = Report {
-                utilisation: field(0),
-                in_flight: field(1),
-                queue: field(2),
-                memory: field(3),
-                disks: field(4),
-            };
-            let named = self.engines.keys().find(|e| e.0.to_le_bytes()[..3] == word[..3]);
-            words.extend(named.map(|&engine| Word { engine, report }));
-        }
-        words
-    }
-
     fn known(&self, names: &[String], name: &str, what: &str) -> Result<usize, String> {
         position(names, name).ok_or_else(|| format!("query: a {what} not in the settings: '{}'", clip(name)))
     }
@@ -360,12 +199,11 @@
         let list = lists.get(&bank).ok_or_else(|| format!("fleet: no list numbered {bank} has come"))?;
         let mut entries = Vec::new();
         for e in list {
-            let engine = engine_id(&e.name);
-            self.engines.insert(engine, e.name.clone());
+            let engine = self.0.engine(&e.name);
             entries.push(EngineEntry {
                 engine,
-                zone: position(&self.zones, &e.zone).unwrap_or(usize::MAX),
-                kind: position(&self.kinds, &e.kind).unwrap_or(usize::MAX),
+                zone: self.0.zone(&e.zone),
+                kind: self.0.kind(&e.kind),
                 cell: e.cell,
                 status: e.status,
                 started: e.started,
@@ -378,20 +216,10 @@
         }
     }
 
-    /// The names of the classes and of the tenants, by position.
-    pub fn lists(&self) -> (Vec<String>, Vec<String>) {
-        (self.classes.clone(), self.tenants.clone())
-    }
-
-    /// The engines named so far.
-    pub fn engines(&self) -> impl Iterator<Item = (EngineId, String)> + '_ {
-        self.engines.iter().map(|(id, name)| (*id, name.clone()))
-    }
-
     /// Prints an action as a line.
     pub fn print(&self, action: &Action, out: &mut String) {
         use std::fmt::Write;
-        let engine = |e: &EngineId| self.engines.get(e).map(String::as_str).unwrap_or("-");
+        let engine = |e: &EngineId| self.0.engines.get(e).map(String::as_str).unwrap_or("-");
         let written = match action {
             Action::Send { query, engine: e, time_out } => {
                 writeln!(
@@ -425,33 +253,6 @@
     }
 }
 
-/// The figures that a message may carry of each engine, one byte each: a bit of its first byte, and the unit.
-const FIELDS: [(u8, f64); 5] = [(1, 1.0 / 64.0), (2, 1.0), (4, 1.0), (8, 1.0 / 64.0), (16, 1.0 / 64.0)];
-/// The bytes that the price of a message is for, and the longest message.
-const MESSAGE_UNIT: f64 = 256.0;
-
-/// A message: what it carries, then for each engine three bytes of its number and its figures. All words of
-/// one message carry the same figures; a word that does not is left out, as is what exceeds its length.
-fn message(words: &[Word]) -> Vec<u8> {
-    let figures = |w: &Word| {
-        let r = &w.report;
-        [r.utilisation, r.in_flight, r.queue, r.memory, r.disks]
-    };
-    let mask_of = |w: &Word| {
-        let told = figures(w).into_iter().zip(FIELDS).filter(|(x, _)| x.is_some());
-        told.fold(0, |mask, (_, (bit, _))| mask | bit)
-    };
-    let mask = words.first().map_or(0, mask_of);
-    let mut bytes = vec![mask];
-    for w in words.iter().filter(|w| mask_of(w) == mask) {
-        bytes.extend(&w.engine.0.to_le_bytes()[..3]);
-        let told = figures(w).into_iter().zip(FIELDS).filter_map(|(x, (_, unit))| Some((x? / unit).round()));
-        bytes.extend(told.map(|x| x.clamp(0.0, 255.0) as u8));
-    }
-    bytes.truncate(MESSAGE_UNIT as usize);
-    bytes
-}
-
 fn outcome(line: &Line) -> Result<Outcome, String> {
     Ok(match line.text("code")? {
         "done" => Outcome::Served,
@@ -475,14 +276,7 @@
         let number = value.parse::<f64>().ok().filter(|x| x.is_finite());
         let number =
             number.ok_or_else(|| format!("{}: health_info {} is not a number", line.word, clip(name)))?;
-        match name {
-            "cpu_share" => report.utilisation = Some(number),
-            "busy_reqs" => report.in_flight = Some(number),
-            "pending" => report.queue = Some(number),
-            "x0" => report.memory = Some(number),
-            "x1" => report.disks = Some(number),
-            _ => {}
-        }
+        take_figure(&mut report, name, number);
     }
     Ok(report)
 }
