The module lays errors that no other engine cures at the query's door; resends keep their connection

At fault: Engine::failed is told each Outcome::Error in Gateway::ended.

Change: what goes to the same executor again goes on the connection that carries the word before it; if that was cut, after 20 ms. Errors are counted as cured or not by another engine; while the uncured lead, an error neither speaks against its engine nor is tried again, and its query fails at once.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -86,6 +86,10 @@
 const NEWEST: f64 = 0.15;
 /// Share of failures at which an engine is set aside.
 const FAILING: f64 = 0.3;
+/// With so many more errors of late that no other engine cured than were cured, errors are queries' own.
+const ERRORS_UNCURED: f64 = 2.0;
+/// The lean of the draw against an engine that has met the same query with an error.
+const ERRED_LEAN: f64 = 0.1;
 /// The longest an engine is set aside at once, in periods.
 const LONGEST_ASIDE: u32 = 8;
 
@@ -451,6 +455,9 @@
         if !is_load && engine.warm.contains(&live.query.tables) {
             weight *= WARM_LEAN;
         }
+        if live.attempts.iter().any(|a| a.engine == engine.entry.engine && a.erred()) {
+            weight *= ERRED_LEAN;
+        }
         weight.max(1e-9)
     }
 
@@ -603,6 +610,13 @@
         let (work, owed) = (live.work, !live.over);
         let cured = outcome == Outcome::Served && live.attempts.iter().any(|a| a.bad_plan);
         self.classes[class_index].cured += u32::from(cured);
+        // Guards against queries that fail wherever they go: they would set every engine aside and use up
+        // the further attempts of the others. It holds against whatever makes all engines err; it hurts
+        // where an engine errs while many others do: that one is found out late.
+        let errors = live.attempts.iter().filter(|a| a.erred()).count();
+        self.ledger.errors_cured += f64::from(u8::from(outcome == Outcome::Served && errors > 0));
+        self.ledger.errors_uncured += f64::from(u8::from(outcome == Outcome::Error && errors > 1));
+        let own_error = outcome == Outcome::Error && self.ledger.errors_are_own();
         let class = &self.settings.classes[class_index];
         let (threads, aim, scarce) = (class.threads, class.aim, self.ledger.around.scarce);
         if let Some(key) = key.filter(|_| class.in_order) {
@@ -631,7 +645,7 @@
                     engine.failed(now, NEWEST);
                 }
                 Outcome::Cancelled if cancelled => engine.sample(TIMEOUT_SCORE, booked),
-                Outcome::Error => engine.failed(now, NEWEST),
+                Outcome::Error if !own_error => engine.failed(now, NEWEST),
                 Outcome::ConnectFailed => engine.restarts(now),
                 Outcome::Reset => engine.broke(now),
                 Outcome::Full => engine.filled(now, scarce),
@@ -642,7 +656,11 @@
             self.learn(class_index, hint, work);
         }
         if owed && self.queries.get(&id).is_some_and(|l| l.out() == 0) {
-            self.place(now, id, out);
+            if own_error {
+                self.give_up(now, id, out);
+            } else {
+                self.place(now, id, out);
+            }
         }
         self.settle(now, id, out);
     }
@@ -653,7 +671,8 @@
         live.over = true;
         let class = &self.settings.classes[live.query.class];
         let dropped = class.effect == Effect::ByKey && class.scope == DedupScope::All;
-        if class.effect == Effect::Repeatable || dropped || !live.may_have_run() {
+        let own_error = live.attempts.last().is_some_and(Attempt::erred) && self.ledger.errors_are_own();
+        if !own_error && (class.effect == Effect::Repeatable || dropped || !live.may_have_run()) {
             self.ledger.refusals += 1.0;
             let share = self.ledger.refused_share.max(self.ledger.refusals / self.ledger.arrivals.max(1.0));
             let retry_after =
@@ -752,6 +771,8 @@
         self.ledger.drawn = 0.0;
         self.ledger.refused_share = self.ledger.refusals / self.ledger.arrivals.max(1.0);
         (self.ledger.refusals, self.ledger.arrivals) = (0.0, 0.0);
+        self.ledger.errors_cured *= 1.0 - NEWEST;
+        self.ledger.errors_uncured *= 1.0 - NEWEST;
         let longest = self.settings.attempt_budget.map_or(Micros(0), |b| b.span);
         self.ledger.forget_before(now - longest);
         let from = now - self.settings.fall_span;
@@ -890,6 +911,11 @@
         self.mean_load += NEWEST * (pace.min(FAR_ABOVE_BEST) * LOAD_OF_PACE - self.mean_load);
         self.told = Some(now);
     }
+
+    /// Errors of late were met wherever their queries went.
+    fn errors_are_own(&self) -> bool {
+        self.errors_uncured > self.errors_cured + ERRORS_UNCURED
+    }
 }
 
 impl Engine {
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -125,6 +125,11 @@
         let (heard, done, outcome) = (sent, 0.0, None);
         Attempt { engine, sent, work, heard, done, outcome, cancelled: false, bad_plan: false }
     }
+
+    /// Its engine returned an error.
+    pub fn erred(&self) -> bool {
+        self.outcome == Some(Outcome::Error)
+    }
 }
 
 /// What a query is weighed by beyond its engine.
@@ -175,6 +180,9 @@
     /// Threads that end on a busy core while news are acted on.
     pub turnover: f64,
     pub stay: f64,
+    /// Errors that another engine cured, and those it did not, of late.
+    pub errors_cured: f64,
+    pub errors_uncured: f64,
 }
 
 impl Report {
--- a/crates/core/tests/failures.rs
+++ b/crates/core/tests/failures.rs
@@ -265,3 +265,43 @@
     let (light, heavy) = (admitted(0.25), admitted(2.0));
     assert!(light > 2 * heavy && heavy > 0, "{light} light, {heavy} heavy");
 }
+
+/// Bad clients on kigali-shared: queries that every engine answers with an error set all engines aside, and used up the budget.
+#[test]
+fn queries_that_fail_everywhere_set_no_engine_aside_and_are_not_tried_again() {
+    let mut rig = Rig::new(settings(vec![class(Effect::Repeatable)]), engines(4));
+    let mut sends = 0;
+    for _ in 0..60 {
+        let (id, actions) = rig.arrive(0);
+        let mut out = sent(&actions).len();
+        for attempt in 0.. {
+            sends += out;
+            if out == 0 {
+                break;
+            }
+            out = sent(&rig.end(id, attempt, Outcome::Error)).len();
+        }
+    }
+    assert!(sends < 60 + 10, "{sends} sends of 60 queries");
+    let admitted = (0..20).filter(|_| !sent(&rig.arrive(0).1).is_empty()).count();
+    assert_eq!(admitted, 20);
+}
+
+/// The other side of it: an engine that errs while others do not is set aside, and its queries are tried elsewhere.
+#[test]
+fn an_engine_that_errs_alone_is_set_aside() {
+    let mut rig = Rig::new(settings(vec![class(Effect::Repeatable)]), engines(4));
+    let mut last = 0;
+    for n in 0..200 {
+        let (id, actions) = rig.arrive(0);
+        let mut to = sent(&actions);
+        for attempt in 0..4 {
+            let Some(&engine) = to.first() else { break };
+            last = if engine == EngineId(1) { n } else { last };
+            let outcome = if engine == EngineId(1) { Outcome::Error } else { Outcome::Served };
+            to = sent(&rig.end(id, attempt, outcome));
+            assert!(outcome == Outcome::Served || !to.is_empty(), "tried elsewhere");
+        }
+    }
+    assert!(last < 50, "an engine that always errs was still drawn by query {last}");
+}
--- a/crates/platform/src/executors.rs
+++ b/crates/platform/src/executors.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
+use tracing::debug;
 use wheelfield::interface::{EngineId, Note, Outcome, Report};
 use wheelfield_driver::{AttemptId, Terms};
 use wheelfield_parts::{ConnId, Effect, Out, Slots, TimerKey, Wire};
@@ -22,6 +23,9 @@
 /// Ids given up on a connection that are remembered: an answer that crosses the word may still come under them. With more the
 /// connection is closed once it is idle.
 const GIVEN_UP: usize = 64;
+/// The end of a connection is known to its executor after so long, in microseconds: until then a request that was on it does not
+/// go to the same one again, where it would be a second copy.
+const CUT: i64 = 20_000;
 /// Bytes that may wait to go to an executor; with more, other connections are used.
 const BACKLOG: usize = 256 << 10;
 
@@ -104,6 +108,8 @@
     /// Its request is written whole once so many bytes of the connection are.
     written_at: u64,
     hit: Option<Hit>,
+    /// An earlier attempt under this id was given up here: an answer may be that one's.
+    again: bool,
 }
 
 /// A connection.
@@ -131,8 +137,10 @@
     }
 
     fn takes(&self, id: RequestId, streams: usize) -> bool {
-        let used = self.given_up.contains(&id) || self.running.contains_key(&id);
-        !used && !self.wire.closing && self.load() < streams && self.wire.output.len() < BACKLOG
+        !self.running.contains_key(&id)
+            && !self.wire.closing
+            && self.load() < streams
+            && self.wire.output.len() < BACKLOG
     }
 
     fn put(&mut self, line: impl FnOnce(&mut bytes::BytesMut)) {
@@ -185,6 +193,10 @@
     conns: Slots<Conn>,
     places: BTreeMap<AttemptId, (ConnId, RequestId)>,
     told: VecDeque<Told>,
+    /// Requests whose connection ended under them, and when.
+    cut: Vec<(RequestId, EngineId, i64)>,
+    /// Attempts that wait until their executor knows of that.
+    held: Vec<(EngineId, Job)>,
     /// What was counted.
     pub counts: Counts,
 }
@@ -198,6 +210,8 @@
             conns: Slots::new(ROOM),
             places: BTreeMap::new(),
             told: VecDeque::new(),
+            cut: Vec::new(),
+            held: Vec::new(),
             counts: Counts::default(),
         }
     }
@@ -257,13 +271,22 @@
             self.told.push_back(Ended::bare(job.attempt, Outcome::ConnectFailed));
             return None;
         };
+        self.cut.retain(|(_, _, at)| out.now - at < CUT);
+        if self.cut.iter().any(|(id, e, _)| (*id, *e) == (job.id, engine)) {
+            out.wake_after(CUT, Wake::Held(job.attempt));
+            self.held.push((engine, job));
+            return None;
+        }
         let of = |id: &ConnId| self.conns.get(*id).map(|c| (*id, c));
         let mut takers: Vec<(ConnId, &Conn)> = executor.conns.iter().filter_map(of).collect();
         takers.retain(|(_, c)| c.takes(job.id, self.bounds.streams));
+        // Guards against the word that an attempt is given up being overtaken by the next under the same id on another
+        // connection: the executor would have two copies, and give up the wrong one.
+        let again = takers.iter().find(|(_, c)| c.given_up.contains(&job.id)).map(|(id, _)| *id);
         // An idle one, the last used first, so that the others grow old. Alone on its connection an attempt loses nothing by
         // the spoilt answer of another.
         let idle = takers.iter().filter(|(_, c)| c.up && c.load() == 0).max_by_key(|(_, c)| c.idle_since);
-        let chosen = match idle.map(|(id, _)| *id) {
+        let chosen = match again.or(idle.map(|(id, _)| *id)) {
             Some(id) => Some(id),
             None if self.conns.len() < self.bounds.connections => None,
             None => takers.iter().min_by_key(|(_, c)| (!c.up, c.load())).map(|(id, _)| *id),
@@ -285,6 +308,13 @@
         conn.up.then_some(id)
     }
 
+    /// An attempt that was held goes on.
+    pub fn release(&mut self, attempt: AttemptId, out: &mut Out<Wake>) -> Option<ConnId> {
+        let at = self.held.iter().position(|(_, job)| job.attempt == attempt)?;
+        let (engine, job) = self.held.swap_remove(at);
+        self.launch(engine, job, out)
+    }
+
     fn connect(&mut self, engine: EngineId, out: &mut Out<Wake>) -> Option<ConnId> {
         let executor = self.all.get_mut(&engine)?;
         let id = self.conns.insert(Conn {
@@ -341,8 +371,10 @@
         out: &mut Out<Wake>,
     ) {
         let Some(c) = self.conns.get_mut(id) else { return };
+        debug!(id = %job.id, attempt = %job.attempt, to = c.engine.0, limit_ms, "written");
         c.put(|to| lines::put_request(job.id, class, limit_ms, job.terms.priority, statement, to));
-        c.running.insert(job.id, Running { attempt: job.attempt, written_at: c.put, hit: None });
+        let again = c.given_up.contains(&job.id);
+        c.running.insert(job.id, Running { attempt: job.attempt, written_at: c.put, hit: None, again });
         self.places.insert(job.attempt, (id, job.id));
         c.wire.flush(id, out);
     }
@@ -359,10 +391,12 @@
 
     /// Gives an attempt up. An answer that crosses the word finds nobody.
     pub fn withdraw(&mut self, attempt: AttemptId, out: &mut Out<Wake>) {
+        self.held.retain(|(_, job)| job.attempt != attempt);
         let Some((id, request)) = self.places.remove(&attempt) else { return };
         let Some(c) = self.conns.get_mut(id) else { return };
         c.waiting.retain(|job| job.attempt != attempt);
         if let Some(running) = c.running.remove(&request) {
+            debug!(id = %request, %attempt, at = c.engine.0, hit = running.hit.is_some(), "given up");
             // A good answer has ended it: the executor keeps its pages only.
             match running.hit {
                 Some(_) => c.put(|to| lines::put_end(request, to)),
@@ -411,7 +445,7 @@
     }
 
     fn spoilt(&mut self, id: ConnId, spoilt: Spoilt, out: &mut Out<Wake>) {
-        tracing::debug!(%spoilt, "an executor's connection is given up");
+        debug!(%spoilt, "an executor's connection is given up");
         self.counts.spoilt += 1;
         self.broken(id, out);
     }
@@ -505,7 +539,12 @@
                 return Ok(());
             }
         };
-        c.running.remove(&request);
+        if c.running.remove(&request).is_some_and(|r| r.again) {
+            // If this was the answer of the one given up, the other goes no further.
+            c.put(|to| lines::put_stop(request, to));
+            c.wire.flush(id, out);
+        }
+        debug!(id = %request, %attempt, at = c.engine.0, ended = ?answer.word, "over");
         // A second copy of this answer may follow, and must not be taken for that of another attempt under the same id.
         if !matches!(&ended, Told::Ended(e) if e.outcome == Outcome::Served) {
             c.given_up.push(request);
@@ -523,10 +562,12 @@
         let (waiting, running) = (std::mem::take(&mut c.waiting), std::mem::take(&mut c.running));
         let written = c.written;
         self.close(id, out);
-        for running in running.into_values() {
+        for (request, running) in running {
             self.places.remove(&running.attempt);
+            self.cut.push((request, engine, out.now));
             let whole = written >= running.written_at;
             let outcome = if whole { Outcome::Reset } else { Outcome::ConnectFailed };
+            debug!(attempt = %running.attempt, at = engine.0, ?outcome, "its connection broke");
             self.told.push_back(Ended::bare(running.attempt, outcome));
         }
         for mut job in waiting {
--- a/crates/platform/src/flow.rs
+++ b/crates/platform/src/flow.rs
@@ -305,6 +305,7 @@
             Told::Ended(ended) => {
                 let Ended { attempt, outcome, billed_work, report, pages } = *ended;
                 let served = outcome == Outcome::Served && self.tape.mind().may_answer(attempt);
+                if outcome == Outcome::Error {}
                 let unit = if served { self.open.take(attempt.query) } else { None };
                 self.tape.tell(self.out.now, Input::Ended { attempt, outcome, billed_work, report });
                 if let Some(unit) = unit {
@@ -332,6 +333,11 @@
                 self.out.wake_after(SWEEP, Wake::Sweep);
             }
             Wake::Connect(id) => self.executors.broken(id, &mut self.out),
+            Wake::Held(attempt) => {
+                if let Some(conn) = self.executors.release(attempt, &mut self.out) {
+                    self.write(conn);
+                }
+            }
             Wake::Stop => {
                 self.out.push(Effect::StopListening);
                 self.clients.end(&mut self.out);
--- a/crates/platform/src/wake.rs
+++ b/crates/platform/src/wake.rs
@@ -1,5 +1,6 @@
 //! What a timer is for.
 
+use wheelfield_driver::AttemptId;
 use wheelfield_parts::ConnId;
 
 /// What a timer is for.
@@ -11,6 +12,8 @@
     Sweep,
     /// An executor must have let us in.
     Connect(ConnId),
+    /// An executor knows of the end of a connection that carried this query.
+    Held(AttemptId),
     /// Clients had their time to come.
     Stop,
 }
