--- a/crates/controller/src/sockets.rs
+++ b/crates/controller/src/sockets.rs
@@ -143,5 +143,13 @@
 }
 
 fn broken(id: ConnId, writing: bool, e: &io::Error, core: &mut dyn Inside, now: i64) {
-    core.socketed(now, Socketed::Broken { id, writing, reason: &e.to_string() });
+    core.socketed(
+        now,
+        Socketed::Broken {
+            id,
+            writing,
+            refused: e.kind() == io::ErrorKind::ConnectionRefused,
+            reason: &e.to_string(),
+        },
+    );
 }
--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -84,12 +84,12 @@
 const MEMORY_ASIDE: f64 = 2.0;
 /// Weight of the newest sample in running means of health and pace.
 const NEWEST: f64 = 0.15;
+/// A restart breaks all that is out within this time.
+const AT_ONCE: Micros = Micros(PERIOD.0 / 20);
 /// Share of failures at which an engine is set aside.
 const FAILING: f64 = 0.3;
 /// With so many more errors of late that no other engine cured than were cured, errors are queries' own.
 const ERRORS_UNCURED: f64 = 2.0;
-/// The lean of the draw against an engine that has met the same query with an error.
-const ERRED_LEAN: f64 = 0.1;
 /// The longest an engine is set aside at once, in periods.
 const LONGEST_ASIDE: u32 = 8;
 
@@ -290,6 +290,14 @@
         self.aged(engine, now, self.ledger.mean_memory, |r| r.memory)
     }
 
+    /// The mean share of failures over all other engines that take work.
+    fn common_failing(&self, but: EngineId) -> f64 {
+        let others = self.engines.values().map(|e| (&e.entry, e.failing));
+        let up = others.filter(|(entry, _)| entry.status == Status::Up && entry.engine != but);
+        let (sum, count) = up.fold((0.0, 0.0), |(sum, n), (_, failing)| (sum + failing, n + 1.0));
+        sum / f64::max(count, 1.0)
+    }
+
     /// The load from which an engine is busy.
     fn busy(&self) -> f64 {
         [BUSY, BUSY_THREADS][usize::from(self.settings.reports && !self.settings.reports_utilisation)]
@@ -455,9 +463,6 @@
         if !is_load && engine.warm.contains(&live.query.tables) {
             weight *= WARM_LEAN;
         }
-        if live.attempts.iter().any(|a| a.engine == engine.entry.engine && a.erred()) {
-            weight *= ERRED_LEAN;
-        }
         weight.max(1e-9)
     }
 
@@ -624,6 +629,7 @@
                 self.keys.entry(key).or_default().rests_until = now + self.settings.order_pause;
             }
         }
+        let common = self.common_failing(engine_id);
         let unhurried = self.engines.get(&engine_id).is_some_and(|e| self.load(e, now) < 0.8);
         let inferred = unhurried.then_some(took.secs() * threads);
         let ran = if self.settings.bills { billed_work } else { inferred };
@@ -642,12 +648,12 @@
                 }
                 Outcome::TimedOut if !cancelled => {
                     engine.sample(TIMEOUT_SCORE, booked);
-                    engine.failed(now, NEWEST);
+                    engine.failed(now, NEWEST, common);
                 }
                 Outcome::Cancelled if cancelled => engine.sample(TIMEOUT_SCORE, booked),
-                Outcome::Error if !own_error => engine.failed(now, NEWEST),
+                Outcome::Error if !own_error => engine.failed(now, NEWEST, common),
                 Outcome::ConnectFailed => engine.restarts(now),
-                Outcome::Reset => engine.broke(now),
+                Outcome::Reset => engine.broke(now, common),
                 Outcome::Full => engine.filled(now, scarce),
                 _ => {}
             }
@@ -855,7 +861,7 @@
         }
         for engine in self.engines.values_mut().filter(|e| hung.contains(&e.entry.engine)) {
             if engine.aside_until <= now {
-                engine.failed(now, FAILING);
+                engine.failed(now, FAILING, 0.0);
                 out.push(Action::Log(format!("engine silent with {} queries out", engine.out.len())));
             }
             engine.aside_until = engine.aside_until.max(now + PERIOD);
@@ -972,24 +978,27 @@
 
     /// A dead process comes back cold, and the list says so late.
     fn restarts(&mut self, now: Micros) {
-        self.failed(now, FAILING);
+        self.failed(now, FAILING, 0.0);
         self.cold_since = Some(now);
         self.warm.clear();
     }
 
-    /// Guards against taking broken connections for dead engines: a restart breaks all of ours in a row.
-    fn broke(&mut self, now: Micros) {
-        self.broken += 1;
-        self.failed(now, NEWEST);
+    /// Guards against taking broken connections for dead engines: a restart breaks all of ours at once.
+    fn broke(&mut self, now: Micros, common: f64) {
+        self.broken = if now - self.broke_at > AT_ONCE { 1 } else { self.broken + 1 };
+        self.broke_at = now;
+        self.failed(now, NEWEST, common);
         if self.out.is_empty() && self.broken > 1 {
             self.restarts(now);
         }
     }
 
     /// Counts a failure; past the limit the engine is set aside, each time longer, then tried with one query.
-    fn failed(&mut self, now: Micros, weight: f64) {
+    /// Guards against setting aside engines for what all of them share, such as a network that breaks
+    /// connections: the limit is above what is common. It may hurt where most engines fail, but not all.
+    fn failed(&mut self, now: Micros, weight: f64, common: f64) {
         self.failing += weight * (1.0 - self.failing);
-        if self.failing >= FAILING * 0.99 || self.on_trial {
+        if self.failing >= FAILING * 0.99 + common || self.on_trial {
             if self.aside_until <= now {
                 self.aside_until = now + Micros(PERIOD.0 * i64::from(self.aside_for));
                 self.aside_for = (self.aside_for * 2).min(LONGEST_ASIDE);
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -68,6 +68,8 @@
     pub full_pause: i64,
     /// Attempts in a row whose connection broke.
     pub broken: u32,
+    /// When one broke last.
+    pub broke_at: Micros,
     pub was_pressed: bool,
     pub failing: f64,
     pub aside_until: Micros,
@@ -252,6 +254,7 @@
             full_until: Micros(i64::MIN),
             full_pause: 1,
             broken: 0,
+            broke_at: Micros(0),
             was_pressed: false,
             failing: 0.0,
             aside_until: Micros(i64::MIN),
--- a/crates/core/tests/failures.rs
+++ b/crates/core/tests/failures.rs
@@ -305,3 +305,45 @@
     }
     assert!(last < 50, "an engine that always errs was still drawn by query {last}");
 }
+
+/// How many of `n` queries are admitted where one connection in `of` breaks by chance, at any engine or at the first alone;
+/// and how many of the later half went to the first engine.
+fn admitted_while_connections_break(n: usize, of: u64, everywhere: bool) -> (usize, usize) {
+    let mut rig = Rig::new(settings(vec![class(Effect::Repeatable)]), engines(4));
+    let (mut admitted, mut to_first, mut chance) = (0, 0, 1u64);
+    for i in 0..n {
+        rig.now = rig.now + Micros(20_000);
+        if i % 12 == 0 {
+            rig.tell(Event::TimerDue(0));
+        }
+        let (id, actions) = rig.arrive(0);
+        let mut to = sent(&actions);
+        admitted += to.len();
+        to_first += usize::from(to == [EngineId(1)] && i > n / 2);
+        for attempt in 0..4 {
+            let Some(&engine) = to.first() else { break };
+            let breaks = everywhere || engine == EngineId(1);
+            chance = chance.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+            let reset = breaks && (chance >> 33).is_multiple_of(of);
+            let outcome = if reset { Outcome::Reset } else { Outcome::Served };
+            to = sent(&rig.end(id, attempt, outcome));
+        }
+    }
+    (admitted, to_first)
+}
+
+/// Resets on kigali-shared: one connection in fifteen broke at whichever engine, and all were set aside and thought cold.
+#[test]
+fn connections_that_break_everywhere_set_no_engine_aside() {
+    let (admitted, to_first) = admitted_while_connections_break(2_000, 10, true);
+    assert_eq!(admitted, 2_000);
+    assert!(to_first > 125, "{to_first} of about 250");
+}
+
+/// The other side of it: where one engine alone breaks most of them, it is kept away from.
+#[test]
+fn an_engine_that_breaks_connections_alone_is_set_aside() {
+    let (admitted, to_first) = admitted_while_connections_break(1_000, 1, false);
+    assert_eq!(admitted, 1_000);
+    assert!(to_first < 40, "{to_first} after half of the queries");
+}
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -237,7 +237,7 @@
             Socketed::Received(id, bytes) => Happened::Received(id, bytes),
             Socketed::Closing(id) => Happened::Closing(id),
             Socketed::Ended(id) => Happened::Ended(id),
-            Socketed::Broken { id, writing, reason } => Happened::Broken { id, writing, reason },
+            Socketed::Broken { id, writing, reason, .. } => Happened::Broken { id, writing, reason },
             Socketed::Datagram(Port::Peers, from, bytes) => Happened::Words(from, bytes),
             Socketed::Datagram(Port::Gossip, from, bytes) => Happened::Gossip(from, bytes),
             Socketed::Datagram(Port::Names, ..) => return,
--- a/crates/parts/src/inside.rs
+++ b/crates/parts/src/inside.rs
@@ -20,6 +20,8 @@
         id: ConnId,
         /// As something was to go.
         writing: bool,
+        /// Nobody listens there: nothing that was sent has arrived.
+        refused: bool,
         /// The system's words.
         reason: &'a str,
     },
--- a/crates/platform/src/door.rs
+++ b/crates/platform/src/door.rs
@@ -23,6 +23,11 @@
         self.flow.turn_to(resolver);
     }
 
+    /// Connections and executors that it holds, for whoever looks after its growth.
+    pub fn held(&self) -> usize {
+        self.flow.held()
+    }
+
     fn wire(&mut self, id: ConnId) -> Option<&mut Wire> {
         match id.room() {
             clients::ROOM => self.flow.clients.wire(id),
@@ -66,6 +71,7 @@
             }
             Socketed::Closing(id) => self.flow.executors.closing(id, &mut self.flow.out),
             Socketed::Broken { id, .. } if id.room() == clients::ROOM => self.flow.client_gone(id),
+            Socketed::Broken { id, refused: true, .. } => self.flow.executors.refused(id, &mut self.flow.out),
             Socketed::Broken { id, .. } => self.flow.executors.broken(id, &mut self.flow.out),
             Socketed::Datagram(Port::Peers, from, bytes) => self.flow.words(from, bytes),
             Socketed::Datagram(Port::Names, from, bytes) => self.flow.resolved(from, bytes),
--- a/crates/platform/src/executors.rs
+++ b/crates/platform/src/executors.rs
@@ -23,6 +23,8 @@
 /// Ids given up on a connection that are remembered: an answer that crosses the word may still come under them. With more the
 /// connection is closed once it is idle.
 const GIVEN_UP: usize = 64;
+/// An attempt whose connection broke so often before any of it was written has found none.
+const MOST_LOST: u8 = 3;
 /// The end of a connection is known to its executor after so long, in microseconds: until then a request that was on it does not
 /// go to the same one again, where it would be a second copy.
 const CUT: i64 = 20_000;
@@ -38,20 +40,22 @@
     pub id: RequestId,
     /// On which terms.
     pub terms: Terms,
-    /// It was to go on another connection, which broke before any of it was written.
-    moved: bool,
+    /// Connections that it was to go on and that broke before any of it was written.
+    lost: u8,
 }
 
 impl Job {
     /// An attempt that goes nowhere yet.
     pub fn new(attempt: AttemptId, id: RequestId, terms: Terms) -> Job {
-        Job { attempt, id, terms, moved: false }
+        Job { attempt, id, terms, lost: 0 }
     }
 }
 
 /// What has become of an attempt.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Told {
+    /// The first byte of its request, under this id, has gone.
+    Begun(AttemptId, RequestId),
     /// Word on it.
     Noted(AttemptId, Note),
     /// It is over.
@@ -104,9 +108,10 @@
 /// An attempt on a connection.
 #[derive(Debug)]
 struct Running {
-    attempt: AttemptId,
-    /// Its request is written whole once so many bytes of the connection are.
-    written_at: u64,
+    job: Job,
+    /// Its request is from this byte of the connection to that one, and whether its first byte has gone.
+    bytes: (u64, u64),
+    begun: bool,
     hit: Option<Hit>,
     /// An earlier attempt under this id was given up here: an answer may be that one's.
     again: bool,
@@ -237,6 +242,11 @@
         self.all.retain(|_, e| e.listed || !e.conns.is_empty());
     }
 
+    /// Executors known, those that are gone but not let go among them.
+    pub fn known(&self) -> usize {
+        self.all.len()
+    }
+
     /// Connections held.
     pub fn len(&self) -> usize {
         self.conns.len()
@@ -254,9 +264,13 @@
 
     /// So much of it has gone.
     pub fn wrote(&mut self, id: ConnId, n: usize) {
-        if let Some(c) = self.conns.get_mut(id) {
-            c.written += n as u64;
-            c.wire.wrote(n);
+        let Some(c) = self.conns.get_mut(id) else { return };
+        c.written += n as u64;
+        c.wire.wrote(n);
+        let written = c.written;
+        for running in c.running.values_mut().filter(|r| !r.begun && written > r.bytes.0) {
+            running.begun = true;
+            self.told.push_back(Told::Begun(running.job.attempt, running.job.id));
         }
     }
 
@@ -372,9 +386,11 @@
     ) {
         let Some(c) = self.conns.get_mut(id) else { return };
         debug!(id = %job.id, attempt = %job.attempt, to = c.engine.0, limit_ms, "written");
+        let from = c.put;
         c.put(|to| lines::put_request(job.id, class, limit_ms, job.terms.priority, statement, to));
         let again = c.given_up.contains(&job.id);
-        c.running.insert(job.id, Running { attempt: job.attempt, written_at: c.put, hit: None, again });
+        let running = Running { job: job.clone(), bytes: (from, c.put), begun: false, hit: None, again };
+        c.running.insert(job.id, running);
         self.places.insert(job.attempt, (id, job.id));
         c.wire.flush(id, out);
     }
@@ -458,7 +474,7 @@
             self.counts.strays += u64::from(answer.word != Word::Pong);
             return Ok(());
         };
-        let attempt = running.attempt;
+        let attempt = running.job.attempt;
         let mut report = Report::default();
         for figure in answer.text("meter").unwrap_or("").split(';') {
             let told = figure.split_once(':').and_then(|(n, v)| Some((n, v.parse::<f64>().ok()?)));
@@ -555,28 +571,53 @@
         Ok(())
     }
 
+    /// Nobody listens where a connection was to go, or none came up in time.
+    pub fn refused(&mut self, id: ConnId, out: &mut Out<Wake>) {
+        self.ends(id, true, out);
+    }
+
     /// A connection is no more, or can't be used any more: what each of its attempts knows of itself.
     pub fn broken(&mut self, id: ConnId, out: &mut Out<Wake>) {
+        self.ends(id, false, out);
+    }
+
+    fn ends(&mut self, id: ConnId, refused: bool, out: &mut Out<Wake>) {
         let Some(c) = self.conns.get_mut(id) else { return };
-        let (engine, up, fresh) = (c.engine, c.up, c.written == 0);
-        let (waiting, running) = (std::mem::take(&mut c.waiting), std::mem::take(&mut c.running));
-        let written = c.written;
+        let engine = c.engine;
+        let (up, written) = (c.up, c.written);
+        debug!(
+            at = engine.0,
+            refused,
+            up,
+            written,
+            waiting = c.waiting.len(),
+            running = c.running.len(),
+            "lost"
+        );
+        let (mut waiting, running) = (std::mem::take(&mut c.waiting), std::mem::take(&mut c.running));
         self.close(id, out);
         for (request, running) in running {
-            self.places.remove(&running.attempt);
+            self.places.remove(&running.job.attempt);
+            if !running.begun {
+                waiting.push(running.job);
+                continue;
+            }
             self.cut.push((request, engine, out.now));
-            let whole = written >= running.written_at;
-            let outcome = if whole { Outcome::Reset } else { Outcome::ConnectFailed };
-            debug!(attempt = %running.attempt, at = engine.0, ?outcome, "its connection broke");
-            self.told.push_back(Ended::bare(running.attempt, outcome));
+            // What was not written whole did not run.
+            let whole = written >= running.bytes.1;
+            let outcome = if whole { Outcome::Reset } else { Outcome::Skipped };
+            debug!(attempt = %running.job.attempt, at = engine.0, ?outcome, "its connection broke");
+            self.told.push_back(Ended::bare(running.job.attempt, outcome));
         }
         for mut job in waiting {
             self.places.remove(&job.attempt);
-            // A connection that came up and broke says nothing against its executor: another is tried once.
-            if up && fresh && !std::mem::replace(&mut job.moved, true) {
-                self.launch(engine, job, out);
-            } else {
+            // Guards against taking an executor for dead whose connections break as they come up: somebody listens there. What
+            // waited was not written, and goes on another connection.
+            job.lost += 1;
+            if refused || job.lost > MOST_LOST {
                 self.told.push_back(Ended::bare(job.attempt, Outcome::ConnectFailed));
+            } else {
+                self.launch(engine, job, out);
             }
         }
     }
--- a/crates/platform/src/flow.rs
+++ b/crates/platform/src/flow.rs
@@ -294,18 +294,19 @@
             let left = limit.map_or(1, |at| (at.0 - self.out.now + 999) / 1000).max(1);
             let Some(class) = self.names.classes.get(unit.class) else { continue };
             self.executors.write(conn, &job, (class, left, &unit.statement), &mut self.out);
-            self.open.spend(job.id);
-            self.tape.tell(self.out.now, Input::Dispatched(job.attempt));
         }
     }
 
     fn told(&mut self, told: Told) {
         match told {
+            Told::Begun(attempt, id) => {
+                self.open.spend(id);
+                self.tape.tell(self.out.now, Input::Dispatched(attempt));
+            }
             Told::Noted(attempt, note) => self.tape.tell(self.out.now, Input::Noted(attempt, note)),
             Told::Ended(ended) => {
                 let Ended { attempt, outcome, billed_work, report, pages } = *ended;
                 let served = outcome == Outcome::Served && self.tape.mind().may_answer(attempt);
-                if outcome == Outcome::Error {}
                 let unit = if served { self.open.take(attempt.query) } else { None };
                 self.tape.tell(self.out.now, Input::Ended { attempt, outcome, billed_work, report });
                 if let Some(unit) = unit {
@@ -332,7 +333,7 @@
                 }
                 self.out.wake_after(SWEEP, Wake::Sweep);
             }
-            Wake::Connect(id) => self.executors.broken(id, &mut self.out),
+            Wake::Connect(id) => self.executors.refused(id, &mut self.out),
             Wake::Held(attempt) => {
                 if let Some(conn) = self.executors.release(attempt, &mut self.out) {
                     self.write(conn);
@@ -345,6 +346,11 @@
         }
     }
 
+    /// Connections and executors held.
+    pub fn held(&self) -> usize {
+        self.clients.len() + self.executors.len() + self.executors.known() + self.open.len()
+    }
+
     /// Logs what was counted.
     fn figures(&mut self) {
         self.told_at = self.out.now;
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -218,3 +218,43 @@
     out.extend_from_slice(head.as_bytes());
     out.extend_from_slice(body);
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    #[test]
+    fn a_head_is_read_once_it_is_whole() {
+        let call = b"POST /rpc/report HTTP/1.1\r\nHost: api.internal\r\nx-request-id: 9b1f03aa5c7e2d41\r\n\
+            X-Timeout-Ms: 1500\r\nX-Retry: 1\r\nX-Cost-Ms: 820.0\r\nX-Need-Mb: 96\r\nContent-Length: 84\r\n\r\n";
+        for cut in 0..call.len() {
+            assert_eq!(head(&call[..cut]), Ok(None), "cut at {cut}");
+        }
+        let read = head(call).expect("sound").expect("whole");
+        assert_eq!((read.length, read.body, read.close), (call.len() + 84, 84, false));
+        let Ok(Wants::Run(asked)) = read.wants else { panic!("a query") };
+        assert_eq!(
+            (asked.class.as_str(), asked.wait, asked.work, asked.memory),
+            ("report", 1_500_000, Some(0.82), Some(96.0))
+        );
+    }
+
+    #[test]
+    fn a_connection_ends_where_its_client_says_so() {
+        let ends = |version: &str, word: &str| {
+            let call = format!("GET /health HTTP/{version}\r\n{word}\r\n");
+            head(call.as_bytes()).expect("sound").expect("whole").close
+        };
+        assert!(!ends("1.1", "") && ends("1.1", "Connection: Close\r\n") && ends("1.0", ""));
+        assert!(!ends("1.0", "Connection: keep-alive\r\n"));
+    }
+
+    proptest! {
+        #[test]
+        fn any_bytes_are_read_or_told(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
+            let _ = head(&bytes);
+            let _ = head(&[b"POST /rpc/x HTTP/1.1\r\n", &bytes[..], b"\r\n\r\n"].concat());
+        }
+    }
+}
--- a/crates/platform/src/lines.rs
+++ b/crates/platform/src/lines.rs
@@ -219,3 +219,73 @@
 pub fn put_end(id: RequestId, out: &mut BytesMut) {
     out.extend_from_slice(format!("END {id}\r\n").as_bytes());
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    const ID: &str = "9b1f03aa5c7e2d41";
+
+    /// All answers of some bytes that come in these pieces.
+    fn read(pieces: &[&[u8]]) -> Result<Vec<Answer>, Spoilt> {
+        let (mut buf, mut all) = (BytesMut::new(), Vec::new());
+        for piece in pieces {
+            buf.extend_from_slice(piece);
+            while let Some(answer) = take(&mut buf)? {
+                all.push(answer);
+            }
+        }
+        Ok(all)
+    }
+
+    #[test]
+    fn answers_are_the_same_however_they_are_cut() {
+        let text = format!(
+            "{ID} INFO tell=pct,v=0.25 0\r\n\r\n{ID} HIT pages=2,cost=81.5,meter=inflight:7;util:0.61 6\r\na\t1\tx\n\r\n\
+             x PONG\r\n{ID} FAULT - 0\r\n\r\n"
+        );
+        let whole = read(&[text.as_bytes()]).expect("sound");
+        assert_eq!(
+            whole.iter().map(|a| a.word).collect::<Vec<_>>(),
+            [Word::Info, Word::Hit, Word::Pong, Word::Fault]
+        );
+        assert_eq!(
+            (whole[1].text("meter"), whole[1].number("cost")),
+            (Some("inflight:7;util:0.61"), Some(81.5))
+        );
+        assert_eq!((&whole[1].id[..], &whole[1].body[..]), (ID.as_bytes(), &b"a\t1\tx\n"[..]));
+        for cut in 0..text.len() {
+            let (a, b) = text.as_bytes().split_at(cut);
+            assert_eq!(read(&[a, b]).as_ref(), Ok(&whole), "cut at {cut}");
+        }
+    }
+
+    #[test]
+    fn requests_are_written_as_executors_read_them() {
+        let id = RequestId::read(ID.as_bytes()).expect("16 digits");
+        let mut out = BytesMut::new();
+        put_request(id, "report", 1500, 2, b"SELECT 1", &mut out);
+        put_fetch(id, 3, &mut out);
+        put_priority(id, 0, &mut out);
+        put_end(id, &mut out);
+        put_stop(id, &mut out);
+        let expected = format!(
+            "REQ {ID} cls=report,limit=1500,prio=2 8\r\nSELECT 1\r\nFETCH {ID} 3\r\nNICE {ID} 0\r\nEND {ID}\r\nSTOP {ID}\r\n"
+        );
+        assert_eq!(out, expected.as_bytes());
+        assert!(
+            RequestId::read(b"9b1f03aa5c7e2d4").is_none() && RequestId::read(b"9b1f03aa5c7e2d4g").is_none()
+        );
+    }
+
+    proptest! {
+        #[test]
+        fn any_bytes_are_read_or_told_and_never_pile_up(bytes in prop::collection::vec(any::<u8>(), 0..4096)) {
+            let mut buf = BytesMut::from(&bytes[..]);
+            while let Ok(Some(_)) = take(&mut buf) {}
+            let waits = matches!(take(&mut buf), Ok(None));
+            prop_assert!(!waits || buf.len() < LONGEST_ANSWER);
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/tests/clients.rs
@@ -0,0 +1,194 @@
+//! What clients are told: good calls, and each kind of bad one.
+
+mod common;
+use common::*;
+use wheelfield_parts::{Inside, Socketed};
+
+#[test]
+fn a_query_is_carried_and_its_pages_come_as_one_answer() {
+    let mut rig = Rig::new(1);
+    let client = rig.client();
+    // In pieces of any size: all that comes is one call.
+    for piece in post("look", &id(1), "X-Need-Mb: 96\r\nX-Retry: 1\r\n").as_bytes().chunks(7) {
+        rig.bytes(client, piece);
+    }
+    let executor = rig.connect()[0];
+    let request = rig.read(executor);
+    let (line, rest) = request.split_once("\r\n").expect("a line");
+    assert!(line.starts_with(&format!("REQ {} cls=look,limit=1980,prio=", id(1))), "{line}");
+    assert!(line.ends_with(" 35"), "{line}");
+    assert_eq!(rest, "SELECT a, b, c FROM sales_17.orders\r\n");
+    rig.says(executor, &format!("{} INFO tell=pct,v=0.5 0\r\n\r\n", id(1)));
+    rig.says(
+        executor,
+        &format!("{} HIT pages=3,cost=81.5,need=90,meter=util:0.61 6\r\na\t1\tx\n\r\n", id(1)),
+    );
+    assert_eq!(rig.read(executor), format!("FETCH {0} 1\r\nFETCH {0} 2\r\n", id(1)));
+    // In any order, and one of them twice.
+    for page in [2, 1, 1] {
+        rig.says(executor, &format!("{} PART page={page} 7\r\n\"{page}\t\t\u{e9}\n\r\n", id(1)));
+    }
+    let answer = rig.read(client);
+    assert!(answer.starts_with("HTTP/1.1 200 OK\r\n"), "{answer}");
+    assert!(
+        answer.ends_with(
+            "\r\n\r\n{\"batch\":[[\"a\",\"1\",\"x\"],[\"\\\"1\",\"\",\"é\"],[\"\\\"2\",\"\",\"é\"]]}"
+        ),
+        "{answer}"
+    );
+    assert_eq!(rig.read(executor), format!("END {}\r\n", id(1)));
+    // Both connections are used again.
+    rig.says(client, &post("look", &id(2), ""));
+    assert!(rig.read(executor).starts_with("REQ ") && rig.connects.is_empty());
+}
+
+#[test]
+fn what_cannot_be_used_gets_its_status_and_goes_nowhere() {
+    let good = post("look", &id(1), "");
+    let long = "x".repeat(9000);
+    let cases: &[(String, u16, bool)] = &[
+        (good.replace("/rpc/look", "/rpc/nothing"), 404, false),
+        (good.replace("/rpc/look", "/rpc/"), 404, false),
+        (good.replace("/rpc/look", "/elsewhere"), 404, false),
+        (good.replace("POST /rpc/look", "PUT /rpc/look"), 405, false),
+        ("GET /rpc/look/1 HTTP/1.1\r\n\r\n".into(), 404, false),
+        ("DELETE /any HTTP/1.1\r\n\r\n".into(), 404, false),
+        (good.replace(&id(1), "xyz"), 400, false),
+        (good.replace(&id(1), &"0".repeat(17)), 400, false),
+        (good.replace("X-Request-Id", "X-Other"), 400, false),
+        (good.replace("Host: x", &format!("X-Request-Id: {}", id(2))), 400, false),
+        (good.replace("Timeout-Ms: 2000", "Timeout-Ms: -1"), 400, false),
+        (good.replace("Timeout-Ms: 2000", "Timeout-Ms: 0"), 400, false),
+        (good.replace("Timeout-Ms: 2000", "Timeout-Ms: soon"), 400, false),
+        (good.replace("Timeout-Ms: 2000", "Timeout-Ms: 99999999999999"), 400, false),
+        (good.replace("X-Timeout-Ms: 2000\r\n", ""), 400, false),
+        (good.replace("Cost-Ms: 100.0", "Cost-Ms: 1e300"), 400, false),
+        (good.replace("Cost-Ms: 100.0", "Cost-Ms: NaN"), 400, false),
+        (good.replace("Cost-Ms: 100.0", "Need-Mb: -3"), 400, false),
+        (good.replace("Cost-Ms: 100.0", "Retry: 7"), 400, false),
+        (good.replace("SELECT a, b, c FROM sales_17.orders", &" ".repeat(35)), 400, false),
+        (good.replace("Content-Length: 35", "Content-Length: -35"), 400, true),
+        (good.replace("Content-Length: 35", "Content-Length: 35\r\nContent-Length: 35"), 400, true),
+        (good.replace("Content-Length: 35", "Content-Length: 35\r\nTransfer-Encoding: chunked"), 400, true),
+        (good.replace("Content-Length: 35", "Transfer-Encoding: chunked"), 411, true),
+        (good.replace("Content-Length: 35\r\n", ""), 411, true),
+        (good.replace("Content-Length: 35", "Content-Length: 62914560"), 413, true),
+        (good.replace("Content-Length: 35", "Content-Length: 99999999999999999999999"), 413, true),
+        (good.replace("Host: x", &format!("Host: {long}")), 431, true),
+        ("\u{1}\u{2} nonsense\r\n\r\n".into(), 400, true),
+    ];
+    for (call, expected, ends) in cases {
+        let mut rig = Rig::new(1);
+        let client = rig.client();
+        rig.says(client, call);
+        let answer = rig.read(client);
+        assert_eq!(status(&answer), *expected, "{call}");
+        assert_eq!(answer.contains("Connection: close"), *ends, "{call}");
+        assert!(!answer.contains("TryLater"), "{call}");
+        assert!(rig.connects.is_empty(), "sent to an executor: {call}");
+        if *ends {
+            // What is hidden behind it is not read as a call; the connection ends in time.
+            rig.says(client, &post("look", &id(9), ""));
+            rig.pass(1_000_000);
+            assert!(rig.connects.is_empty() && rig.closed.contains(&client), "{call}");
+        } else {
+            // The next call on it is served as any other.
+            rig.says(client, &post("look", &id(9), ""));
+            assert_eq!(rig.connects.len(), 1, "{call}");
+        }
+    }
+}
+
+#[test]
+fn an_id_that_is_in_use_or_was_spent_does_not_run_again() {
+    let mut rig = Rig::new(1);
+    let (_, executor, _) = rig.asked("load", &id(1));
+    let other = rig.client();
+    for statement in ["SELECT a, b, c FROM sales_17.orders", "SELECT x, y, z FROM sales_17.orders"] {
+        let call = post("load", &id(1), "").replace("SELECT a, b, c FROM sales_17.orders", statement);
+        rig.says(other, &call);
+        assert_eq!(status(&rig.read(other)), 409);
+    }
+    rig.says(executor, &format!("{} HIT pages=1 0\r\n\r\n", id(1)));
+    rig.says(other, &post("load", &id(1), ""));
+    assert_eq!(status(&rig.read(other)), 409);
+    assert_eq!(rig.read(executor), "", "nothing more was sent");
+}
+
+#[test]
+fn a_client_that_leaves_gives_its_attempt_up_and_half_a_call_is_forgotten() {
+    let mut rig = Rig::new(1);
+    let (client, executor, _) = rig.asked("look", &id(1));
+    rig.tell(Socketed::Closing(client));
+    assert_eq!(rig.read(executor), format!("STOP {}\r\n", id(1)));
+    rig.says(executor, &format!("{} HIT pages=1 6\r\na\t1\tx\n\r\n", id(1)));
+    assert!(rig.closed.contains(&client) && rig.read(client).is_empty());
+    let half = rig.client();
+    rig.says(half, &post("look", &id(2), "")[..150]);
+    rig.tell(Socketed::Ended(half));
+    assert!(rig.closed.contains(&half) && rig.read(executor).is_empty());
+}
+
+#[test]
+fn silent_and_slow_clients_are_closed_in_time_and_those_who_asked_are_kept() {
+    let mut rig = Rig::new(1);
+    let (usual, executor, _) = rig.asked("look", &id(1));
+    rig.says(executor, &format!("{} HIT pages=1 0\r\n\r\n", id(1)));
+    assert_eq!(status(&rig.read(usual)), 200);
+    let (silent, slow) = (rig.client(), rig.client());
+    rig.says(slow, "POST /rpc/look HTTP/1.1\r\n");
+    rig.pass(2_800_000);
+    assert!(rig.closed.contains(&silent) && !rig.closed.contains(&usual));
+    assert_eq!(status(&rig.read(slow)), 408);
+    // Hundreds who say nothing push out each other, not who has asked.
+    let crowd: Vec<_> = (0..600)
+        .map(|_| {
+            rig.now += 100;
+            rig.client()
+        })
+        .collect();
+    assert!(!rig.closed.contains(&usual));
+    assert!(rig.closed.contains(&crowd[0]) && !rig.closed.contains(&crowd[599]));
+    rig.says(usual, &post("look", &id(2), ""));
+    assert!(rig.read(executor).starts_with("REQ "));
+}
+
+#[test]
+fn health_tells_and_a_stop_serves_who_does_not_know_yet() {
+    let mut rig = Rig::new(1);
+    let probe = rig.client();
+    rig.says(probe, "GET /health HTTP/1.1\r\nHost: x\r\n\r\n");
+    assert_eq!(status(&rig.read(probe)), 200);
+    let (first, executor, _) = rig.asked("look", &id(1));
+    rig.platform.stop(rig.now);
+    rig.turn();
+    rig.pass(500_000);
+    assert!(rig.listening && !rig.stopped);
+    let late = rig.client();
+    rig.says(late, &post("look", &id(2), ""));
+    let second = rig.connect()[0];
+    rig.says(executor, &format!("{} HIT pages=1 0\r\n\r\n", id(1)));
+    assert_eq!(status(&rig.read(first)), 200);
+    rig.says(probe, "GET /health HTTP/1.1\r\nHost: x\r\n\r\n");
+    assert_eq!(status(&rig.read(probe)), 503);
+    rig.pass(600_000);
+    assert!(!rig.listening && !rig.stopped, "one is owed");
+    assert!(rig.closed.contains(&first) && !rig.closed.contains(&late));
+    rig.says(second, &format!("{} HIT pages=1 0\r\n\r\n", id(2)));
+    assert_eq!(status(&rig.read(late)), 200);
+    rig.pass(200_000);
+    assert!(rig.stopped);
+}
+
+#[test]
+fn a_query_whose_time_is_up_is_failed_or_refused_before_its_client_gives_up() {
+    for class in ["look", "load"] {
+        let mut rig = Rig::new(1);
+        let (client, _, _) = rig.asked(class, &id(1));
+        rig.pass(1_995_000);
+        let answer = rig.read(client);
+        // What may have run is refused only where a repeat does no harm.
+        assert_eq!(status(&answer), if class == "look" { 503 } else { 500 }, "{answer}");
+        assert_eq!(answer.contains("TryLater"), class == "look");
+    }
+}
--- /dev/null
+++ b/crates/platform/tests/common/mod.rs
@@ -0,0 +1,221 @@
+//! A controller without sockets, and scripted clients, executors and a name service around it.
+#![allow(dead_code)]
+
+use hickory_proto::op::{Message, MessageType, OpCode, Query, ResponseCode};
+use hickory_proto::rr::rdata::{A, SOA, SRV, TXT};
+use hickory_proto::rr::{Name, RData, Record, RecordType};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use wheelfield_parts::{ConnId, Door, Effect, Inside, Port, Socketed};
+use wheelfield_platform::{Launch, Platform};
+
+pub const RESOLVER: &str = "127.9.0.1:1053";
+
+/// The controller and what it wants of the outside.
+pub struct Rig {
+    pub platform: Platform,
+    pub now: i64,
+    /// What was written on each connection and not taken yet.
+    pub written: BTreeMap<ConnId, Vec<u8>>,
+    /// Connects wanted and not answered yet.
+    pub connects: Vec<(ConnId, SocketAddr)>,
+    pub closed: Vec<ConnId>,
+    pub datagrams: Vec<(Port, SocketAddr, Vec<u8>)>,
+    pub listening: bool,
+    pub stopped: bool,
+    /// Of what is to go, only so many bytes do.
+    pub partial: Option<usize>,
+}
+
+/// An executor of a configuration: its name and the last byte of its address.
+pub fn server(name: &str, last: u8, state: &str) -> serde_json::Value {
+    serde_json::json!({"id": name, "addr": format!("127.1.0.{last}:6565"), "zone": "z", "kind": "std", "cell": 0,
+        "state": state, "weight": 8.0, "started_ms": 0})
+}
+
+/// A configuration with classes `look` (safe) and `load` (never twice).
+pub fn config(servers: Vec<serde_json::Value>, sockets: usize) -> String {
+    let class = |name: &str, effect: &str| {
+        serde_json::json!({"name": name, "on_time_us": 500_000, "give_up_us": 3_000_000, "gain": 1.0, "late_value": 0.0,
+            "effect": effect, "dedup_scope": "all", "window_us": 5_000_000, "aim_stretch": 2.0})
+    };
+    serde_json::json!({
+        "name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 32, "sockets": sockets},
+        "peer_listen": "127.0.0.1:0", "peers": ["127.0.0.1:1", "127.0.0.2:1"], "peers_all": "127.0.0.9:1",
+        "resolver": RESOLVER,
+        "known": {"cursor": 3, "cmds": [{"cursor": 3, "nodes": {"version": 0, "full": true, "servers": servers}}]},
+        "settings": {
+            "balancers": 1, "me": 0, "my_zone": "z", "zones": ["z"], "skus": ["std"], "tenants": [],
+            "grades": [class("look", "repeatable"), class("load", "once")],
+            "ceilings": {"cancel": true, "conn_idle_us": 30_000_000, "connect_timeout_us": 250_000,
+                "max_retry_after_us": 2_000_000, "max_streams": 32, "most_held": 1000, "peer_messages": true,
+                "probes": false, "retry_after": true, "second_copies": false, "send_cap": 3},
+            "family_info": {"bills": true, "cpu_of_kind": [8], "memory_by_kind_mb": [8192.0], "grants": false,
+                "lanes_count": true, "max_grant_share": 0.4, "parallelism": [1, 2], "tells_every_us": 300_000,
+                "when_short": "wait", "writes_tables": [false, true], "yields_to_loads": [false, false]},
+            "safety": {"cold_from": 0.4, "ramp_time_us": 10_000_000, "tip_multiple": 2.5, "fall_us": 1_500_000,
+                "drain_grace_us": 1_000_000},
+            "charges": {"probe": 0.0, "peer": 0.01, "cross_zone": 0.0},
+            "telemetry": {"columns": ["cpu_share"], "how": "answers"}, "registry_mode": "automatic"}
+    })
+    .to_string()
+}
+
+impl Rig {
+    /// A controller that knows so many executors, named e1, e2, ...
+    pub fn new(executors: u8) -> Rig {
+        let servers = (1..=executors).map(|n| server(&format!("e{n}"), n, "ready")).collect();
+        Rig::of(&config(servers, 256))
+    }
+
+    pub fn of(config: &str) -> Rig {
+        let launch = Launch::read(config).expect("sound");
+        let now = 1_000_000_000;
+        let mut rig = Rig {
+            platform: Platform::new(launch, now),
+            now,
+            written: BTreeMap::new(),
+            connects: Vec::new(),
+            closed: Vec::new(),
+            datagrams: Vec::new(),
+            listening: true,
+            stopped: false,
+            partial: None,
+        };
+        rig.platform.started(now);
+        rig.turn();
+        rig
+    }
+
+    /// Carries out all that is wanted.
+    pub fn turn(&mut self) {
+        let mut effects = Vec::new();
+        loop {
+            self.platform.effects(&mut effects);
+            if effects.is_empty() {
+                return;
+            }
+            for effect in effects.drain(..) {
+                match effect {
+                    Effect::Connect(id, to) => self.connects.push((id, to)),
+                    Effect::Write(id) => {
+                        let mut bytes = self.platform.output(id).to_vec();
+                        bytes.truncate(self.partial.unwrap_or(bytes.len()));
+                        self.platform.wrote(self.now, id, bytes.len());
+                        self.written.entry(id).or_default().extend(bytes);
+                    }
+                    Effect::Read(_) => {}
+                    Effect::Close(id) => self.closed.push(id),
+                    Effect::Send(port, to, bytes) => self.datagrams.push((port, to, bytes)),
+                    Effect::StopListening => self.listening = false,
+                    Effect::Stopped => self.stopped = true,
+                }
+            }
+        }
+    }
+
+    /// Lets so many microseconds pass, all timers at their time.
+    pub fn pass(&mut self, micros: i64) {
+        let until = self.now + micros;
+        loop {
+            let due = self.platform.next_due().filter(|at| *at <= until);
+            self.now = due.unwrap_or(until).max(self.now);
+            self.platform.due(self.now);
+            self.turn();
+            if due.is_none() {
+                return;
+            }
+        }
+    }
+
+    pub fn tell(&mut self, what: Socketed<'_>) {
+        self.platform.socketed(self.now, what);
+        self.turn();
+    }
+
+    pub fn client(&mut self) -> ConnId {
+        let id = self.platform.accept(self.now, Door::Clients).expect("room");
+        self.turn();
+        id
+    }
+
+    pub fn says(&mut self, id: ConnId, text: &str) {
+        self.bytes(id, text.as_bytes());
+    }
+
+    pub fn bytes(&mut self, id: ConnId, bytes: &[u8]) {
+        self.tell(Socketed::Received(id, bytes));
+    }
+
+    /// What was written on a connection since the last look.
+    pub fn read(&mut self, id: ConnId) -> String {
+        String::from_utf8(self.written.remove(&id).unwrap_or_default()).expect("text")
+    }
+
+    /// Lets the connects that are wanted through; the connections that have come up.
+    pub fn connect(&mut self) -> Vec<ConnId> {
+        let mut up = Vec::new();
+        while !self.connects.is_empty() {
+            let (id, _) = self.connects.remove(0);
+            self.tell(Socketed::Connected(id));
+            up.push(id);
+        }
+        up
+    }
+
+    /// A client with a query, and the connection to the executor that has it, with the request as written.
+    pub fn asked(&mut self, class: &str, id: &str) -> (ConnId, ConnId, String) {
+        let client = self.client();
+        self.says(client, &post(class, id, ""));
+        self.connect();
+        let (executor, line) = self.request().expect("sent to an executor");
+        (client, executor, line)
+    }
+
+    /// The request that was written to an executor and not looked at yet.
+    pub fn request(&mut self) -> Option<(ConnId, String)> {
+        let conn = *self.written.iter().find(|(_, w)| w.starts_with(b"REQ ") || w.starts_with(b"STOP "))?.0;
+        Some((conn, self.read(conn)))
+    }
+}
+
+/// A call that runs a statement.
+pub fn post(class: &str, id: &str, more: &str) -> String {
+    let statement = "SELECT a, b, c FROM sales_17.orders";
+    format!(
+        "POST /rpc/{class} HTTP/1.1\r\nHost: x\r\nX-Request-Id: {id}\r\nX-Timeout-Ms: 2000\r\nX-Cost-Ms: 100.0\r\n{more}Content-Length: {}\r\n\r\n{statement}",
+        statement.len()
+    )
+}
+
+/// An id of a request.
+pub fn id(n: u64) -> String {
+    format!("{n:016x}")
+}
+
+/// The status of an answer.
+pub fn status(answer: &str) -> u16 {
+    answer.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+}
+
+/// An answer of the name service to a question of ours: its executors by name and last byte, at an event.
+pub fn names(question: &[u8], serial: u32, executors: &[(&str, u8, u16)]) -> Message {
+    let asked = Message::from_vec(question).expect("a question");
+    let mut answer = Message::new(asked.metadata.id, MessageType::Response, OpCode::Query);
+    answer.metadata.response_code = ResponseCode::NoError;
+    let service = asked.queries[0].name.clone();
+    answer.add_query(Query::query(service.clone(), RecordType::SRV));
+    for (name, last, priority) in executors {
+        let target = Name::from_ascii(format!("{name}.z.hosts.")).expect("a name");
+        let srv = SRV::new(*priority, 80, 6565, target.clone());
+        answer.add_answer(Record::from_rdata(service.clone(), 1, RData::SRV(srv)));
+        answer.add_additional(Record::from_rdata(target.clone(), 1, RData::A(A::new(127, 1, 0, *last))));
+        let texts = TXT::new(vec!["kind=std".into(), "cell=2".into(), "started=0".into()]);
+        answer.add_additional(Record::from_rdata(target, 1, RData::TXT(texts)));
+    }
+    let zone = Name::from_ascii("mesh.local.").expect("a name");
+    let soa = SOA::new(zone.clone(), zone.clone(), serial, 1, 1, 1, 1);
+    answer.add_authority(Record::from_rdata(zone, 1, RData::SOA(soa)));
+    answer
+}
--- /dev/null
+++ b/crates/platform/tests/executors.rs
@@ -0,0 +1,218 @@
+//! What executors answer, well and badly, and what comes of it.
+
+mod common;
+use common::*;
+use wheelfield_parts::{ConnId, Inside, Socketed};
+
+fn hit(n: u64) -> String {
+    format!("{} HIT pages=1,cost=100.0,meter=util:0.3 6\r\na\t1\tx\n\r\n", id(n))
+}
+
+/// What is spoilt: each answer ends its connection, costs no memory, and is never passed on.
+#[test]
+fn a_spoilt_answer_ends_its_connection_and_a_safe_query_is_tried_again() {
+    let one = id(1);
+    let spoilt: &[String] = &[
+        "noise\r\n".into(),
+        "\r\n".into(),
+        "\n".into(),
+        format!("{one} HIT pages=1 6\na\t1\tx\n\r\n"),
+        format!("{one} HIT pages=1 3000000000\r\na\t1\tx\n"),
+        format!("{one} HIT pages=1 -6\r\na\t1\tx\n\r\n"),
+        format!("{one} HIT pages=1 5\r\na\t1\tx\n\r\n"),
+        format!("{one} HIT pages=1 7\r\na\t1\tx\n\r\n\r\n"),
+        format!("{one} HIT pages 6\r\na\t1\tx\n\r\n"),
+        format!("{one} HIT pages=0 6\r\na\t1\tx\n\r\n"),
+        format!("{one} HIT pages=1e9 6\r\na\t1\tx\n\r\n"),
+        format!("{one} HIT pages=1 4\r\na\t1\n\r\n"),
+        format!("{one} HIT pages=1 5\r\na\t1\tx\r\n"),
+        format!("{one} WHAT - 0\r\n\r\n"),
+        format!("{one} HIT {}", "x".repeat(2000)),
+    ];
+    for answer in spoilt {
+        for class in ["look", "load"] {
+            let mut rig = Rig::new(1);
+            let (client, executor, _) = rig.asked(class, &one);
+            rig.says(executor, answer);
+            assert!(rig.closed.contains(&executor), "{answer:?}");
+            rig.pass(30_000);
+            let again = rig.connect();
+            assert_eq!(again.len(), usize::from(class == "look"), "{answer:?}");
+            match again.first() {
+                Some(other) => {
+                    assert!(rig.read(*other).starts_with(&format!("REQ {one} ")));
+                    rig.says(*other, &hit(1));
+                    assert_eq!(status(&rig.read(client)), 200);
+                }
+                // It may have run, and must not twice.
+                None => assert_eq!(status(&rig.read(client)), 500, "{answer:?}"),
+            }
+        }
+    }
+}
+
+#[test]
+fn an_answer_that_stops_short_or_whose_pages_do_not_come_is_given_up_long_before_the_deadline() {
+    for begun in ["HIT pages=1 600\r\na\t1", "HIT pages=2 6\r\na\t1\tx\n\r\n"] {
+        let mut rig = Rig::new(1);
+        let (_, executor, _) = rig.asked("look", &id(1));
+        rig.says(executor, &format!("{} {begun}", id(1)));
+        rig.pass(400_000);
+        assert!(!rig.closed.contains(&executor));
+        rig.pass(300_000);
+        assert!(rig.closed.contains(&executor));
+        assert_eq!(rig.connect().len(), 1, "tried again");
+    }
+}
+
+#[test]
+fn strays_and_second_copies_are_left_and_the_connection_stays() {
+    let mut rig = Rig::new(1);
+    let (client, executor, _) = rig.asked("look", &id(1));
+    rig.says(executor, &hit(77));
+    rig.says(executor, &format!("{} PART page=1 6\r\nz\t1\tx\n\r\n", id(1)));
+    rig.says(executor, &format!("not-an-id FAULT - 0\r\n\r\n{}{}", hit(1), hit(1)));
+    let answer = rig.read(client);
+    assert!(answer.ends_with("{\"batch\":[[\"a\",\"1\",\"x\"]]}"), "{answer}");
+    assert!(!rig.closed.contains(&executor));
+    rig.says(client, &post("look", &id(2), ""));
+    assert!(rig.read(executor).starts_with("REQ "));
+}
+
+#[test]
+fn what_never_ran_may_be_refused_and_what_may_have_is_not() {
+    for (word, expected) in [("SHED", 503), ("LATE", 503), ("FAULT", 500)] {
+        let mut rig = Rig::new(1);
+        let (client, executor, _) = rig.asked("load", &id(1));
+        rig.says(executor, &format!("{} {word} - 0\r\n\r\n", id(1)));
+        // A full or late one is asked again a few times.
+        for _ in 0..3 {
+            rig.pass(100_000);
+            if rig.read(executor).contains("REQ ") {
+                rig.says(executor, &format!("{} {word} - 0\r\n\r\n", id(1)));
+            }
+        }
+        rig.pass(2_000_000);
+        assert_eq!(status(&rig.read(client)), expected, "{word}");
+    }
+}
+
+#[test]
+fn a_refused_or_hung_connect_proves_that_nothing_ran() {
+    for hangs in [false, true] {
+        let mut rig = Rig::new(1);
+        let client = rig.client();
+        rig.says(client, &post("load", &id(1), ""));
+        let (conn, _) = rig.connects.remove(0);
+        if hangs {
+            rig.pass(240_000);
+            assert!(!rig.closed.contains(&conn));
+            rig.pass(20_000);
+        } else {
+            rig.tell(Socketed::Broken { id: conn, writing: true, refused: true, reason: "refused" });
+        }
+        assert!(rig.closed.contains(&conn));
+        let answer = rig.read(client);
+        assert!(answer.is_empty() || answer.contains("TryLater"), "{answer}");
+    }
+}
+
+/// Found on kigali-shared, a day of releases: the next attempt overtook the word that gave the first up.
+#[test]
+fn what_goes_to_the_same_executor_again_follows_the_word_that_gave_it_up() {
+    let mut rig = Rig::new(1);
+    let (_, spare, _) = rig.asked("look", &id(1));
+    let (_, executor, _) = rig.asked("look", &id(2));
+    assert_ne!(spare, executor);
+    // The other connection rests, and would be the first to be used.
+    rig.pass(100_000);
+    rig.says(spare, &hit(1));
+    rig.pass(600_000);
+    // Far behind its estimate: a bad plan, which the module sends anew.
+    rig.says(executor, &format!("{} INFO tell=pct,v=0.01 0\r\n\r\n", id(2)));
+    rig.pass(300_000);
+    let said = rig.read(executor);
+    assert!(said.starts_with(&format!("STOP {0}\r\nREQ {0} ", id(2))), "{said}");
+    assert_eq!(rig.read(spare), "");
+    // Whichever of the two this answers, the other goes no further.
+    rig.says(executor, &hit(2));
+    assert_eq!(rig.read(executor), format!("STOP {}\r\n", id(2)));
+}
+
+/// Found on kigali-shared, a day of resets: executors whose connections broke as they came up were taken for dead and cold.
+#[test]
+fn a_connection_that_breaks_as_it_comes_up_is_no_word_on_its_executor() {
+    let mut rig = Rig::new(1);
+    let client = rig.client();
+    rig.says(client, &post("load", &id(1), ""));
+    for _ in 0..3 {
+        let (conn, _) = rig.connects.remove(0);
+        rig.tell(Socketed::Broken { id: conn, writing: true, refused: false, reason: "reset" });
+        assert_eq!(rig.connects.len(), 1, "another connection at once, even for what must not run twice");
+    }
+    let executor = rig.connect()[0];
+    assert!(rig.read(executor).starts_with("REQ "));
+    rig.says(executor, &hit(1));
+    assert_eq!(status(&rig.read(client)), 200);
+}
+
+#[test]
+fn what_was_written_whole_may_have_run_and_what_was_not_did_not() {
+    for (whole, expected) in [(true, 500), (false, 503)] {
+        let mut rig = Rig::new(1);
+        rig.partial = (!whole).then_some(30);
+        let client = rig.client();
+        rig.says(client, &post("load", &id(1), ""));
+        let executor = rig.connect()[0];
+        rig.tell(Socketed::Broken { id: executor, writing: false, refused: false, reason: "reset" });
+        rig.connects.clear();
+        rig.pass(3_000_000);
+        assert_eq!(status(&rig.read(client)), expected);
+    }
+}
+
+#[test]
+fn connections_are_shared_where_descriptors_are_short() {
+    let mut rig = Rig::of(&config(vec![server("e1", 1, "ready")], 64));
+    let mut open: Vec<ConnId> = Vec::new();
+    for n in 1..=16 {
+        let client = rig.client();
+        rig.says(client, &post("look", &id(n), ""));
+        rig.connect();
+        open.push(client);
+    }
+    let connections: std::collections::BTreeSet<ConnId> = rig.written.keys().copied().collect();
+    assert!(connections.len() <= 16, "{} connections", connections.len());
+    let requests: usize =
+        rig.written.values().map(|w| String::from_utf8_lossy(w).matches("REQ ").count()).sum();
+    assert_eq!(requests, 16);
+    // One that breaks takes all its attempts along, and each is tried again.
+    rig.platform.stop(rig.now);
+}
+
+/// Many executors, ids and connections come and go: nothing is kept of them.
+#[test]
+fn what_comes_and_goes_leaves_nothing_behind() {
+    let mut rig = Rig::new(1);
+    let question = |rig: &mut Rig| {
+        rig.datagrams.clear();
+        rig.pass(260_000);
+        rig.datagrams.last().expect("a question").2.clone()
+    };
+    for n in 0..300u64 {
+        let asked = question(&mut rig);
+        let name = format!("e{}", n + 10);
+        let answer = names(&asked, 10 + n as u32, &[(&name, (n % 200) as u8 + 1, 0)]);
+        let bytes = answer.to_vec().expect("bytes");
+        let from = RESOLVER.parse().expect("an address");
+        rig.tell(Socketed::Datagram(wheelfield_parts::Port::Names, from, &bytes));
+        let (client, executor, _) = rig.asked("look", &id(n));
+        rig.says(executor, &hit(n));
+        assert_eq!(status(&rig.read(client)), 200, "query {n}");
+        rig.tell(Socketed::Ended(client));
+        rig.closed.retain(|c| *c != client);
+    }
+    // Of each executor that is gone the connection is closed too.
+    assert_eq!(rig.closed.len(), 299);
+    assert!(rig.platform.held() <= 2, "{} held", rig.platform.held());
+}
--- a/crates/wirehost/tests/one_core.rs
+++ b/crates/wirehost/tests/one_core.rs
@@ -295,7 +295,7 @@
 }
 
 /// An event as a line of the wire.
-fn line(event: &Event, out: &mut String) {
+fn line(event: &Event, ended: &BTreeMap<QueryId, usize>, out: &mut String) {
     let list = |mode: &str, entries: &[EngineEntry], out: &mut String| {
         let _ = writeln!(out, "list bank=0 records={}", entries.len());
         for e in entries {
@@ -332,7 +332,10 @@
                 None => writeln!(out),
             }
         }
-        Event::AnswerBegan(q) => writeln!(out, "first_byte job={:016x}", q.0),
+        // Attempts of a query follow each other here: the one that has begun is the first with no end.
+        Event::AnswerBegan(q) => {
+            writeln!(out, "first_byte job={:016x} leg={}", q.0, ended.get(q).copied().unwrap_or(0))
+        }
         Event::Noted { query, attempt, note: Note::Progress(x) } => {
             writeln!(out, "change job={:016x} leg={attempt} sort=1 x={x}", query.0)
         }
@@ -364,23 +367,27 @@
 
 /// The adapter's replies to a day, line by line.
 fn adapter(heard: &[(Micros, Event)], args: &[&str]) -> Vec<String> {
-    let mut input = String::new();
+    let (mut input, mut ended) = (String::new(), BTreeMap::new());
     for (at, event) in heard {
         let _ = writeln!(input, "batch sim_time_us={}\nfor controller=1", at.0);
-        line(event, &mut input);
+        line(event, &ended, &mut input);
+        if let Event::Ended(e) = event {
+            *ended.entry(e.query).or_insert(0usize) += 1;
+        }
         input.push_str("flush\n");
     }
     let mut child = Command::new(env!("CARGO_BIN_EXE_wheelfield-wirehost"))
         .args(args)
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
         .spawn()
         .expect("the adapter starts");
     let mut stdin = child.stdin.take().expect("piped");
     let writer = std::thread::spawn(move || stdin.write_all(input.as_bytes()));
     let output = child.wait_with_output().expect("it ends with its input");
     writer.join().expect("written").expect("read to the end");
-    assert!(output.status.success());
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
     String::from_utf8(output.stdout).expect("text").lines().map(str::to_string).collect()
 }
 
