The module sends anew an attempt that alone gives no word: answers that get lost one by one

Checked: a probe of what each engine is taken for, once a second: two engines of five report 0.10 to 0.25 of their cores busy while one controller alone has 15 to 27 queries out there, served ones at their best pace; a count of the notes by engine: those two tell of 3 to 14 attempts in four seconds, the others of 80 to 250, and none waits for memory. So their answers get lost: the attempts are out, and no note comes of them. At fault: look_at_attempts, which heeds silence of a whole engine only. Ruled out: engines cold after the release (warmth 1.00), a line for memory there (no such notes). Change: an attempt that gives no word while its engine has told of others for the patience is sent anew where the class and the budget allow it, and counts against its engine as a failure.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -815,12 +815,14 @@
     }
 
     /// Looks at all that is out. An engine whose attempts give no word hangs: it is set aside, its work sent
-    /// anew. A bad plan is outrun by a fresh attempt; under pressure what ends too late is given up. It
-    /// holds against whatever makes work slow; it hurts where the pace told is far off.
+    /// anew, as is an attempt that alone gives none. A bad plan is outrun by a fresh attempt; under pressure
+    /// what ends too late is given up. It holds against whatever makes work slow; it hurts where the pace
+    /// told is far off.
     fn look_at_attempts(&mut self, now: Micros, out: &mut Vec<Action>) {
         let notes = self.settings.note_every;
         let patience = Micros(if notes.0 == 0 { i64::MAX } else { notes.0 * 3 / 2 + PERIOD.0 / 4 });
         let (mut hung, mut resend, mut dear, mut drop) = (Vec::new(), Vec::new(), Vec::new(), Vec::new());
+        let mut losing = Vec::new();
         for engine in self.engines.values().filter(|e| !e.out.is_empty()) {
             let attempts = engine.out.iter().filter_map(|(id, index)| {
                 let live = self.queries.get(id)?;
@@ -845,8 +847,11 @@
                 let view = &self.classes[live.query.class];
                 let again = self.may_try_again(now, live);
                 let curable = again && view.uncured <= view.cured + 1;
-                if silent && again {
+                // Guards against answers that get lost, one by one: their engine tells of all else.
+                let lost = engine.heard - a.heard > patience;
+                if (silent || lost) && again {
                     resend.push((id, index, false));
+                    losing.extend((!silent).then_some(engine.entry.engine));
                 } else if bad_plan && live.attempts.iter().any(|a| a.bad_plan) {
                     dear.push((id, run * class.threads));
                 } else if bad_plan && curable && now + Micros::from_secs(booked * pace) < live.query.due {
@@ -866,6 +871,10 @@
             }
             engine.aside_until = engine.aside_until.max(now + PERIOD);
         }
+        for id in losing {
+            let common = self.common_failing(id);
+            self.engines.entry(id).and_modify(|e| e.failed(now, NEWEST, common));
+        }
         for (id, attempt, bad_plan) in resend {
             self.cancel(id, attempt, bad_plan, out);
         }
--- a/crates/core/tests/failures.rs
+++ b/crates/core/tests/failures.rs
@@ -347,3 +347,20 @@
     assert_eq!(admitted, 1_000);
     assert!(to_first < 40, "{to_first} after half of the queries");
 }
+
+/// A day of releases on kigali-shared: answers of two engines got lost, one by one; notes of all else came.
+#[test]
+fn an_attempt_that_alone_gives_no_word_is_sent_anew_where_repeats_are_safe() {
+    for (effect, again) in [(Effect::Repeatable, true), (Effect::Once, false)] {
+        let mut rig = Rig::new(settings(vec![class(effect)]), engines(1));
+        let (lost, _) = rig.arrive(0);
+        let (noted, _) = rig.arrive(0);
+        let mut done = Vec::new();
+        for _ in 0..10 {
+            rig.tell(Event::Noted { query: noted, attempt: 0, note: Note::Progress(0.9) });
+            done.extend(rig.sweeps(1));
+        }
+        assert_eq!(done.contains(&Action::Cancel { query: lost, attempt: 0 }), again);
+        assert!(!done.contains(&Action::Cancel { query: noted, attempt: 0 }));
+    }
+}
