platform: what was taken back before its first byte went is never sent

Found by reading: an attempt counts as begun once its first byte has gone, so the driver takes back one that stands in a full socket's output as never sent, and may send it elsewhere; but the request stood there still and went out later. At fault: Executors::withdraw, which put a STOP behind it. Its connection is closed now. The test fails without the change.

--- a/crates/platform/src/executors.rs
+++ b/crates/platform/src/executors.rs
@@ -413,6 +413,10 @@
         c.waiting.retain(|job| job.attempt != attempt);
         if let Some(running) = c.running.remove(&request) {
             debug!(id = %request, %attempt, at = c.engine.0, hit = running.hit.is_some(), "given up");
+            // Guards against sending what was taken back as never sent: it stands in what is to go on this connection.
+            if !running.begun {
+                return self.broken(id, out);
+            }
             // A good answer has ended it: the executor keeps its pages only.
             match running.hit {
                 Some(_) => c.put(|to| lines::put_end(request, to)),
--- a/crates/platform/tests/executors.rs
+++ b/crates/platform/tests/executors.rs
@@ -171,6 +171,26 @@
     }
 }
 
+/// A request that stands to be written as its executor drains was taken back, and must not go.
+#[test]
+fn what_was_taken_back_before_its_first_byte_went_is_never_sent() {
+    let mut rig = Rig::new(1);
+    rig.partial = Some(0);
+    let client = rig.client();
+    rig.says(client, &post("load", &id(1), ""));
+    let executor = rig.connect()[0];
+    rig.datagrams.clear();
+    rig.pass(260_000);
+    let asked = rig.datagrams.last().expect("a question").2.clone();
+    rig.partial = None;
+    let answer = names(&asked, 9, &[("e1", 1, 1), ("e2", 2, 0)]).to_vec().expect("bytes");
+    let from = RESOLVER.parse().expect("an address");
+    rig.tell(Socketed::Datagram(wheelfield_parts::Port::Names, from, &answer));
+    assert!(rig.closed.contains(&executor) && rig.read(executor).is_empty());
+    let other = rig.connect()[0];
+    assert!(rig.read(other).starts_with("REQ "), "it goes to the other one");
+}
+
 #[test]
 fn connections_are_shared_where_descriptors_are_short() {
     let mut rig = Rig::of(&config(vec![server("e1", 1, "ready")], 64));
