platform: an attempt whose connection broke is written on one that rests

Executors::ends launched what had waited on a connection that broke and dropped the number of the connection it found: on one that was up the attempt stood there unwritten until its time was up, or until another query came by the same connection. Launch now puts such a connection on a queue that Flow::settle empties, so no caller can forget it; three callers got shorter by it.

--- a/crates/core/tests/failures.rs
+++ b/crates/core/tests/failures.rs
@@ -266,7 +266,7 @@
     assert!(light > 2 * heavy && heavy > 0, "{light} light, {heavy} heavy");
 }
 
-/// Bad clients on kigali-shared: queries that every engine answers with an error set all engines aside, and used up the budget.
+/// Bad clients, in service: queries that every engine answers with an error set all engines aside, and used up the budget.
 #[test]
 fn queries_that_fail_everywhere_set_no_engine_aside_and_are_not_tried_again() {
     let mut rig = Rig::new(settings(vec![class(Effect::Repeatable)]), engines(4));
@@ -332,7 +332,7 @@
     (admitted, to_first)
 }
 
-/// Resets on kigali-shared: one connection in fifteen broke at whichever engine, and all were set aside and thought cold.
+/// Resets, in service: one connection in fifteen broke at whichever engine, and all were set aside and thought cold.
 #[test]
 fn connections_that_break_everywhere_set_no_engine_aside() {
     let (admitted, to_first) = admitted_while_connections_break(2_000, 10, true);
@@ -348,7 +348,7 @@
     assert!(to_first < 40, "{to_first} after half of the queries");
 }
 
-/// A day of releases on kigali-shared: answers of two engines got lost, one by one; notes of all else came.
+/// A day of releases, in service: answers of two engines got lost, one by one; notes of all else came.
 #[test]
 fn an_attempt_that_alone_gives_no_word_is_sent_anew_where_repeats_are_safe() {
     for (effect, again) in [(Effect::Repeatable, true), (Effect::Once, false)] {
--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -139,7 +139,7 @@
         self.all.get_mut(id).map_or(0, |c| c.wire.room(Clients::limit(c.state)))
     }
 
-    /// So much of an answer has gone; true if the connection may have more to say.
+    /// So much of an answer has gone; a client that had closed its side is let go after the last of it.
     pub fn wrote(&mut self, id: ConnId, n: usize, out: &mut Out<Wake>) {
         let Some(c) = self.all.get_mut(id) else { return };
         c.took = out.now;
--- a/crates/platform/src/door.rs
+++ b/crates/platform/src/door.rs
@@ -50,10 +50,7 @@
     fn socketed(&mut self, now: i64, what: Socketed<'_>) {
         self.flow.out.now = now;
         match what {
-            Socketed::Connected(id) => {
-                self.flow.executors.connected(id, &mut self.flow.out);
-                self.flow.write(id);
-            }
+            Socketed::Connected(id) => self.flow.executors.connected(id, &mut self.flow.out),
             Socketed::Received(id, bytes) => {
                 let Some(wire) = self.wire(id) else { return };
                 wire.receive(bytes);
--- a/crates/platform/src/executors.rs
+++ b/crates/platform/src/executors.rs
@@ -20,8 +20,8 @@
 /// Of the time after which executors close an idle connection, so much is used: one that both sides close at once would take a
 /// request along.
 const IDLE_SHARE: f64 = 0.5;
-/// Ids given up on a connection that are remembered: an answer that crosses the word may still come under them. With more the
-/// connection is closed once it is idle.
+/// Ids given up on a connection that are remembered: an answer that crosses the word may still come under them. With so many it
+/// takes nothing new, and is closed once it is idle.
 const GIVEN_UP: usize = 64;
 /// An attempt whose connection broke so often before any of it was written has found none.
 const MOST_LOST: u8 = 3;
@@ -143,6 +143,7 @@
 
     fn takes(&self, id: RequestId, streams: usize) -> bool {
         !self.running.contains_key(&id)
+            && (self.given_up.len() < GIVEN_UP || self.given_up.contains(&id))
             && !self.wire.closing
             && self.load() < streams
             && self.wire.output.len() < BACKLOG
@@ -198,6 +199,8 @@
     conns: Slots<Conn>,
     places: BTreeMap<AttemptId, (ConnId, RequestId)>,
     told: VecDeque<Told>,
+    /// Connections that are up and have attempts waiting to be written.
+    ready: VecDeque<ConnId>,
     /// Requests whose connection ended under them, and when.
     cut: Vec<(RequestId, EngineId, i64)>,
     /// Attempts that wait until their executor knows of that.
@@ -215,6 +218,7 @@
             conns: Slots::new(ROOM),
             places: BTreeMap::new(),
             told: VecDeque::new(),
+            ready: VecDeque::new(),
             cut: Vec::new(),
             held: Vec::new(),
             counts: Counts::default(),
@@ -227,10 +231,7 @@
         for (engine, at) in list {
             let e =
                 self.all.entry(engine).or_insert_with(|| Executor { at, conns: Vec::new(), listed: true });
-            if e.at != at {
-                e.at = at;
-            }
-            e.listed = true;
+            (e.at, e.listed) = (at, true);
         }
         let gone: Vec<ConnId> = self
             .conns
@@ -279,17 +280,22 @@
         self.told.pop_front()
     }
 
-    /// Finds a connection for an attempt. One that is up has it at once: its number is given.
-    pub fn launch(&mut self, engine: EngineId, job: Job, out: &mut Out<Wake>) -> Option<ConnId> {
+    /// A connection that is up and has attempts waiting: [`Executors::take`] gives them.
+    pub fn ready(&mut self) -> Option<ConnId> {
+        self.ready.pop_front()
+    }
+
+    /// Finds a connection for an attempt. Once that is up it is ready, at once or later.
+    pub fn launch(&mut self, engine: EngineId, job: Job, out: &mut Out<Wake>) {
         let Some(executor) = self.all.get(&engine) else {
             self.told.push_back(Ended::bare(job.attempt, Outcome::ConnectFailed));
-            return None;
+            return;
         };
         self.cut.retain(|(_, _, at)| out.now - at < CUT);
         if self.cut.iter().any(|(id, e, _)| (*id, *e) == (job.id, engine)) {
             out.wake_after(CUT, Wake::Held(job.attempt));
             self.held.push((engine, job));
-            return None;
+            return;
         }
         let of = |id: &ConnId| self.conns.get(*id).map(|c| (*id, c));
         let mut takers: Vec<(ConnId, &Conn)> = executor.conns.iter().filter_map(of).collect();
@@ -311,22 +317,26 @@
                 if self.conns.len() >= self.bounds.connections && !self.evict(out) {
                     self.counts.no_room += 1;
                     self.told.push_back(Ended::bare(job.attempt, Outcome::Full));
-                    return None;
+                    return;
                 }
-                self.connect(engine, out)?
+                let Some(id) = self.connect(engine, out) else { return };
+                id
             }
         };
-        let conn = self.conns.get_mut(id)?;
+        let Some(conn) = self.conns.get_mut(id) else { return };
         self.places.insert(job.attempt, (id, job.id));
         conn.waiting.push(job);
-        conn.up.then_some(id)
+        if conn.up {
+            self.ready.push_back(id);
+        }
     }
 
     /// An attempt that was held goes on.
-    pub fn release(&mut self, attempt: AttemptId, out: &mut Out<Wake>) -> Option<ConnId> {
-        let at = self.held.iter().position(|(_, job)| job.attempt == attempt)?;
-        let (engine, job) = self.held.swap_remove(at);
-        self.launch(engine, job, out)
+    pub fn release(&mut self, attempt: AttemptId, out: &mut Out<Wake>) {
+        if let Some(at) = self.held.iter().position(|(_, job)| job.attempt == attempt) {
+            let (engine, job) = self.held.swap_remove(at);
+            self.launch(engine, job, out);
+        }
     }
 
     fn connect(&mut self, engine: EngineId, out: &mut Out<Wake>) -> Option<ConnId> {
@@ -365,11 +375,12 @@
             c.up = true;
             c.idle_since = out.now;
             out.call_off(&mut c.connecting);
+            self.ready.push_back(id);
         }
     }
 
     /// An attempt that waits to be written on a connection that is up.
-    pub fn ready(&mut self, id: ConnId) -> Option<Job> {
+    pub fn take(&mut self, id: ConnId) -> Option<Job> {
         let c = self.conns.get_mut(id).filter(|c| c.up)?;
         let job = (!c.waiting.is_empty()).then(|| c.waiting.remove(0))?;
         self.places.remove(&job.attempt);
@@ -665,5 +676,6 @@
             self.broken(id, out);
         }
         self.all.retain(|_, e| e.listed || !e.conns.is_empty());
+        self.cut.retain(|(_, _, at)| now - at < CUT);
     }
 }
--- a/crates/platform/src/flow.rs
+++ b/crates/platform/src/flow.rs
@@ -12,7 +12,7 @@
 use crate::tables::table_group;
 use crate::wake::Wake;
 use std::collections::VecDeque;
-use tracing::{debug, info, warn};
+use tracing::{debug, info};
 use wheelfield::interface::{Micros, Outcome};
 use wheelfield_driver::{Answer, Arrival, AttemptId, Bounds, Driver, Input, Instruction};
 use wheelfield_parts::{ConnId, Effect, Out, Port};
@@ -220,14 +220,19 @@
                 self.read_client(id);
             } else if let Some(instruction) = self.tape.take() {
                 self.carry_out(instruction);
+            } else if let Some(conn) = self.executors.ready() {
+                self.write(conn);
             } else if let Some(told) = self.executors.told() {
                 self.told(told);
             } else {
                 break;
             }
         }
+        if self.stopped || !self.stop.nobody_comes(self.out.now) {
+            return;
+        }
         let owed = self.open.len() > 0 || self.clients.owed();
-        if !self.stopped && self.stop.over(self.out.now, owed) {
+        if self.stop.over(self.out.now, owed) {
             self.stopped = true;
             self.out.push(Effect::Stopped);
         }
@@ -238,9 +243,7 @@
             Instruction::Start { attempt, engine, terms } => {
                 let Some(unit) = self.open.get(attempt.query) else { return };
                 let job = Job::new(attempt, unit.id, terms);
-                if let Some(conn) = self.executors.launch(engine, job, &mut self.out) {
-                    self.write(conn);
-                }
+                self.executors.launch(engine, job, &mut self.out);
             }
             Instruction::SetTerms(attempt, terms) => {
                 self.executors.set_terms(attempt, terms, &mut self.out);
@@ -283,8 +286,8 @@
     }
 
     /// Writes what waits for a connection that is up.
-    pub fn write(&mut self, conn: ConnId) {
-        while let Some(job) = self.executors.ready(conn) {
+    fn write(&mut self, conn: ConnId) {
+        while let Some(job) = self.executors.take(conn) {
             let mind = self.tape.mind();
             let limit = mind.driver().and_then(|d| d.limit_of(job.attempt));
             let Some(unit) = self.open.get(job.attempt.query).filter(|_| mind.may_write(job.attempt)) else {
@@ -334,11 +337,7 @@
                 self.out.wake_after(SWEEP, Wake::Sweep);
             }
             Wake::Connect(id) => self.executors.refused(id, &mut self.out),
-            Wake::Held(attempt) => {
-                if let Some(conn) = self.executors.release(attempt, &mut self.out) {
-                    self.write(conn);
-                }
-            }
+            Wake::Held(attempt) => self.executors.release(attempt, &mut self.out),
             Wake::Stop => {
                 self.out.push(Effect::StopListening);
                 self.clients.end(&mut self.out);
@@ -367,8 +366,5 @@
             unused = ?self.unused,
             "counts"
         );
-        if executors.no_room > 0 {
-            warn!(times = executors.no_room, "attempts found no connection");
-        }
     }
 }
--- a/crates/platform/tests/executors.rs
+++ b/crates/platform/tests/executors.rs
@@ -117,7 +117,7 @@
     }
 }
 
-/// Found on kigali-shared, a day of releases: the next attempt overtook the word that gave the first up.
+/// Found in service, a day of releases: the next attempt overtook the word that gave the first up.
 #[test]
 fn what_goes_to_the_same_executor_again_follows_the_word_that_gave_it_up() {
     let mut rig = Rig::new(1);
@@ -139,7 +139,7 @@
     assert_eq!(rig.read(executor), format!("STOP {}\r\n", id(2)));
 }
 
-/// Found on kigali-shared, a day of resets: executors whose connections broke as they came up were taken for dead and cold.
+/// Found in service, a day of resets: executors whose connections broke as they came up were taken for dead and cold.
 #[test]
 fn a_connection_that_breaks_as_it_comes_up_is_no_word_on_its_executor() {
     let mut rig = Rig::new(1);
@@ -156,6 +156,20 @@
     assert_eq!(status(&rig.read(client)), 200);
 }
 
+/// What was to go on a connection that breaks goes on one that rests, and is written there at once.
+#[test]
+fn an_attempt_whose_connection_breaks_as_it_comes_up_goes_on_one_that_rests() {
+    let mut rig = Rig::new(1);
+    let (_, resting, _) = rig.asked("look", &id(1));
+    let client = rig.client();
+    rig.says(client, &post("look", &id(2), ""));
+    let (fresh, _) = rig.connects.remove(0);
+    rig.says(resting, &hit(1));
+    rig.read(resting);
+    rig.tell(Socketed::Broken { id: fresh, writing: true, refused: false, reason: "reset" });
+    assert!(rig.connects.is_empty() && rig.read(resting).starts_with(&format!("REQ {} ", id(2))));
+}
+
 #[test]
 fn what_was_written_whole_may_have_run_and_what_was_not_did_not() {
     for (whole, expected) in [(true, 500), (false, 503)] {
