--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -619,8 +619,11 @@
         // the further attempts of the others. It holds against whatever makes all engines err; it hurts
         // where an engine errs while many others do: that one is found out late.
         let errors = live.attempts.iter().filter(|a| a.erred()).count();
-        self.ledger.errors_cured += f64::from(u8::from(outcome == Outcome::Served && errors > 0));
-        self.ledger.errors_uncured += f64::from(u8::from(outcome == Outcome::Error && errors > 1));
+        match outcome {
+            Outcome::Served if errors > 0 => self.ledger.errors_cured += 1.0,
+            Outcome::Error if errors > 1 => self.ledger.errors_uncured += 1.0,
+            _ => {}
+        }
         let own_error = outcome == Outcome::Error && self.ledger.errors_are_own();
         let class = &self.settings.classes[class_index];
         let (threads, aim, scarce) = (class.threads, class.aim, self.ledger.around.scarce);
@@ -629,7 +632,8 @@
                 self.keys.entry(key).or_default().rests_until = now + self.settings.order_pause;
             }
         }
-        let common = self.common_failing(engine_id);
+        let fails = matches!(outcome, Outcome::TimedOut | Outcome::Error | Outcome::Reset);
+        let common = if fails { self.common_failing(engine_id) } else { 0.0 };
         let unhurried = self.engines.get(&engine_id).is_some_and(|e| self.load(e, now) < 0.8);
         let inferred = unhurried.then_some(took.secs() * threads);
         let ran = if self.settings.bills { billed_work } else { inferred };
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -24,8 +24,8 @@
     },
 }
 
-#[derive(Clone, Debug, Default)]
 /// The names one instance knows, and the numbers the module knows them by.
+#[derive(Clone, Debug, Default)]
 pub struct Names {
     /// Of classes, by position.
     pub classes: Vec<String>,
