--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -461,8 +461,8 @@
         if self.settings.zone.is_some_and(|z| z != engine.entry.zone) {
             weight /= 1.0 + 100.0 * self.settings.cross_zone_price;
         }
-        // Guards against a handshake for each query where many gateways see little traffic each: all pay for it, and
-        // engines busy with them are late. It may hurt where many engines are new at once: they are found later.
+        // Guards against a handshake for each query where many gateways see little traffic each: all pay for it,
+        // and engines busy with it are late. It may hurt where many engines are new: they are found later.
         if !self.rests(engine, now) {
             weight /= 1.0 + 100.0 * self.settings.handshake_price;
         }
