--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -457,13 +457,14 @@
         let drawn = if shared { self.room(engine, now) } else { (0.1 + load).powi(-3) };
         let mut weight = capacity * drawn / (engine.pace / engine.best_pace).max(0.5);
         weight *= (1.0 - engine.failing).powi(4);
-        weight *= self.cold_budget(now, engine).map_or(1.0, |(_, draws_for)| draws_for);
+        let cold = self.cold_budget(now, engine);
+        weight *= cold.map_or(1.0, |(_, draws_for)| draws_for);
         if self.settings.zone.is_some_and(|z| z != engine.entry.zone) {
             weight /= 1.0 + 100.0 * self.settings.cross_zone_price;
         }
-        // Guards against a handshake for each query where many gateways see little traffic each: all pay for it,
-        // and engines busy with it are late. It may hurt where many engines are new: they are found later.
-        if !self.rests(engine, now) {
+        // Guards against a handshake for each query where many gateways see little traffic each: all pay for
+        // it, and engines busy with it are late. Cold ones, where none can rest yet, are not to stand idle.
+        if cold.is_none() && !self.rests(engine, now) {
             weight /= 1.0 + 100.0 * self.settings.handshake_price;
         }
         let is_load = self.settings.classes[live.query.class].is_load;
--- a/crates/core/tests/draw.rs
+++ b/crates/core/tests/draw.rs
@@ -92,3 +92,36 @@
     }
     assert!(out[0].abs_diff(out[1]) <= 4, "{out:?}");
 }
+
+/// Found on the fleet's days: newcomers, where no connection can rest yet, were left to stand idle in a shortage.
+#[test]
+fn a_cold_engine_is_not_leaned_away_from_for_its_handshakes() {
+    let to_newcomer = |handshake_price| {
+        let s = Settings {
+            handshake_price,
+            connections_rest: Micros(30_000_000),
+            cold_from: 0.5,
+            cold_for: Micros(60_000_000),
+            fall_multiple: 1_000.0,
+            fall_span: Micros(1_000_000),
+            ..settings(vec![class(Effect::Repeatable)])
+        };
+        let mut rig = Rig::new(s, vec![engine(1), engine(2)]);
+        let serve = |rig: &mut Rig| {
+            let (id, actions) = rig.arrive(0);
+            rig.end_with(id, 0, Outcome::Served, Micros(100_000), Report::default());
+            sent(&actions)[0]
+        };
+        for _ in 0..10 {
+            serve(&mut rig);
+        }
+        // How many queries pass until each of 20 newcomers has its first.
+        let first = |n| {
+            rig.tell(Event::EngineChanges(vec![engine(n)]));
+            (0..2_000).position(|_| serve(&mut rig) == EngineId(n)).expect("drawn at last")
+        };
+        (3..23).map(first).sum::<usize>()
+    };
+    let (free, dear) = (to_newcomer(0.0), to_newcomer(0.08));
+    assert!(dear < 2 * free, "{free} queries before, {dear} where a handshake has its price");
+}
