lab: fleets, controllers on processes with faults on the roads between them

Need: gossip had been tried with two to four parties on sockets and no fault between them. The same script plays in virtual time. Members' changes are logged with who told them; the judge holds them against the processes' lives and the roads.

--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -131,8 +131,11 @@
 /// How controllers find out how many they are.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Gossip {
-    /// Where this one is reached; port 0 lets the system choose.
+    /// Where this one listens; port 0 lets the system choose.
     pub listen: SocketAddr,
+    /// Where the others reach it, if addresses are translated on the way; else where it listens. Its datagrams come to them from
+    /// there, and its number is this address's rank.
+    pub advertise: Option<SocketAddr>,
     /// Whom to ask first.
     pub seeds: Vec<SocketAddr>,
     /// The file of the keys.
@@ -450,6 +453,7 @@
         }
         let gossip = Gossip {
             listen: self.address(&g.listen)?,
+            advertise: g.advertise.as_ref().map(|a| self.address(a)).transpose()?,
             seeds: g.seeds.iter().map(|s| self.address(s)).collect::<Checked<Vec<_>>>()?,
             keys: g.keys.get_ref().into(),
             period: time(&g.period, 1_000_000, "period")?,
@@ -463,6 +467,13 @@
             let fault = "a member would be forgotten sooner than it can be missed";
             return Err(self.wrong(at, fault, "make `hold` many times `period`"));
         }
+        if let Some(at) = g.advertise.as_ref().filter(|_| gossip.advertise.is_some_and(|a| a.port() == 0)) {
+            return Err(self.wrong(
+                at,
+                "an advertised address without a port",
+                "write where others reach this one",
+            ));
+        }
         Ok(gossip)
     }
 
--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -334,6 +334,7 @@
 #[serde(deny_unknown_fields)]
 pub(crate) struct Gossip {
     pub listen: At<String>,
+    pub advertise: Option<At<String>>,
     #[serde(default)]
     pub seeds: Vec<At<String>>,
     pub keys: At<String>,
--- a/crates/controller/src/app.rs
+++ b/crates/controller/src/app.rs
@@ -43,7 +43,8 @@
         if let Some(g) = &config.gossip {
             let (first, watched) = keys::open(&g.keys)?;
             let socket = bind_datagrams(g.listen, "gossip")?;
-            gossips = Some((socket.local_addr()?, first));
+            let reached = g.advertise.map_or_else(|| socket.local_addr(), Ok)?;
+            gossips = Some((reached, first));
             (gossip, keys) = (Some(socket), Some(watched));
         }
         let files = watch(&config, clock)?;
--- a/crates/gate/src/gossip.rs
+++ b/crates/gate/src/gossip.rs
@@ -6,7 +6,7 @@
 use tracing::{debug, info, warn};
 use wheelfield_config::Config;
 use wheelfield_gossip::seal::{Dropped, Keys, Opener, Sealer};
-use wheelfield_gossip::{Limits, Node, Packet, View};
+use wheelfield_gossip::{Change, Limits, News, Node, Packet, View};
 use wheelfield_parts::TimerKey;
 
 /// The gossip of a controller.
@@ -58,12 +58,27 @@
         }
     }
 
+    /// Logs what became of members: on whose word, so that a wrong one can be followed to where it began.
+    fn log_news(&mut self) {
+        for News { member, change, by } in self.node.news() {
+            match change {
+                Change::New => debug!(%member, %by, "member: new"),
+                Change::Suspected => debug!(%member, %by, "member: suspected"),
+                Change::Denied => debug!(%member, %by, "member: denied"),
+                Change::GivenUp => info!(%member, %by, "member: given up"),
+                Change::Back => info!(%member, %by, "member: back"),
+                Change::Left => info!(%member, %by, "member: left"),
+            }
+        }
+    }
+
     /// Does what is due, and asks to be woken for the next.
     pub fn tend(&mut self, out: &mut Out) {
         let mut packets = Vec::new();
         if self.node.next() <= out.now {
             self.node.tick(out.now, &mut packets);
         }
+        self.log_news();
         self.send(packets, out);
         let after = (self.node.next() - out.now).max(1_000);
         out.instead(&mut self.timer, after, Wake::Gossip);
@@ -75,6 +90,7 @@
             Ok(packet) => {
                 let mut packets = Vec::new();
                 self.node.receive(out.now, from, &packet, &mut packets);
+                self.log_news();
                 self.sealer.start_at(self.node.start());
                 self.send(packets, out);
             }
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -16,4 +16,4 @@
 mod node;
 pub mod seal;
 
-pub use node::{Counts, Limits, Message, Node, Packet, Record, Standing, View};
+pub use node::{Change, Counts, Limits, Message, News, Node, Packet, Record, Standing, View};
--- a/crates/gossip/src/node.rs
+++ b/crates/gossip/src/node.rs
@@ -119,6 +119,37 @@
     pub settled: bool,
 }
 
+/// What became of a member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Change {
+    /// It was heard of for the first time.
+    New,
+    /// It does not answer.
+    Suspected,
+    /// It denied that it is gone.
+    Denied,
+    /// It was given up.
+    GivenUp,
+    /// It is there again: another process at its address, or the one that was given up.
+    Back,
+    /// It said goodbye.
+    Left,
+}
+
+/// A change, and on whose word it was believed: this node's own address where it found out itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct News {
+    /// Whose.
+    pub member: SocketAddr,
+    /// What.
+    pub change: Change,
+    /// On whose word.
+    pub by: SocketAddr,
+}
+
+/// News that wait to be taken, at most; later ones are lost, as they only tell what is known.
+const MOST_NEWS: usize = 1_024;
+
 /// What was counted since the start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Counts {
@@ -182,6 +213,7 @@
     listened: bool,
     draws: u64,
     counts: Counts,
+    news: Vec<News>,
 }
 
 impl Node {
@@ -212,6 +244,7 @@
             listened: false,
             draws: seed,
             counts: Counts::default(),
+            news: Vec::new(),
         };
         // Nodes that start together do not all probe at once.
         node.next_period = now + node.draw(limits.period.max(1) as u64) as i64;
@@ -237,6 +270,11 @@
         self.counts
     }
 
+    /// What became of members since the last call.
+    pub fn news(&mut self) -> Vec<News> {
+        std::mem::take(&mut self.news)
+    }
+
     /// All that are known, this one not.
     pub fn records(&self) -> impl Iterator<Item = &Record> {
         self.members.values().map(|m| &m.record)
@@ -301,7 +339,7 @@
             if let Some(m) = self.members.get(&p.target).filter(|m| m.record.standing == Standing::Alive) {
                 self.counts.suspected += 1;
                 let record = Record { standing: Standing::Suspect, since_ms: 0, ..m.record };
-                self.learn(now, record);
+                self.learn(now, record, self.own.member);
             }
         }
         let patience = self.patience();
@@ -309,7 +347,7 @@
         let over: Vec<Record> = self.members.values().filter(overdue).map(|m| m.record).collect();
         for record in over {
             self.counts.given_up += 1;
-            self.learn(now, Record { standing: Standing::Gone, since_ms: 0, ..record });
+            self.learn(now, Record { standing: Standing::Gone, since_ms: 0, ..record }, self.own.member);
         }
         // Who is gone for long is forgotten, once it counts no more and all have heard.
         let (hold, spread) = (self.limits.hold, self.limits.fetch.saturating_mul(4));
@@ -445,7 +483,7 @@
     ) {
         self.heard |= from != self.own.member;
         for record in packet.riders.iter().take(self.limits.most) {
-            self.learn(now, *record);
+            self.learn(now, *record, from);
         }
         match packet.message {
             Message::Probe(number) => {
@@ -481,8 +519,8 @@
         }
     }
 
-    /// What is said of a member, or of this one.
-    fn learn(&mut self, now: i64, record: Record) {
+    /// What is said of a member, or of this one, and by whom.
+    fn learn(&mut self, now: i64, record: Record, by: SocketAddr) {
         if record.member == self.own.member {
             // Only one process holds an address at a time, so a later start is that of a process before this one, by a clock
             // that was set back since. Ours must be later still, or nobody heeds it.
@@ -515,7 +553,17 @@
                 if was != record.standing || record.start != m.record.start {
                     m.since = since;
                 }
+                let restarted = record.start != m.record.start;
                 (m.record, m.told) = (record, 0);
+                let change = match (was, record.standing) {
+                    (was, now) if was == now && !restarted => None,
+                    (Standing::Suspect, Standing::Alive) if !restarted => Some(Change::Denied),
+                    (_, Standing::Alive) => Some(Change::Back),
+                    (_, Standing::Suspect) => Some(Change::Suspected),
+                    (_, Standing::Gone) => Some(Change::GivenUp),
+                    (_, Standing::Left) => Some(Change::Left),
+                };
+                change.into_iter().for_each(|change| self.tell(record.member, change, by));
             }
             Some(_) => {}
             None if fading => {}
@@ -523,10 +571,17 @@
             None => {
                 self.members.insert(record.member, Member { record, since, told: 0 });
                 self.newest = now;
+                self.tell(record.member, Change::New, by);
             }
         }
     }
 
+    fn tell(&mut self, member: SocketAddr, change: Change, by: SocketAddr) {
+        if self.news.len() < MOST_NEWS {
+            self.news.push(News { member, change, by });
+        }
+    }
+
     /// Says goodbye: to a few now, who tell the others.
     pub fn leave(&mut self, out: &mut Vec<(SocketAddr, Packet)>) {
         self.own.standing = Standing::Left;
--- a/crates/gossip/tests/model.rs
+++ b/crates/gossip/tests/model.rs
@@ -75,6 +75,8 @@
     fn deliver(state: &mut State, from: usize, to: usize, packet: &Packet) {
         let mut out = Vec::new();
         state.nodes[to].receive(state.now, address(from), packet, &mut out);
+        // What was told to the log makes no other state.
+        state.nodes[to].news();
         Self::put(state, to, out);
     }
 
@@ -119,6 +121,7 @@
                 if state.nodes[i].next() <= state.now {
                     let now = state.now;
                     state.nodes[i].tick(now, &mut out);
+                    state.nodes[i].news();
                 }
                 Self::put(state, i, out);
             }
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -1,10 +1,13 @@
 //! The script of a day.
 
+use crate::fleet::script::{self, Road};
 use serde::Deserialize;
 use std::fmt::Write as _;
 use wheelfield::interface::Settings;
 use wheelfield_config::units::{Size, Time};
 use wheelfield_config::{Config, Fault};
+use wheelfield_gossip::Limits;
+use wheelfield_roads::Timetable;
 
 /// A day as its script tells it.
 #[derive(Clone, Debug, Deserialize)]
@@ -45,6 +48,12 @@
     /// What goes wrong.
     #[serde(default)]
     pub troubles: Vec<Trouble>,
+    /// What goes wrong between controllers that gossip.
+    #[serde(default)]
+    pub roads: Vec<Road>,
+    /// Periods of the gossip: as in a controller's configuration.
+    #[serde(default)]
+    pub gossip: toml::Table,
     /// What engines tell: as in a controller's configuration.
     #[serde(default)]
     pub signals: toml::Table,
@@ -423,6 +432,17 @@
                 );
             }
         }
+        if !day.roads.is_empty() && !day.registry.gossip {
+            return wrong(
+                "[[roads]]",
+                "nothing goes between controllers that do not gossip".into(),
+                "write gossip = true under [registry]",
+            );
+        }
+        if let Err((n, fault)) = script::timetable(&day.roads, day.controllers, 0) {
+            let place = text.match_indices("[[roads]]").nth(n).map_or(0, |(at, _)| at);
+            return Err(Fault::at(name, text, place, fault, "see docs/lab.md, fleets"));
+        }
         // What a controller would refuse, it refuses here.
         if let Err(fault) = day.checked() {
             return wrong(
@@ -447,15 +467,44 @@
         if self.registry.gossip {
             let seeds: Vec<String> =
                 (0..self.controllers.min(3)).map(|i| format!("127.0.0.1:{}", 20_000 + i)).collect();
-            let _ = writeln!(
-                text,
-                "[gossip]\nlisten = \"127.0.0.1:20000\"\nseeds = {}\nkeys = \"keys\"\nsettle = \"5s\"",
-                quoted(&seeds)
-            );
+            text.push_str(&self.gossip("127.0.0.1:20000", None, &seeds, "keys"));
         }
         wheelfield_config::parse("generated", &text)
     }
 
+    /// The part of a controller's configuration that is about gossip.
+    pub fn gossip(&self, listen: &str, advertise: Option<&str>, seeds: &[String], keys: &str) -> String {
+        let mut out = format!("[gossip]\nlisten = {listen:?}\nseeds = {}\nkeys = {keys:?}\n", quoted(seeds));
+        if let Some(advertise) = advertise {
+            let _ = writeln!(out, "advertise = {advertise:?}");
+        }
+        if !self.gossip.contains_key("settle") {
+            out.push_str("settle = \"5s\"\n");
+        }
+        for (name, value) in &self.gossip {
+            let _ = writeln!(out, "{name} = {value}");
+        }
+        out
+    }
+
+    /// A silence among controllers that lasted no longer than this may still be what a process acts on, in microseconds.
+    pub fn patience(&self) -> i64 {
+        let usual = Limits::default();
+        let period = self.checked().ok().and_then(|c| c.gossip).map_or(usual.period, |g| g.period.0);
+        let doublings = i64::from((self.controllers as u64 + 1).ilog2()).max(1);
+        // Suspected by one, told on to all, and denied or not: twice the time that a suspect has.
+        2 * usual.patience * doublings * period
+    }
+
+    /// What goes wrong between controllers, in times from the day's start.
+    ///
+    /// # Errors
+    /// What is wrong with the script, for a person.
+    pub fn timetable(&self, seed: u64) -> Result<Timetable, String> {
+        script::timetable(&self.roads, self.controllers, seed)
+            .map_err(|(n, fault)| format!("[[roads]] {n}: {fault}"))
+    }
+
     /// What the module of each controller is handed.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/lab/src/fleet/judge.rs
@@ -0,0 +1,188 @@
+//! What the processes of a fleet believed of each other, judged against what was so.
+//!
+//! The evidence is what each process logged and the lives that the laboratory gave them, not what the processes say of themselves
+//! at the end. A process that was paused is alive; one that was killed is dead until another starts under its address.
+
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use wheelfield_gossip::Change;
+use wheelfield_roads::Timetable;
+use wheelfield_rules::Life;
+
+/// Something that a process logged of the membership.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Said {
+    /// So many controllers it acts on, with this number for itself.
+    Acts {
+        /// The count,
+        count: usize,
+        /// and its own number.
+        index: usize,
+    },
+    /// What it believes became of a member.
+    Member(SocketAddr, Change),
+}
+
+/// When it was logged, by which controller's process.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Line {
+    /// In microseconds of the clock.
+    pub at: i64,
+    /// Which controller.
+    pub by: usize,
+    /// What.
+    pub said: Said,
+}
+
+/// A line of a controller's log, as JSON; none if it is about something else.
+pub fn read(by: usize, line: &str) -> Option<Line> {
+    let value: serde_json::Value = serde_json::from_str(line).ok()?;
+    let time = humantime::parse_rfc3339(value["timestamp"].as_str()?).ok()?;
+    let at = i64::try_from(time.duration_since(std::time::UNIX_EPOCH).ok()?.as_micros()).ok()?;
+    let figure = |name: &str| value[name].as_u64().map(|n| n as usize);
+    let said = match value["message"].as_str()? {
+        "controllers" => Said::Acts { count: figure("count")?, index: figure("index")? },
+        message => {
+            let change = match message.strip_prefix("member: ")? {
+                "suspected" => Change::Suspected,
+                "denied" => Change::Denied,
+                "given up" => Change::GivenUp,
+                "back" => Change::Back,
+                "left" => Change::Left,
+                _ => return None,
+            };
+            Said::Member(value["member"].as_str()?.parse().ok()?, change)
+        }
+    };
+    Some(Line { at, by, said })
+}
+
+/// What is known of a fleet's day.
+#[derive(Debug)]
+pub struct Evidence<'a> {
+    /// Where each controller is reached by the others.
+    pub reached: &'a [SocketAddr],
+    /// The lives of all processes.
+    pub lives: &'a [Life],
+    /// What went wrong on the roads, in times of the clock.
+    pub roads: &'a Timetable,
+    /// What is judged, in microseconds of the clock: from then on
+    pub from: i64,
+    /// and until then.
+    pub until: i64,
+}
+
+/// What a process believed that was not so.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Wrong {
+    /// When, in microseconds from the day's start.
+    pub at: i64,
+    /// What, for a person.
+    pub what: String,
+}
+
+/// What came of it.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Verdict {
+    /// A process acted on fewer controllers than ran.
+    pub undercounts: Vec<Wrong>,
+    /// A process acted on more controllers than there are addresses.
+    pub overcounts: Vec<Wrong>,
+    /// A process gave up one that ran, was not paused, and was on no cut road to or from it.
+    pub given_up_alive: Vec<Wrong>,
+    /// The same of one that was paused or on a cut road: silence that nobody can tell from death.
+    pub given_up_cut: u64,
+    /// Suspicions, by whichever process, of members that ran; each process that believes one counts.
+    pub false_suspicions: u64,
+    /// Controllers that were killed and stayed so until others noticed.
+    pub deaths: u64,
+    /// From a kill to the first that gave it up, in milliseconds: the half,
+    pub detected_p50_ms: f64,
+    /// and the latest.
+    pub detected_most_ms: f64,
+}
+
+impl Verdict {
+    /// Nobody believed what must never be believed.
+    pub fn kept(&self) -> bool {
+        self.undercounts.is_empty() && self.overcounts.is_empty() && self.given_up_alive.is_empty()
+    }
+}
+
+impl Evidence<'_> {
+    fn life(&self, controller: usize, at: i64) -> Option<&Life> {
+        let ran = |l: &&Life| l.controller == controller && l.from <= at && l.killed.is_none_or(|k| at < k);
+        self.lives.iter().find(ran)
+    }
+
+    /// Controllers whose processes run at a time, paused ones among them.
+    fn alive(&self, at: i64) -> usize {
+        (0..self.reached.len()).filter(|c| self.life(*c, at).is_some()).count()
+    }
+
+    /// Whether a controller could not be heard by another at some time within `before` a time.
+    fn unheard(&self, whom: usize, by: usize, at: i64, before: i64) -> bool {
+        let paused = |l: &Life| l.stalls.iter().any(|(from, to)| *from <= at && at - before < *to);
+        let still = |c: usize| self.life(c, at).is_some_and(paused);
+        let cut = |e: &wheelfield_roads::Entry| {
+            let concerns = e.concerns(whom, by) || e.concerns(by, whom);
+            e.fault.cut && concerns && e.at <= at && at - before < e.end()
+        };
+        still(whom) || still(by) || self.roads.0.iter().any(cut)
+    }
+
+    /// Judges what the processes logged. `patience` is how long a silence lasts until it is believed, in microseconds.
+    pub fn judge(&self, lines: &[Line], patience: i64) -> Verdict {
+        let mut verdict = Verdict::default();
+        let numbers: BTreeMap<SocketAddr, usize> =
+            self.reached.iter().enumerate().map(|(n, a)| (*a, n)).collect();
+        let mut found: BTreeMap<(usize, i64), i64> = BTreeMap::new();
+        for line in lines.iter().filter(|l| (self.from..=self.until).contains(&l.at)) {
+            let wrong = |what: String| Wrong { at: line.at - self.from, what };
+            match line.said {
+                Said::Acts { count, .. } => {
+                    let alive = self.alive(line.at);
+                    if count < alive {
+                        let what = format!("controller {} acts on {count} while {alive} run", line.by);
+                        verdict.undercounts.push(wrong(what));
+                    }
+                    if count > self.reached.len() {
+                        let what =
+                            format!("controller {} acts on {count} of {}", line.by, self.reached.len());
+                        verdict.overcounts.push(wrong(what));
+                    }
+                }
+                Said::Member(member, change) => {
+                    let Some(whom) = numbers.get(&member).copied() else { continue };
+                    let lives = self.life(whom, line.at).is_some();
+                    match change {
+                        Change::Suspected if lives => verdict.false_suspicions += 1,
+                        Change::GivenUp if lives && self.unheard(whom, line.by, line.at, patience) => {
+                            verdict.given_up_cut += 1;
+                        }
+                        Change::GivenUp if lives => {
+                            let what = format!("controller {} gave up {whom}, which runs", line.by);
+                            verdict.given_up_alive.push(wrong(what));
+                        }
+                        Change::GivenUp => {
+                            let died = self.lives.iter().filter(|l| l.controller == whom);
+                            if let Some(died) = died.filter_map(|l| l.killed).filter(|k| *k <= line.at).max()
+                            {
+                                let first = found.entry((whom, died)).or_insert(line.at);
+                                *first = line.at.min(*first);
+                            }
+                        }
+                        _ => {}
+                    }
+                }
+            }
+        }
+        let mut took: Vec<i64> = found.iter().map(|((_, died), at)| at - died).collect();
+        took.sort_unstable();
+        verdict.deaths = took.len() as u64;
+        verdict.detected_p50_ms = took.get(took.len() / 2).map_or(0.0, |t| *t as f64 / 1e3);
+        verdict.detected_most_ms = took.last().map_or(0.0, |t| *t as f64 / 1e3);
+        verdict
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`experiment`]: many days by seeds and variants, resumable; what they come to.
 //! - [`series`], [`stats`]: a day's course; whether two things differ; no I/O.
 //! - [`explore`]: thousands of drawn days; a failing one made small.
+//! - [`fleet`]: controllers with faults on the roads between them; a relay between processes; who believed what.
 //! - [`report`]: a page with plots, and a summary.
 //! - [`stage`]: the processes.
 //! - [`clients`]: what clients do by habit; no I/O.
@@ -25,6 +26,7 @@
 pub mod evidence;
 pub mod experiment;
 pub mod explore;
+pub mod fleet;
 pub mod lists;
 pub mod measure;
 pub mod people;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -54,10 +54,15 @@
     },
     /// Plays thousands of short drawn days in virtual time and judges them; makes what fails smaller.
     Explore(ExploreArgs),
-    /// Lists the kinds of trouble, or the days that are built in.
+    /// Plays controllers with faults on the roads between them, and judges what they believed of each other.
+    ///
+    /// 1 if a rule was broken, if a process acted on fewer controllers than ran or gave up one that it could hear, or if they
+    /// came to no one view after the last fault.
+    Fleet(DayArgs),
+    /// Lists the kinds of trouble, or the days or fleets that are built in.
     List {
-        /// `troubles` or `days`.
-        #[arg(value_parser = ["troubles", "days"])]
+        /// `troubles`, `days` or `fleets`.
+        #[arg(value_parser = ["troubles", "days", "fleets"])]
         what: String,
     },
 }
@@ -208,6 +213,24 @@
     ("short", include_str!("../days/short.toml")),
 ];
 
+/// Fleets by name.
+const FLEETS: [(&str, &str); 11] = [
+    ("short", include_str!("../fleets/short.toml")),
+    ("one-way", include_str!("../fleets/one-way.toml")),
+    ("deaf-mute", include_str!("../fleets/deaf-mute.toml")),
+    ("zones", include_str!("../fleets/zones.toml")),
+    ("islands", include_str!("../fleets/islands.toml")),
+    ("chain", include_str!("../fleets/chain.toml")),
+    ("flapping", include_str!("../fleets/flapping.toml")),
+    ("lossy", include_str!("../fleets/lossy.toml")),
+    ("pauses", include_str!("../fleets/pauses.toml")),
+    ("worn", include_str!("../fleets/worn.toml")),
+    ("all-at-once", include_str!("../fleets/all-at-once.toml")),
+];
+
+/// What a fleet's script leaves out, its tables.
+const USUAL: &str = include_str!("../fleets/usual.toml");
+
 fn span(text: &str) -> Result<Time, String> {
     wheelfield_config::units::time(text).map_err(|(fault, mend)| format!("{fault}; {mend}"))
 }
@@ -222,12 +245,27 @@
     Ok(Day::parse(&name, &text)?)
 }
 
+fn read_fleet(file: Option<&PathBuf>) -> Result<Day> {
+    let name = file.map_or("one-way".to_string(), |f| f.display().to_string());
+    let built_in = FLEETS.iter().find(|(n, _)| *n == name).map(|(_, text)| (*text).to_string());
+    let mut text = match built_in {
+        Some(text) => text,
+        None => std::fs::read_to_string(&name).with_context(|| format!("cannot read the fleet {name}"))?,
+    };
+    if !text.lines().any(|l| l.trim() == "[fleet]") {
+        text.push('\n');
+        text.push_str(USUAL);
+    }
+    Ok(Day::parse(&name, &text)?)
+}
+
 fn main() -> ExitCode {
     let cli = Cli::parse();
     let done = match cli.command {
         Command::List { what } => {
-            if what == "days" {
-                DAYS.iter().for_each(|(name, text)| {
+            let scripts: &[(&str, &str)] = if what == "fleets" { &FLEETS } else { &DAYS };
+            if what != "troubles" {
+                scripts.iter().for_each(|(name, text)| {
                     println!("{name:<12} {}", text.lines().next().unwrap_or("").trim_start_matches("# "))
                 });
             } else {
@@ -235,7 +273,9 @@
             }
             return ExitCode::SUCCESS;
         }
-        Command::Day(args) => {
+        Command::Day(ref args) | Command::Fleet(ref args) => {
+            let fleet = matches!(cli.command, Command::Fleet(_));
+            let read = if fleet { read_fleet } else { read };
             let mut day = match read(args.file.as_ref()) {
                 Ok(day) => day,
                 Err(fault) => return bad_use(&fault),
@@ -253,13 +293,16 @@
                     "engines and controllers from 1 to {most}, clients to 18000, a rate above 0, up to an hour"
                 ));
             }
+            if let Err(fault) = day.timetable(args.seed) {
+                return bad_use(&anyhow::anyhow!(fault));
+            }
             if args.check {
                 return ExitCode::SUCCESS;
             }
             if args.virtual_time {
-                virtual_day(&day, &args)
+                virtual_day(&day, args)
             } else {
-                one_day(&day, &args)
+                one_day(&day, args)
             }
         }
         Command::Experiment(args) => match experiment_of(&args.file) {
--- a/crates/lab/src/plan.rs
+++ b/crates/lab/src/plan.rs
@@ -4,6 +4,7 @@
 use rand::{RngExt as _, SeedableRng as _};
 use rand_distr::{Distribution as _, Exp1, LogNormal, Zipf};
 use rand_pcg::Pcg64Mcg;
+use wheelfield_roads::Timetable;
 
 /// A query that a client will send.
 #[derive(Clone, Debug, PartialEq)]
@@ -88,6 +89,8 @@
     pub engines: Vec<(usize, f64)>,
     /// For the report.
     pub troubles: Vec<Drawn>,
+    /// What goes wrong between controllers, in microseconds from the day's start.
+    pub roads: Timetable,
 }
 
 /// What a kind's figures are when its script leaves them out: size, extra, and the part it strikes.
@@ -283,7 +286,9 @@
         let chance = Pcg64Mcg::seed_from_u64(seed ^ 0x0074_7261_6666_6963);
         let arrivals = Traffic { day, troubles: &troubles, chance }.draw();
         acts.sort_by_key(|(at, _)| *at);
-        Plan { arrivals, acts, engines, troubles }
+        // A script whose roads can't be drawn was refused where it was read.
+        let roads = day.timetable(seed).unwrap_or_default();
+        Plan { arrivals, acts, engines, troubles, roads }
     }
 }
 
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -3,6 +3,7 @@
 use crate::crowd::{Crowd, Manners, Try};
 use crate::day::Day;
 use crate::evidence::Known;
+use crate::fleet::judge::{self, Evidence, Verdict};
 use crate::plan::Plan;
 use crate::series::Series;
 use crate::stage::{Setting, Stage};
@@ -20,6 +21,8 @@
 
 /// The stage is set this long before the first query.
 const LEAD: i64 = 500_000;
+/// After the last fault between controllers they must come to one view within this; how soon they do is told.
+const AGREES_WITHIN: i64 = 120_000_000;
 
 /// How a day is to be played.
 #[derive(Clone, Debug, Default)]
@@ -94,12 +97,33 @@
     pub controller_cpu_s: f64,
     /// The first breaches.
     pub breaches: Vec<Breach>,
+    /// What the controllers believed of each other, where the script tells of roads between them.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub fleet: Option<OfFleet>,
+}
+
+/// What became of a fleet whose roads had faults.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct OfFleet {
+    /// What was believed.
+    pub verdict: Verdict,
+    /// After the last fault all processes came to one view, with a number of its own for each.
+    pub agreed: bool,
+    /// From the end of the last fault to the last thing that any process learned of another, in milliseconds.
+    pub settled_ms: f64,
+    /// Suspicions that processes raised of themselves, for a member and hour.
+    pub suspicions: f64,
+    /// Bytes of gossip sent a second, by a member.
+    pub bytes: f64,
+    /// Datagrams that a road lost, cut off, crowded out, doubled or spoilt.
+    pub hurt: u64,
 }
 
 impl Report {
     /// All rules were kept.
     pub fn kept(&self) -> bool {
-        self.rules.values().all(|n| *n == 0)
+        let fleet = self.fleet.as_ref().is_none_or(|f| f.agreed && f.verdict.kept());
+        fleet && self.rules.values().all(|n| *n == 0)
     }
 }
 
@@ -122,12 +146,18 @@
         dir: options.dir.clone(),
         seed: options.seed,
         plant: options.plant.clone(),
-        log_level: options.log_level.clone(),
+        // Who suspects whom is the judge's evidence.
+        log_level: match day.roads.is_empty() {
+            true => options.log_level.clone(),
+            false => format!("{},wheelfield_gate::gossip=debug", options.log_level),
+        },
         capture: options.capture.then_some(0),
         programs: options.programs.clone(),
     };
     let mut stage = Stage::set(day, &plan, setting, clock)?;
     let start = clock.now() + LEAD;
+    let roads = plan.roads.clone().from(start);
+    stage.begin_roads(roads.clone())?;
     let (sender, receiver) = channel();
     for change in stage.doors() {
         sender.send(change).map_err(|_| anyhow!("no crowd"))?;
@@ -178,7 +208,18 @@
     }
     let tries = tries?;
     directed?;
+    let mut fleet = match stage.reached().map(<[_]>::to_vec) {
+        Some(reached) => {
+            let acts = plan.acts.iter().map(|(at, _)| start + at).max();
+            let healed = roads.end().max(acts).unwrap_or(start);
+            std::thread::sleep(clock.until(healed));
+            let agreed = agree(&stage, clock);
+            Some((reached, healed, agreed, suspicions(&stage), clock.now()))
+        }
+        None => None,
+    };
     stage.end()?;
+    let carried = stage.end_roads()?;
     let log_file = options.dir.join("engines.jsonl");
     let text =
         std::fs::read_to_string(&log_file).with_context(|| format!("cannot read {}", log_file.display()))?;
@@ -193,6 +234,26 @@
     let (breaches, cold_peak) = known.judge(&tries, &log, &stage.lives);
     let mut report = sum_up(day, &plan, start, &tries, breaches);
     (report.seed, report.cold_peak, report.controller_cpu_s) = (options.seed, cold_peak, stage.spent);
+    if let (Some((reached, healed, agreed, suspicions, until)), Some(carried)) = (fleet.take(), carried) {
+        let mut lines = Vec::new();
+        for by in 0..day.controllers {
+            let text = std::fs::read_to_string(options.dir.join(format!("controller-{by}.jsonl")))?;
+            lines.extend(text.lines().filter_map(|l| judge::read(by, l)));
+        }
+        let evidence = Evidence { reached: &reached, lives: &stage.lives, roads: &roads, from: start, until };
+        let told = |l: &&judge::Line| matches!(l.said, judge::Said::Member(..)) && l.at <= until;
+        let last = lines.iter().filter(told).map(|l| l.at).max().unwrap_or(healed);
+        let sum = carried.from.iter().fold(wheelfield_roads::Counts::default(), |sum, c| sum.and(*c));
+        let member_hours = day.controllers as f64 * (until - start) as f64 / 3.6e9;
+        report.fleet = Some(OfFleet {
+            verdict: evidence.judge(&lines, day.patience()),
+            agreed,
+            settled_ms: (last - healed).max(0) as f64 / 1e3,
+            suspicions: suspicions as f64 / member_hours,
+            bytes: sum.bytes as f64 / (member_hours * 3_600.0),
+            hurt: sum.cut + sum.lost + sum.crowded + sum.doubled + sum.corrupted,
+        });
+    }
     let lines: Vec<String> = tries.iter().map(|t| serde_json::to_string(t).unwrap_or_default()).collect();
     std::fs::write(options.dir.join("clients.jsonl"), lines.join("\n"))?;
     std::fs::write(options.dir.join("report.json"), serde_json::to_string_pretty(&report)?)?;
@@ -200,6 +261,31 @@
     Ok((report, series))
 }
 
+/// Suspicions that the controllers that run have raised.
+fn suspicions(stage: &Stage) -> u64 {
+    stage.running().into_iter().filter_map(|c| stage.figure(c, "gossip_suspected")).sum()
+}
+
+/// Waits until all controllers that run act on the same count, hear all of each other, and have a number each; false if they
+/// don't come to it in time.
+fn agree(stage: &Stage, clock: Clock) -> bool {
+    let until = clock.now() + AGREES_WITHIN;
+    let running = stage.running();
+    while clock.now() < until {
+        let views: Vec<_> = running
+            .iter()
+            .map(|c| ["gossip_count", "gossip_alive", "gossip_index"].map(|name| stage.figure(*c, name)))
+            .collect();
+        let one = |v: &[Option<u64>; 3]| v[0] == views[0][0] && v[1] == Some(running.len() as u64);
+        let numbers: std::collections::BTreeSet<_> = views.iter().map(|v| v[2]).collect();
+        if views.iter().all(one) && numbers.len() == views.len() {
+            return true;
+        }
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    false
+}
+
 /// Plays a day in virtual time.
 ///
 /// # Errors
@@ -334,6 +420,41 @@
             if n == 0 { "kept".to_string() } else { format!("BROKEN {n} times") }
         )?;
     }
+    if let Some(f) = &report.fleet {
+        let v = &f.verdict;
+        writeln!(
+            out,
+            "fleet: {} after the last fault, last news {:.1} s after it; {} datagrams hurt on roads; {:.0} bytes a second and member",
+            if f.agreed { "one view" } else { "NO ONE VIEW" },
+            f.settled_ms / 1e3,
+            f.hurt,
+            f.bytes
+        )?;
+        writeln!(
+            out,
+            "fleet: {:.0} suspicions raised a member and hour, {} believed of members that ran; {} given up behind cuts and pauses",
+            f.suspicions, v.false_suspicions, v.given_up_cut
+        )?;
+        let (deaths, half, most) = (v.deaths, v.detected_p50_ms / 1e3, v.detected_most_ms / 1e3);
+        if deaths > 0 {
+            writeln!(out, "fleet: {deaths} deaths found after {half:.1} s (half of them) to {most:.1} s")?;
+        }
+        for (what, wrong) in [
+            ("acts on too few", &v.undercounts),
+            ("acts on too many", &v.overcounts),
+            ("gives up who runs", &v.given_up_alive),
+        ] {
+            let n = wrong.len();
+            writeln!(
+                out,
+                "fleet: {what:<18} {}",
+                if n == 0 { "never".into() } else { format!("{n} TIMES") }
+            )?;
+            for w in wrong.iter().take(5) {
+                writeln!(out, "  at {:.2} s: {}", w.at as f64 / 1e6, w.what)?;
+            }
+        }
+    }
     for b in report.breaches.iter().take(10) {
         writeln!(out, "  {} at {:.2} s: {}", b.rule, b.at as f64 / 1e6, b.what)?;
     }
--- a/crates/lab/src/stage.rs
+++ b/crates/lab/src/stage.rs
@@ -1,6 +1,7 @@
 //! The processes of a day: stand-ins, controllers; started, hurt and ended by their ids.
 
 use crate::day::Day;
+use crate::fleet::relay::{Carried, Relay};
 use crate::lists::Lists;
 use crate::plan::{Act, Plan};
 use anyhow::{bail, ensure, Context, Result};
@@ -14,6 +15,7 @@
 use std::time::{Duration, Instant};
 use wheelfield::interface::Status;
 use wheelfield_net::Clock;
+use wheelfield_roads::Timetable;
 use wheelfield_rules::Life;
 
 /// A process must tell where it listens within this.
@@ -147,6 +149,8 @@
     peers: Vec<String>,
     /// Where controllers hear the gossip, if they do.
     gossip: Vec<String>,
+    /// What carries it, where the script tells of roads.
+    relay: Option<Relay>,
     /// Ports that were taken for controllers that have not started yet.
     held: BTreeMap<usize, Vec<UdpSocket>>,
     /// The engines as a file, if they are kept so.
@@ -221,11 +225,18 @@
         let peers =
             sockets.iter().map(|s| Ok(s.local_addr()?.to_string())).collect::<Result<Vec<String>>>()?;
         // Both sets are held at once, lest a port of the one be given out again for the other.
-        let gossips: Vec<_> = (0..if day.registry.gossip { day.controllers } else { 0 })
+        let relayed = day.registry.gossip && !day.roads.is_empty();
+        let relay = relayed.then(|| Relay::start(day.controllers, seed, clock)).transpose()?;
+        let own = day.registry.gossip && !relayed;
+        let gossips: Vec<_> = (0..if own { day.controllers } else { 0 })
             .map(|_| UdpSocket::bind("127.0.0.1:0"))
             .collect::<std::io::Result<_>>()?;
-        let gossip =
-            gossips.iter().map(|s| Ok(s.local_addr()?.to_string())).collect::<Result<Vec<String>>>()?;
+        let gossip = match &relay {
+            Some(relay) => relay.reached.iter().map(ToString::to_string).collect(),
+            None => {
+                gossips.iter().map(|s| Ok(s.local_addr()?.to_string())).collect::<Result<Vec<String>>>()?
+            }
+        };
         // Each port is held until its controller starts, as other days may be played beside this one.
         let mut held: BTreeMap<usize, Vec<UdpSocket>> = BTreeMap::new();
         for (i, socket) in sockets.into_iter().enumerate().chain(gossips.into_iter().enumerate()) {
@@ -260,6 +271,7 @@
             controllers: (0..day.controllers).map(|_| None).collect(),
             peers,
             gossip,
+            relay,
             held,
             lists,
             lives: Vec::new(),
@@ -290,9 +302,11 @@
         }
         if let Some(own) = self.gossip.get(i) {
             let (seeds, keys) = (&self.gossip[..self.gossip.len().min(3)], path(&self.dir.join("keys")));
-            text.push_str(&format!(
-                "[gossip]\nlisten = {own:?}\nseeds = {seeds:?}\nkeys = {keys:?}\nsettle = \"5s\"\n"
-            ));
+            let (listen, advertise) = match &self.relay {
+                Some(_) => ("127.0.0.1:0", Some(own.as_str())),
+                None => (own.as_str(), None),
+            };
+            text.push_str(&self.day.gossip(listen, advertise, seeds, &keys));
         }
         if i >= self.capture {
             // Each process has a file of its own.
@@ -327,6 +341,9 @@
         let log = self.dir.join(format!("controller-{i}.jsonl"));
         let process =
             Process::start(&program("wheelfield-controller", self.programs.as_deref())?, &args, Some(&log))?;
+        if let Some(relay) = &self.relay {
+            relay.listens(i, process.address("gossip")?)?;
+        }
         self.lives.push(Life {
             controller: i,
             from: self.clock.now(),
@@ -338,6 +355,32 @@
         Ok(())
     }
 
+    /// Where each controller is reached by the others, if a relay stands between them.
+    pub fn reached(&self) -> Option<&[SocketAddr]> {
+        self.relay.as_ref().map(|r| r.reached.as_slice())
+    }
+
+    /// From now on roads between controllers have these faults, in times of the clock.
+    ///
+    /// # Errors
+    /// If the relay has come down.
+    pub fn begin_roads(&self, timetable: Timetable) -> Result<()> {
+        self.relay.as_ref().map_or(Ok(()), |r| r.begin(timetable))
+    }
+
+    /// Ends the relay; what it carried.
+    ///
+    /// # Errors
+    /// If it has come down.
+    pub fn end_roads(&mut self) -> Result<Option<Carried>> {
+        self.relay.take().map(Relay::end).transpose()
+    }
+
+    /// The controllers that run.
+    pub fn running(&self) -> Vec<usize> {
+        (0..self.controllers.len()).filter(|c| self.controllers[*c].is_some()).collect()
+    }
+
     /// Where the controllers that run listen.
     pub fn doors(&self) -> Vec<Change> {
         let up = |(i, p): (usize, &Option<Process>)| Some(Change::Up(i, p.as_ref()?.address("listen").ok()?));
--- a/crates/lab/src/virtual_time/mod.rs
+++ b/crates/lab/src/virtual_time/mod.rs
@@ -34,6 +34,7 @@
 use wheelfield_members::tracker::from_registry;
 use wheelfield_members::EngineSet;
 use wheelfield_parts::{ConnId, Slots, TimerKey, Timers};
+use wheelfield_roads::Roads;
 use wheelfield_rules::{End, Life, Line, NotUp};
 
 /// A day begins at this time of the virtual clock: 2020-01-01, in microseconds since 1970.
@@ -103,6 +104,7 @@
     events: Timers<Event>,
     wakes: Wakes,
     net: Network,
+    roads: Roads,
     people: People<'a>,
     /// Requests to cancel of clients that wait for their connection.
     raw: Slots<Bytes>,
@@ -275,6 +277,7 @@
             events: Timers::default(),
             wakes: Wakes::default(),
             net: Network::new(conditions.weather, seed ^ 0x6e65_7477_6f72),
+            roads: Roads::new(plan.roads.clone().from(START + LEAD), seed),
             people: People::new(plan, manners, n, start()),
             raw: Slots::new(2),
             stands,
--- a/crates/lab/src/virtual_time/procs.rs
+++ b/crates/lab/src/virtual_time/procs.rs
@@ -11,6 +11,7 @@
 use wheelfield_gate::{Door, Effect, Happened, Port};
 use wheelfield_members::News;
 use wheelfield_parts::ConnId;
+use wheelfield_roads::Arrival;
 use wheelfield_rules::{Line, NotUp};
 
 /// A line of a stand-in's journal as the judge reads it.
@@ -348,8 +349,16 @@
         let Some(from) = from.filter(|_| target < self.gates.len()) else { return };
         self.messages += 1;
         let datagram = Bytes::from(datagram);
-        for at in self.net.datagram(self.now).into_iter().flatten() {
-            self.events.set(at, Event::Datagram(port, from, target, datagram.clone()));
+        // Roads are between those who gossip; weather is everywhere.
+        let arrivals = match port {
+            Port::Gossip => self.roads.carry(c, target, self.now, &datagram),
+            _ => vec![Arrival { at: self.now, bytes: datagram.to_vec() }],
+        };
+        for arrival in arrivals {
+            let bytes = Bytes::from(arrival.bytes);
+            for at in self.net.datagram(arrival.at).into_iter().flatten() {
+                self.events.set(at, Event::Datagram(port, from, target, bytes.clone()));
+            }
         }
     }
 
--- a/crates/lab/tests/judge.rs
+++ b/crates/lab/tests/judge.rs
@@ -76,8 +76,13 @@
     fn new() -> Scene {
         let day = Day::parse("by hand", DAY).unwrap_or_else(|fault| panic!("{fault}"));
         let settings = day.settings().expect("sound");
-        let plan =
-            Plan { arrivals: Vec::new(), acts: Vec::new(), engines: vec![(0, 1.0); 3], troubles: Vec::new() };
+        let plan = Plan {
+            arrivals: Vec::new(),
+            acts: Vec::new(),
+            engines: vec![(0, 1.0); 3],
+            troubles: Vec::new(),
+            roads: Default::default(),
+        };
         let life =
             |controller| Life { controller, from: 0, killed: None, stalls: Vec::new(), entered: false };
         Scene { day, settings, plan, tries: Vec::new(), log: Vec::new(), lives: vec![life(0), life(1)] }
