gossip: doubts before suspicions, no word of death believed undoubted, who hears one vouches

At fault: Node::learn took Gone from anybody over its own knowledge, and Node::end_period raised suspicions while hearing nobody.

Change: one silent period is a doubt, and the member is probed again, directly and by others, before it is suspected; patience is a period shorter for it. Who hears nobody for three periods (deaf, cut off, or stood still) suspects nobody and starts its doubts anew. Gone is believed on another's word only by who has held the suspicion for half of the patience, and is a suspicion else. A suspect that is heard is not given up, and who hears it denies for it, as a deaf one can't. Packets are as before.

--- a/crates/gate/src/gossip.rs
+++ b/crates/gate/src/gossip.rs
@@ -137,7 +137,7 @@
     }
 
     /// Figures.
-    pub fn figures(&self, now: i64) -> [(&'static str, u64); 9] {
+    pub fn figures(&self, now: i64) -> [(&'static str, u64); 12] {
         let (view, counts) = (self.node.view(now), self.node.counts());
         [
             ("gossip_count", view.count as u64),
@@ -147,6 +147,9 @@
             ("gossip_suspected", counts.suspected),
             ("gossip_denied", counts.denied),
             ("gossip_given_up", counts.given_up),
+            ("gossip_deaf", counts.deaf),
+            ("gossip_vouched", counts.vouched),
+            ("gossip_unbelieved", counts.unbelieved),
             ("gossip_dropped", self.dropped),
             ("gossip_unsent", self.unsent),
         ]
--- a/crates/gossip/src/node.rs
+++ b/crates/gossip/src/node.rs
@@ -147,6 +147,8 @@
     pub by: SocketAddr,
 }
 
+/// Who heard nobody for so many periods is deaf, cut off, or stood still.
+const DEAF: i64 = 3;
 /// News that wait to be taken, at most; later ones are lost, as they only tell what is known.
 const MOST_NEWS: usize = 1_024;
 
@@ -161,6 +163,12 @@
     pub given_up: u64,
     /// Members not taken, as there were too many.
     pub crowded: u64,
+    /// Times that nobody was heard for so long that this node was cut off, or stood still.
+    pub deaf: u64,
+    /// Suspects that were heard, and denied for.
+    pub vouched: u64,
+    /// Members said to be gone by others while this node had no doubt of them.
+    pub unbelieved: u64,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -170,6 +178,8 @@
     since: i64,
     /// How often this was told on.
     told: u32,
+    /// When a packet of its own last came.
+    heard: i64,
 }
 
 impl Member {
@@ -184,9 +194,11 @@
 struct Probing {
     target: SocketAddr,
     number: u32,
-    /// Others are asked to help at this time; none once they are.
-    help_at: Option<i64>,
+    /// It is probed again, and others are asked to help, at this time; none once that is done.
+    again_at: Option<i64>,
     answered: bool,
+    /// It did not answer in the period before.
+    doubted: bool,
 }
 
 /// One controller's knowledge of all.
@@ -207,6 +219,10 @@
     next_fetch: i64,
     /// Somebody told us something, ever.
     heard: bool,
+    /// When a packet of anybody last came.
+    last_heard: i64,
+    /// Who did not answer in the last period, and is probed once more before it is suspected.
+    doubt: Option<(SocketAddr, u32)>,
     /// When we last learned of somebody new.
     newest: i64,
     /// We have listened long enough.
@@ -240,6 +256,8 @@
             next_period: now,
             next_fetch: now,
             heard: false,
+            last_heard: now,
+            doubt: None,
             newest: now,
             listened: false,
             draws: seed,
@@ -309,7 +327,7 @@
 
     /// When [`Node::tick`] is next wanted.
     pub fn next(&self) -> i64 {
-        let help = self.probing.as_ref().and_then(|p| p.help_at);
+        let help = self.probing.as_ref().and_then(|p| p.again_at);
         [Some(self.next_period), Some(self.next_fetch), help].into_iter().flatten().min().unwrap_or(i64::MAX)
     }
 
@@ -319,8 +337,8 @@
         // Between two fetches nobody new was told of: that is all there are.
         let quiet = now - self.newest > self.limits.fetch + self.limits.period;
         self.listened |= self.heard && quiet && now - self.began >= self.limits.settle;
-        if self.probing.as_ref().and_then(|p| p.help_at).is_some_and(|at| now >= at) {
-            self.ask_for_help(now, out);
+        if self.probing.as_ref().and_then(|p| p.again_at).is_some_and(|at| now >= at) {
+            self.look_again(now, out);
         }
         if now >= self.next_period {
             self.end_period(now);
@@ -335,15 +353,29 @@
     }
 
     fn end_period(&mut self, now: i64) {
-        if let Some(p) = self.probing.take().filter(|p| !p.answered) {
-            if let Some(m) = self.members.get(&p.target).filter(|m| m.record.standing == Standing::Alive) {
-                self.counts.suspected += 1;
-                let record = Record { standing: Standing::Suspect, since_ms: 0, ..m.record };
-                self.learn(now, record, self.own.member);
+        // Guards against taking the others for dead when it is this one that hears nobody, or stood still: then nobody is
+        // suspected nor given up, and all count on.
+        let deaf = self.deaf(now);
+        if let Some(p) = self.probing.take().filter(|p| !p.answered && !deaf) {
+            let alive = |m: &&Member| m.record.standing == Standing::Alive;
+            match self.members.get(&p.target).filter(alive).map(|m| m.record) {
+                // Guards against losses: one silent period is a doubt, two in a row are a suspicion.
+                Some(_) if !p.doubted => self.doubt = Some((p.target, p.number)),
+                Some(record) => {
+                    self.counts.suspected += 1;
+                    let record = Record { standing: Standing::Suspect, since_ms: 0, ..record };
+                    self.learn(now, record, self.own.member);
+                }
+                None => {}
             }
         }
         let patience = self.patience();
-        let overdue = |m: &&Member| m.record.standing == Standing::Suspect && now - m.since >= patience;
+        // Guards against giving up one that does not hear us, and so can't deny: as long as it is heard, it runs.
+        for m in self.members.values_mut().filter(|m| m.record.standing == Standing::Suspect) {
+            m.since = m.since.max(m.heard);
+        }
+        let overdue =
+            |m: &&Member| m.record.standing == Standing::Suspect && now - m.since >= patience && !deaf;
         let over: Vec<Record> = self.members.values().filter(overdue).map(|m| m.record).collect();
         for record in over {
             self.counts.given_up += 1;
@@ -360,6 +392,14 @@
 
     fn begin_period(&mut self, now: i64, out: &mut Vec<(SocketAddr, Packet)>) {
         let probed = |m: &Member| matches!(m.record.standing, Standing::Alive | Standing::Suspect);
+        if let Some((target, number)) =
+            self.doubt.take().filter(|(a, _)| self.members.get(a).is_some_and(probed))
+        {
+            let again_at = Some(now + self.limits.answer);
+            self.probing = Some(Probing { target, number, again_at, answered: false, doubted: true });
+            self.probe(now, out);
+            return self.ask_for_help(now, out);
+        }
         let target = loop {
             match self.round.pop() {
                 Some(a) if self.members.get(&a).is_some_and(probed) => break a,
@@ -379,12 +419,46 @@
             }
         };
         self.number = self.number.wrapping_add(1);
-        let (number, help_at) = (self.number, Some(now + self.limits.answer));
-        self.probing = Some(Probing { target, number, help_at, answered: false });
+        let (number, again_at) = (self.number, Some(now + self.limits.answer));
+        self.probing = Some(Probing { target, number, again_at, answered: false, doubted: false });
+        self.probe(now, out);
+    }
+
+    fn probe(&mut self, now: i64, out: &mut Vec<(SocketAddr, Packet)>) {
+        let Some((target, number)) = self.probing.as_ref().map(|p| (p.target, p.number)) else { return };
         let packet = self.packet(now, Message::Probe(number), target);
         out.push((target, packet));
     }
 
+    /// The one that is probed has not answered yet: it is asked once more, and others are asked to.
+    fn look_again(&mut self, now: i64, out: &mut Vec<(SocketAddr, Packet)>) {
+        if let Some(p) = &mut self.probing {
+            p.again_at = None;
+            if !p.answered {
+                self.probe(now, out);
+                self.ask_for_help(now, out);
+            }
+        }
+    }
+
+    /// Nobody was heard for so long that what is not answered says nothing of others.
+    fn deaf(&self, now: i64) -> bool {
+        now - self.last_heard > DEAF * self.limits.period
+    }
+
+    /// Somebody is heard again. What was silent meanwhile was so for us alone: doubts begin anew.
+    fn hears_again(&mut self, now: i64) {
+        let gap = now - self.last_heard;
+        self.counts.deaf += 1;
+        (self.probing, self.doubt) = (None, None);
+        for m in self.members.values_mut() {
+            m.heard += gap;
+            if m.record.standing == Standing::Suspect {
+                m.since += gap;
+            }
+        }
+    }
+
     /// Before a suspect is given up it is asked directly, again and again: a denial that did not come round to us comes so.
     fn ask_suspects(&mut self, now: i64, out: &mut Vec<(SocketAddr, Packet)>) {
         let half = self.patience() / 2;
@@ -400,16 +474,12 @@
 
     /// How long a suspect may deny.
     fn patience(&self) -> i64 {
-        self.limits.patience * self.doublings() * self.limits.period
+        // Less the period that a doubt took before.
+        (self.limits.patience * self.doublings() - 1) * self.limits.period
     }
 
     fn ask_for_help(&mut self, now: i64, out: &mut Vec<(SocketAddr, Packet)>) {
-        let Some(p) = &mut self.probing else { return };
-        p.help_at = None;
-        if p.answered {
-            return;
-        }
-        let (target, number) = (p.target, p.number);
+        let Some((target, number)) = self.probing.as_ref().map(|p| (p.target, p.number)) else { return };
         let able = |m: &&Member| m.record.standing == Standing::Alive && m.record.member != target;
         let mut able: Vec<SocketAddr> = self.members.values().filter(able).map(|m| m.record.member).collect();
         for _ in 0..self.limits.helpers {
@@ -481,7 +551,16 @@
         packet: &Packet,
         out: &mut Vec<(SocketAddr, Packet)>,
     ) {
-        self.heard |= from != self.own.member;
+        if from != self.own.member {
+            if self.heard && self.deaf(now) {
+                self.hears_again(now);
+            }
+            (self.heard, self.last_heard) = (true, now);
+            self.vouch(now, from, packet);
+            if let Some(m) = self.members.get_mut(&from) {
+                m.heard = now;
+            }
+        }
         for record in packet.riders.iter().take(self.limits.most) {
             self.learn(now, *record, from);
         }
@@ -539,6 +618,13 @@
             }
             return;
         }
+        let record = match self.doubtful(now, &record) {
+            true if by != self.own.member => {
+                self.counts.unbelieved += 1;
+                Record { standing: Standing::Suspect, since_ms: 0, ..record }
+            }
+            _ => record,
+        };
         let full = self.members.len() >= self.limits.most;
         let since = now - i64::from(record.since_ms) * 1_000;
         // Nobody learns of one that the others are about to forget.
@@ -549,9 +635,12 @@
                 if was == Standing::Suspect && record.standing == Standing::Alive {
                     self.counts.denied += 1;
                 }
-                // Held from when it was first given up, whoever repeats it.
+                // Held from when it was first given up, whoever repeats it; but each gives a suspect its own time to deny.
                 if was != record.standing || record.start != m.record.start {
-                    m.since = since;
+                    m.since = if record.standing == Standing::Suspect { now } else { since };
+                }
+                if record.start != m.record.start {
+                    m.heard = now;
                 }
                 let restarted = record.start != m.record.start;
                 (m.record, m.told) = (record, 0);
@@ -569,13 +658,40 @@
             None if fading => {}
             None if full => self.counts.crowded += 1,
             None => {
-                self.members.insert(record.member, Member { record, since, told: 0 });
+                let heard = if by == record.member { now } else { since };
+                self.members.insert(record.member, Member { record, since, told: 0, heard });
                 self.newest = now;
                 self.tell(record.member, Change::New, by);
             }
         }
     }
 
+    /// Guards against giving up one that is heard and hears nobody: it can't deny, so who hears it does so in its place. One that
+    /// hears has denied before, as it is told first of all what is held of it.
+    fn vouch(&mut self, now: i64, from: SocketAddr, packet: &Packet) {
+        let own = packet.riders.iter().find(|r| r.member == from);
+        let Some((m, own)) = self.members.get(&from).zip(own) else { return };
+        let silent = matches!(m.record.standing, Standing::Suspect | Standing::Gone)
+            && (own.start, own.standing) == (m.record.start, Standing::Alive)
+            && own.denials <= m.record.denials;
+        if silent && now - m.since >= 2 * self.limits.period {
+            self.counts.vouched += 1;
+            let denials = m.record.denials.saturating_add(1);
+            self.learn(now, Record { denials, ..*own }, self.own.member);
+        }
+    }
+
+    /// Whether somebody is said to be gone of whom we had no doubt, or not for long. Guards against the word of those who lost
+    /// the others, behind a cut or deaf: it begins a doubt, and is no end of one. Who did hear of the suspicion when it was
+    /// raised has waited by now.
+    fn doubtful(&self, now: i64, record: &Record) -> bool {
+        let Some(m) = self.members.get(&record.member).filter(|m| m.record.start == record.start) else {
+            return false;
+        };
+        let waited = m.record.standing == Standing::Suspect && 2 * (now - m.since) >= self.patience();
+        record.standing == Standing::Gone && m.record.standing < Standing::Gone && !waited
+    }
+
     fn tell(&mut self, member: SocketAddr, change: Change, by: SocketAddr) {
         if self.news.len() < MOST_NEWS {
             self.news.push(News { member, change, by });
--- a/crates/gossip/tests/network.rs
+++ b/crates/gossip/tests/network.rs
@@ -5,6 +5,7 @@
 use common::{Network, MS, SECOND};
 use std::collections::BTreeSet;
 use wheelfield_gossip::Limits;
+use wheelfield_roads::Parties;
 
 fn limits(expect: usize) -> Limits {
     Limits { expect, ..Limits::default() }
@@ -152,3 +153,103 @@
     net.run_until(at + 40 * SECOND);
     assert!(agreed(&net, 10), "{:?}", net.views());
 }
+
+fn one(i: usize) -> Parties {
+    Parties::These([i].into())
+}
+
+/// Twelve that know each other.
+fn settled(seed: u64) -> Network {
+    let mut net = Network::new(seed, limits(12), 0.0);
+    (0..12).for_each(|i| net.start(i, 0));
+    net.run_until(40 * SECOND);
+    assert!(agreed(&net, 12));
+    net
+}
+
+/// Found on processes: one that heard nobody gave all others up, and was believed once it was back.
+#[test]
+fn one_that_hears_nobody_gives_nobody_up_and_as_it_is_heard_is_not_given_up() {
+    for seed in 0..4 {
+        let mut net = settled(seed);
+        net.cut(Parties::All, one(5), 60 * SECOND);
+        let lowest = net.watch_until(100 * SECOND);
+        assert_eq!((lowest, net.counts().given_up), (12, 0), "seed {seed}");
+        net.run_until(140 * SECOND);
+        assert!(agreed(&net, 12) && net.views().iter().all(|v| v.alive == 12), "seed {seed}");
+        assert!(net.node(5).counts().deaf >= 1, "it says so");
+    }
+}
+
+#[test]
+fn one_that_nobody_hears_is_given_up_counts_on_and_is_one_again() {
+    let mut net = settled(1);
+    net.cut(one(5), Parties::All, 60 * SECOND);
+    let lowest = net.watch_until(95 * SECOND);
+    assert_eq!(lowest, 12);
+    assert!((0..12).filter(|i| *i != 5).all(|i| net.node(i).view(net.now).alive == 11));
+    net.run_until(140 * SECOND);
+    assert!(agreed(&net, 12) && net.views().iter().all(|v| v.alive == 12));
+}
+
+/// Found on processes: after a cut between zones each side believed the other of members of its own.
+#[test]
+fn the_word_of_those_who_lost_the_others_gives_nobody_up() {
+    for seed in 0..4 {
+        let mut net = settled(seed);
+        net.split(|i| i < 4);
+        net.run_until(100 * SECOND);
+        let apart = net.counts().given_up;
+        assert!(apart >= 8 + 4, "each side gave the other up");
+        net.heal();
+        net.run_until(160 * SECOND);
+        assert_eq!(net.counts().given_up, apart, "seed {seed}: nobody more is given up as they meet");
+        assert!(agreed(&net, 12) && net.views().iter().all(|v| v.alive == 12), "seed {seed}");
+        assert!((0..12).any(|i| net.node(i).counts().unbelieved > 0), "and it was said");
+    }
+}
+
+#[test]
+fn pauses_of_whatever_length_give_nobody_up() {
+    for (seed, lasts) in [(0, 100 * MS), (1, SECOND), (2, 4 * SECOND), (3, 10 * SECOND)] {
+        let mut net = settled(seed);
+        let mut at = 40 * SECOND;
+        for round in 0..10 {
+            for i in 0..4 {
+                net.pause((round + i * 3) % 12, lasts);
+            }
+            at += lasts + 5 * SECOND;
+            assert_eq!(net.watch_until(at), 12, "{lasts}");
+        }
+        // Ten seconds are as long as a suspect has to deny; a shorter pause is never taken for death.
+        assert!(lasts == 10 * SECOND || net.counts().given_up == 0, "{lasts}");
+        net.run_until(at + 60 * SECOND);
+        assert!(agreed(&net, 12) && net.views().iter().all(|v| v.alive == 12), "{lasts}");
+    }
+}
+
+/// With three in ten lost, 640 suspicions a member and hour were raised before one silent period was a doubt only.
+#[test]
+fn losses_alone_raise_few_suspicions() {
+    let mut net = Network::new(9, limits(40), 0.3);
+    (0..40).for_each(|i| net.start(i, 0));
+    net.run_until(60 * SECOND);
+    let before = net.counts().suspected;
+    net.run_until(660 * SECOND);
+    let an_hour = (net.counts().suspected - before) as f64 * 6.0 / 40.0;
+    assert!(an_hour < 30.0, "{an_hour} a member and hour");
+}
+
+/// What is believed late because of doubts is still believed: a death is found by all.
+#[test]
+fn a_death_is_found_by_all_though_each_believes_its_own_doubt() {
+    for seed in 0..4 {
+        let mut net = settled(seed);
+        net.kill(3);
+        // A period until it is probed, one of doubt, and eleven to deny.
+        net.run_until(40 * SECOND + 16 * SECOND);
+        assert!(net.counts().given_up > 0, "seed {seed}");
+        net.run_until(40 * SECOND + 30 * SECOND);
+        assert!(net.views().iter().all(|v| v.alive == 11 && v.count == 12), "seed {seed}");
+    }
+}
