--- a/crates/gate/src/flow.rs
+++ b/crates/gate/src/flow.rs
@@ -69,7 +69,7 @@
             sets: Sets::new(&config),
             call: Call::new(&config),
             peering: Peering::new(&config, peers, now),
-            gossip: gossip.and_then(|(own, keys)| Gossip::new(&config, own, keys, seed, now)),
+            gossip: gossip.and_then(|(own, keys)| Gossip::new(&config, own, keys, seed, now, plant)),
             admin: Admin::new(),
             stop: Stop::default(),
             ready: VecDeque::new(),
--- a/crates/gate/src/gossip.rs
+++ b/crates/gate/src/gossip.rs
@@ -1,12 +1,13 @@
 //! Which controllers there are: sealed datagrams in and out, keys that change, and the number for the module.
 
 use crate::out::{Effect, Out, Port};
+use crate::plant::Plant;
 use crate::wake::Wake;
 use std::net::SocketAddr;
 use tracing::{debug, info, warn};
 use wheelfield_config::Config;
 use wheelfield_gossip::seal::{Dropped, Keys, Opener, Sealer};
-use wheelfield_gossip::{Change, Limits, News, Node, Packet, View};
+use wheelfield_gossip::{Change, Limits, News, Node, Packet, Standing, View};
 use wheelfield_parts::TimerKey;
 
 /// The gossip of a controller.
@@ -21,17 +22,25 @@
     dropped: u64,
     /// Packets that were too long for a datagram.
     unsent: u64,
+    plant: Option<Plant>,
 }
 
 impl Gossip {
     /// `own` is where this one is reached; `now` the time of its start.
-    pub fn new(config: &Config, own: SocketAddr, keys: Keys, seed: u64, now: i64) -> Option<Gossip> {
+    pub fn new(
+        config: &Config,
+        own: SocketAddr,
+        keys: Keys,
+        seed: u64,
+        now: i64,
+        plant: Option<Plant>,
+    ) -> Option<Gossip> {
         let g = config.gossip.as_ref()?;
         let (count, index) = (config.settings.gateways as u32, config.settings.index as u32);
         let limits = Limits {
             period: g.period.0,
             answer: g.period.0 * 3 / 10,
-            hold: g.hold.0,
+            hold: if plant == Some(Plant::Sink) { 0 } else { g.hold.0 },
             settle: g.settle.0,
             fetch: g.period.0.saturating_mul(15),
             expect: count as usize,
@@ -46,6 +55,7 @@
             told: (count, index),
             dropped: 0,
             unsent: 0,
+            plant,
         })
     }
 
@@ -87,7 +97,11 @@
     /// A datagram came.
     pub fn hear(&mut self, from: SocketAddr, datagram: &[u8], out: &mut Out) {
         match self.opener.open(from, datagram, &self.keys) {
-            Ok(packet) => {
+            Ok(mut packet) => {
+                if self.plant == Some(Plant::Goodbye) {
+                    let gone = packet.riders.iter_mut().filter(|r| r.standing == Standing::Gone);
+                    gone.for_each(|r| r.standing = Standing::Left);
+                }
                 let mut packets = Vec::new();
                 self.node.receive(out.now, from, &packet, &mut packets);
                 self.log_news();
--- a/crates/gate/src/plant.rs
+++ b/crates/gate/src/plant.rs
@@ -25,9 +25,16 @@
     Twice,
     /// Now and then the last byte of what an engine sent is lost.
     Cut,
+    /// A controller that fell silent counts no more.
+    Sink,
+    /// One that is said to be gone is taken for one that said goodbye.
+    Goodbye,
 }
 
-/// All that are known, by name.
+/// Those about what controllers believe of each other, which show where the roads between them have faults.
+pub const FLEET_PLANTS: [(&str, Plant); 2] = [("sink", Plant::Sink), ("goodbye", Plant::Goodbye)];
+
+/// Those that one controller shows, by name.
 pub const PLANTS: [(&str, Plant); 11] = [
     ("resend", Plant::Resend),
     ("lose", Plant::Lose),
@@ -51,9 +58,10 @@
         if !cfg!(feature = "planted") {
             return Err("this build has no planted faults; build with --features planted".to_string());
         }
-        let known = PLANTS.iter().find(|(n, _)| *n == name).map(|(_, plant)| *plant);
+        let all = || PLANTS.iter().chain(&FLEET_PLANTS);
+        let known = all().find(|(n, _)| *n == name).map(|(_, plant)| *plant);
         known.ok_or_else(|| {
-            let names: Vec<&str> = PLANTS.iter().map(|(n, _)| *n).collect();
+            let names: Vec<&str> = all().map(|(n, _)| *n).collect();
             format!("no fault is named `{name}`; known: {}", names.join(", "))
         })
     }
--- a/crates/lab/src/fleet/script.rs
+++ b/crates/lab/src/fleet/script.rs
@@ -9,6 +9,17 @@
 /// Entries at most.
 pub const MOST: usize = 1_000;
 
+/// What a fleet's script leaves out: machines, classes, rules.
+const USUAL: &str = include_str!("../../fleets/usual.toml");
+
+/// The script of a fleet with the usual tables, if it has none of its own; its own lines keep their numbers.
+pub fn whole(text: &str) -> String {
+    match text.lines().any(|l| l.trim() == "[fleet]") {
+        true => text.to_string(),
+        false => format!("{text}\n{USUAL}"),
+    }
+}
+
 /// One entry of `[[roads]]`.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -12,6 +12,7 @@
 use wheelfield_lab::day::{Day, KINDS};
 use wheelfield_lab::experiment::{self, Experiment};
 use wheelfield_lab::explore::{self, Scenario};
+use wheelfield_lab::fleet::script;
 use wheelfield_lab::play::{self, Options};
 use wheelfield_lab::stats::Verdict;
 use wheelfield_lab::virtual_time::mind::Policy;
@@ -214,7 +215,7 @@
 ];
 
 /// Fleets by name.
-const FLEETS: [(&str, &str); 11] = [
+const FLEETS: [(&str, &str); 12] = [
     ("short", include_str!("../fleets/short.toml")),
     ("one-way", include_str!("../fleets/one-way.toml")),
     ("deaf-mute", include_str!("../fleets/deaf-mute.toml")),
@@ -225,12 +226,10 @@
     ("lossy", include_str!("../fleets/lossy.toml")),
     ("pauses", include_str!("../fleets/pauses.toml")),
     ("worn", include_str!("../fleets/worn.toml")),
+    ("deaths", include_str!("../fleets/deaths.toml")),
     ("all-at-once", include_str!("../fleets/all-at-once.toml")),
 ];
 
-/// What a fleet's script leaves out, its tables.
-const USUAL: &str = include_str!("../fleets/usual.toml");
-
 fn span(text: &str) -> Result<Time, String> {
     wheelfield_config::units::time(text).map_err(|(fault, mend)| format!("{fault}; {mend}"))
 }
@@ -248,15 +247,11 @@
 fn read_fleet(file: Option<&PathBuf>) -> Result<Day> {
     let name = file.map_or("one-way".to_string(), |f| f.display().to_string());
     let built_in = FLEETS.iter().find(|(n, _)| *n == name).map(|(_, text)| (*text).to_string());
-    let mut text = match built_in {
+    let text = match built_in {
         Some(text) => text,
         None => std::fs::read_to_string(&name).with_context(|| format!("cannot read the fleet {name}"))?,
     };
-    if !text.lines().any(|l| l.trim() == "[fleet]") {
-        text.push('\n');
-        text.push_str(USUAL);
-    }
-    Ok(Day::parse(&name, &text)?)
+    Ok(Day::parse(&name, &script::whole(&text))?)
 }
 
 fn main() -> ExitCode {
--- /dev/null
+++ b/crates/lab/tests/fleet.rs
@@ -0,0 +1,145 @@
+//! Fleets on real processes, with faults on the roads between them; and faults planted in the controllers, which the judge must
+//! find. Nothing here asserts how soon something happens.
+//!
+//! The programs are those that `cargo test` builds for the whole workspace.
+
+use std::net::SocketAddr;
+use wheelfield_gossip::Change;
+use wheelfield_lab::day::Day;
+use wheelfield_lab::fleet::judge::{read, Evidence, Line, Said};
+use wheelfield_lab::fleet::script;
+use wheelfield_lab::play::{play, play_virtual, OfFleet, Options, Report};
+use wheelfield_lab::virtual_time::mind::Policy;
+use wheelfield_roads::{Entry, Fault, Parties, Timetable};
+use wheelfield_rules::Life;
+
+fn day(text: &str) -> Day {
+    Day::parse("fleet", &script::whole(text)).unwrap_or_else(|fault| panic!("{fault}"))
+}
+
+fn short() -> Day {
+    day(include_str!("../fleets/short.toml"))
+}
+
+fn played(plant: Option<&str>) -> (Report, OfFleet) {
+    let dir = tempfile::tempdir().expect("a folder");
+    let options = Options {
+        seed: 1,
+        dir: dir.path().to_path_buf(),
+        plant: plant.map(str::to_string),
+        log_level: "warn".into(),
+        quiet: true,
+        programs: None,
+        capture: false,
+    };
+    let report = play(&short(), &options).unwrap_or_else(|fault| panic!("{fault:#}"));
+    let fleet = report.fleet.clone().expect("a fleet's report");
+    (report, fleet)
+}
+
+#[test]
+fn a_short_bad_time_between_controllers_is_borne() {
+    let (report, fleet) = played(None);
+    assert!(report.kept(), "{:?} {fleet:?}", report.breaches);
+    // The faults came to pass.
+    assert!(fleet.hurt > 50 && fleet.verdict.given_up_cut > 0, "{fleet:?}");
+    assert!(report.served > 300, "{report:?}");
+}
+
+#[test]
+fn a_planted_count_that_sinks_and_a_death_taken_for_a_goodbye_are_found() {
+    for plant in ["sink", "goodbye"] {
+        let (report, fleet) = played(Some(plant));
+        assert!(!fleet.verdict.undercounts.is_empty() && !report.kept(), "{plant}: {fleet:?}");
+    }
+}
+
+#[test]
+fn the_same_script_plays_in_virtual_time_the_same_again() {
+    let one = play_virtual(&short(), 1, Policy::Module).expect("played");
+    let two = play_virtual(&short(), 1, Policy::Module).expect("played");
+    assert!(one.0.kept(), "{:?}", one.0.breaches);
+    assert_eq!((one.1.events, one.1.messages), (two.1.events, two.1.messages));
+    let quiet = Day { roads: Vec::new(), ..short() };
+    let without = play_virtual(&quiet, 1, Policy::Module).expect("played");
+    assert_ne!(one.1.messages, without.1.messages, "what goes wrong on the roads is felt");
+}
+
+#[test]
+fn a_script_that_cannot_be_played_is_refused_with_its_line() {
+    let with = |road: &str| {
+        format!("name = \"x\"\nlength = \"5s\"\nrate = 1\nengines = 1\ncontrollers = 4\n\n[[roads]]\nat = \"1s\"\nfor = \"2s\"\n{road}\n")
+    };
+    for (road, expected) in [
+        ("", "nothing is wrong"),
+        ("loss = 1.5", "no chance"),
+        ("cut = true\nfrom = \"0-4\"", "not among the controllers"),
+        ("cut = true\nfrom = \"a\"", "names no controller"),
+        ("cut = true\nto = \"120%\"", "no share"),
+        ("cut = true\nevery = \"1s\"", "shorter than"),
+        ("cut = true\ntimes = 3", "needs `every`"),
+    ] {
+        let fault = Day::parse("x", &script::whole(&with(road))).expect_err(road);
+        assert!(fault.to_string().contains("x:7") && fault.to_string().contains(expected), "{road}: {fault}");
+    }
+}
+
+#[test]
+fn every_built_in_fleet_is_sound_and_drawn_alike_by_its_seed() {
+    for file in std::fs::read_dir(concat!(env!("CARGO_MANIFEST_DIR"), "/fleets")).expect("the fleets") {
+        let path = file.expect("a file").path();
+        if path.ends_with("usual.toml") {
+            continue;
+        }
+        let day = day(&std::fs::read_to_string(&path).expect("a text"));
+        assert!(!day.roads.is_empty() && day.registry.gossip, "{path:?}");
+        assert_eq!(day.timetable(3), day.timetable(3));
+    }
+}
+
+fn at(n: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1_000 + n))
+}
+
+/// Three controllers; the third is killed at 100 and its first is paused from 40 to 50.
+fn judged(said: &[(i64, usize, Said)]) -> wheelfield_lab::fleet::judge::Verdict {
+    let life = |controller, killed, stalls| Life { controller, from: 0, killed, stalls, entered: false };
+    let lives = [life(0, None, vec![(40, 50)]), life(1, None, vec![]), life(2, Some(100), vec![])];
+    let reached: Vec<SocketAddr> = (0..3).map(at).collect();
+    let fault = Fault { cut: true, ..Fault::default() };
+    let these = |n: usize| Parties::These([n].into());
+    let cut =
+        Entry { fault, from: these(1), to: these(2), both: false, at: 60, lasts: 10, every: 0, times: 1 };
+    let roads = Timetable(vec![cut]);
+    let lines: Vec<Line> =
+        said.iter().map(|(at, by, said)| Line { at: *at, by: *by, said: said.clone() }).collect();
+    Evidence { reached: &reached, lives: &lives, roads: &roads, from: 0, until: 1_000 }.judge(&lines, 5)
+}
+
+#[test]
+fn the_judge_tells_what_was_so_from_what_was_believed() {
+    let acts = |count| Said::Acts { count, index: 0 };
+    let gone = |n| Said::Member(at(n), Change::GivenUp);
+    assert!(judged(&[(10, 0, acts(3)), (150, 0, acts(2)), (160, 0, gone(2))]).kept());
+    assert_eq!(judged(&[(10, 0, acts(2))]).undercounts.len(), 1, "three run");
+    assert_eq!(judged(&[(150, 1, acts(1))]).undercounts.len(), 1, "two run");
+    assert_eq!(judged(&[(10, 0, acts(4))]).overcounts.len(), 1);
+    assert_eq!(judged(&[(20, 1, gone(0))]).given_up_alive.len(), 1, "it runs and is heard");
+    let behind = judged(&[(45, 1, gone(0)), (54, 1, gone(0)), (65, 1, gone(2)), (65, 2, gone(1))]);
+    assert_eq!((behind.given_up_cut, behind.given_up_alive.len()), (4, 0), "paused, or on a cut road");
+    assert_eq!(judged(&[(56, 1, gone(0)), (80, 1, gone(2))]).given_up_alive.len(), 2, "that is over");
+    let found = judged(&[(160, 0, gone(2)), (140, 1, gone(2))]);
+    assert_eq!((found.deaths, found.detected_most_ms), (1, 0.04), "by the first that did");
+}
+
+#[test]
+fn what_controllers_log_is_read() {
+    let line = r#"{"timestamp":"2026-12-01T00:00:01.500000Z","level":"INFO","message":"member: given up","member":"127.0.0.1:1002","by":"127.0.0.1:1001","target":"x"}"#;
+    let Some(Line { at: time, by: 7, said: Said::Member(member, Change::GivenUp) }) = read(7, line) else {
+        panic!("not read")
+    };
+    assert_eq!((time % 60_000_000, member), (1_500_000, at(2)));
+    let count = r#"{"timestamp":"2026-12-01T00:00:01Z","message":"controllers","count":5,"index":2,"alive":4,"settled":true}"#;
+    assert_eq!(read(0, count).map(|l| l.said), Some(Said::Acts { count: 5, index: 2 }));
+    assert_eq!(read(0, r#"{"timestamp":"2026-12-01T00:00:01Z","message":"started"}"#), None);
+}
