--- a/crates/lab/src/plan.rs
+++ b/crates/lab/src/plan.rs
@@ -286,7 +286,7 @@
         let chance = Pcg64Mcg::seed_from_u64(seed ^ 0x0074_7261_6666_6963);
         let arrivals = Traffic { day, troubles: &troubles, chance }.draw();
         acts.sort_by_key(|(at, _)| *at);
-        // A script whose roads can't be drawn was refused where it was read.
+        // A script whose roads can't be drawn was refused where it was read, or where its size was changed.
         let roads = day.timetable(seed).unwrap_or_default();
         Plan { arrivals, acts, engines, troubles, roads }
     }
