--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -270,7 +270,8 @@
                     day.engines = size.engines.unwrap_or(day.engines).clamp(1, 10_000);
                     day.controllers = size.controllers.unwrap_or(day.controllers).clamp(1, 10_000);
                     // Guards against roads that name controllers which this size does not have, and would be left out.
-                    day.timetable(seed).map_err(|fault| anyhow::anyhow!("{name} at {}: {fault}", size.name()))?;
+                    day.timetable(seed)
+                        .map_err(|fault| anyhow::anyhow!("{name} at {}: {fault}", size.name()))?;
                     let programs = v.programs.as_ref().map(|p| p.display().to_string()).unwrap_or_default();
                     let what = format!("{text}{size:?}{}{programs}{:?}", v.policy, e.mode);
                     all.push(Todo {
