config: an advertised address is tested; the fleet's test says only what is its own

Cause: the last read of the whole change found a check without a test (an advertised address with port 0), a test that repeated the options of another beside it, and a figure of the report that did not say whose suspicions it counts (those of processes that run at the end). Change: a test that takes a sound address and refuses port 0 and nonsense at their line; the options' defaults; the doc of the figure.

--- a/crates/config/tests/faults.rs
+++ b/crates/config/tests/faults.rs
@@ -156,3 +156,19 @@
         assert!(got.line >= 39, "{text}: {got:?}");
     }
 }
+
+#[test]
+fn an_advertised_address_is_one_that_others_can_reach() {
+    let with = |advertise: &str| {
+        let gossip =
+            format!("[gossip]\nlisten = \"127.0.0.1:0\"\nadvertise = \"{advertise}\"\nkeys = \"keys\"\n");
+        parse("test.toml", &format!("{GOOD}\n{gossip}"))
+    };
+    let taken = with("127.0.0.1:7946").expect("sound").gossip.expect("told");
+    assert_eq!(taken.advertise.map(|a| a.port()), Some(7946));
+    for bad in ["127.0.0.1:0", "nowhere"] {
+        let fault = with(bad).expect_err(bad).to_string();
+        let line = GOOD.lines().count() + 4;
+        assert!(fault.contains(&format!("test.toml:{line}")), "{bad}: {fault}");
+    }
+}
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -111,7 +111,7 @@
     pub agreed: bool,
     /// From the end of the last fault to the last thing that any process learned of another, in milliseconds.
     pub settled_ms: f64,
-    /// Suspicions that processes raised of themselves, for a member and hour.
+    /// Suspicions that the processes which run at the end raised by their own looks, for a member and hour.
     pub suspicions: f64,
     /// Bytes of gossip sent a second, by a member.
     pub bytes: f64,
@@ -208,7 +208,7 @@
     }
     let tries = tries?;
     directed?;
-    let mut fleet = match stage.reached().map(<[_]>::to_vec) {
+    let fleet = match stage.reached().map(<[_]>::to_vec) {
         Some(reached) => {
             let acts = plan.acts.iter().map(|(at, _)| start + at).max();
             let healed = roads.end().max(acts).unwrap_or(start);
@@ -234,7 +234,7 @@
     let (breaches, cold_peak) = known.judge(&tries, &log, &stage.lives);
     let mut report = sum_up(day, &plan, start, &tries, breaches);
     (report.seed, report.cold_peak, report.controller_cpu_s) = (options.seed, cold_peak, stage.spent);
-    if let (Some((reached, healed, agreed, suspicions, until)), Some(carried)) = (fleet.take(), carried) {
+    if let (Some((reached, healed, agreed, suspicions, until)), Some(carried)) = (fleet, carried) {
         let mut lines = Vec::new();
         for by in 0..day.controllers {
             let text = std::fs::read_to_string(options.dir.join(format!("controller-{by}.jsonl")))?;
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -29,8 +29,7 @@
         plant: plant.map(str::to_string),
         log_level: "warn".into(),
         quiet: true,
-        programs: None,
-        capture: false,
+        ..Options::default()
     };
     let report = play(&short(), &options).unwrap_or_else(|fault| panic!("{fault:#}"));
     let fleet = report.fleet.clone().expect("a fleet's report");
