--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -142,7 +142,9 @@
     pub keys: std::path::PathBuf,
     /// One member is probed so often.
     pub period: Micros,
-    /// One that fell silent counts for so long.
+    /// Who says that one that fell silent counts no more: more than half of all, after `hold`, or only an operator.
+    pub quorum: bool,
+    /// One that fell silent counts for so long at least where a quorum may forget it.
     pub hold: Micros,
     /// At the start, at least `count` are gone by for so long.
     pub settle: Micros,
@@ -457,6 +459,7 @@
             seeds: g.seeds.iter().map(|s| self.address(s)).collect::<Checked<Vec<_>>>()?,
             keys: g.keys.get_ref().into(),
             period: time(&g.period, 1_000_000, "period")?,
+            quorum: g.forget == file::Forget::Quorum,
             hold: time(&g.hold, 600_000_000, "hold")?,
             settle: time(&g.settle, 30_000_000, "settle")?,
         };
--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -339,6 +339,16 @@
     pub seeds: Vec<At<String>>,
     pub keys: At<String>,
     pub period: Option<At<Time>>,
+    #[serde(default)]
+    pub forget: Forget,
     pub hold: Option<At<Time>>,
     pub settle: Option<At<Time>>,
 }
+
+#[derive(Clone, Copy, Default, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "lowercase")]
+pub(crate) enum Forget {
+    #[default]
+    Operator,
+    Quorum,
+}
--- a/crates/gate/src/figures.rs
+++ b/crates/gate/src/figures.rs
@@ -10,6 +10,9 @@
 use std::fmt::Write as _;
 use wheelfield_tape::Tape;
 
+/// A figure: its name, what it means, and how much.
+pub(crate) type Figure = (&'static str, &'static str, u64);
+
 /// The rooms that are looked into.
 pub(crate) struct Look<'a> {
     pub now: i64,
@@ -28,7 +31,7 @@
 
 impl Look<'_> {
     /// All figures, in the order they are told.
-    fn figures(&self) -> Vec<(&'static str, u64)> {
+    fn figures(&self) -> Vec<Figure> {
         let driver = self.tape.mind().driver();
         let d = driver.map(|d| d.counts()).unwrap_or_default();
         let held = driver.map_or(0, |d| d.held() as u64);
@@ -36,36 +39,40 @@
         let c = self.clients.counts;
         let lists = self.sets.counts;
         let mut all = vec![
-            ("capture_recorded", capture.recorded),
-            ("capture_lost", capture.lost),
-            ("capture_bytes", capture.bytes),
-            ("capture_failing", u64::from(capture.failing)),
-            ("capture_kept", capture.kept),
-            ("capture_held", capture.held),
-            ("clients", self.clients.len() as u64),
-            ("engine_sessions", self.engines.sessions.len() as u64),
-            ("queries_held", held),
-            ("list_version", self.sets.engines().version()),
-            ("clients_accepted", c.accepted),
-            ("clients_turned_away", c.turned_away),
-            ("clients_malformed", c.malformed),
-            ("queries_taken", d.taken),
-            ("queries_served", d.served),
-            ("queries_refused", d.refused),
-            ("queries_failed", d.failed),
-            ("queries_departed", d.departed),
-            ("queries_crowded", d.crowded),
-            ("attempts", d.attempts),
-            ("attempts_further", d.further),
-            ("endings_late", d.late),
-            ("cancels", self.cancels),
-            ("hints_ignored", self.hints_ignored),
-            ("messages_dropped", self.peering.map_or(0, |p| p.dropped)),
-            ("lists_refused", lists.refused),
-            ("lists_held", lists.held),
-            ("lists_not_kept", lists.not_kept),
-            ("probes_answered", self.probes.0),
-            ("probes_lost", self.probes.1),
+            ("capture_recorded", "Records of the capture that were taken.", capture.recorded),
+            ("capture_lost", "Records that were not.", capture.lost),
+            ("capture_bytes", "Bytes of the capture.", capture.bytes),
+            ("capture_failing", "1 while the capture can't be written.", u64::from(capture.failing)),
+            ("capture_kept", "Records kept in memory.", capture.kept),
+            ("capture_held", "Records that wait to be written.", capture.held),
+            ("clients", "Clients connected.", self.clients.len() as u64),
+            ("engine_sessions", "Connections with engines.", self.engines.sessions.len() as u64),
+            ("queries_held", "Queries without a final answer.", held),
+            ("list_version", "Version of the engines in force.", self.sets.engines().version()),
+            ("clients_accepted", "Clients that connected.", c.accepted),
+            ("clients_turned_away", "Clients beyond the limit.", c.turned_away),
+            ("clients_malformed", "Clients closed as what they sent can't be read.", c.malformed),
+            ("queries_taken", "Queries taken.", d.taken),
+            ("queries_served", "Queries served.", d.served),
+            ("queries_refused", "Queries refused: trying again is harmless.", d.refused),
+            ("queries_failed", "Queries failed: that promises nothing.", d.failed),
+            ("queries_departed", "Queries whose client left.", d.departed),
+            ("queries_crowded", "Queries refused as too many are held.", d.crowded),
+            ("attempts", "Attempts at engines.", d.attempts),
+            ("attempts_further", "Of these, not the query's first.", d.further),
+            ("endings_late", "Attempts that ended after their query was answered.", d.late),
+            ("cancels", "Cancels sent.", self.cancels),
+            ("hints_ignored", "Hints of clients that can't be read.", self.hints_ignored),
+            (
+                "messages_dropped",
+                "Words of other controllers that were garbled, old or a stranger's.",
+                self.peering.map_or(0, |p| p.dropped),
+            ),
+            ("lists_refused", "Engine lists refused.", lists.refused),
+            ("lists_held", "Engine lists held for a second look.", lists.held),
+            ("lists_not_kept", "Engine lists that could not be kept on the disk.", lists.not_kept),
+            ("probes_answered", "Probes answered.", self.probes.0),
+            ("probes_lost", "Probes without an answer.", self.probes.1),
         ];
         if let Some(gossip) = self.gossip {
             all.extend(gossip.figures(self.now));
@@ -76,7 +83,8 @@
     /// A line each.
     pub fn metrics(&self) -> String {
         let mut out = String::new();
-        for (name, value) in self.figures() {
+        for (name, help, value) in self.figures() {
+            let _ = writeln!(out, "# HELP wheelfield_{name} {help}");
             let _ = writeln!(out, "wheelfield_{name} {value}");
         }
         out
@@ -85,13 +93,17 @@
     /// The page for people and scripts.
     pub fn status(&self) -> String {
         let figures: Map<String, Value> =
-            self.figures().into_iter().map(|(name, value)| (name.to_string(), json!(value))).collect();
+            self.figures().into_iter().map(|(name, _, value)| (name.to_string(), json!(value))).collect();
         let engine = |k: &wheelfield_members::Known| {
             let status = wheelfield_members::word(k.entry.status);
             json!({"id": k.name, "address": k.address.to_string(), "status": status})
         };
         let engines: Vec<Value> = self.sets.engines().known().values().map(engine).collect();
         let (listed, members) = (!self.call.silent, self.sets.status());
-        json!({"figures": figures, "engines": engines, "listed": listed, "members": members}).to_string()
+        let mut page = json!({"figures": figures, "engines": engines, "listed": listed, "members": members});
+        if let Some(gossip) = self.gossip {
+            page["gossip"] = gossip.status(self.now);
+        }
+        page.to_string()
     }
 }
--- a/crates/gate/src/flow.rs
+++ b/crates/gate/src/flow.rs
@@ -138,7 +138,7 @@
         self.engines.close_idle(&mut self.out);
         let change = self.sets.age(now);
         self.changed(change);
-        if let Some((count, index)) = self.gossip.as_mut().and_then(|g| g.news(now)) {
+        if let Some((count, index)) = self.gossip.as_mut().and_then(|g| g.news()) {
             self.out.saw(Seen::GatewaysTold);
             self.tape.tell(now, Input::Gateways { count, index });
         }
--- a/crates/gate/src/gossip.rs
+++ b/crates/gate/src/gossip.rs
@@ -1,23 +1,29 @@
 //! Which controllers there are: sealed datagrams in and out, keys that change, and the number for the module.
 
+use crate::figures::Figure;
 use crate::out::{Effect, Out, Port};
 use crate::plant::Plant;
 use crate::wake::Wake;
+use serde_json::{json, Value};
 use std::net::SocketAddr;
 use tracing::{debug, info, warn};
 use wheelfield_config::Config;
 use wheelfield_gossip::seal::{Dropped, Keys, Opener, Sealer};
-use wheelfield_gossip::{Change, Limits, News, Node, Packet, Standing, View};
+use wheelfield_gossip::{Change, Forget, Limits, News, Node, Packet, Standing, Tag, View};
 use wheelfield_parts::TimerKey;
 
 /// The gossip of a controller.
 pub(crate) struct Gossip {
+    own: SocketAddr,
     node: Node,
     keys: Keys,
     sealer: Sealer,
     opener: Opener,
     timer: Option<TimerKey>,
     told: (u32, u32),
+    /// More than half of those that count answered, when it was last looked.
+    quorum: bool,
+    period: i64,
     /// Datagrams that did not open.
     dropped: u64,
     /// Packets that were too long for a datagram.
@@ -40,19 +46,23 @@
         let limits = Limits {
             period: g.period.0,
             answer: g.period.0 * 3 / 10,
-            hold: if plant == Some(Plant::Sink) { 0 } else { g.hold.0 },
+            forget: if g.quorum { Forget::Quorum } else { Forget::Operator },
+            hold: g.hold.0,
             settle: g.settle.0,
             fetch: g.period.0.saturating_mul(15),
             expect: count as usize,
             ..Limits::default()
         };
         Some(Gossip {
+            own,
             node: Node::new(own, now as u64, g.seeds.clone(), limits, seed, now),
             keys,
             sealer: Sealer::new(own, now as u64),
             opener: Opener::default(),
             timer: None,
             told: (count, index),
+            quorum: true,
+            period: g.period.0,
             dropped: 0,
             unsent: 0,
             plant,
@@ -78,6 +88,12 @@
                 Change::GivenUp => info!(%member, %by, "member: given up"),
                 Change::Back => info!(%member, %by, "member: back"),
                 Change::Left => info!(%member, %by, "member: left"),
+                Change::Forgotten => info!(%member, %by, "member: forgotten by a quorum"),
+                // Once is a clock that was set back.
+                Change::Overtaken if self.node.counts().overtaken > 1 => {
+                    warn!(%member, %by, "another process runs under this one's address; end one of them");
+                }
+                Change::Overtaken => info!(%member, %by, "a process of this address had a later start"),
             }
         }
     }
@@ -131,15 +147,30 @@
         }
     }
 
+    fn view(&self) -> View {
+        let view = self.node.view();
+        match self.plant {
+            Some(Plant::Sink) => View { count: view.alive, ..view },
+            Some(Plant::Number) => View { index: view.index.saturating_sub(1), ..view },
+            _ => view,
+        }
+    }
+
     /// The number of controllers and which of them this is, if the module was told otherwise.
-    pub fn news(&mut self, now: i64) -> Option<(u32, u32)> {
-        let View { count, index, alive, settled } = self.node.view(now);
+    pub fn news(&mut self) -> Option<(u32, u32)> {
+        let View { count, index, alive, settled, quorum, tag } = self.view();
+        if quorum != std::mem::replace(&mut self.quorum, quorum) {
+            match quorum {
+                true => info!(count, alive, "more than half of the controllers answer again"),
+                false => warn!(count, alive, "half of the controllers or more are silent; they count on"),
+            }
+        }
         let fresh = (count as u32, index as u32);
         if fresh == self.told {
             return None;
         }
         self.told = fresh;
-        info!(count, index, alive, settled, "controllers");
+        info!(count, index, alive, settled, quorum, view = tag.number, "controllers");
         Some(fresh)
     }
 
@@ -150,22 +181,72 @@
         self.send(packets, out);
     }
 
-    /// Figures.
-    pub fn figures(&self, now: i64) -> [(&'static str, u64); 12] {
-        let (view, counts) = (self.node.view(now), self.node.counts());
+    /// Who this one is, of whom its view consists, and how all others stand with it; times in milliseconds.
+    pub fn status(&self, now: i64) -> Value {
+        let View { count, index, alive, settled, quorum, tag } = self.view();
+        let digest = |tag: Tag| format!("{:016x}", tag.digest);
+        let members: Vec<Value> = self
+            .node
+            .acquaintances(now)
+            .map(|a| {
+                json!({
+                    "member": a.record.member.to_string(), "standing": word(a.record.standing), "counts": a.counts,
+                    "start": a.record.start, "denials": a.record.denials, "since_ms": a.record.since_ms,
+                    "silent_ms": a.spoke.map(|at| (now - at) / 1_000), "digest": a.tag.map(digest),
+                })
+            })
+            .collect();
+        json!({
+            "own": self.own.to_string(), "start": self.node.start(), "period_ms": self.period / 1_000,
+            "count": count, "index": index, "alive": alive, "settled": settled, "quorum": quorum,
+            "number": tag.number, "digest": digest(tag), "apart_ms": self.node.apart(now) / 1_000,
+            "members": members,
+        })
+    }
+
+    /// Figures, with what they mean.
+    pub fn figures(&self, now: i64) -> [Figure; 18] {
+        let (view, counts) = (self.view(), self.node.counts());
         [
-            ("gossip_count", view.count as u64),
-            ("gossip_index", view.index as u64),
-            ("gossip_alive", view.alive as u64),
-            ("gossip_settled", u64::from(view.settled)),
-            ("gossip_suspected", counts.suspected),
-            ("gossip_denied", counts.denied),
-            ("gossip_given_up", counts.given_up),
-            ("gossip_deaf", counts.deaf),
-            ("gossip_vouched", counts.vouched),
-            ("gossip_unbelieved", counts.unbelieved),
-            ("gossip_dropped", self.dropped),
-            ("gossip_unsent", self.unsent),
+            ("gossip_count", "Controllers acted on.", view.count as u64),
+            ("gossip_index", "This one's number among them.", view.index as u64),
+            ("gossip_alive", "Controllers that answer, with this one.", view.alive as u64),
+            ("gossip_settled", "1 once it has listened and nothing is in doubt.", u64::from(view.settled)),
+            ("gossip_quorum", "1 while more than half of all that count answer.", u64::from(view.quorum)),
+            ("gossip_view", "Number of the view; it rises when others count than before.", view.tag.number),
+            (
+                "gossip_apart_ms",
+                "For how long all that is heard tells of other views.",
+                (self.node.apart(now) / 1_000) as u64,
+            ),
+            ("gossip_suspected", "Suspicions of its own.", counts.suspected),
+            ("gossip_denied", "Suspicions, of whomever, that were denied.", counts.denied),
+            ("gossip_given_up", "Members given up.", counts.given_up),
+            ("gossip_forgotten", "Members that a quorum went on without.", counts.forgotten),
+            (
+                "gossip_overtaken",
+                "Times that a later process of its own address was heard of.",
+                counts.overtaken,
+            ),
+            ("gossip_deaf", "Times that nobody was heard for three periods.", counts.deaf),
+            ("gossip_vouched", "Suspects that were heard, and denied for.", counts.vouched),
+            ("gossip_unbelieved", "Words of a death or goodbye that own ears disprove.", counts.unbelieved),
+            ("gossip_crowded", "Members not taken, as there were too many.", counts.crowded),
+            (
+                "gossip_dropped",
+                "Datagrams that did not open: another key, a stranger, old ones.",
+                self.dropped,
+            ),
+            ("gossip_unsent", "Packets that were too long for a datagram.", self.unsent),
         ]
     }
 }
+
+fn word(standing: Standing) -> &'static str {
+    match standing {
+        Standing::Alive => "alive",
+        Standing::Suspect => "suspect",
+        Standing::Gone => "gone",
+        Standing::Left => "left",
+    }
+}
--- a/crates/gate/src/plant.rs
+++ b/crates/gate/src/plant.rs
@@ -25,14 +25,17 @@
     Twice,
     /// Now and then the last byte of what an engine sent is lost.
     Cut,
-    /// A controller that fell silent counts no more.
+    /// Those that answer are taken for all there are.
     Sink,
+    /// Two go by one number.
+    Number,
     /// One that is said to be gone is taken for one that said goodbye.
     Goodbye,
 }
 
 /// Those about what controllers believe of each other, which show where the roads between them have faults.
-pub const FLEET_PLANTS: [(&str, Plant); 2] = [("sink", Plant::Sink), ("goodbye", Plant::Goodbye)];
+pub const FLEET_PLANTS: [(&str, Plant); 3] =
+    [("sink", Plant::Sink), ("number", Plant::Number), ("goodbye", Plant::Goodbye)];
 
 /// Those that one controller shows, by name.
 pub const PLANTS: [(&str, Plant); 11] = [
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -6,8 +6,9 @@
 //! the probes.
 //!
 //! Believing in too few is the dangerous side, as all together then push over a cold engine. So a member that fell silent
-//! counts for [`Limits::hold`] longer, only one that said goodbye is forgotten at once, and a fresh node counts at least
-//! as many as it was told to expect until it has listened for [`Limits::settle`].
+//! counts on until an operator or a quorum lets it go ([`Forget`]), only one that said goodbye is forgotten at once, and a
+//! fresh node counts at least as many as it was told to expect until it has listened for [`Limits::settle`] and more than half
+//! of them answer. A view has a number and a digest ([`Tag`]), which ride on each packet.
 //!
 //! No I/O, no clock, no globals. [`seal`] makes datagrams of packets and opens them.
 #![forbid(unsafe_code)]
@@ -16,4 +17,7 @@
 mod node;
 pub mod seal;
 
-pub use node::{Change, Counts, Limits, Message, News, Node, Packet, Record, Standing, View};
+pub use node::{
+    let_go, Acquaintance, Change, Counts, Forget, Limits, Message, News, Node, Packet, Record, Standing, Tag,
+    View,
+};
--- a/crates/gossip/src/node.rs
+++ b/crates/gossip/src/node.rs
@@ -4,6 +4,16 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+/// Who says that one that fell silent counts no more.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub enum Forget {
+    /// An operator; until then it counts, so that no split, however long, lets anybody act on too few.
+    #[default]
+    Operator,
+    /// Those that are more than half of all that count, [`Limits::hold`] after it was given up. A smaller part counts on.
+    Quorum,
+}
+
 /// What a node is bounded by; times in microseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Limits {
@@ -15,10 +25,13 @@
     pub helpers: usize,
     /// A suspect may deny it for so many periods, for each doubling of the members.
     pub patience: i64,
-    /// A member that fell silent counts for so long after it was given up.
+    /// Who says that one that fell silent counts no more.
+    pub forget: Forget,
+    /// A member that fell silent counts for so long after it was given up, where a quorum may forget it. Goodbyes are
+    /// remembered for as long, so that nobody who missed them brings one back that left.
     pub hold: i64,
-    /// A fresh node goes by the number it was told to expect for so long at least, and until it learned of nobody new
-    /// between two fetches.
+    /// A fresh node goes by the number it was told to expect for so long at least, until it learned of nobody new between two
+    /// fetches, and until more than half of that number answer.
     pub settle: i64,
     /// So many controllers are expected.
     pub expect: usize,
@@ -37,6 +50,7 @@
             answer: 300_000,
             helpers: 3,
             patience: 4,
+            forget: Forget::Operator,
             hold: 600_000_000,
             settle: 30_000_000,
             expect: 1,
@@ -97,6 +111,22 @@
     Tell,
 }
 
+/// Of whom a view consists.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Tag {
+    /// The view's number: it rises by one with each change, at its holder.
+    pub number: u64,
+    /// Alike where the same members count, whoever holds the view.
+    pub digest: u64,
+}
+
+/// An operator's word that one that fell silent is gone for good, as a packet for any member: a goodbye in its name. If it lives
+/// it denies that as soon as it hears of it.
+pub fn let_go(record: Record) -> Packet {
+    let record = Record { standing: Standing::Left, since_ms: 0, ..record };
+    Packet { message: Message::Tell, riders: vec![record], tag: None }
+}
+
 /// What is sent: a message, and records that ride on it.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Packet {
@@ -104,6 +134,10 @@
     pub message: Message,
     /// News.
     pub riders: Vec<Record>,
+    /// The sender's view. Builds of the first form of packets neither send nor read it: it stands behind the rest
+    /// ([`crate::seal`]).
+    #[serde(skip)]
+    pub tag: Option<Tag>,
 }
 
 /// What a node acts on.
@@ -117,6 +151,23 @@
     pub alive: usize,
     /// It has listened long enough, and nothing is in doubt.
     pub settled: bool,
+    /// Those that answer are more than half of all that count.
+    pub quorum: bool,
+    /// Of whom it consists.
+    pub tag: Tag,
+}
+
+/// How a member stands with a node, for operators.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Acquaintance {
+    /// What is known of it.
+    pub record: Record,
+    /// It counts.
+    pub counts: bool,
+    /// When a packet of its own last came; none if never.
+    pub spoke: Option<i64>,
+    /// The view that it last told of.
+    pub tag: Option<Tag>,
 }
 
 /// What became of a member.
@@ -132,8 +183,13 @@
     GivenUp,
     /// It is there again: another process at its address, or the one that was given up.
     Back,
-    /// It said goodbye.
+    /// It said goodbye, or an operator said it is gone for good.
     Left,
+    /// A quorum went on without it.
+    Forgotten,
+    /// Of this node itself: a process of its address that started later was heard of, and this one goes on as later still. Once
+    /// is a clock that was set back; again and again is a second process under its address.
+    Overtaken,
 }
 
 /// A change, and on whose word it was believed: this node's own address where it found out itself.
@@ -167,8 +223,12 @@
     pub deaf: u64,
     /// Suspects that were heard, and denied for.
     pub vouched: u64,
-    /// Members said to be gone by others while this node had no doubt of them.
+    /// Members said to be gone by others while this node had no doubt of them, or had heard them since.
     pub unbelieved: u64,
+    /// Members forgotten by a quorum.
+    pub forgotten: u64,
+    /// Times that a later process of its own address was heard of; more than one: there are two.
+    pub overtaken: u64,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -178,8 +238,14 @@
     since: i64,
     /// How often this was told on.
     told: u32,
-    /// When a packet of its own last came.
+    /// When a packet of its own last came, as far as silence goes: time in which nobody was heard is not held against it.
     heard: i64,
+    /// When a packet of its own last came.
+    spoke: Option<i64>,
+    /// It counts.
+    counts: bool,
+    /// The view that it last told of.
+    tag: Option<Tag>,
 }
 
 impl Member {
@@ -227,6 +293,12 @@
     newest: i64,
     /// We have listened long enough.
     listened: bool,
+    /// More than half of the expected number answered, once: from then on what was heard counts alone.
+    confirmed: bool,
+    /// Of whom the view consists.
+    tag: Tag,
+    /// Since when all that was heard tells of other views than ours.
+    apart: Option<i64>,
     draws: u64,
     counts: Counts,
     news: Vec<News>,
@@ -260,6 +332,9 @@
             doubt: None,
             newest: now,
             listened: false,
+            confirmed: false,
+            tag: Tag { number: 0, digest: mark(own.member) },
+            apart: None,
             draws: seed,
             counts: Counts::default(),
             news: Vec::new(),
@@ -298,20 +373,51 @@
         self.members.values().map(|m| &m.record)
     }
 
+    /// How all that are known stand, this one not.
+    pub fn acquaintances(&self, now: i64) -> impl Iterator<Item = Acquaintance> + '_ {
+        self.members.values().map(move |m| Acquaintance {
+            record: m.aged(now),
+            counts: m.counts,
+            spoke: m.spoke,
+            tag: m.tag,
+        })
+    }
+
+    /// For how long all that was heard tells of other views than ours, in microseconds; zero while somebody's is alike.
+    pub fn apart(&self, now: i64) -> i64 {
+        self.apart.map_or(0, |since| (now - since).max(0))
+    }
+
+    fn answering(&self) -> usize {
+        self.members.values().filter(|m| m.record.standing == Standing::Alive).count() + 1
+    }
+
+    fn counted(&self) -> usize {
+        self.members.values().filter(|m| m.counts).count() + 1
+    }
+
+    /// Whether those that answer are more than half of all that count.
+    fn quorum(&self) -> bool {
+        2 * self.answering() > self.counted()
+    }
+
     /// What to act on now.
-    pub fn view(&self, now: i64) -> View {
-        let counts = |m: &&Member| match m.record.standing {
-            Standing::Alive | Standing::Suspect => true,
-            Standing::Gone => now - m.since < self.limits.hold,
-            Standing::Left => false,
-        };
-        let acted: Vec<SocketAddr> = self.members.values().filter(counts).map(|m| m.record.member).collect();
-        let index = acted.iter().filter(|a| **a < self.own.member).count();
-        let alive = self.members.values().filter(|m| m.record.standing == Standing::Alive).count() + 1;
+    pub fn view(&self) -> View {
+        let index = self.members.range(..self.own.member).filter(|(_, m)| m.counts).count();
         let doubtful = self.members.values().any(|m| m.record.standing == Standing::Suspect);
-        let seen = acted.len() + 1;
-        let count = if self.listened { seen } else { seen.max(self.limits.expect) };
-        View { count, index, alive, settled: self.listened && !doubtful }
+        let seen = self.counted();
+        let sure = self.listened && self.confirmed;
+        let count = if sure { seen } else { seen.max(self.limits.expect) };
+        let (alive, quorum) = (self.answering(), self.quorum());
+        View { count, index, alive, settled: sure && !doubtful, quorum, tag: self.tag }
+    }
+
+    /// Lets a member count, or no more.
+    fn count_on(&mut self, member: SocketAddr, counts: bool) {
+        if let Some(m) = self.members.get_mut(&member).filter(|m| m.counts != counts) {
+            m.counts = counts;
+            self.tag = Tag { number: self.tag.number + 1, digest: self.tag.digest ^ mark(member) };
+        }
     }
 
     /// The start that this node tells of itself: at least its own, and later than that of any process before it there.
@@ -322,7 +428,7 @@
     /// To one whose datagrams are dropped, as a process of its address with a later start was heard: what that start was.
     pub fn tell_start(&self, to: SocketAddr, start: u64) -> Packet {
         let record = Record { member: to, start, denials: 0, standing: Standing::Alive, since_ms: 0 };
-        Packet { message: Message::Tell, riders: vec![self.own, record] }
+        Packet { message: Message::Tell, riders: vec![self.own, record], tag: Some(self.tag) }
     }
 
     /// When [`Node::tick`] is next wanted.
@@ -337,6 +443,8 @@
         // Between two fetches nobody new was told of: that is all there are.
         let quiet = now - self.newest > self.limits.fetch + self.limits.period;
         self.listened |= self.heard && quiet && now - self.began >= self.limits.settle;
+        // Guards against a part of a fleet that starts anew within a split, and would take itself for all there is.
+        self.confirmed |= self.listened && 2 * self.answering() > self.limits.expect;
         if self.probing.as_ref().and_then(|p| p.again_at).is_some_and(|at| now >= at) {
             self.look_again(now, out);
         }
@@ -381,12 +489,29 @@
             self.counts.given_up += 1;
             self.learn(now, Record { standing: Standing::Gone, since_ms: 0, ..record }, self.own.member);
         }
-        // Who is gone for long is forgotten, once it counts no more and all have heard.
+        self.forget(now);
+    }
+
+    /// Lets go of who is gone for long, where that is allowed.
+    fn forget(&mut self, now: i64) {
         let (hold, spread) = (self.limits.hold, self.limits.fetch.saturating_mul(4));
-        self.members.retain(|_, m| match m.record.standing {
-            Standing::Gone => now - m.since < hold + spread,
-            Standing::Left => now - m.since < spread,
-            _ => true,
+        // Guards against a part that lost the others and would act on itself alone: it is no quorum, and counts on.
+        if self.limits.forget == Forget::Quorum && self.quorum() {
+            let long = |m: &&Member| m.counts && m.record.standing == Standing::Gone && now - m.since >= hold;
+            let long: Vec<SocketAddr> = self.members.values().filter(long).map(|m| m.record.member).collect();
+            for member in long {
+                self.counts.forgotten += 1;
+                self.count_on(member, false);
+                self.tell(member, Change::Forgotten, self.own.member);
+            }
+        }
+        // Who counts no more is remembered until all have heard, lest it be learned of anew.
+        self.members.retain(|_, m| {
+            m.counts
+                || match m.record.standing {
+                    Standing::Left => now - m.since < hold.max(spread),
+                    _ => now - m.since < hold + spread,
+                }
         });
     }
 
@@ -540,7 +665,7 @@
                 riders.push(m.aged(now));
             }
         }
-        Packet { message, riders }
+        Packet { message, riders, tag: Some(self.tag) }
     }
 
     /// Takes a packet. Only what was sealed by a holder of the key may come here.
@@ -558,12 +683,13 @@
             (self.heard, self.last_heard) = (true, now);
             self.vouch(now, from, packet);
             if let Some(m) = self.members.get_mut(&from) {
-                m.heard = now;
+                (m.heard, m.spoke) = (now, Some(now));
             }
         }
         for record in packet.riders.iter().take(self.limits.most) {
             self.learn(now, *record, from);
         }
+        self.compare(now, from, packet.tag);
         match packet.message {
             Message::Probe(number) => {
                 let packet = self.packet(now, Message::Answer(number), from);
@@ -591,13 +717,26 @@
                 let all: Vec<Record> =
                     std::iter::once(self.own).chain(self.members.values().map(|m| m.aged(now))).collect();
                 for riders in all.chunks(self.limits.riders.max(1)) {
-                    out.push((from, Packet { message: Message::Tell, riders: riders.to_vec() }));
+                    out.push((
+                        from,
+                        Packet { message: Message::Tell, riders: riders.to_vec(), tag: Some(self.tag) },
+                    ));
                 }
             }
             Message::Tell => {}
         }
     }
 
+    /// Holds the view that somebody tells of against ours.
+    fn compare(&mut self, now: i64, from: SocketAddr, tag: Option<Tag>) {
+        let Some((m, tag)) = self.members.get_mut(&from).zip(tag) else { return };
+        m.tag = Some(tag);
+        self.apart = match self.apart {
+            _ if tag.digest == self.tag.digest => None,
+            since => since.or(Some(now)),
+        };
+    }
+
     /// What is said of a member, or of this one, and by whom.
     fn learn(&mut self, now: i64, record: Record, by: SocketAddr) {
         if record.member == self.own.member {
@@ -605,6 +744,8 @@
             // that was set back since. Ours must be later still, or nobody heeds it.
             if record.start > self.own.start {
                 (self.own.start, self.own.denials) = (record.start.saturating_add(1), 0);
+                self.counts.overtaken += 1;
+                self.tell(self.own.member, Change::Overtaken, by);
                 return;
             }
             // Whatever is said of us that is not so is denied.
@@ -625,10 +766,16 @@
             }
             _ => record,
         };
-        let full = self.members.len() >= self.limits.most;
         let since = now - i64::from(record.since_ms) * 1_000;
-        // Nobody learns of one that the others are about to forget.
-        let fading = record.standing >= Standing::Gone && now - since >= self.limits.hold;
+        // Nobody learns of one that left, or of one that a quorum is about to forget.
+        let fading = match record.standing {
+            Standing::Left => now - since >= self.limits.hold,
+            Standing::Gone => {
+                self.limits.forget == Forget::Quorum && now - since >= self.limits.hold && self.quorum()
+            }
+            _ => false,
+        };
+        let room = self.members.contains_key(&record.member) || self.room();
         match self.members.get_mut(&record.member) {
             Some(m) if record.rank() > m.record.rank() => {
                 let was = m.record.standing;
@@ -644,6 +791,7 @@
                 }
                 let restarted = record.start != m.record.start;
                 (m.record, m.told) = (record, 0);
+                let counts = m.counts || restarted || record.standing < Standing::Gone;
                 let change = match (was, record.standing) {
                     (was, now) if was == now && !restarted => None,
                     (Standing::Suspect, Standing::Alive) if !restarted => Some(Change::Denied),
@@ -653,13 +801,16 @@
                     (_, Standing::Left) => Some(Change::Left),
                 };
                 change.into_iter().for_each(|change| self.tell(record.member, change, by));
+                self.count_on(record.member, counts && record.standing != Standing::Left);
             }
             Some(_) => {}
             None if fading => {}
-            None if full => self.counts.crowded += 1,
+            None if !room => self.counts.crowded += 1,
             None => {
-                let heard = if by == record.member { now } else { since };
-                self.members.insert(record.member, Member { record, since, told: 0, heard });
+                let (heard, spoke) = if by == record.member { (now, Some(now)) } else { (since, None) };
+                let member = Member { record, since, told: 0, heard, spoke, counts: false, tag: None };
+                self.members.insert(record.member, member);
+                self.count_on(record.member, record.standing != Standing::Left);
                 self.newest = now;
                 self.tell(record.member, Change::New, by);
             }
@@ -683,13 +834,30 @@
 
     /// Whether somebody is said to be gone of whom we had no doubt, or not for long. Guards against the word of those who lost
     /// the others, behind a cut or deaf: it begins a doubt, and is no end of one. Who did hear of the suspicion when it was
-    /// raised has waited by now.
+    /// raised has waited by now. Who was heard after the time that it is said to have left at did not leave: an operator let it
+    /// be forgotten on the other side of a cut.
     fn doubtful(&self, now: i64, record: &Record) -> bool {
         let Some(m) = self.members.get(&record.member).filter(|m| m.record.start == record.start) else {
             return false;
         };
         let waited = m.record.standing == Standing::Suspect && 2 * (now - m.since) >= self.patience();
-        record.standing == Standing::Gone && m.record.standing < Standing::Gone && !waited
+        let since = now - i64::from(record.since_ms) * 1_000;
+        match record.standing {
+            Standing::Gone => m.record.standing < Standing::Gone && !waited,
+            Standing::Left => m.spoke.is_some_and(|spoke| spoke > since + 2 * self.limits.period),
+            _ => false,
+        }
+    }
+
+    /// Whether one more may be known; the one that left, or was forgotten, longest ago makes room.
+    fn room(&mut self) -> bool {
+        if self.members.len() >= self.limits.most {
+            let past = self.members.values().filter(|m| !m.counts).min_by_key(|m| m.since);
+            if let Some(past) = past.map(|m| m.record.member) {
+                self.members.remove(&past);
+            }
+        }
+        self.members.len() < self.limits.most
     }
 
     fn tell(&mut self, member: SocketAddr, change: Change, by: SocketAddr) {
@@ -713,7 +881,17 @@
             }
             let i = self.draw(alive.len() as u64) as usize;
             let to = alive.swap_remove(i);
-            out.push((to, Packet { message: Message::Tell, riders: vec![self.own] }));
+            out.push((to, Packet { message: Message::Tell, riders: vec![self.own], tag: None }));
         }
     }
 }
+
+/// What a member adds to a digest; own arithmetic (FNV-1a, then splitmix), as all builds must come to the same.
+fn mark(member: SocketAddr) -> u64 {
+    let bytes = member.to_string().into_bytes();
+    let sum = bytes
+        .iter()
+        .fold(0xcbf2_9ce4_8422_2325_u64, |h, b| (h ^ u64::from(*b)).wrapping_mul(0x0100_0000_01b3));
+    let z = (sum ^ (sum >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb)
+}
--- a/crates/gossip/src/seal.rs
+++ b/crates/gossip/src/seal.rs
@@ -1,10 +1,13 @@
 //! Datagrams: a packet sealed with a key that all controllers hold, and opened again.
 //!
-//! `WFG1`, the key's number, the sender's start and sequence number, the packet (postcard), and the first 16 bytes of
-//! HMAC-SHA-256 (RFC 2104, FIPS 180-4) over all of this and the sender's address. What does not open, or was opened
-//! before, is dropped.
+//! `WFG1`, the key's number, the sender's start and sequence number, the packet (postcard), what later forms add, and the first
+//! 16 bytes of HMAC-SHA-256 (RFC 2104, FIPS 180-4) over all of this and the sender's address. What does not open, or was
+//! opened before, is dropped.
+//!
+//! Forms: the first ends with the packet. The second adds a byte 2 and the sender's view ([`Tag`]). Whoever reads one form
+//! skips what stands behind it, and takes what is missing for not told, so builds of both forms make one fleet.
 
-use crate::Packet;
+use crate::{Packet, Tag};
 use hmac::{Hmac, KeyInit, Mac};
 use serde::{Deserialize, Serialize};
 use sha2::Sha256;
@@ -16,6 +19,8 @@
 /// Bytes of the seal.
 const SEAL: usize = 16;
 const MAGIC: &[u8; 4] = b"WFG1";
+/// Begins what the second form adds.
+const SECOND: u8 = 2;
 /// Senders remembered; beyond them the one heard longest ago is forgotten.
 const SENDERS: usize = 8_192;
 /// Keys held at once: a new one and those that still come in.
@@ -118,7 +123,8 @@
 
 /// Bytes of a packet within a datagram.
 pub fn size(packet: &Packet) -> usize {
-    postcard::to_stdvec(packet).map_or(0, |bytes| bytes.len())
+    let tag = packet.tag.map_or(0, |tag| postcard::to_stdvec(&tag).map_or(0, |bytes| 1 + bytes.len()));
+    postcard::to_stdvec(packet).map_or(0, |bytes| bytes.len()) + tag
 }
 
 /// The sender's address as it is sealed in.
@@ -155,6 +161,10 @@
         let mut bytes = MAGIC.to_vec();
         bytes.push(*number);
         bytes = postcard::to_extend(&body, bytes).ok()?;
+        if let Some(tag) = packet.tag {
+            bytes.push(SECOND);
+            bytes = postcard::to_extend(&tag, bytes).ok()?;
+        }
         if bytes.len() + SEAL > LONGEST {
             return None;
         }
@@ -193,7 +203,12 @@
         let key = keys.0.iter().find(|(n, _)| *n == bytes[4]).map(|(_, k)| k).ok_or(Dropped::NoKey)?;
         let mac = Keys::mac(key, &[bytes, &origin(from)]).ok_or(Dropped::Forged)?;
         mac.verify_truncated_left(seal).map_err(|_| Dropped::Forged)?;
-        let body: Body = postcard::from_bytes(&bytes[5..]).map_err(|_| Dropped::Garbled)?;
+        let (mut body, rest): (Body, &[u8]) =
+            postcard::take_from_bytes(&bytes[5..]).map_err(|_| Dropped::Garbled)?;
+        if let Some((&SECOND, rest)) = rest.split_first() {
+            let (tag, _): (Tag, &[u8]) = postcard::take_from_bytes(rest).map_err(|_| Dropped::Garbled)?;
+            body.packet.tag = Some(tag);
+        }
         self.once(from, body.start, body.sequence)?;
         Ok(body.packet)
     }
--- a/crates/gossip/tests/common/mod.rs
+++ b/crates/gossip/tests/common/mod.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use wheelfield_gossip::{Counts, Limits, Node, Packet, View};
+use wheelfield_gossip::{let_go, Counts, Limits, Node, Packet, View};
 use wheelfield_roads::{Entry, Fault, Parties, Timetable};
 
 pub const MS: i64 = 1_000;
@@ -98,6 +98,7 @@
         self.gone.suspected += c.suspected;
         self.gone.denied += c.denied;
         self.gone.given_up += c.given_up;
+        self.gone.unbelieved += c.unbelieved;
     }
 
     pub fn counts(&self) -> Counts {
@@ -106,10 +107,22 @@
             all.suspected += c.suspected;
             all.denied += c.denied;
             all.given_up += c.given_up;
+            all.unbelieved += c.unbelieved;
         }
         all
     }
 
+    /// An operator tells one that another is gone for good.
+    pub fn forget(&mut self, told: usize, whom: usize) {
+        let record = self.nodes[&told].records().find(|r| r.member == address(whom)).copied();
+        let packet = let_go(record.expect("known"));
+        let (now, mut out) = (self.now, Vec::new());
+        if let Some(node) = self.nodes.get_mut(&told) {
+            node.receive(now, address(999), &packet, &mut out);
+        }
+        self.send(told, out);
+    }
+
     pub fn split(&mut self, side: impl Fn(usize) -> bool) {
         self.side = self.nodes.keys().copied().filter(|i| side(*i)).collect();
         self.split = true;
@@ -140,7 +153,7 @@
     }
 
     pub fn views(&self) -> Vec<View> {
-        self.nodes.values().map(|n| n.view(self.now)).collect()
+        self.nodes.values().map(|n| n.view()).collect()
     }
 
     fn number(a: SocketAddr) -> usize {
@@ -193,7 +206,7 @@
             self.now = at;
             let acted = self.one();
             if let Some(node) = acted.and_then(|i| self.nodes.get(&i)) {
-                lowest = lowest.min(node.view(self.now).count);
+                lowest = lowest.min(node.view().count);
             }
         }
         self.now = end;
--- a/crates/gossip/tests/model.rs
+++ b/crates/gossip/tests/model.rs
@@ -3,7 +3,7 @@
 use stateright::{Checker, Model, Property};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use wheelfield_gossip::{Limits, Node, Packet, Standing};
+use wheelfield_gossip::{Forget, Limits, Node, Packet, Standing};
 
 const NODES: usize = 3;
 /// Times are in these steps; a period is one of them.
@@ -19,6 +19,7 @@
         answer: 400,
         helpers: 1,
         patience: 2,
+        forget: Forget::Operator,
         hold: 40 * PERIOD,
         settle: 2 * PERIOD,
         expect: NODES,
@@ -70,7 +71,7 @@
         if self.forgets {
             return node.records().filter(|r| r.standing == Standing::Alive).count() + 1;
         }
-        node.view(state.now).count
+        node.view().count
     }
 
     fn put(state: &mut State, from: usize, out: Vec<(SocketAddr, Packet)>) {
@@ -100,7 +101,7 @@
             restarts: 0,
             cut: None,
         };
-        while !state.nodes.iter().all(|n| n.view(state.now).settled) {
+        while !state.nodes.iter().all(|n| n.view().settled) {
             Self::step(&mut state, false, None, None);
             assert!(state.now < 100 * PERIOD, "it settles");
         }
@@ -200,7 +201,7 @@
                 (0..NODES).all(|i| model.count(state, i) >= NODES)
             }),
             Property::always("no two that have settled have one number", |_, state: &State| {
-                let settled = state.nodes.iter().map(|n| n.view(state.now)).filter(|v| v.settled);
+                let settled = state.nodes.iter().map(|n| n.view()).filter(|v| v.settled);
                 let indexes: Vec<usize> = settled.map(|v| v.index).collect();
                 indexes.iter().collect::<BTreeSet<_>>().len() == indexes.len()
             }),
@@ -214,7 +215,7 @@
                 state.nodes.iter().any(|n| n.counts().denied > 0)
             }),
             Property::sometimes("a fresh one has settled again", |_, state: &State| {
-                state.restarts > 0 && state.nodes.iter().all(|n| n.view(state.now).settled)
+                state.restarts > 0 && state.nodes.iter().all(|n| n.view().settled)
             }),
         ]
     }
--- a/crates/gossip/tests/network.rs
+++ b/crates/gossip/tests/network.rs
@@ -4,7 +4,7 @@
 
 use common::{Network, MS, SECOND};
 use std::collections::BTreeSet;
-use wheelfield_gossip::Limits;
+use wheelfield_gossip::{Forget, Limits};
 use wheelfield_roads::Parties;
 
 fn limits(expect: usize) -> Limits {
@@ -48,7 +48,7 @@
 #[test]
 fn a_silent_one_counts_for_the_hold_and_one_that_left_does_not() {
     let hold = 60 * SECOND;
-    let mut net = Network::new(2, Limits { hold, ..limits(12) }, 0.0);
+    let mut net = Network::new(2, Limits { hold, forget: Forget::Quorum, ..limits(12) }, 0.0);
     (0..12).for_each(|i| net.start(i, 0));
     net.run_until(40 * SECOND);
     assert!(agreed(&net, 12));
@@ -82,18 +82,94 @@
     assert!(agreed(&net, 20) && net.views().iter().all(|v| v.alive == 20), "{:?}", net.views()[0]);
 }
 
+/// Before, each half counted itself alone after the hold: their parts of a cold engine came to twice the whole.
 #[test]
-fn a_split_longer_than_the_hold_is_the_stated_limit_and_heals() {
-    let mut net = Network::new(4, Limits { hold: 30 * SECOND, ..limits(8) }, 0.0);
+fn a_split_of_whatever_length_makes_nobody_act_on_too_few_but_a_quorum_that_may_forget() {
+    for forget in [Forget::Operator, Forget::Quorum] {
+        let mut net = Network::new(4, Limits { hold: 30 * SECOND, forget, ..limits(9) }, 0.0);
+        (0..9).for_each(|i| net.start(i, 0));
+        net.run_until(40 * SECOND);
+        net.split(|i| i < 4);
+        net.run_until(600 * SECOND);
+        for i in 0..9 {
+            let (view, larger) = (net.node(i).view(), i >= 4);
+            let expected = if larger && forget == Forget::Quorum { 5 } else { 9 };
+            assert_eq!((view.count, view.quorum), (expected, larger), "{forget:?}, {i}");
+        }
+        net.heal();
+        // Who was forgotten is found by its own probes and the seeds.
+        net.run_until(720 * SECOND);
+        assert!(agreed(&net, 9), "{:?}", net.views());
+        assert!(net.views().iter().all(|v| v.tag.digest == net.views()[0].tag.digest), "one view");
+    }
+}
+
+#[test]
+fn two_equal_halves_are_no_quorum_either() {
+    let mut net = Network::new(4, Limits { hold: 30 * SECOND, forget: Forget::Quorum, ..limits(8) }, 0.0);
     (0..8).for_each(|i| net.start(i, 0));
     net.run_until(40 * SECOND);
     net.split(|i| i < 4);
-    net.run_until(140 * SECOND);
-    assert!(net.views().iter().all(|v| v.count == 4), "each half counts itself, as stated");
+    assert_eq!(net.watch_until(400 * SECOND), 8);
+}
+
+/// A part that is killed and started anew within a split remembers nobody; the expected number stands in.
+#[test]
+fn a_smaller_part_that_starts_anew_within_a_split_acts_on_the_expected_number() {
+    let mut net = Network::new(8, limits(9), 0.0);
+    (0..9).for_each(|i| net.start(i, 0));
+    net.run_until(40 * SECOND);
+    net.split(|i| i < 4);
+    net.run_until(100 * SECOND);
+    (0..4).for_each(|i| net.kill(i));
+    (0..4).for_each(|i| net.start(i, 101 * SECOND));
+    net.run_until(102 * SECOND);
+    assert_eq!(net.watch_until(500 * SECOND), 9);
+    net.heal();
+    net.run_until(600 * SECOND);
+    assert!(agreed(&net, 9), "{:?}", net.views());
+}
+
+/// An operator's word is a goodbye in the name of one that is gone. Nobody who heard the member since believes it.
+#[test]
+fn an_operator_lets_one_go_and_one_that_lives_comes_back() {
+    let mut net = settled(3);
+    net.kill(7);
+    net.run_until(100 * SECOND);
+    net.forget(0, 7);
+    net.run_until(130 * SECOND);
+    assert!(agreed(&net, 11), "{:?}", net.views());
+    // By mistake: one that is only cut off.
+    net.split(|i| i == 4 || i == 5);
+    net.run_until(200 * SECOND);
+    net.forget(0, 4);
+    net.run_until(230 * SECOND);
+    assert_eq!((net.node(0).view().count, net.node(5).view().count), (10, 11));
     net.heal();
-    // The seeds are asked for ever, so that even who forgot the others finds them.
-    net.run_until(260 * SECOND);
-    assert!(agreed(&net, 8), "{:?}", net.views());
+    net.run_until(231 * SECOND);
+    assert_eq!(net.watch_until(330 * SECOND), 10);
+    assert!(agreed(&net, 11), "{:?}", net.views());
+    assert!(
+        net.node(5).counts().unbelieved > 0 || net.node(4).counts().denied > 0,
+        "it was said, and not so"
+    );
+}
+
+#[test]
+fn views_have_a_number_and_those_that_agree_one_digest() {
+    let mut net = settled(2);
+    let digests = |net: &Network| net.views().iter().map(|v| v.tag.digest).collect::<BTreeSet<_>>();
+    let numbers = |net: &Network| net.views().iter().map(|v| v.tag.number).collect::<Vec<_>>();
+    assert_eq!(digests(&net).len(), 1);
+    let (digest, before) = (digests(&net), numbers(&net));
+    net.kill(3);
+    net.run_until(100 * SECOND);
+    assert_eq!(digests(&net), digest, "given up, it counts on");
+    net.leave(5);
+    net.run_until(130 * SECOND);
+    assert_eq!(digests(&net).len(), 1);
+    assert_ne!(digests(&net), digest);
+    assert_eq!(numbers(&net).iter().max(), before.iter().max().map(|n| n + 1).as_ref());
 }
 
 #[test]
@@ -127,12 +203,16 @@
     net.run_until(400 * SECOND);
     let view = net.views()[0];
     assert_eq!((view.count, view.settled), (30, false));
-    // With one more it knows better, once it has listened.
-    net.start(1, 400 * SECOND);
-    net.run_until(420 * SECOND);
-    assert_eq!(net.views()[1].count, 30);
-    net.run_until(450 * SECOND);
-    assert!(agreed(&net, 2), "{:?}", net.views());
+    // With half of them it does not know better either: as many may be behind a cut.
+    (1..15).for_each(|i| net.start(i, 400 * SECOND));
+    net.run_until(470 * SECOND);
+    assert!(net.views().iter().all(|v| v.count == 30 && v.alive == 15), "{:?}", net.views()[0]);
+    // With one more it does, once it has listened.
+    net.start(15, 470 * SECOND);
+    net.run_until(490 * SECOND);
+    assert_eq!(net.views()[15].count, 30);
+    net.run_until(520 * SECOND);
+    assert!(agreed(&net, 16), "{:?}", net.views());
 }
 
 #[test]
@@ -187,7 +267,7 @@
     net.cut(one(5), Parties::All, 60 * SECOND);
     let lowest = net.watch_until(95 * SECOND);
     assert_eq!(lowest, 12);
-    assert!((0..12).filter(|i| *i != 5).all(|i| net.node(i).view(net.now).alive == 11));
+    assert!((0..12).filter(|i| *i != 5).all(|i| net.node(i).view().alive == 11));
     net.run_until(140 * SECOND);
     assert!(agreed(&net, 12) && net.views().iter().all(|v| v.alive == 12));
 }
--- a/crates/gossip/tests/seal.rs
+++ b/crates/gossip/tests/seal.rs
@@ -1,9 +1,11 @@
 //! Sealed datagrams: opened once, by holders of the key, from where they were sealed.
 
+use hmac::{Hmac, KeyInit, Mac};
 use proptest::prelude::*;
+use sha2::Sha256;
 use std::net::SocketAddr;
 use wheelfield_gossip::seal::{Dropped, Keys, Opener, Sealer, LONGEST};
-use wheelfield_gossip::{Limits, Message, Node, Packet, Record, Standing};
+use wheelfield_gossip::{Limits, Message, Node, Packet, Record, Standing, Tag};
 
 fn at(port: u16) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], port))
@@ -21,7 +23,7 @@
         standing: Standing::Suspect,
         since_ms: u32::MAX,
     };
-    Packet { message: Message::Help(u32::MAX, at(65_535)), riders: (0..n).map(record).collect() }
+    Packet { message: Message::Help(u32::MAX, at(65_535)), riders: (0..n).map(record).collect(), tag: None }
 }
 
 const ONE: &str = "1 0123456789abcdef0123456789abcdef\n";
@@ -161,15 +163,62 @@
         ("127.0.0.1:7001".parse().expect("one"), "127.0.0.1:7002".parse().expect("two"));
     let mut all = [(a, process(a, 1_000, b)), (b, process(b, 1_000_000, a))];
     talk(&mut all, &keys, 0, 60);
-    assert!(all.iter().all(|(_, p)| p.node.view(60_000_000).alive == 2));
+    assert!(all.iter().all(|(_, p)| p.node.view().alive == 2));
     // The second dies and comes back by a clock an hour behind.
     all[1].1 = process(b, 10, a);
     talk(&mut all, &keys, 60, 65);
     assert!(all[1].1.node.start() > 1_000_000, "it learned when the process before it had started");
-    let view = all[0].1.node.view(65_000_000);
+    let view = all[0].1.node.view();
     assert_eq!((view.alive, view.count), (2, 2));
     let before = all[0].1.node.counts().given_up;
     talk(&mut all, &keys, 65, 200);
     assert_eq!(all[0].1.node.counts().given_up, before, "and it stays");
-    assert!(all.iter().all(|(_, p)| p.node.view(200_000_000).alive == 2));
+    assert!(all.iter().all(|(_, p)| p.node.view().alive == 2));
+}
+
+/// What builds of the first form read: the packet, and nothing behind it.
+#[derive(serde::Deserialize)]
+struct First {
+    start: u64,
+    sequence: u64,
+    message: Message,
+    riders: Vec<Record>,
+}
+
+#[test]
+fn packets_of_both_forms_are_read_by_both() {
+    let tag = Tag { number: 3, digest: u64::MAX };
+    let plain = packet(3);
+    let tagged = Packet { tag: Some(tag), ..plain.clone() };
+    let mut opener = Opener::default();
+    for (sequence, sent) in [(1, &plain), (2, &tagged)] {
+        let mut sealer = Sealer::new(at(1), 9);
+        (1..sequence).for_each(|_| drop(sealer.seal(&plain, &keys(ONE))));
+        let datagram = sealer.seal(sent, &keys(ONE)).expect("it fits");
+        assert_eq!(opener.open(at(1), &datagram, &keys(ONE)).as_ref(), Ok(sent));
+        let first: First = postcard::from_bytes(&datagram[5..datagram.len() - 16]).expect("read");
+        assert_eq!((first.start, first.sequence), (9, sequence));
+        assert_eq!((first.message, first.riders), (plain.message, plain.riders.clone()));
+    }
+}
+
+#[test]
+fn a_view_that_is_cut_short_is_garbled_and_a_later_form_is_skipped() {
+    let mut sealer = Sealer::new(at(1), 9);
+    let tagged = Packet { tag: Some(Tag { number: 3, digest: 1 << 60 }), ..packet(1) };
+    let whole = sealer.seal(&tagged, &keys(ONE)).expect("it fits");
+    let (body, _) = whole.split_at(whole.len() - 16);
+    let resealed = |body: &[u8]| {
+        let mut mac = <Hmac<Sha256> as KeyInit>::new_from_slice(&ONE.trim().as_bytes()[2..]).expect("a key");
+        mac.update(body);
+        mac.update(at(1).to_string().as_bytes());
+        [body, &mac.finalize().into_bytes()[..16]].concat()
+    };
+    assert_eq!(
+        Opener::default().open(at(1), &resealed(&body[..body.len() - 1]), &keys(ONE)),
+        Err(Dropped::Garbled)
+    );
+    let mut longer = body.to_vec();
+    longer.extend([3, 1, 4, 1, 5]);
+    assert_eq!(Opener::default().open(at(1), &resealed(&longer), &keys(ONE)), Ok(tagged));
 }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -108,6 +108,9 @@
     /// Only checks the script.
     #[arg(long)]
     check: bool,
+    /// Every second controller runs the program of another build, which is in this folder.
+    #[arg(long, value_name = "DIR", conflicts_with = "virtual_time")]
+    beside: Option<PathBuf>,
     /// What controllers log: error, warn, info or debug.
     #[arg(long, value_name = "LEVEL", default_value = "info")]
     log: String,
@@ -369,6 +372,7 @@
         capture: args.capture,
         quiet: false,
         programs: None,
+        beside: args.beside.clone(),
     };
     let report = play::play(day, &options)?;
     tell(&report, args.json)?;
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -239,6 +239,7 @@
         log_level: "warn".into(),
         capture: Some(1),
         programs: None,
+        beside: None,
     };
     let mut stage = Stage::set(&day, &plan, setting, Clock::start())?;
     let doors = stage.doors();
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -41,6 +41,8 @@
     pub quiet: bool,
     /// Where the programs are; beside this one if it is not said.
     pub programs: Option<PathBuf>,
+    /// Where the controller of another build is, that every second one runs.
+    pub beside: Option<PathBuf>,
 }
 
 /// What became of a class.
@@ -153,6 +155,7 @@
         },
         capture: options.capture.then_some(0),
         programs: options.programs.clone(),
+        beside: options.beside.clone(),
     };
     let mut stage = Stage::set(day, &plan, setting, clock)?;
     let start = clock.now() + LEAD;
@@ -272,13 +275,14 @@
     let until = clock.now() + AGREES_WITHIN;
     let running = stage.running();
     while clock.now() < until {
-        let views: Vec<_> = running
-            .iter()
-            .map(|c| ["gossip_count", "gossip_alive", "gossip_index"].map(|name| stage.figure(*c, name)))
-            .collect();
-        let one = |v: &[Option<u64>; 3]| v[0] == views[0][0] && v[1] == Some(running.len() as u64);
-        let numbers: std::collections::BTreeSet<_> = views.iter().map(|v| v[2]).collect();
-        if views.iter().all(one) && numbers.len() == views.len() {
+        let told: Vec<_> = running.iter().filter_map(|c| stage.status(*c)).collect();
+        let views: Vec<_> = told.iter().map(|t| &t["gossip"]).collect();
+        let alive = |v: &serde_json::Value| v["alive"].as_u64() == Some(running.len() as u64);
+        let one = |v: &&serde_json::Value| {
+            v["count"] == views[0]["count"] && v["digest"] == views[0]["digest"] && alive(v)
+        };
+        let numbers: std::collections::BTreeSet<_> = views.iter().map(|v| v["index"].as_u64()).collect();
+        if views.len() == running.len() && views.iter().all(one) && numbers.len() == views.len() {
             return true;
         }
         std::thread::sleep(Duration::from_millis(100));
@@ -479,6 +483,7 @@
         log_level: "info".into(),
         capture: None,
         programs: None,
+        beside: None,
     };
     let mut stage = Stage::set_at(day, &plan, setting, Clock::start(), Some(listen))?;
     for change in stage.doors() {
--- a/crates/lab/src/stage.rs
+++ b/crates/lab/src/stage.rs
@@ -14,7 +14,7 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 use wheelfield::interface::Status;
-use wheelfield_net::Clock;
+use wheelfield_net::{http, Clock};
 use wheelfield_roads::Timetable;
 use wheelfield_rules::Life;
 
@@ -22,6 +22,8 @@
 const STARTS_WITHIN: Duration = Duration::from_secs(20);
 /// The processes that exist are asked to end, and killed after this.
 const ENDS_WITHIN: Duration = Duration::from_secs(40);
+/// Bytes of a controller's status at most.
+const LONGEST_STATUS: usize = 8 << 20;
 
 /// A program that stands beside this one.
 ///
@@ -141,6 +143,7 @@
     log_level: String,
     capture: usize,
     programs: Option<PathBuf>,
+    beside: Option<PathBuf>,
     listen: Option<SocketAddr>,
     engines: Process,
     control: SocketAddr,
@@ -176,6 +179,8 @@
     pub capture: Option<usize>,
     /// Where the programs are; beside this one if it is not said.
     pub programs: Option<PathBuf>,
+    /// Where the controller of another build is, that every second one runs; none does if it is not said.
+    pub beside: Option<PathBuf>,
 }
 
 impl Stage {
@@ -199,7 +204,7 @@
         listen: Option<SocketAddr>,
     ) -> Result<Stage> {
         let settings = day.settings()?;
-        let Setting { dir, seed, plant, log_level, capture, programs } = setting;
+        let Setting { dir, seed, plant, log_level, capture, programs, beside } = setting;
         let config = dir.join("engines.toml");
         std::fs::write(&config, day.stand_ins(&settings, &plan.engines))?;
         let args = [
@@ -264,6 +269,7 @@
             log_level,
             capture: capture.unwrap_or(usize::MAX),
             programs,
+            beside,
             listen,
             engines,
             control,
@@ -339,8 +345,8 @@
             args.extend(["--plant".to_string(), plant.clone()]);
         }
         let log = self.dir.join(format!("controller-{i}.jsonl"));
-        let process =
-            Process::start(&program("wheelfield-controller", self.programs.as_deref())?, &args, Some(&log))?;
+        let programs = self.beside.as_deref().filter(|_| i % 2 == 1).or(self.programs.as_deref());
+        let process = Process::start(&program("wheelfield-controller", programs)?, &args, Some(&log))?;
         if let Some(relay) = &self.relay {
             relay.listens(i, process.address("gossip")?)?;
         }
@@ -398,25 +404,16 @@
         self.controllers.get(controller)?.as_ref()?.usage()
     }
 
+    /// What a controller says of itself to operators.
+    pub fn status(&self, controller: usize) -> Option<serde_json::Value> {
+        let admin = self.controllers.get(controller)?.as_ref()?.address("admin").ok()?;
+        let page = http::get(admin, "/status", Duration::from_secs(5), LONGEST_STATUS).ok()?;
+        serde_json::from_slice(&page.body).ok()
+    }
+
     /// A figure of a controller, as it tells operators.
     pub fn figure(&self, controller: usize, name: &str) -> Option<u64> {
-        let admin = self.controllers.get(controller)?.as_ref()?.address("admin").ok()?;
-        let mut stream = TcpStream::connect_timeout(&admin, Duration::from_secs(5)).ok()?;
-        stream.set_read_timeout(Some(Duration::from_millis(500))).ok()?;
-        write!(stream, "GET /metrics HTTP/1.1\r\ncontent-length: 0\r\n\r\n").ok()?;
-        let (mut text, mut part) = (String::new(), [0; 4096]);
-        let line = format!("wheelfield_{name} ");
-        while let Ok(n) = stream.read(&mut part) {
-            text.push_str(&String::from_utf8_lossy(&part[..n]));
-            let found = text.lines().find_map(|l| l.strip_prefix(&line));
-            if let Some(value) = found.filter(|_| text.contains("wheelfield_probes_lost")) {
-                return value.trim().parse().ok();
-            }
-            if n == 0 {
-                break;
-            }
-        }
-        None
+        self.status(controller)?["figures"][name].as_u64()
     }
 
     /// Does something to the stage, and tells what clients must know.
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -46,11 +46,13 @@
 }
 
 #[test]
-fn a_planted_count_that_sinks_and_a_death_taken_for_a_goodbye_are_found() {
+fn a_planted_count_that_sinks_a_death_taken_for_a_goodbye_and_a_number_held_by_two_are_found() {
     for plant in ["sink", "goodbye"] {
         let (report, fleet) = played(Some(plant));
         assert!(!fleet.verdict.undercounts.is_empty() && !report.kept(), "{plant}: {fleet:?}");
     }
+    let (report, fleet) = played(Some("number"));
+    assert!(!fleet.agreed && !report.kept(), "{fleet:?}");
 }
 
 #[test]
--- a/crates/watch/src/lib.rs
+++ b/crates/watch/src/lib.rs
@@ -7,6 +7,7 @@
 #![warn(missing_docs)]
 
 pub mod disk;
+pub mod peers;
 
 use disk::Place;
 use notify::{EventKind, RecommendedWatcher, RecursiveMode, Watcher};
--- a/crates/watch/src/main.rs
+++ b/crates/watch/src/main.rs
@@ -1,4 +1,6 @@
-//! `wheelfield-members`: engine files checked, compared, written, applied, and who runs which.
+//! `wheelfield-members`: engine files checked, compared, written, applied, who runs which, and who hears whom.
+
+mod membership;
 
 use anyhow::{bail, Context, Result};
 use clap::{Parser, Subcommand};
@@ -18,7 +20,7 @@
 /// Bytes of a controller's status at most.
 const LONGEST_STATUS: usize = 8 << 20;
 
-/// Engine files: checked, compared, written, applied; and which controller runs which version.
+/// Engine files: checked, compared, written, applied; and which controller runs which version, and hears whom.
 ///
 /// Exit codes: 0 sound, equal or done, 1 a fault, a difference or a controller behind, 2 bad use.
 #[derive(Parser)]
@@ -82,6 +84,32 @@
         #[arg(long, value_name = "N")]
         version: Option<u64>,
     },
+    /// Who hears whom among the controllers: cuts one way and views that differ are marked.
+    Peers {
+        /// Admin addresses, such as 127.0.0.1:9801; of all, for the whole picture.
+        #[arg(required = true)]
+        controllers: Vec<SocketAddr>,
+        /// Views that differ are looked at again for so long, before that is a fault.
+        #[arg(long, value_name = "TIME", default_value = "10s", value_parser = span)]
+        within: Time,
+        /// As JSON.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Lets the controllers forget one that is gone for good, and counts until somebody says so.
+    Forget {
+        /// Where the others reached it, such as 127.0.0.1:7946.
+        member: SocketAddr,
+        /// Admin addresses of controllers, which tell the others.
+        #[arg(required = true)]
+        controllers: Vec<SocketAddr>,
+        /// The controllers' file of keys.
+        #[arg(long, value_name = "FILE")]
+        keys: PathBuf,
+        /// All that are asked must have heard within this.
+        #[arg(long, value_name = "TIME", default_value = "10s", value_parser = span)]
+        within: Time,
+    },
 }
 
 #[derive(clap::Args)]
@@ -147,9 +175,17 @@
         }
         Command::Rollout(args) => roll_out(&args),
         Command::Status { controllers, version } => status(&controllers, version),
+        Command::Peers { controllers, within, json } => membership::peers(&controllers, micros(within), json),
+        Command::Forget { member, controllers, keys, within } => {
+            membership::forget(member, &controllers, &keys, micros(within))
+        }
     }
 }
 
+fn micros(time: Time) -> Duration {
+    Duration::from_micros(time.0 .0.max(0) as u64)
+}
+
 fn text(path: &Path) -> Result<String> {
     std::fs::read_to_string(path).with_context(|| format!("cannot read {}", path.display()))
 }
@@ -244,10 +280,12 @@
 }
 
 /// What a controller says of itself.
-fn ask(address: SocketAddr) -> Result<Seen> {
+fn ask(address: SocketAddr) -> Result<serde_json::Value> {
     let response = http::get(address, "/status", Duration::from_secs(2), LONGEST_STATUS)?;
-    let status: serde_json::Value =
-        serde_json::from_slice(&response.body).context("its status can't be read")?;
+    serde_json::from_slice(&response.body).context("its status can't be read")
+}
+
+fn seen(status: &serde_json::Value) -> Result<Seen> {
     let figure = |name: &str| status["figures"][name].as_u64();
     Ok(Seen {
         version: figure("list_version").context("no version in its status")?,
@@ -259,10 +297,10 @@
 }
 
 /// Asks all, some at a time.
-fn ask_all(controllers: &[SocketAddr]) -> Vec<Result<Seen>> {
-    let some = |part: &[SocketAddr]| -> Vec<Result<Seen>> {
+fn ask_all<T: Send>(controllers: &[SocketAddr], of: fn(&serde_json::Value) -> Result<T>) -> Vec<Result<T>> {
+    let some = |part: &[SocketAddr]| -> Vec<Result<T>> {
         std::thread::scope(|scope| {
-            let asked: Vec<_> = part.iter().map(|c| scope.spawn(|| ask(*c))).collect();
+            let asked: Vec<_> = part.iter().map(|c| scope.spawn(|| of(&ask(*c)?))).collect();
             asked.into_iter().map(|t| t.join().unwrap_or_else(|_| bail!("asking it failed"))).collect()
         })
     };
@@ -270,7 +308,7 @@
 }
 
 fn round(controllers: &[SocketAddr]) -> Round {
-    let seen = ask_all(controllers).into_iter().map(Result::ok);
+    let seen = ask_all(controllers, seen).into_iter().map(Result::ok);
     controllers.iter().map(ToString::to_string).zip(seen).collect()
 }
 
@@ -287,9 +325,9 @@
 
 /// Waits until all run a version, then for the pause; the fault that stops the rollout, if there is one.
 fn step(args: &RolloutArgs, version: u64, before: rollout::Answers) -> Option<String> {
-    let pause = Duration::from_micros(args.pause.0 .0.max(0) as u64);
+    let pause = micros(args.pause);
     let look = (pause / 10).clamp(Duration::from_millis(5), Duration::from_secs(1));
-    let until = Instant::now() + Duration::from_micros(args.within.0 .0.max(0) as u64);
+    let until = Instant::now() + micros(args.within);
     loop {
         let p = rollout::progress(&round(&args.controllers), version);
         if p.behind.is_empty() && p.silent.is_empty() {
@@ -364,7 +402,7 @@
     }
     // How they do before anything changes.
     let first = round(&args.controllers);
-    std::thread::sleep(Duration::from_micros(args.pause.0 .0.max(0) as u64));
+    std::thread::sleep(micros(args.pause));
     let before = rollout::answers(&first, &round(&args.controllers));
     println!("before: {} answers, {} of them refusals or failures", before.all, before.bad);
     let mut in_force = args.expect;
@@ -393,7 +431,7 @@
 }
 
 fn status(controllers: &[SocketAddr], version: Option<u64>) -> Result<bool> {
-    let answers = ask_all(controllers);
+    let answers = ask_all(controllers, seen);
     let newest = answers.iter().filter_map(|a| a.as_ref().ok()).map(|s| s.version).max().unwrap_or(0);
     let wanted = version.unwrap_or(newest);
     let mut behind = 0;
