--- a/crates/lab/tests/days.rs
+++ b/crates/lab/tests/days.rs
@@ -17,6 +17,7 @@
         log_level: "warn".into(),
         quiet: true,
         programs: None,
+        beside: None,
         capture: false,
     };
     play(&day, &options).unwrap_or_else(|fault| panic!("{fault:#}"))
@@ -43,6 +44,7 @@
         log_level: "warn".into(),
         quiet: true,
         programs: None,
+        beside: None,
         capture: true,
         plant: None,
     };
