gossip: words between controllers ride on the membership, within ceilings of bytes

Need: [peers] went to a static list of addresses and numbers, unsealed, with no bound on bytes a second. Change: where there is [gossip], words go sealed over its socket to all that answer and read them; gossip::words (no I/O) holds the ceilings to each and to all, whom they left out comes first the next time, and takes words by start and number of members only. Files with listen and addresses are taken as before, for builds before this.

--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -2,7 +2,7 @@
 
 use crate::fault::Fault;
 use crate::file::{self, Dedup, File, Reports, WhenShort};
-use crate::units::Time;
+use crate::units::{Size, Time};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use toml::Spanned;
@@ -119,7 +119,16 @@
     pub every: Micros,
 }
 
-/// The other controllers.
+/// Words to other controllers that are found by gossip, in bytes a second at most.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Words {
+    /// To each,
+    pub each: u64,
+    /// and to all together.
+    pub all: u64,
+}
+
+/// The other controllers, where they are not found by gossip.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Peers {
     /// Where this one listens.
@@ -148,6 +157,8 @@
     pub hold: Micros,
     /// At the start, at least `count` are gone by for so long.
     pub settle: Micros,
+    /// Words for the others ride on it, within these bounds; none do if controllers send no messages.
+    pub words: Option<Words>,
 }
 
 /// Files of engines that are watched.
@@ -444,7 +455,21 @@
         })
     }
 
-    fn gossip(&self, g: &file::Gossip) -> Checked<Gossip> {
+    fn words(&self, p: Option<&file::Peers>) -> Checked<Words> {
+        let size = |at: Option<&Spanned<Size>>, usual: u64| match at {
+            // Less than a datagram a second would let none go.
+            Some(at) if at.get_ref().0 < 2_000 => {
+                Err(self.wrong(at, "less than a datagram a second", "write 2KB or more"))
+            }
+            at => Ok(at.map_or(usual, |at| at.get_ref().0)),
+        };
+        Ok(Words {
+            each: size(p.and_then(|p| p.most_each.as_ref()), 16 << 10)?,
+            all: size(p.and_then(|p| p.most.as_ref()), 1 << 20)?,
+        })
+    }
+
+    fn gossip(&self, g: &file::Gossip, words: Option<Words>) -> Checked<Gossip> {
         let time = |at: &Option<Spanned<Time>>, usual: i64, what: &str| match at {
             None => Ok(Micros(usual)),
             Some(at) => self.some(at, what),
@@ -462,6 +487,7 @@
             quorum: g.forget == file::Forget::Quorum,
             hold: time(&g.hold, 600_000_000, "hold")?,
             settle: time(&g.settle, 30_000_000, "settle")?,
+            words,
         };
         if let Some(at) = g.period.as_ref().filter(|_| gossip.period < Micros(10_000)) {
             return Err(self.wrong(at, "a period under 10ms", "write one of 100ms to 10s"));
@@ -756,17 +782,28 @@
             "add [members], [registry] or [[engines]]",
         ));
     }
-    let peers = file.peers.as_ref().map(|at| {
+    let words =
+        file.gossip.is_some().then(|| c.words(file.peers.as_ref().map(|at| at.get_ref()))).transpose()?;
+    // Where there is gossip, nobody listens for words but it; builds before this one read the addresses.
+    let listed = file.peers.as_ref().filter(|_| file.gossip.is_none());
+    let peers = listed.map(|at| {
         let p = at.get_ref();
+        let Some(listen) = &p.listen else {
+            return Err(c.wrong(
+                at,
+                "no address to listen at",
+                "add `listen`, or find the others by [gossip]",
+            ));
+        };
         let addresses = p.addresses.iter().map(|a| c.address(a)).collect::<Checked<Vec<_>>>()?;
         if addresses.len() >= 4096 {
             return Err(c.wrong(at, format!("{} peers", addresses.len()), "name at most 4095"));
         }
-        Ok(Peers { listen: c.address(&p.listen)?, addresses })
+        Ok(Peers { listen: c.address(listen)?, addresses })
     });
     let peers = peers.transpose()?;
-    if settings.peers && peers.is_none() {
-        let mend = "add [peers], or write messages = false under [means]";
+    if settings.peers && peers.is_none() && file.gossip.is_none() {
+        let mend = "add [gossip] or [peers], or write messages = false under [means]";
         return Err(c.wrong(&file.fleet, "controllers may send messages, but none is named", mend));
     }
     let address = |at: &Option<Spanned<String>>| at.as_ref().map(|at| c.address(at)).transpose();
@@ -790,7 +827,7 @@
         engines,
         registry,
         members,
-        gossip: file.gossip.as_ref().map(|at| c.gossip(at.get_ref())).transpose()?,
+        gossip: file.gossip.as_ref().map(|at| c.gossip(at.get_ref(), words)).transpose()?,
         peers,
         capture: file.capture.as_ref().map(|at| c.capture(at.get_ref())).transpose()?.flatten(),
         limits: c.limits(&file.limits)?,
--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -249,9 +249,11 @@
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct Peers {
-    pub listen: At<String>,
+    pub listen: Option<At<String>>,
     #[serde(default)]
     pub addresses: Vec<At<String>>,
+    pub most_each: Option<At<Size>>,
+    pub most: Option<At<Size>>,
 }
 
 #[derive(Default, Deserialize)]
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -12,6 +12,6 @@
 
 pub use check::{
     engine_id, parse, Capture, Config, EngineAt, Gossip, Limits, Members, Names, Peers, Refresh, Registry,
-    Ring, Route, Selector, Timing,
+    Ring, Route, Selector, Timing, Words,
 };
 pub use fault::{locate, Fault};
--- a/crates/controller/tests/gossip.rs
+++ b/crates/controller/tests/gossip.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeSet;
 use std::net::UdpSocket;
 use std::path::Path;
+use wheelfield_gossip::seal::{Keys, Sealer};
 
 const KEY: &str = "7 0123456789abcdef0123456789abcdef\n";
 
@@ -68,3 +69,45 @@
     assert_eq!((controller.figure("gossip_count"), controller.figure("gossip_settled")), (12, 0));
     controller.library().simple_query("select 1").expect("served all the while");
 }
+
+/// Words ride on the membership: nobody names an address, and who is no member is not heard.
+#[test]
+fn controllers_that_find_each_other_tell_each_other_of_engines() {
+    use wheelfield::interface::{EngineId, Report, Word};
+    let dir = tempfile::tempdir().expect("a directory");
+    let keys = dir.path().join("keys");
+    std::fs::write(&keys, KEY).expect("written");
+    let engines = Engines::start(2);
+    let body = BODY.replace("bills = true", "bills = true\nreports = \"probe\"");
+    let body = body.replace("cancel = true", "cancel = true\nmessages = true\nprobes = true");
+    let one = |seed: &str| {
+        let (list, gossip) =
+            (engines.list(), "listen = \"127.0.0.1:0\"\nperiod = \"50ms\"\nsettle = \"200ms\"");
+        let text = format!(
+            "{HEAD}{body}[controller]\ncount = 1\nindex = 0\n[peers]\nmost = \"20KB\"\n\
+             [gossip]\n{gossip}\nseeds = [{seed}]\nkeys = {keys:?}\n{list}"
+        );
+        Controller::start(&text)
+    };
+    let first = one("");
+    let seed = first.gossip.clone().expect("told");
+    assert_eq!(first.peers, None, "no socket of their own");
+    let others = [one(&format!("{seed:?}")), one(&format!("{seed:?}"))];
+    let client = std::cell::RefCell::new(first.library());
+    for c in others.iter().chain([&first]) {
+        // Engines that have work tell of it.
+        common::await_that("words", || {
+            let served = client.borrow_mut().simple_query("select 1").is_ok();
+            served && c.figure("words_heard") >= 3
+        });
+        assert_eq!((c.figure("words_unsent"), c.figure("gossip_dropped")), (0, 0));
+    }
+    // A holder of the key that is no member.
+    let stranger = UdpSocket::bind("127.0.0.1:0").expect("a socket");
+    let mut sealer = Sealer::new(stranger.local_addr().expect("bound"), 1);
+    let words = [Word { engine: EngineId(1), report: Report::default() }];
+    let part = wheelfield_gate::peers::written(&words, 100).remove(0).1;
+    let held = Keys::read(KEY).expect("keys");
+    stranger.send_to(&sealer.seal_words(&part, &held).expect("short"), &seed).expect("sent");
+    first.await_figure("words_untaken", |n| n >= 1);
+}
--- a/crates/gate/src/flow.rs
+++ b/crates/gate/src/flow.rs
@@ -282,6 +282,9 @@
                 if let Some(peering) = &mut self.peering {
                     peering.tell(&words, &mut self.out);
                 }
+                if let Some(gossip) = &mut self.gossip {
+                    gossip.tell(&words, &mut self.out);
+                }
             }
             Instruction::Subscribe => self.call.ask(self.sets.registry_version(), &mut self.out),
             Instruction::Log(text) => warn!(reason = %text, "set aside"),
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -161,8 +161,11 @@
                 }
             }
             Happened::Gossip(from, datagram) => {
-                if let Some(gossip) = &mut self.flow.gossip {
-                    gossip.hear(from, datagram, &mut self.flow.out);
+                let words =
+                    self.flow.gossip.as_mut().and_then(|g| g.hear(from, datagram, &mut self.flow.out));
+                if let Some(words) = words {
+                    self.flow.out.saw(Seen::WordsHeard);
+                    self.flow.tape.tell(now, Input::Told(words));
                 }
             }
             Happened::Files(news) => {
--- a/crates/gate/src/gossip.rs
+++ b/crates/gate/src/gossip.rs
@@ -2,14 +2,17 @@
 
 use crate::figures::Figure;
 use crate::out::{Effect, Out, Port};
+use crate::peers::{read, written};
 use crate::plant::Plant;
 use crate::wake::Wake;
 use serde_json::{json, Value};
 use std::net::SocketAddr;
 use tracing::{debug, info, warn};
+use wheelfield::interface::Word;
 use wheelfield_config::Config;
-use wheelfield_gossip::seal::{Dropped, Keys, Opener, Sealer};
-use wheelfield_gossip::{Change, Forget, Limits, News, Node, Packet, Standing, Tag, View};
+use wheelfield_gossip::seal::{is_words, Dropped, Keys, Opener, Sealer, LONGEST_WORDS};
+use wheelfield_gossip::words::{Ceilings, Words};
+use wheelfield_gossip::{Acquaintance, Change, Forget, Limits, News, Node, Packet, Standing, Tag, View};
 use wheelfield_parts::TimerKey;
 
 /// The gossip of a controller.
@@ -28,6 +31,10 @@
     dropped: u64,
     /// Packets that were too long for a datagram.
     unsent: u64,
+    words: Option<Words>,
+    /// Datagrams of words that were taken, and that were not.
+    heard: u64,
+    untaken: u64,
     plant: Option<Plant>,
 }
 
@@ -65,6 +72,9 @@
             period: g.period.0,
             dropped: 0,
             unsent: 0,
+            words: g.words.map(|w| Words::new(Ceilings { each: w.each, all: w.all }, now)),
+            heard: 0,
+            untaken: 0,
             plant,
         })
     }
@@ -105,13 +115,67 @@
             self.node.tick(out.now, &mut packets);
         }
         self.log_news();
+        if let Some(words) = &mut self.words {
+            let node = &self.node;
+            words.keep(|m| node.knows(m));
+        }
         self.send(packets, out);
         let after = (self.node.next() - out.now).max(1_000);
         out.instead(&mut self.timer, after, Wake::Gossip);
     }
 
-    /// A datagram came.
-    pub fn hear(&mut self, from: SocketAddr, datagram: &[u8], out: &mut Out) {
+    /// Tells words to all that answer, as far as the ceilings allow.
+    pub fn tell(&mut self, told: &[Word], out: &mut Out) {
+        let Some(words) = &mut self.words else { return };
+        // Who never told of its view is of a build that reads no words.
+        let reads = |a: &Acquaintance| a.record.standing == Standing::Alive && a.tag.is_some();
+        let members: Vec<SocketAddr> =
+            self.node.acquaintances(out.now).filter(reads).map(|a| a.record.member).collect();
+        for (_, part) in written(told, LONGEST_WORDS) {
+            let whom = words.whom(out.now, part.len(), &members);
+            if whom.is_empty() {
+                continue;
+            }
+            // One number for all: each hears it once.
+            let Some(datagram) = self.sealer.seal_words(&part, &self.keys) else { continue };
+            whom.into_iter().for_each(|to| out.push(Effect::Send(Port::Gossip, to, datagram.clone())));
+        }
+    }
+
+    /// Words came: what they tell, if they are taken.
+    fn listen(&mut self, from: SocketAddr, datagram: &[u8], out: &mut Out) -> Option<Vec<Word>> {
+        match self.opener.open_words(from, datagram, &self.keys) {
+            Ok((start, sequence, part)) => {
+                let known = self.node.records().any(|r| r.member == from && r.standing <= Standing::Suspect);
+                let words = self.words.as_mut().filter(|_| known);
+                let taken =
+                    words.is_some_and(|w| w.take(out.now, from, (start, sequence), part.len()).is_ok());
+                let told = taken.then(|| read(part)).flatten();
+                *(if told.is_some() { &mut self.heard } else { &mut self.untaken }) += 1;
+                told
+            }
+            Err(why) => {
+                self.dropped(from, why, out);
+                None
+            }
+        }
+    }
+
+    fn dropped(&mut self, from: SocketAddr, why: Dropped, out: &mut Out) {
+        self.dropped += 1;
+        debug!(%from, %why, "gossip dropped");
+        // Its seal was good: one answer for one datagram is no flood.
+        if let Dropped::Before(start) = why {
+            let packet = self.node.tell_start(from, start);
+            self.send(vec![(from, packet)], out);
+        }
+    }
+
+    /// A datagram came; words of others, if it was that.
+    pub fn hear(&mut self, from: SocketAddr, datagram: &[u8], out: &mut Out) -> Option<Vec<Word>> {
+        if is_words(datagram) {
+            return self.listen(from, datagram, out);
+        }
         match self.opener.open(from, datagram, &self.keys) {
             Ok(mut packet) => {
                 if self.plant == Some(Plant::Goodbye) {
@@ -124,16 +188,9 @@
                 self.sealer.start_at(self.node.start());
                 self.send(packets, out);
             }
-            Err(why) => {
-                self.dropped += 1;
-                debug!(%from, %why, "gossip dropped");
-                // Its seal was good: one answer for one datagram is no flood.
-                if let Dropped::Before(start) = why {
-                    let packet = self.node.tell_start(from, start);
-                    self.send(vec![(from, packet)], out);
-                }
-            }
+            Err(why) => self.dropped(from, why, out),
         }
+        None
     }
 
     /// The file of the keys was read.
@@ -205,7 +262,7 @@
     }
 
     /// Figures, with what they mean.
-    pub fn figures(&self, now: i64) -> [Figure; 18] {
+    pub fn figures(&self, now: i64) -> [Figure; 21] {
         let (view, counts) = (self.view(), self.node.counts());
         [
             ("gossip_count", "Controllers acted on.", view.count as u64),
@@ -231,12 +288,19 @@
             ("gossip_deaf", "Times that nobody was heard for three periods.", counts.deaf),
             ("gossip_vouched", "Suspects that were heard, and denied for.", counts.vouched),
             ("gossip_unbelieved", "Words of a death or goodbye that own ears disprove.", counts.unbelieved),
+            ("words_heard", "Datagrams of words of others that were taken.", self.heard),
             ("gossip_crowded", "Members not taken, as there were too many.", counts.crowded),
             (
                 "gossip_dropped",
                 "Datagrams that did not open: another key, a stranger, old ones.",
                 self.dropped,
             ),
+            (
+                "words_unsent",
+                "Datagrams of words that a ceiling held back.",
+                self.words.as_ref().map_or(0, |w| w.unsent),
+            ),
+            ("words_untaken", "Datagrams of words that were old, too many, or no member's.", self.untaken),
             ("gossip_unsent", "Packets that were too long for a datagram.", self.unsent),
         ]
     }
--- a/crates/gate/src/peers.rs
+++ b/crates/gate/src/peers.rs
@@ -30,6 +30,51 @@
     [report.utilisation, report.in_flight, report.queue, report.memory, report.disks]
 }
 
+/// Words as bytes, in parts of so many bytes at most: how many there are in each, and they.
+pub fn written(words: &[Word], most: usize) -> Vec<(u16, Vec<u8>)> {
+    let mut parts: Vec<(u16, Vec<u8>)> = Vec::new();
+    for word in words {
+        let told = figures(&word.report);
+        let mask = told.iter().enumerate().fold(0u8, |m, (i, x)| m | (u8::from(x.is_some()) << i));
+        let mut one = word.engine.0.to_be_bytes().to_vec();
+        one.push(mask);
+        told.iter().flatten().for_each(|x| one.extend((*x as f32).to_be_bytes()));
+        match parts.last_mut() {
+            Some((count, part)) if part.len() + one.len() <= most => {
+                *count += 1;
+                part.extend(one);
+            }
+            _ => parts.push((1, one)),
+        }
+    }
+    parts
+}
+
+/// Words of bytes; none if a part of them can't be read.
+pub(crate) fn read(mut rest: &[u8]) -> Option<Vec<Word>> {
+    let rest = &mut rest;
+    let mut words = Vec::new();
+    while !rest.is_empty() {
+        let engine = EngineId(u64::from_be_bytes(take(rest)?));
+        let [mask] = take::<1>(rest)?;
+        let mut told = [None; 5];
+        // A figure that nobody knows of, one that is none, or one below zero makes all of it doubtful.
+        if mask >= 1 << told.len() {
+            return None;
+        }
+        for (_, slot) in told.iter_mut().enumerate().filter(|(i, _)| mask & (1 << i) != 0) {
+            let x = f64::from(f32::from_be_bytes(take(rest)?));
+            if !x.is_finite() || x < 0.0 {
+                return None;
+            }
+            *slot = Some(x);
+        }
+        let [utilisation, in_flight, queue, memory, disks] = told;
+        words.push(Word { engine, report: Report { utilisation, in_flight, queue, memory, disks } });
+    }
+    Some(words)
+}
+
 /// What one controller sends.
 #[derive(Debug)]
 pub struct Speaker {
@@ -46,23 +91,8 @@
 
     /// The datagrams that carry some words: as many as they need.
     pub fn datagrams(&mut self, words: &[Word]) -> Vec<Vec<u8>> {
-        let mut all = Vec::new();
-        let mut rest = words;
-        while !rest.is_empty() {
-            let mut body = Vec::new();
-            let mut count = 0u16;
-            while let Some((word, others)) = rest.split_first() {
-                let told = figures(&word.report);
-                let size = 9 + 4 * told.iter().flatten().count();
-                if HEAD + body.len() + size + TAIL > LONGEST {
-                    break;
-                }
-                let mask = told.iter().enumerate().fold(0u8, |m, (i, x)| m | (u8::from(x.is_some()) << i));
-                body.extend(word.engine.0.to_be_bytes());
-                body.push(mask);
-                told.iter().flatten().for_each(|x| body.extend((*x as f32).to_be_bytes()));
-                (rest, count) = (others, count + 1);
-            }
+        let parts = written(words, LONGEST - HEAD - TAIL);
+        let datagram = |(count, body): (u16, Vec<u8>)| {
             self.sequence = self.sequence.wrapping_add(1);
             let mut datagram = MAGIC.to_vec();
             datagram.extend(self.index.to_be_bytes());
@@ -71,9 +101,9 @@
             datagram.extend(count.to_be_bytes());
             datagram.extend(body);
             datagram.extend(crc32fast::hash(&datagram).to_be_bytes());
-            all.push(datagram);
-        }
-        all
+            datagram
+        };
+        parts.into_iter().map(datagram).collect()
     }
 }
 
@@ -133,23 +163,8 @@
         let start = u64::from_be_bytes(take(rest)?);
         let sequence = u32::from_be_bytes(take(rest)?);
         let count = u16::from_be_bytes(take(rest)?);
-        let mut words = Vec::new();
-        for _ in 0..count {
-            let engine = EngineId(u64::from_be_bytes(take(rest)?));
-            let [mask] = take::<1>(rest)?;
-            let mut told = [None; 5];
-            for (i, slot) in told.iter_mut().enumerate().filter(|(i, _)| mask & (1 << i) != 0) {
-                let x = f64::from(f32::from_be_bytes(take(rest)?));
-                // A figure that is none, or below zero, makes all of it doubtful.
-                if !x.is_finite() || x < 0.0 || i > 4 {
-                    return None;
-                }
-                *slot = Some(x);
-            }
-            let [utilisation, in_flight, queue, memory, disks] = told;
-            words.push(Word { engine, report: Report { utilisation, in_flight, queue, memory, disks } });
-        }
-        rest.is_empty().then_some((index, start, sequence, words))
+        let words = read(rest)?;
+        (words.len() == usize::from(count)).then_some((index, start, sequence, words))
     }
 }
 
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -16,6 +16,7 @@
 
 mod node;
 pub mod seal;
+pub mod words;
 
 pub use node::{
     let_go, Acquaintance, Change, Counts, Forget, Limits, Message, News, Node, Packet, Record, Standing, Tag,
--- a/crates/gossip/src/node.rs
+++ b/crates/gossip/src/node.rs
@@ -373,6 +373,11 @@
         self.members.values().map(|m| &m.record)
     }
 
+    /// Whether one is known, and has not left.
+    pub fn knows(&self, member: &SocketAddr) -> bool {
+        self.members.get(member).is_some_and(|m| m.counts)
+    }
+
     /// How all that are known stand, this one not.
     pub fn acquaintances(&self, now: i64) -> impl Iterator<Item = Acquaintance> + '_ {
         self.members.values().map(move |m| Acquaintance {
--- a/crates/gossip/src/seal.rs
+++ b/crates/gossip/src/seal.rs
@@ -19,6 +19,10 @@
 /// Bytes of the seal.
 const SEAL: usize = 16;
 const MAGIC: &[u8; 4] = b"WFG1";
+/// Begins a datagram of words: the sender's start and sequence number, then bytes that others read.
+const WORDS: &[u8; 4] = b"WFW1";
+/// Bytes of words in a datagram at most: magic, key, start, sequence and seal stand about them.
+pub const LONGEST_WORDS: usize = LONGEST - 4 - 1 - 10 - 10 - SEAL;
 /// Begins what the second form adds.
 const SECOND: u8 = 2;
 /// Senders remembered; beyond them the one heard longest ago is forgotten.
@@ -158,13 +162,28 @@
         let (number, key) = keys.0.first()?;
         self.sequence += 1;
         let body = Body { start: self.start, sequence: self.sequence, packet: packet.clone() };
-        let mut bytes = MAGIC.to_vec();
-        bytes.push(*number);
-        bytes = postcard::to_extend(&body, bytes).ok()?;
+        let mut bytes = postcard::to_extend(&body, self.head(MAGIC, *number)).ok()?;
         if let Some(tag) = packet.tag {
             bytes.push(SECOND);
             bytes = postcard::to_extend(&tag, bytes).ok()?;
         }
+        self.close(bytes, key)
+    }
+
+    /// A datagram of words; none if they are too long for one.
+    pub fn seal_words(&mut self, words: &[u8], keys: &Keys) -> Option<Vec<u8>> {
+        let (number, key) = keys.0.first()?;
+        self.sequence += 1;
+        let mut bytes = postcard::to_extend(&(self.start, self.sequence), self.head(WORDS, *number)).ok()?;
+        bytes.extend_from_slice(words);
+        self.close(bytes, key)
+    }
+
+    fn head(&self, magic: &[u8; 4], key: u8) -> Vec<u8> {
+        [&magic[..], &[key]].concat()
+    }
+
+    fn close(&self, mut bytes: Vec<u8>, key: &[u8]) -> Option<Vec<u8>> {
         if bytes.len() + SEAL > LONGEST {
             return None;
         }
@@ -196,15 +215,9 @@
     /// # Errors
     /// Why it is [`Dropped`].
     pub fn open(&mut self, from: SocketAddr, datagram: &[u8], keys: &Keys) -> Result<Packet, Dropped> {
-        if datagram.len() > LONGEST || datagram.len() < MAGIC.len() + 1 + SEAL || &datagram[..4] != MAGIC {
-            return Err(Dropped::Garbled);
-        }
-        let (bytes, seal) = datagram.split_at(datagram.len() - SEAL);
-        let key = keys.0.iter().find(|(n, _)| *n == bytes[4]).map(|(_, k)| k).ok_or(Dropped::NoKey)?;
-        let mac = Keys::mac(key, &[bytes, &origin(from)]).ok_or(Dropped::Forged)?;
-        mac.verify_truncated_left(seal).map_err(|_| Dropped::Forged)?;
+        let bytes = unsealed(MAGIC, from, datagram, keys)?;
         let (mut body, rest): (Body, &[u8]) =
-            postcard::take_from_bytes(&bytes[5..]).map_err(|_| Dropped::Garbled)?;
+            postcard::take_from_bytes(bytes).map_err(|_| Dropped::Garbled)?;
         if let Some((&SECOND, rest)) = rest.split_first() {
             let (tag, _): (Tag, &[u8]) = postcard::take_from_bytes(rest).map_err(|_| Dropped::Garbled)?;
             body.packet.tag = Some(tag);
@@ -213,6 +226,23 @@
         Ok(body.packet)
     }
 
+    /// Opens a datagram of words: of which start of its sender, its number, and the words.
+    ///
+    /// # Errors
+    /// Why it is [`Dropped`].
+    pub fn open_words<'a>(
+        &mut self,
+        from: SocketAddr,
+        datagram: &'a [u8],
+        keys: &Keys,
+    ) -> Result<(u64, u64, &'a [u8]), Dropped> {
+        let bytes = unsealed(WORDS, from, datagram, keys)?;
+        let ((start, sequence), words): ((u64, u64), &[u8]) =
+            postcard::take_from_bytes(bytes).map_err(|_| Dropped::Garbled)?;
+        self.once(from, start, sequence)?;
+        Ok((start, sequence, words))
+    }
+
     /// Notes a number; an error if it was seen before or is too old to tell.
     fn once(&mut self, from: SocketAddr, start: u64, sequence: u64) -> Result<(), Dropped> {
         self.opened += 1;
@@ -248,3 +278,25 @@
         Ok(())
     }
 }
+
+/// Whether a datagram says that it carries words.
+pub fn is_words(datagram: &[u8]) -> bool {
+    datagram.starts_with(WORDS)
+}
+
+/// What stands between the key's number and the seal, if that is good.
+fn unsealed<'a>(
+    magic: &[u8; 4],
+    from: SocketAddr,
+    datagram: &'a [u8],
+    keys: &Keys,
+) -> Result<&'a [u8], Dropped> {
+    if datagram.len() > LONGEST || datagram.len() < magic.len() + 1 + SEAL || &datagram[..4] != magic {
+        return Err(Dropped::Garbled);
+    }
+    let (bytes, seal) = datagram.split_at(datagram.len() - SEAL);
+    let key = keys.0.iter().find(|(n, _)| *n == bytes[4]).map(|(_, k)| k).ok_or(Dropped::NoKey)?;
+    let mac = Keys::mac(key, &[bytes, &origin(from)]).ok_or(Dropped::Forged)?;
+    mac.verify_truncated_left(seal).map_err(|_| Dropped::Forged)?;
+    Ok(&bytes[5..])
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -218,7 +218,7 @@
 ];
 
 /// Fleets by name.
-const FLEETS: [(&str, &str); 12] = [
+const FLEETS: [(&str, &str); 15] = [
     ("short", include_str!("../fleets/short.toml")),
     ("one-way", include_str!("../fleets/one-way.toml")),
     ("deaf-mute", include_str!("../fleets/deaf-mute.toml")),
@@ -229,6 +229,9 @@
     ("lossy", include_str!("../fleets/lossy.toml")),
     ("pauses", include_str!("../fleets/pauses.toml")),
     ("worn", include_str!("../fleets/worn.toml")),
+    ("words", include_str!("../fleets/words.toml")),
+    ("restarts", include_str!("../fleets/restarts.toml")),
+    ("large", include_str!("../fleets/large.toml")),
     ("deaths", include_str!("../fleets/deaths.toml")),
     ("all-at-once", include_str!("../fleets/all-at-once.toml")),
 ];
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -117,6 +117,8 @@
     pub suspicions: f64,
     /// Bytes of gossip sent a second, by a member.
     pub bytes: f64,
+    /// Words that the processes which run at the end heard, did not take, and held back by a ceiling.
+    pub words: [u64; 3],
     /// Datagrams that a road lost, cut off, crowded out, doubled or spoilt.
     pub hurt: u64,
 }
@@ -217,7 +219,13 @@
             let healed = roads.end().max(acts).unwrap_or(start);
             std::thread::sleep(clock.until(healed));
             let agreed = agree(&stage, clock);
-            Some((reached, healed, agreed, suspicions(&stage), clock.now()))
+            Some((
+                reached,
+                healed,
+                agreed,
+                summed(&stage, ["gossip_suspected", "words_heard", "words_untaken", "words_unsent"]),
+                clock.now(),
+            ))
         }
         None => None,
     };
@@ -237,7 +245,9 @@
     let (breaches, cold_peak) = known.judge(&tries, &log, &stage.lives);
     let mut report = sum_up(day, &plan, start, &tries, breaches);
     (report.seed, report.cold_peak, report.controller_cpu_s) = (options.seed, cold_peak, stage.spent);
-    if let (Some((reached, healed, agreed, suspicions, until)), Some(carried)) = (fleet, carried) {
+    if let (Some((reached, healed, agreed, [suspicions, words @ ..], until)), Some(carried)) =
+        (fleet, carried)
+    {
         let mut lines = Vec::new();
         for by in 0..day.controllers {
             let text = std::fs::read_to_string(options.dir.join(format!("controller-{by}.jsonl")))?;
@@ -254,6 +264,7 @@
             settled_ms: (last - healed).max(0) as f64 / 1e3,
             suspicions: suspicions as f64 / member_hours,
             bytes: sum.bytes as f64 / (member_hours * 3_600.0),
+            words,
             hurt: sum.cut + sum.lost + sum.crowded + sum.doubled + sum.corrupted,
         });
     }
@@ -264,9 +275,10 @@
     Ok((report, series))
 }
 
-/// Suspicions that the controllers that run have raised.
-fn suspicions(stage: &Stage) -> u64 {
-    stage.running().into_iter().filter_map(|c| stage.figure(c, "gossip_suspected")).sum()
+/// Figures of the controllers that run, added up.
+fn summed<const N: usize>(stage: &Stage, names: [&str; N]) -> [u64; N] {
+    let pages: Vec<_> = stage.running().into_iter().filter_map(|c| stage.status(c)).collect();
+    names.map(|name| pages.iter().filter_map(|p| p["figures"][name].as_u64()).sum())
 }
 
 /// Waits until all controllers that run act on the same count, hear all of each other, and have a number each; false if they
@@ -434,6 +446,13 @@
             f.hurt,
             f.bytes
         )?;
+        let [heard, untaken, unsent] = f.words;
+        if heard + untaken > 0 {
+            writeln!(
+                out,
+                "fleet: {heard} words of others heard, {untaken} not taken, {unsent} held back by a ceiling"
+            )?;
+        }
         writeln!(
             out,
             "fleet: {:.0} suspicions raised a member and hour, {} believed of members that ran; {} given up behind cuts and pauses",
