gate: the ceilings of words count whole datagrams

Seen on reading the change once more: the ceilings counted the words alone, not what stands about them (up to 41 bytes a datagram), so bytes on the network passed a ceiling by 3% and more. Now datagrams count, on both sides.

--- a/crates/gate/src/gossip.rs
+++ b/crates/gate/src/gossip.rs
@@ -10,11 +10,14 @@
 use tracing::{debug, info, warn};
 use wheelfield::interface::Word;
 use wheelfield_config::Config;
-use wheelfield_gossip::seal::{is_words, Dropped, Keys, Opener, Sealer, LONGEST_WORDS};
+use wheelfield_gossip::seal::{is_words, Dropped, Keys, Opener, Sealer, LONGEST, LONGEST_WORDS};
 use wheelfield_gossip::words::{Ceilings, Words};
 use wheelfield_gossip::{Acquaintance, Change, Forget, Limits, News, Node, Packet, Standing, Tag, View};
 use wheelfield_parts::TimerKey;
 
+/// Bytes that stand about words in a datagram, at most: ceilings are of what crosses the network.
+const ABOUT_WORDS: usize = LONGEST - LONGEST_WORDS;
+
 /// The gossip of a controller.
 pub(crate) struct Gossip {
     own: SocketAddr,
@@ -132,7 +135,7 @@
         let members: Vec<SocketAddr> =
             self.node.acquaintances(out.now).filter(reads).map(|a| a.record.member).collect();
         for (_, part) in written(told, LONGEST_WORDS) {
-            let whom = words.whom(out.now, part.len(), &members);
+            let whom = words.whom(out.now, part.len() + ABOUT_WORDS, &members);
             if whom.is_empty() {
                 continue;
             }
@@ -149,7 +152,7 @@
                 let known = self.node.records().any(|r| r.member == from && r.standing <= Standing::Suspect);
                 let words = self.words.as_mut().filter(|_| known);
                 let taken =
-                    words.is_some_and(|w| w.take(out.now, from, (start, sequence), part.len()).is_ok());
+                    words.is_some_and(|w| w.take(out.now, from, (start, sequence), datagram.len()).is_ok());
                 let told = taken.then(|| read(part)).flatten();
                 *(if told.is_some() { &mut self.heard } else { &mut self.untaken }) += 1;
                 told
