--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -782,8 +782,9 @@
             "add [members], [registry] or [[engines]]",
         ));
     }
-    let words =
-        file.gossip.is_some().then(|| c.words(file.peers.as_ref().map(|at| at.get_ref()))).transpose()?;
+    let words = (file.gossip.is_some() && settings.peers)
+        .then(|| c.words(file.peers.as_ref().map(|at| at.get_ref())))
+        .transpose()?;
     // Where there is gossip, nobody listens for words but it; builds before this one read the addresses.
     let listed = file.peers.as_ref().filter(|_| file.gossip.is_none());
     let peers = listed.map(|at| {
--- a/crates/gate/src/gossip.rs
+++ b/crates/gate/src/gossip.rs
@@ -149,7 +149,7 @@
     fn listen(&mut self, from: SocketAddr, datagram: &[u8], out: &mut Out) -> Option<Vec<Word>> {
         match self.opener.open_words(from, datagram, &self.keys) {
             Ok((start, sequence, part)) => {
-                let known = self.node.records().any(|r| r.member == from && r.standing <= Standing::Suspect);
+                let known = self.node.knows(&from);
                 let words = self.words.as_mut().filter(|_| known);
                 let taken =
                     words.is_some_and(|w| w.take(out.now, from, (start, sequence), datagram.len()).is_ok());
--- a/crates/gossip/src/node.rs
+++ b/crates/gossip/src/node.rs
@@ -393,19 +393,6 @@
         self.apart.map_or(0, |since| (now - since).max(0))
     }
 
-    fn answering(&self) -> usize {
-        self.members.values().filter(|m| m.record.standing == Standing::Alive).count() + 1
-    }
-
-    fn counted(&self) -> usize {
-        self.members.values().filter(|m| m.counts).count() + 1
-    }
-
-    /// Whether those that answer are more than half of all that count.
-    fn quorum(&self) -> bool {
-        2 * self.answering() > self.counted()
-    }
-
     /// What to act on now.
     pub fn view(&self) -> View {
         // One pass, as laboratories look at every view of large fleets.
@@ -455,7 +442,7 @@
         self.listened |= self.heard && quiet && now - self.began >= self.limits.settle;
         // Guards against a part of a fleet that starts anew within a split, and would take itself for all there is; and, as it
         // meets the others, what it has heard of by then.
-        self.confirmed |= self.listened && quiet && 2 * self.answering() > self.limits.expect;
+        self.confirmed |= self.listened && quiet && 2 * self.view().alive > self.limits.expect;
         if self.probing.as_ref().and_then(|p| p.again_at).is_some_and(|at| now >= at) {
             self.look_again(now, out);
         }
@@ -507,7 +494,7 @@
     fn forget(&mut self, now: i64) {
         let (hold, spread) = (self.limits.hold, self.limits.fetch.saturating_mul(4));
         // Guards against a part that lost the others and would act on itself alone: it is no quorum, and counts on.
-        if self.limits.forget == Forget::Quorum && self.quorum() {
+        if self.limits.forget == Forget::Quorum && self.view().quorum {
             let long = |m: &&Member| m.counts && m.record.standing == Standing::Gone && now - m.since >= hold;
             let long: Vec<SocketAddr> = self.members.values().filter(long).map(|m| m.record.member).collect();
             for member in long {
@@ -782,11 +769,12 @@
         let fading = match record.standing {
             Standing::Left => now - since >= self.limits.hold,
             Standing::Gone => {
-                self.limits.forget == Forget::Quorum && now - since >= self.limits.hold && self.quorum()
+                self.limits.forget == Forget::Quorum && now - since >= self.limits.hold && self.view().quorum
             }
             _ => false,
         };
-        let room = self.members.contains_key(&record.member) || self.room();
+        // One that is not learned of anyway pushes no goodbye out.
+        let room = fading || self.members.contains_key(&record.member) || self.room();
         match self.members.get_mut(&record.member) {
             Some(m) if record.rank() > m.record.rank() => {
                 let was = m.record.standing;
--- a/crates/gossip/src/words.rs
+++ b/crates/gossip/src/words.rs
@@ -129,7 +129,7 @@
         (start, sequence): (u64, u64),
         bytes: usize,
     ) -> Result<(), Untaken> {
-        let rate = 2 * self.ceilings.each;
+        let rate = self.ceilings.each.saturating_mul(2);
         let fresh = Heard { start, sequence: 0, ration: Ration::full(rate, now) };
         let heard = self.heard.entry(from).or_insert(fresh);
         if (start, sequence) <= (heard.start, heard.sequence) {
