platform: read tenants, keys and what repeats are known by, which other customers' clients send

At fault: front.rs asked() read none of the three, so that the executor was sent no nonce and the module was told no key. Change: all three are read; the nonce goes on unchanged, key and tenant to the module. What could end a field or a line is 400. The new test fails without the change ('its turn', 'nonce').

--- a/crates/platform/src/executors.rs
+++ b/crates/platform/src/executors.rs
@@ -388,17 +388,11 @@
     }
 
     /// Writes a request.
-    pub fn write(
-        &mut self,
-        id: ConnId,
-        job: &Job,
-        (class, limit_ms, statement): (&str, i64, &[u8]),
-        out: &mut Out<Wake>,
-    ) {
+    pub fn write(&mut self, id: ConnId, job: &Job, request: &lines::Request<'_>, out: &mut Out<Wake>) {
         let Some(c) = self.conns.get_mut(id) else { return };
-        debug!(id = %job.id, attempt = %job.attempt, to = c.engine.0, limit_ms, "written");
+        debug!(id = %job.id, attempt = %job.attempt, to = c.engine.0, limit_ms = request.limit_ms, "written");
         let from = c.put;
-        c.put(|to| lines::put_request(job.id, class, limit_ms, job.terms.priority, statement, to));
+        c.put(|to| lines::put_request(job.id, job.terms.priority, request, to));
         let again = c.given_up.contains(&job.id);
         let running = Running { job: job.clone(), bytes: (from, c.put), begun: false, hit: None, again };
         c.running.insert(job.id, running);
--- a/crates/platform/src/flow.rs
+++ b/crates/platform/src/flow.rs
@@ -4,6 +4,7 @@
 use crate::executors::{self, Ended, Executors, Job, Told};
 use crate::front::{Asked, Bad, Reply, Wants};
 use crate::launch::{Launch, Listed};
+use crate::lines::Request;
 use crate::names::{self, Feed, Unused};
 use crate::open::{InHand, Open};
 use crate::peers::Peers;
@@ -177,7 +178,7 @@
             }
             Wants::Run(asked) => asked,
         };
-        let Asked { class, id, wait, work, memory } = asked;
+        let Asked { class, id, wait, work, memory, tenant, key, nonce } = asked;
         let Some(class) = position(&self.names.classes, &class) else {
             return self.bad(client, Bad::NoPath);
         };
@@ -187,16 +188,18 @@
         if self.open.uses(id) {
             return self.bad(client, Bad::Doubled);
         }
+        let tenant = tenant.and_then(|name| position(&self.names.tenants, &name));
         let arrival = Arrival {
             class,
+            tenant,
+            key,
             due: Micros(self.out.now + (wait - EARLY).max(1)),
             work_hint: work,
             memory_hint: memory,
             tables: table_group(statement).unwrap_or(0),
-            ..Arrival::default()
         };
         match self.tape.arrive(self.out.now, arrival, "") {
-            Ok(query) => self.open.put(query, InHand { client, id, class, statement: body }),
+            Ok(query) => self.open.put(query, InHand { client, id, class, statement: body, nonce }),
             // Nothing of it ran.
             Err(_) => self.answer(client, &Reply::Refused(0)),
         }
@@ -294,9 +297,11 @@
                 self.ended(job.attempt, Outcome::Skipped);
                 continue;
             };
-            let left = limit.map_or(1, |at| (at.0 - self.out.now + 999) / 1000).max(1);
+            let limit_ms = limit.map_or(1, |at| (at.0 - self.out.now + 999) / 1000).max(1);
             let Some(class) = self.names.classes.get(unit.class) else { continue };
-            self.executors.write(conn, &job, (class, left, &unit.statement), &mut self.out);
+            let (nonce, statement) = (unit.nonce.as_deref(), &unit.statement[..]);
+            let request = Request { class, limit_ms, nonce, statement };
+            self.executors.write(conn, &job, &request, &mut self.out);
         }
     }
 
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -12,6 +12,8 @@
 pub const LONGEST_BODY: usize = 64 << 10;
 /// A client waits this long at most, in milliseconds: an hour.
 const LONGEST_WAIT: f64 = 3_600_000.0;
+/// Bytes of a name that a field may hold: a tenant, a key, what a repeat is known by.
+const LONGEST_NAME: usize = 128;
 /// Most work in milliseconds, and most memory in MB, that an estimate may state.
 const MOST_COST: f64 = 1e8;
 const MOST_NEED: f64 = 1e7;
@@ -38,6 +40,12 @@
     pub work: Option<f64>,
     /// Estimated memory in MB.
     pub memory: Option<f64>,
+    /// The tenant, by name, where the deployment has any.
+    pub tenant: Option<String>,
+    /// The key whose order it keeps, where its class keeps one.
+    pub key: Option<String>,
+    /// By what executors know a repeat, where its class has them drop repeats; passed on as it came.
+    pub nonce: Option<String>,
 }
 
 /// A head that was read.
@@ -176,7 +184,16 @@
         None | Some("0" | "1") => {}
         Some(_) => return None,
     }
-    Some(Asked { class: class.to_string(), id, wait: (wait * 1e3) as i64, work, memory })
+    // They go on within a line of fields: nothing in them may end the field, the list or the line.
+    let name = |name: &str| -> Option<Option<String>> {
+        let Some(text) = one(name).ok()? else { return Some(None) };
+        let sound = (1..=LONGEST_NAME).contains(&text.len())
+            && text.bytes().all(|b| b.is_ascii_graphic() && b != b',');
+        sound.then(|| Some(text.to_string()))
+    };
+    let (tenant, key, nonce) = (name("x-tenant")?, name("x-object")?, name("idempotency-key")?);
+    let (class, wait) = (class.to_string(), (wait * 1e3) as i64);
+    Some(Asked { class, id, wait, work, memory, tenant, key, nonce })
 }
 
 /// What a client is told.
--- a/crates/platform/src/lines.rs
+++ b/crates/platform/src/lines.rs
@@ -184,17 +184,28 @@
     Ok(Some(Answer { id: line.slice(..id), word, fields, body }))
 }
 
-/// A request: its class, how long we wait in milliseconds, its priority, its statement.
-pub fn put_request(
-    id: RequestId,
-    class: &str,
-    limit_ms: i64,
-    priority: u8,
-    statement: &[u8],
-    out: &mut BytesMut,
-) {
-    let length = statement.len();
-    let line = format!("REQ {id} cls={class},limit={limit_ms},prio={priority} {length}\r\n");
+/// A request as executors are sent it.
+#[derive(Clone, Copy, Debug)]
+pub struct Request<'a> {
+    /// Its class, by name.
+    pub class: &'a str,
+    /// How long we wait, in milliseconds.
+    pub limit_ms: i64,
+    /// By what a repeat of it is known, as its client wrote it.
+    pub nonce: Option<&'a str>,
+    /// What is to be run.
+    pub statement: &'a [u8],
+}
+
+/// Sends a request, with a priority.
+pub fn put_request(id: RequestId, priority: u8, request: &Request<'_>, out: &mut BytesMut) {
+    let Request { class, limit_ms, nonce, statement } = request;
+    let mut line = format!("REQ {id} cls={class},limit={limit_ms},prio={priority}");
+    if let Some(nonce) = nonce {
+        line.push_str(",nonce=");
+        line.push_str(nonce);
+    }
+    line.push_str(&format!(" {}\r\n", statement.len()));
     out.extend_from_slice(line.as_bytes());
     out.extend_from_slice(statement);
     out.extend_from_slice(b"\r\n");
@@ -265,13 +276,16 @@
     fn requests_are_written_as_executors_read_them() {
         let id = RequestId::read(ID.as_bytes()).expect("16 digits");
         let mut out = BytesMut::new();
-        put_request(id, "report", 1500, 2, b"SELECT 1", &mut out);
+        let request = Request { class: "report", limit_ms: 1500, nonce: None, statement: b"SELECT 1" };
+        put_request(id, 2, &request, &mut out);
+        put_request(id, 1, &Request { nonce: Some("a5=+/"), ..request }, &mut out);
         put_fetch(id, 3, &mut out);
         put_priority(id, 0, &mut out);
         put_end(id, &mut out);
         put_stop(id, &mut out);
         let expected = format!(
-            "REQ {ID} cls=report,limit=1500,prio=2 8\r\nSELECT 1\r\nFETCH {ID} 3\r\nNICE {ID} 0\r\nEND {ID}\r\nSTOP {ID}\r\n"
+            "REQ {ID} cls=report,limit=1500,prio=2 8\r\nSELECT 1\r\n\
+             REQ {ID} cls=report,limit=1500,prio=1,nonce=a5=+/ 8\r\nSELECT 1\r\nFETCH {ID} 3\r\nNICE {ID} 0\r\nEND {ID}\r\nSTOP {ID}\r\n"
         );
         assert_eq!(out, expected.as_bytes());
         assert!(
--- a/crates/platform/src/open.rs
+++ b/crates/platform/src/open.rs
@@ -20,6 +20,8 @@
     pub class: usize,
     /// Its statement.
     pub statement: Bytes,
+    /// By what executors know a repeat of it.
+    pub nonce: Option<String>,
 }
 
 /// All queries whose answer is owed: at most one for each client.
--- a/crates/platform/tests/clients.rs
+++ b/crates/platform/tests/clients.rs
@@ -42,6 +42,44 @@
     assert!(rig.read(executor).starts_with("REQ ") && rig.connects.is_empty());
 }
 
+/// Found with another customer's settings: what their clients send beside, and executors are owed, was not read.
+#[test]
+fn what_a_repeat_is_known_by_goes_on_as_it_came_and_a_key_keeps_its_order() {
+    let text = config(vec![server("e1", 1, "ready"), server("e2", 2, "ready")], 256);
+    let mut settings: serde_json::Value = serde_json::from_str(&text).expect("JSON");
+    settings["settings"]["grades"][1]["in_order"] = true.into();
+    settings["settings"]["safety"]["order_pause_us"] = 300_000.into();
+    let mut rig = Rig::of(&settings.to_string());
+    let first = rig.client();
+    rig.says(
+        first,
+        &post("load", &id(1), "X-Tenant: nobody\r\nX-Object: rel-7\r\nIdempotency-Key: a5/+=9\r\n"),
+    );
+    let executor = rig.connect()[0];
+    let request = rig.read(executor);
+    assert!(request.contains(",nonce=a5/+=9 35\r\n"), "{request}");
+    // Another under the same key waits for its turn; one under another key does not.
+    let second = rig.client();
+    rig.says(second, &post("load", &id(2), "X-Object: rel-7\r\n"));
+    rig.pass(100_000);
+    assert!(rig.connects.is_empty() && rig.read(executor).is_empty());
+    let other = rig.client();
+    rig.says(other, &post("load", &id(3), "X-Object: rel-8\r\n"));
+    let elsewhere = rig.connect()[0];
+    assert!(rig.read(elsewhere).starts_with(&format!("REQ {} ", id(3))));
+    // One that waits for its turn and leaves is never sent.
+    let third = rig.client();
+    rig.says(third, &post("load", &id(4), "X-Object: rel-7\r\n"));
+    rig.tell(Socketed::Closing(second));
+    rig.says(executor, &format!("{} HIT pages=1 0\r\n\r\n", id(1)));
+    rig.pass(600_000);
+    assert_eq!(status(&rig.read(first)), 200);
+    rig.connect();
+    let (_, request) = rig.request().expect("its turn has come");
+    assert!(request.starts_with(&format!("REQ {} ", id(4))), "{request}");
+    assert!(!request.contains("nonce") && rig.request().is_none());
+}
+
 #[test]
 fn what_cannot_be_used_gets_its_status_and_goes_nowhere() {
     let good = post("look", &id(1), "");
@@ -66,6 +104,14 @@
         (good.replace("Cost-Ms: 100.0", "Cost-Ms: NaN"), 400, false),
         (good.replace("Cost-Ms: 100.0", "Need-Mb: -3"), 400, false),
         (good.replace("Cost-Ms: 100.0", "Retry: 7"), 400, false),
+        (good.replace("Cost-Ms: 100.0", "Cost-Ms: 100.0\r\nX-Object: a,prio=3"), 400, false),
+        (good.replace("Cost-Ms: 100.0", "Cost-Ms: 100.0\r\nIdempotency-Key: a b"), 400, false),
+        (
+            good.replace("Cost-Ms: 100.0", &format!("Cost-Ms: 100.0\r\nX-Tenant: {}", "t".repeat(129))),
+            400,
+            false,
+        ),
+        (good.replace("Host: x", "X-Object: a\r\nX-Object: b"), 400, false),
         (good.replace("SELECT a, b, c FROM sales_17.orders", &" ".repeat(35)), 400, false),
         (good.replace("Content-Length: 35", "Content-Length: -35"), 400, true),
         (good.replace("Content-Length: 35", "Content-Length: 35\r\nContent-Length: 35"), 400, true),
