shell: all that has happened is heard before anything is sent, closed or timed

Each found by a test on real sockets that stops the process, puts the bad order into the kernel and lets it go on (endings.rs): - a client that had left before it was taken was sent on ('sent on for a client that had left: Closes', id 2): a short read hid the end behind it. A connection just accepted is read to its end. - a process that was stopped and goes on looked at its timers first, as epoll_wait is interrupted then: the turn of a query came whose client had left, and it was sent ('as its turn came'). It listens again first. - as listening ended, 0.7 s after SIGTERM, who waited in the backlog was reset (600 of 600 without an answer): they are taken first. - half a call at that moment was closed on (0 in place of 200): it is waited for, as ever, 2 s. - a client that had just asked was closed to make room for a new one ((0, 200) in place of (200, 200)): new ones are taken after all else is heard, and whoever has something to be looked at is not closed. - more than 1,024 events in a turn were not all heard before it acted: 256 at a time, until there are fewer. - a configuration read half written was given up until the next signal: it is read again for 4 s. - signals are heard from before the program listens (no test can force that instant). Shown right, and kept as tests: departures in every way and order while a connect comes up, behind unread bytes; drains, departures and moves of executors told in the turn in which a connect completes; all signals at once; answers right before the end of their connection; second answers on a pooled connection; a hung executor as the stop comes. The platform's tests share crates/controller/tests/rig.

--- a/crates/controller/src/main.rs
+++ b/crates/controller/src/main.rs
@@ -175,17 +175,20 @@
 }
 
 fn run_platform(launch: Launch, config: &Path) -> Result<()> {
+    // Before it listens: whoever finds it listening may send a signal, which is not to end it unheard.
+    let (stop, reload) = (heard(&[SIGTERM, SIGINT])?, heard(&[SIGHUP])?);
     let mut node = Node::open(launch, config)?;
-    node.stop_on(heard(&[SIGTERM, SIGINT])?)?;
-    node.reload_on(heard(&[SIGHUP])?)?;
+    node.stop_on(stop)?;
+    node.reload_on(reload)?;
     node.run()
 }
 
 fn run(config: Config, args: &Args) -> Result<()> {
     let seed = args.seed.or(config.seed).unwrap_or_else(rand::random);
+    let (stop, keep) = (heard(&[SIGTERM, SIGINT])?, heard(&[SIGUSR1])?);
     let mut app = App::open(config, seed, args.plant)?;
-    app.stop_on(heard(&[SIGTERM, SIGINT])?)?;
-    app.keep_on(heard(&[SIGUSR1])?)?;
+    app.stop_on(stop)?;
+    app.keep_on(keep)?;
     println!("{}", app.addresses());
     std::io::stdout().flush()?;
     tracing::info!(seed, "started");
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -3,9 +3,11 @@
 
 use crate::shell::{bind, bind_datagrams, Shell};
 use anyhow::{Context, Result};
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
+use std::rc::Rc;
 use tracing::{info, warn};
 use wheelfield_net::Clock;
 use wheelfield_parts::{Door, Inside, Port};
@@ -14,6 +16,17 @@
 /// Connections that wait to be taken, at most.
 const BACKLOG: u32 = 1_024;
 
+/// A new configuration that can't be used is read again after so long, and for so long, in microseconds.
+const READ_AGAIN: i64 = 50_000;
+const READ_FOR: i64 = 4_000_000;
+
+/// When the configuration is read, and until when it is tried.
+#[derive(Clone, Copy)]
+struct Again {
+    at: i64,
+    until: i64,
+}
+
 /// A controller on its sockets.
 pub struct Node {
     shell: Shell<Platform>,
@@ -63,19 +76,31 @@
         self.shell.bell(signal, Box::new(|core, now| core.stop(now)))
     }
 
-    /// Each byte on this stream has the configuration read anew. One that can't be used changes nothing.
+    /// Each byte on this stream has the configuration read anew. One that can't be used changes nothing, and is read again for
+    /// some seconds: it may be half written, and no further signal come.
     ///
     /// # Errors
     /// As the system tells.
     pub fn reload_on(&mut self, signal: UnixStream) -> Result<()> {
         let config = self.config.clone();
-        let reload = move |core: &mut Platform, now: i64| match read(&config)
-            .and_then(|text| Ok(Launch::resolver(&text)?))
-        {
-            Ok(resolver) => core.turn_to(now, resolver),
-            Err(fault) => warn!("the configuration stays as it is: {fault:#}"),
+        let again: Rc<Cell<Option<Again>>> = Rc::default();
+        let asked = again.clone();
+        let reload = move |core: &mut Platform, now: i64| {
+            let Some(Again { at, until }) = again.get().filter(|a| a.at <= now) else { return };
+            again.set(None);
+            match read(&config).and_then(|text| Ok(Launch::resolver(&text)?)) {
+                Ok(resolver) => core.turn_to(now, resolver),
+                Err(fault) => {
+                    if at == until - READ_FOR {
+                        warn!("the configuration stays as it is: {fault:#}");
+                    }
+                    again.set((now < until).then_some(Again { at: now + READ_AGAIN, until }));
+                }
+            }
         };
-        self.shell.bell(signal, Box::new(reload))
+        self.shell.each_turn(Box::new(reload));
+        self.shell
+            .bell(signal, Box::new(move |_, now| asked.set(Some(Again { at: now, until: now + READ_FOR }))))
     }
 
     /// Serves until asked to stop and all is answered.
--- a/crates/controller/src/shell.rs
+++ b/crates/controller/src/shell.rs
@@ -4,7 +4,7 @@
 use crate::sockets::Sockets;
 use anyhow::{Context, Result};
 use mio::net::{TcpListener, UdpSocket, UnixStream};
-use mio::{Events, Interest, Poll, Token};
+use mio::{Events, Interest, Poll, Registry, Token};
 use std::io::{ErrorKind, Read as _};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -12,8 +12,14 @@
 use wheelfield_net::{datagrams, listen, Clock};
 use wheelfield_parts::{Door, Effect, Inside, Port, Socketed};
 
+/// Events heard at a time, and so often in one turn of the loop. Guards against acting on a part of what has happened: a client's
+/// departure may lie behind all else.
+const EVENTS: usize = 256;
+const HEARINGS: usize = 64;
 /// Accepted in one turn of the loop; the rest waits for the next.
 const ACCEPTS: usize = 256;
+/// As listening ends, so many times as many are taken: more than any backlog holds.
+const BACKLOGS: usize = 32;
 /// Datagrams read in one turn.
 const HEARD: usize = 512;
 /// Longest datagram that is read whole; a longer one is cut, and is not understood. A name service's answer has 8,000 bytes.
@@ -41,6 +47,37 @@
     failing: bool,
 }
 
+impl Listening {
+    /// Takes those who wait, so many at a time; true if more may wait.
+    fn take(&mut self, sockets: &mut Sockets, core: &mut dyn Inside, registry: &Registry, now: i64) -> bool {
+        self.again = None;
+        for _ in 0..ACCEPTS {
+            match self.socket.accept() {
+                Ok((tcp, _)) => {
+                    self.failing = false;
+                    if let Some(id) = core.accept(now, self.door) {
+                        sockets.accepted(id, tcp, registry, core, now);
+                    }
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return false,
+                // It had gone before it was taken.
+                Err(e) if matches!(e.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {}
+                Err(e) => {
+                    // No descriptors or memory left: those that wait stay in the backlog for a moment.
+                    if !std::mem::replace(&mut self.failing, true) {
+                        warn!(fault = %e, door = ?self.door, "no more connections can be taken for now");
+                    }
+                    self.again = Some(now + ACCEPT_AGAIN);
+                    return false;
+                }
+            }
+        }
+        // More may wait, and the listener will not tell of them again.
+        self.again = Some(now);
+        true
+    }
+}
+
 /// A controller on its sockets.
 pub(crate) struct Shell<C> {
     pub core: C,
@@ -139,20 +176,29 @@
     /// # Errors
     /// As the system tells of the poll itself; a connection's trouble is its own.
     pub fn run(&mut self) -> Result<()> {
-        let mut events = Events::with_capacity(1024);
+        let mut events = Events::with_capacity(EVENTS);
         while !self.stopped {
-            let wait = if self.carry_out() { Duration::ZERO } else { self.wait() };
-            match self.poll.poll(&mut events, Some(wait)) {
-                Err(e) if e.kind() != ErrorKind::Interrupted => return Err(e.into()),
-                _ => {}
-            }
-            self.now = self.clock.now();
-            for event in &events {
-                self.on_event(event);
+            let mut wait = if self.carry_out() { Duration::ZERO } else { self.wait() };
+            for _ in 0..HEARINGS {
+                let heard = self.poll.poll(&mut events, Some(wait));
+                self.now = self.clock.now();
+                wait = Duration::ZERO;
+                match heard {
+                    // Nothing is known of what has happened meanwhile: a process that was stopped and goes on comes here.
+                    Err(e) if e.kind() == ErrorKind::Interrupted => continue,
+                    heard => heard?,
+                }
+                for event in &events {
+                    self.on_event(event);
+                }
+                if events.iter().count() < EVENTS {
+                    break;
+                }
             }
             for at in 0..self.listening.len() {
                 if self.listening[at].again.is_some_and(|again| again <= self.now) {
-                    self.accept(at);
+                    let (core, registry) = (&mut self.core, self.poll.registry());
+                    self.listening[at].take(&mut self.sockets, core, registry, self.now);
                 }
             }
             for hand in &mut self.each_turn {
@@ -191,7 +237,14 @@
                         let _ = socket.map(|(_, s)| s.send_to(&datagram, to));
                     }
                     Effect::StopListening => {
+                        // Guards against breaking connections that the system has taken for us, with their calls: closing resets
+                        // whoever still waits.
                         for l in self.listening.iter_mut().filter(|l| l.door == Door::Clients) {
+                            for _ in 0..BACKLOGS {
+                                if !l.take(sockets, core, registry, now) {
+                                    break;
+                                }
+                            }
                             let _ = registry.deregister(&mut l.socket);
                         }
                         self.listening.retain(|l| l.door != Door::Clients);
@@ -208,8 +261,9 @@
         if token.0 >= BELLS + self.bells.len() {
             return self.sockets.on(event, &mut self.core, self.now);
         }
-        if let Some(at) = self.listening.iter().position(|l| door_token(l.door) == token) {
-            self.accept(at);
+        if let Some(l) = self.listening.iter_mut().find(|l| door_token(l.door) == token) {
+            // Once all else of this turn is heard: whoever must make room for a new one may have asked just now.
+            l.again = Some(self.now);
         } else if let Some(at) = self.ports.iter().position(|(port, _)| port_token(*port) == token) {
             self.hear(at);
         } else if let Some((bell, hand)) = token.0.checked_sub(BELLS).and_then(|at| self.bells.get_mut(at)) {
@@ -219,34 +273,6 @@
         }
     }
 
-    fn accept(&mut self, at: usize) {
-        let (now, l) = (self.now, &mut self.listening[at]);
-        l.again = None;
-        for _ in 0..ACCEPTS {
-            match l.socket.accept() {
-                Ok((tcp, _)) => {
-                    l.failing = false;
-                    if let Some(id) = self.core.accept(now, l.door) {
-                        self.sockets.accepted(id, tcp, self.poll.registry(), &mut self.core, now);
-                    }
-                }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
-                // It had gone before it was taken.
-                Err(e) if matches!(e.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {}
-                Err(e) => {
-                    // No descriptors or memory left: those that wait stay in the backlog for a moment.
-                    if !std::mem::replace(&mut l.failing, true) {
-                        warn!(fault = %e, door = ?l.door, "no more connections can be taken for now");
-                    }
-                    l.again = Some(now + ACCEPT_AGAIN);
-                    return;
-                }
-            }
-        }
-        // More may wait, and the listener will not tell of them again.
-        l.again = Some(now);
-    }
-
     /// Reads datagrams.
     fn hear(&mut self, at: usize) {
         let (port, socket) = &mut self.ports[at];
--- /dev/null
+++ b/crates/controller/tests/endings.rs
@@ -0,0 +1,382 @@
+//! What ends while something is still owed: connections, lists, clients, executors, the controller. Each test has the bad order
+//! happen every time, on real sockets.
+
+mod rig;
+use rig::*;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const EVERY_WAY: [Leaves; 3] = [Leaves::Closes, Leaves::Breaks, Leaves::ClosesItsSide];
+
+/// A configuration whose connects may take long.
+fn patient(listen: SocketAddr, executors: &[(&str, SocketAddr)], resolver: SocketAddr) -> serde_json::Value {
+    let mut config = config(listen, executors, resolver);
+    config["settings"]["ceilings"]["connect_timeout_us"] = 25_000_000.into();
+    config
+}
+
+/// The next request that an executor reads on this connection is the one of a client that stayed: whatever was to go there before
+/// has not gone.
+fn only_who_stayed(program: &Program, conn: &mut Conn, what: &str) {
+    let mut stays = Client::connect(program.listen);
+    stays.asks("look", 999);
+    let request = conn.request();
+    assert_eq!(request.id, id(999), "sent on for a client that had left: {what}");
+    conn.says(&hit(&request.id, "e1"));
+    assert_eq!(stays.status(), 200, "{what}");
+}
+
+#[test]
+fn nothing_goes_for_a_client_that_left_before_it_was_taken() {
+    for how in EVERY_WAY {
+        let (executor, names) = (Executor::new(), NameService::new());
+        let program = Program::start(&config(free(), &[("e1", executor.at)], names.at));
+        // A connection rests at the executor: what is to go there goes at once.
+        let mut before = Client::connect(program.listen);
+        before.asks("look", 1);
+        let mut conn = executor.take();
+        let request = conn.request();
+        conn.says(&hit(&request.id, "e1"));
+        assert_eq!(before.status(), 200);
+        program.halt();
+        let mut leaver = Client::connect(program.listen);
+        leaver.asks("look", 2);
+        let _still_there = leaver.leaves(how);
+        program.go_on();
+        only_who_stayed(&program, &mut conn, &format!("{how:?}"));
+    }
+}
+
+#[test]
+fn nothing_goes_for_a_client_that_left_while_a_connection_came_up_whichever_is_heard_first() {
+    for (how, left_first) in EVERY_WAY.into_iter().flat_map(|how| [(how, true), (how, false)]) {
+        let names = NameService::new();
+        let (executor, door) = Executor::with_full_door();
+        let program = Program::start(&patient(free(), &[("e1", executor.at)], names.at));
+        let mut leaver = Client::connect(program.listen);
+        leaver.asks("look", 1);
+        program.await_connecting(executor.at);
+        program.halt();
+        let (mut conn, _still_there);
+        if left_first {
+            _still_there = leaver.leaves(how);
+            conn = door.opens(&executor);
+        } else {
+            conn = door.opens(&executor);
+            _still_there = leaver.leaves(how);
+        }
+        program.go_on();
+        only_who_stayed(&program, &mut conn, &format!("{how:?}, left first: {left_first}"));
+    }
+}
+
+/// More happens in one turn than is heard at a time, and the departure last.
+#[test]
+fn a_departure_is_heard_before_anything_goes_however_much_lies_before_it() {
+    let names = NameService::new();
+    let (executor, door) = Executor::with_full_door();
+    let mut config = patient(free(), &[("e1", executor.at)], names.at);
+    config["limits"]["sockets"] = 1_024.into();
+    let program = Program::start(&config);
+    let mut crowd: Vec<Client> = (0..400).map(|_| Client::connect(program.listen)).collect();
+    crowd.iter_mut().for_each(|c| c.says("GET /health HTTP/1.1\r\n\r\n"));
+    crowd.iter_mut().for_each(|c| assert_eq!(c.status(), 200));
+    let mut leaver = Client::connect(program.listen);
+    leaver.asks("look", 1);
+    program.await_connecting(executor.at);
+    program.halt();
+    let mut conn = door.opens(&executor);
+    crowd.iter_mut().for_each(|c| c.says("GET /health HTTP/1.1\r\n\r\n"));
+    let _ = leaver.leaves(Leaves::Closes);
+    program.go_on();
+    crowd.iter_mut().for_each(|c| assert_eq!(c.status(), 200));
+    only_who_stayed(&program, &mut conn, "behind four hundred others");
+}
+
+/// A process that was stopped and goes on hears first, and only then looks at its timers: here the turn of a query comes whose
+/// client has left.
+#[test]
+fn a_departure_is_heard_before_timers_that_came_due_while_the_process_stood_still() {
+    let (executor, names) = (Executor::new(), NameService::new());
+    let mut config = config(free(), &[("e1", executor.at)], names.at);
+    config["settings"]["grades"][1]["in_order"] = true.into();
+    config["settings"]["safety"]["order_pause_us"] = 600_000.into();
+    let program = Program::start(&config);
+    // Two connections rest, the second was used last.
+    let mut two: Vec<(Client, Conn)> = Vec::new();
+    for n in 1..=2 {
+        let mut client = Client::connect(program.listen);
+        client.asks("look", n);
+        let mut conn = executor.take();
+        assert_eq!(conn.request().id, id(n));
+        two.push((client, conn));
+    }
+    for (n, (client, conn)) in two.iter_mut().enumerate() {
+        conn.says(&hit(&id(n as u64 + 1), "e1"));
+        assert_eq!(client.status(), 200);
+    }
+    let (_, mut second) = two.remove(1);
+    let (_, mut first) = two.remove(0);
+    let keyed = |n| post("load", n, "SELECT 1").replace("X-Timeout", "X-Object: k\r\nX-Timeout");
+    let mut ahead = Client::connect(program.listen);
+    ahead.says(&keyed(3));
+    assert_eq!(second.request().id, id(3));
+    let mut leaver = Client::connect(program.listen);
+    leaver.says(&keyed(4));
+    assert_eq!(program.health(), Some(200), "heard behind it");
+    // What ran may run on: the key rests, and the next one waits for a timer.
+    second.breaks();
+    assert_eq!(ahead.status(), 500);
+    program.halt();
+    let _ = leaver.leaves(Leaves::Closes);
+    // Until its clock has passed the timer.
+    std::thread::sleep(Duration::from_millis(900));
+    program.go_on();
+    only_who_stayed(&program, &mut first, "as its turn came");
+}
+
+/// The client has sent more than is read while its query is in hand, so that its end lies behind bytes that nobody reads.
+#[test]
+fn a_departure_behind_bytes_that_are_not_read_is_heard() {
+    for how in EVERY_WAY {
+        let names = NameService::new();
+        let (executor, door) = Executor::with_full_door();
+        let program = Program::start(&patient(free(), &[("e1", executor.at)], names.at));
+        let mut leaver = Client::connect(program.listen);
+        leaver.asks("look", 1);
+        leaver.says(&"x".repeat(30_000));
+        program.await_connecting(executor.at);
+        let _still_there = leaver.leaves(how);
+        let mut conn = door.opens(&executor);
+        only_who_stayed(&program, &mut conn, &format!("{how:?}"));
+    }
+}
+
+/// The listener closes 0.7 s after the word to stop; who was accepted by the system until then is owed an answer.
+#[test]
+fn those_who_wait_to_be_taken_as_the_listener_closes_are_answered() {
+    for _ in 0..20 {
+        let names = NameService::new();
+        let mut config = config(free(), &[("e1", Executor::new().serves("e1"))], names.at);
+        config["limits"]["sockets"] = 2_048.into();
+        let mut program = Program::start(&config);
+        program.signal("-TERM");
+        until("the word heard", || program.health() != Some(200));
+        program.halt();
+        let wait: Vec<_> = (0..600).map_while(|_| Client::try_connect(program.listen).ok()).collect();
+        if wait.len() < 600 {
+            // This machine was too slow: the listener had closed before it could be stopped.
+            program.go_on();
+            continue;
+        }
+        let mut wait = wait;
+        wait.iter_mut().for_each(|c| c.says("GET /health HTTP/1.1\r\n\r\n"));
+        // Until its clock has passed the end of listening.
+        std::thread::sleep(Duration::from_millis(900));
+        program.go_on();
+        let told: Vec<u16> = wait.iter_mut().map(Client::status).collect();
+        assert_eq!(told.iter().filter(|s| **s == 503).count(), 600, "{told:?}");
+        assert_eq!(program.ended().code(), Some(0));
+        return;
+    }
+    panic!("this machine is too slow to stop the program in time");
+}
+
+#[test]
+fn half_a_call_as_the_listener_closes_is_waited_for_and_served() {
+    let names = NameService::new();
+    let mut program = Program::start(&config(free(), &[("e1", Executor::new().serves("e1"))], names.at));
+    let mut slow = Client::connect(program.listen);
+    let call = post("look", 1, "SELECT 1");
+    program.signal("-TERM");
+    until("the word heard", || program.health() != Some(200));
+    slow.says(&call[..60]);
+    program.await_closed_door();
+    slow.says(&call[60..]);
+    assert_eq!(slow.status(), 200);
+    assert_eq!(program.ended().code(), Some(0));
+}
+
+/// A new client finds all places taken, and who rests for longest has asked just now.
+#[test]
+fn whoever_has_asked_is_not_closed_for_a_new_one() {
+    let names = NameService::new();
+    let mut config = config(free(), &[("e1", Executor::new().serves("e1"))], names.at);
+    config["limits"]["sockets"] = 64.into();
+    let program = Program::start(&config);
+    let mut resting: Vec<Client> = Vec::new();
+    for n in 0..16 {
+        let mut client = Client::connect(program.listen);
+        client.asks("look", n);
+        assert_eq!(client.status(), 200);
+        resting.push(client);
+    }
+    for round in 0..4 {
+        program.halt();
+        let mut new = Client::connect(program.listen);
+        new.asks("look", 200 + round);
+        // The one that rests for longest asks now, behind or before the new one.
+        let mut oldest = resting.remove(0);
+        oldest.asks("look", 100 + round);
+        program.go_on();
+        assert_eq!((oldest.status(), new.status()), (200, 200), "round {round}");
+        resting.extend([oldest, new]);
+        resting.remove(0);
+    }
+}
+
+/// Between the module's choice and the first byte the executor drains, is gone, or gives its address to another.
+#[test]
+fn nothing_goes_to_an_executor_that_was_told_to_drain_while_the_connection_came_up() {
+    for (what, told_first) in ["drains", "gone", "moved"].into_iter().flat_map(|w| [(w, true), (w, false)]) {
+        let names = NameService::new();
+        let (first, door) = Executor::with_full_door();
+        let second = Executor::new();
+        let mut program = Program::start(&patient(free(), &[("e1", first.at)], names.at));
+        let mut client = Client::connect(program.listen);
+        client.asks("load", 1);
+        program.await_connecting(first.at);
+        let question = names.asked_anew();
+        program.halt();
+        let tell = || match what {
+            "drains" => names.tells(&question, 2, &[("e1", first.at, true), ("e2", second.at, false)]),
+            "gone" => names.tells(&question, 2, &[("e2", second.at, false)]),
+            _ => names.tells(&question, 2, &[("e2", first.at, false)]),
+        };
+        if told_first {
+            tell();
+        }
+        let mut conn = door.opens(&first);
+        if !told_first {
+            tell();
+        }
+        program.go_on();
+        // Full: another connection to the same place comes up once there is room, as there is now.
+        let mut other = if what == "moved" { first.take() } else { second.take() };
+        let request = other.request();
+        assert_eq!(request.id, id(1));
+        other.says(&hit(&request.id, "e2"));
+        let (status, body) = client.answer().expect("answered");
+        assert_eq!(status, 200, "{what}");
+        assert!(body.contains("e2"));
+        drop(client);
+        program.signal("-TERM");
+        assert_eq!(program.ended().code(), Some(0));
+        assert_eq!(conn.try_request(), None, "{what}, told first: {told_first}");
+    }
+}
+
+/// The configuration is read while it is half written, and no further signal comes.
+#[test]
+fn a_configuration_that_was_half_written_is_read_once_it_is_whole() {
+    let (old, new) = (NameService::new(), NameService::new());
+    let executor = Executor::new().serves("e1");
+    let listen = free();
+    let program = Program::start(&config(listen, &[("e1", executor)], old.at));
+    let moved = config(listen, &[("e1", executor)], new.at).to_string();
+    std::fs::write(&program.file, &moved[..moved.len() / 2]).expect("written");
+    program.signal("-HUP");
+    // It has been read, and found to be of no use: the old one is asked on.
+    for _ in 0..3 {
+        old.asked_anew();
+    }
+    std::fs::write(&program.file, &moved).expect("written");
+    new.asked();
+    assert_eq!(program.health(), Some(200));
+}
+
+/// Both signals, and each twice, are heard in one turn, with a query in hand.
+#[test]
+fn all_signals_at_once_lose_nothing() {
+    let (old, new, executor) = (NameService::new(), NameService::new(), Executor::new());
+    let listen = free();
+    let mut program = Program::start(&config(listen, &[("e1", executor.at)], old.at));
+    let mut client = Client::connect(listen);
+    client.asks("load", 1);
+    let mut conn = executor.take();
+    let request = conn.request();
+    program.halt();
+    std::fs::write(&program.file, config(listen, &[("e1", executor.at)], new.at).to_string())
+        .expect("written");
+    for signal in ["-TERM", "-HUP", "-TERM", "-HUP", "-INT"] {
+        program.signal(signal);
+    }
+    let mut late = Client::connect(listen);
+    late.asks("load", 2);
+    program.go_on();
+    new.asked();
+    let mut another = executor.take();
+    let second = another.request();
+    program.await_closed_door();
+    assert!(!program.over(), "two are owed");
+    conn.says(&hit(&request.id, "e1"));
+    another.says(&hit(&second.id, "e1"));
+    assert_eq!((client.status(), late.status()), (200, 200));
+    assert_eq!(program.ended().code(), Some(0));
+}
+
+/// The end of a connection lies right behind the answer, in one read.
+#[test]
+fn an_answer_right_before_the_end_of_its_connection_counts() {
+    let (executor, names) = (Executor::new(), NameService::new());
+    let program = Program::start(&config(free(), &[("e1", executor.at)], names.at));
+    for breaks in [false, true] {
+        let mut client = Client::connect(program.listen);
+        let n = 1 + u64::from(breaks);
+        client.asks("load", n);
+        let mut conn = executor.take();
+        let request = conn.request();
+        program.halt();
+        if breaks {
+            // Further pages are to be had: they are lost with the connection, and what has run does not run again.
+            conn.says(&hit(&request.id, "e1").replace("pages=1", "pages=2"));
+        } else {
+            conn.says(&hit(&request.id, "e1"));
+        }
+        drop(conn);
+        program.go_on();
+        assert_eq!(client.status(), if breaks { 500 } else { 200 });
+    }
+}
+
+/// A second answer comes late, on a connection that carries another query by then.
+#[test]
+fn a_second_answer_is_nobody_elses() {
+    let (executor, names) = (Executor::new(), NameService::new());
+    let program = Program::start(&config(free(), &[("e1", executor.at)], names.at));
+    let mut client = Client::connect(program.listen);
+    client.asks("load", 1);
+    let mut conn = executor.take();
+    let first = conn.request();
+    conn.says(&hit(&first.id, "first"));
+    assert_eq!(client.status(), 200);
+    client.asks("load", 2);
+    let second = conn.request();
+    conn.says(&hit(&first.id, "stray"));
+    conn.says(&hit(&second.id, "second"));
+    let (status, body) = client.answer().expect("answered");
+    assert_eq!((status, body.as_str()), (200, "{\"batch\":[[\"second\",\"1\",\"x\"]]}"));
+}
+
+/// The executor answers nothing any more, also not as the controller is told to stop.
+#[test]
+fn who_waits_at_a_hung_executor_as_the_controller_stops_is_answered_in_time() {
+    let (executor, names) = (Executor::new(), NameService::new());
+    let mut program = Program::start(&config(free(), &[("e1", executor.at)], names.at));
+    let mut waiting: Vec<(Client, Conn)> = Vec::new();
+    for (n, class) in ["look", "load"].into_iter().enumerate() {
+        let mut client = Client::connect(program.listen);
+        client.says(&post(class, n as u64, "SELECT 1").replace("15000", "1200"));
+        let mut conn = executor.take();
+        let request = conn.request();
+        // The first of two pages: it hangs in the middle.
+        if class == "load" {
+            conn.says(&hit(&request.id, "e1").replace("pages=1", "pages=2"));
+        }
+        waiting.push((client, conn));
+    }
+    program.signal("-TERM");
+    let told: Vec<u16> = waiting.iter_mut().map(|(client, _)| client.status()).collect();
+    assert_eq!(told, [503, 500]);
+    assert_eq!(program.ended().code(), Some(0));
+}
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -6,6 +6,7 @@
 use crate::plant::Plant;
 use crate::seen::Seen;
 use crate::start::Start;
+use crate::stop::Stop;
 use crate::{cancels, registry, sessions};
 use tracing::{info, warn};
 use wheelfield_capture::Recorder;
@@ -40,7 +41,14 @@
     pub fn accept(&mut self, now: i64, door: Door) -> Option<ConnId> {
         self.flow.out.now = now;
         match door {
-            Door::Clients => Some(self.flow.clients.accept(&mut self.flow.out)),
+            Door::Clients => {
+                let id = self.flow.clients.accept(&mut self.flow.out);
+                // It waited to be taken as the word to stop came: it is told, in place of a broken connection.
+                if self.flow.stop != Stop::Not {
+                    self.flow.clients.end(id, &mut self.flow.out);
+                }
+                Some(id)
+            }
             Door::Admin => self.flow.admin.accept(),
         }
     }
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -24,6 +24,8 @@
     closing: bool,
     ended: bool,
     connected: bool,
+    /// Nothing was told of it yet: what it has, its end too, shows in reading alone.
+    untold: bool,
 }
 
 impl Socket {
@@ -49,6 +51,7 @@
             closing: false,
             ended: false,
             connected,
+            untold: connected,
         })
     }
 
@@ -93,11 +96,14 @@
             match self.socket.read(into) {
                 Ok(0) => self.ended = true,
                 Ok(n) => {
-                    // A short read has emptied the socket, unless its end waits behind.
-                    self.readable = n == into.len() || self.closing;
+                    // A short read has emptied the socket, unless its end waits behind. Guards against carrying on for one that
+                    // had left before it was taken: the end is read at once.
+                    self.readable = n == into.len() || self.closing || self.untold;
                     return Ok(n);
                 }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.readable = false,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    (self.readable, self.untold) = (false, false)
+                }
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) => {
                     self.ended = true;
