platform: all in hand have their answers before a stopped process may be killed

At fault: stop.rs knew when nobody comes any more, and not by when the process must be done. Change: 0.1 s before that instant what is in hand is handed to the module, which refuses or fails it as ever (Input::TimeUp, kind added at the end), and what comes after the word has no longer than that. Ruled out: requests that come late (none after 0.6 s). The new test fails without it ('left: 0, right: 503').

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -187,6 +187,7 @@
                 self.queries.entry(id).and_modify(|live| live.over = true);
                 self.withdraw(now, id, out);
             }
+            Event::TimeUp(id) => self.give_up(now, id, out),
             Event::Probed { engine, outcome, report } => {
                 if let Some(e) = self.engines.get_mut(&engine).filter(|_| outcome == Outcome::Served) {
                     self.ledger.take_report(now, report, e, NEWEST);
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -372,6 +372,8 @@
         /// Which one.
         index: f64,
     },
+    /// Its gateway ends: it must have its answer now.
+    TimeUp(QueryId),
 }
 
 /// What the module wants done.
--- a/crates/driver/src/lib.rs
+++ b/crates/driver/src/lib.rs
@@ -125,6 +125,8 @@
         /// Which one.
         index: u32,
     },
+    /// The controller ends: a query must have its answer now.
+    TimeUp(QueryId),
 }
 
 /// A final answer that the wire must give. A served query needs none: its rows are the answer.
@@ -323,6 +325,11 @@
                     self.events.push_back(Event::Departed(query));
                 }
             }
+            Input::TimeUp(query) => {
+                if self.books.owes(query) {
+                    self.events.push_back(Event::TimeUp(query));
+                }
+            }
             Input::Probed { engine, outcome, report } => {
                 self.events.push_back(Event::Probed { engine, outcome, report });
             }
--- a/crates/platform/src/flow.rs
+++ b/crates/platform/src/flow.rs
@@ -61,6 +61,7 @@
         let clients = free * CLIENTS / 10;
         let bounds = Bounds { queries: launch.ceilings.most_held.max(1), ..Bounds::default() };
         let index = launch.settings.index as usize;
+        let longest = launch.settings.classes.iter().map(|c| c.deadline.0).max().unwrap_or(0);
         let harmless = launch.settings.classes.iter().map(|c| c.effect == Repeats::Repeatable).collect();
         let driver = Driver::new(launch.settings, launch.seed, bounds);
         Flow {
@@ -79,7 +80,7 @@
             open: Open::default(),
             feed: Feed::new(launch.resolver, launch.serial),
             peers: Peers::new(&launch.peers, index, launch.peers_all),
-            stop: Stop::default(),
+            stop: Stop::new(longest),
             executors_at_start: launch.executors,
             chance: fastrand::Rng::with_seed(!launch.seed),
             stopped: false,
@@ -147,6 +148,9 @@
         if let Some(at) = self.stop.begin(self.out.now) {
             info!(open = self.open.len(), "asked to stop");
             self.out.wake_at(at, Wake::Stop);
+            self.stop.last().into_iter().for_each(|at| {
+                self.out.wake_at(at, Wake::Last);
+            });
         }
     }
 
@@ -197,7 +201,7 @@
             class,
             tenant,
             key,
-            due: Micros(self.out.now + (wait - EARLY).max(1)),
+            due: Micros((self.out.now + (wait - EARLY).max(1)).min(self.stop.last().unwrap_or(i64::MAX))),
             work_hint: work,
             memory_hint: memory,
             tables: table_group(statement).unwrap_or(0),
@@ -349,6 +353,11 @@
             }
             Wake::Connect(id) => self.executors.unanswered(id, &mut self.out),
             Wake::Held(attempt) => self.executors.release(attempt, &mut self.out),
+            Wake::Last => {
+                for query in self.open.queries() {
+                    self.tape.tell(self.out.now, Input::TimeUp(query));
+                }
+            }
             Wake::Stop => {
                 self.out.push(Effect::StopListening);
                 self.clients.end(&mut self.out);
--- a/crates/platform/src/open.rs
+++ b/crates/platform/src/open.rs
@@ -90,6 +90,11 @@
         Some(what)
     }
 
+    /// All of them.
+    pub fn queries(&self) -> Vec<QueryId> {
+        self.by_query.keys().copied().collect()
+    }
+
     /// How many there are.
     pub fn len(&self) -> usize {
         self.by_query.len()
--- a/crates/platform/src/stop.rs
+++ b/crates/platform/src/stop.rs
@@ -3,16 +3,34 @@
 /// After the word to stop, connections arrive for 0.4 s and calls on them for 0.2 s more; a call that crosses the end of its
 /// connection is another 50 ms on its way. In microseconds.
 const COMING: i64 = 700_000;
-/// Then what goes out may take so long, and what is in hand as long as its deadline: at most so long in all, in microseconds.
+/// After that the process may run on for the longest deadline, counted as so long where it is longer; then it is killed. In
+/// microseconds.
+const DEADLINE: i64 = 3_000_000;
+/// What is still in hand has its answer so long before, in microseconds: the word to stop was heard some time after it was sent, and
+/// answers have a network before them.
+const BEFORE: i64 = 100_000;
+/// What goes out may take so long in all, in microseconds, where nobody kills the process.
 const LONGEST: i64 = 60_000_000;
 
 /// How far the end has come.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Stop {
     since: Option<i64>,
+    /// The longest deadline of all classes, in microseconds.
+    deadline: i64,
 }
 
 impl Stop {
+    /// Not asked to stop; no class has a longer deadline than this, in microseconds.
+    pub fn new(deadline: i64) -> Stop {
+        Stop { since: None, deadline }
+    }
+
+    /// When all must have their answers; none before the word to stop.
+    pub fn last(&self) -> Option<i64> {
+        self.since.map(|since| since + COMING + self.deadline.clamp(0, DEADLINE) - BEFORE)
+    }
+
     /// The word to stop; when clients have had their time to come. None if it had come before.
     pub fn begin(&mut self, now: i64) -> Option<i64> {
         let first = self.since.is_none();
--- a/crates/platform/src/wake.rs
+++ b/crates/platform/src/wake.rs
@@ -16,4 +16,6 @@
     Held(AttemptId),
     /// Clients had their time to come.
     Stop,
+    /// The process may be killed soon: what is in hand has its answer now.
+    Last,
 }
--- a/crates/platform/tests/clients.rs
+++ b/crates/platform/tests/clients.rs
@@ -256,3 +256,51 @@
     assert_eq!(status(&rig.read(client)), 409);
     assert_eq!(rig.read(executor), "", "it ran once");
 }
+
+/// The process is killed 3 s, or the longest deadline where that is shorter, after nobody comes any more: all have their answers
+/// before, however much time their clients have left.
+#[test]
+fn what_is_in_hand_as_the_process_may_be_killed_has_its_answer_before() {
+    let long = |class: &str, n: u64| {
+        let call = post(class, &id(n), "").replace("Timeout-Ms: 2000", "Timeout-Ms: 30000");
+        call.replace("Cost-Ms: 100.0", "Cost-Ms: 9000.0")
+    };
+    let mut rig = Rig::new(2);
+    let mut waiting: Vec<(wheelfield_parts::ConnId, u16)> = Vec::new();
+    let mut asks = |rig: &mut Rig, class: &str, n: u64| {
+        let client = rig.client();
+        rig.says(client, &long(class, n));
+        rig.connect();
+        waiting.push((client, if class == "look" { 503 } else { 500 }));
+    };
+    asks(&mut rig, "look", 1);
+    asks(&mut rig, "load", 2);
+    let executors: Vec<_> = rig.written.keys().copied().collect();
+    rig.platform.stop(rig.now);
+    rig.turn();
+    // Each tells that it goes on.
+    let goes_on = |rig: &mut Rig, times: u32| {
+        for _ in 0..times {
+            rig.pass(250_000);
+            let running: Vec<_> = rig.written.keys().copied().collect();
+            for conn in running {
+                for n in 1..=3 {
+                    rig.says(conn, &format!("{} INFO tell=pct,v=0.3 0\r\n\r\n", id(n)));
+                }
+            }
+        }
+    };
+    goes_on(&mut rig, 2);
+    // One that comes after the word has as long.
+    asks(&mut rig, "look", 3);
+    goes_on(&mut rig, 12);
+    assert!(waiting.iter().all(|(client, _)| !rig.written.contains_key(client)), "time is left");
+    rig.pass(190_000);
+    for (client, expected) in waiting {
+        let told = rig.read(client);
+        assert_eq!(status(&told), expected, "{told}");
+    }
+    assert!(executors.iter().all(|conn| rig.read(*conn).contains("STOP ")), "what is given up is told");
+    rig.pass(200_000);
+    assert!(rig.stopped);
+}
--- a/crates/replay/src/main.rs
+++ b/crates/replay/src/main.rs
@@ -462,6 +462,7 @@
             Told::Input(Input::Began(_)) => "answers begun",
             Told::Input(Input::Engines { .. } | Input::ListUnavailable) => "engine lists",
             Told::Input(Input::Departed(_)) => "departures",
+            Told::Input(Input::TimeUp(_)) => "times up",
             Told::Input(Input::Probed { .. }) => "probes",
             Told::Input(Input::Told(_)) => "messages",
             Told::Input(Input::Started) => "starts",
--- a/crates/replay/src/words.rs
+++ b/crates/replay/src/words.rs
@@ -96,6 +96,7 @@
                 format!("attempt {attempt} {how}; {}", report(r))
             }
             Input::Departed(q) => format!("the client of query {} left", q.0),
+            Input::TimeUp(q) => format!("query {} must have its answer, as the controller ends", q.0),
             Input::Probed { engine, outcome, report: r } => {
                 format!("a probe of {} came back {outcome:?}; {}", names.engine(*engine), report(r))
             }
--- a/crates/wirehost/src/tape.rs
+++ b/crates/wirehost/src/tape.rs
@@ -270,6 +270,7 @@
             Input::Measured { attempt: AttemptId { query, number }, outcome, billed_work, report, took }
         }
         Event::Departed(query) => Input::Departed(query),
+        Event::TimeUp(query) => Input::TimeUp(query),
         Event::Probed { engine, outcome, report } => Input::Probed { engine, outcome, report },
         Event::Told(words) => Input::Told(words),
         Event::Gateways { count, index } => Input::Gateways { count: count as u32, index: index as u32 },
