--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -506,19 +506,8 @@
         if self.attempts_left(live) == 0 || (live.out() > 0 && !copies) {
             return false;
         }
-        if let Some(ran) = live.first_that_may_have_run() {
-            let kept = now - ran.sent < class.window;
-            let there = self.engines.get(&ran.engine).map(|e| &e.entry).filter(|_| kept);
-            let allowed = match (class.effect, class.scope) {
-                (Effect::Repeatable, _) => true,
-                (Effect::Once, _) => false,
-                (Effect::ByKey, DedupScope::All) => kept,
-                (Effect::ByKey, DedupScope::Zone) => there.is_some_and(|e| e.zone == entry.zone),
-                (Effect::ByKey, DedupScope::Cell) => there.is_some_and(|e| e.cell == entry.cell),
-            };
-            if !allowed {
-                return false;
-            }
+        if !self.may_repeat(now, live, &live.attempts, entry) {
+            return false;
         }
         // Rule 5: order by key. Rule 7: the budget of further attempts.
         if self.turn_comes(now, live).is_some() || (!live.attempts.is_empty() && !self.budget_left(now)) {
@@ -535,6 +524,29 @@
         true
     }
 
+    /// Whether a query may run at an engine although these attempts of it were made.
+    fn may_repeat(&self, now: Micros, live: &Live, before: &[Attempt], entry: &EngineEntry) -> bool {
+        let class = &self.settings.classes[live.query.class];
+        let Some(ran) = before.iter().find(|a| a.may_have_run()) else { return true };
+        let kept = now - ran.sent < class.window;
+        let there = self.engines.get(&ran.engine).map(|e| &e.entry).filter(|_| kept);
+        match (class.effect, class.scope) {
+            (Effect::Repeatable, _) => true,
+            (Effect::Once, _) => false,
+            (Effect::ByKey, DedupScope::All) => kept,
+            (Effect::ByKey, DedupScope::Zone) => there.is_some_and(|e| e.zone == entry.zone),
+            (Effect::ByKey, DedupScope::Cell) => there.is_some_and(|e| e.cell == entry.cell),
+        }
+    }
+
+    /// Whether an attempt that was sent may still be written: it may have waited for a connection.
+    pub fn repeats_in_time(&self, now: Micros, id: QueryId, number: usize) -> bool {
+        let Some(live) = self.queries.get(&id) else { return true };
+        let Some(this) = live.attempts.get(number) else { return true };
+        let entry = self.engines.get(&this.engine).map(|e| &e.entry);
+        entry.is_none_or(|entry| self.may_repeat(now, live, &live.attempts[..number], entry))
+    }
+
     /// What we may send in a span to a cold engine, and for how many gateways we draw, lest it stand idle:
     /// equal shares or, below one query, turns of a span with half the budget, as any span may touch two.
     fn cold_budget(&self, now: Micros, engine: &Engine) -> Option<(f64, f64)> {
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -34,10 +34,7 @@
         self.attempts.iter().filter(|a| a.outcome.is_none()).count()
     }
     pub fn may_have_run(&self) -> bool {
-        self.first_that_may_have_run().is_some()
-    }
-    pub fn first_that_may_have_run(&self) -> Option<&Attempt> {
-        self.attempts.iter().find(|a| !a.outcome.is_some_and(Outcome::never_ran))
+        self.attempts.iter().any(Attempt::may_have_run)
     }
 }
 
@@ -130,6 +127,10 @@
         Attempt { engine, sent, work, heard, done, outcome, cancelled: false, bad_plan: false }
     }
 
+    pub fn may_have_run(&self) -> bool {
+        !self.outcome.is_some_and(Outcome::never_ran)
+    }
+
     /// Its engine returned an error.
     pub fn erred(&self) -> bool {
         self.outcome == Some(Outcome::Error)
--- a/crates/driver/src/lib.rs
+++ b/crates/driver/src/lib.rs
@@ -406,6 +406,12 @@
         self.books.engine_to_write(attempt).is_some_and(up)
     }
 
+    /// Whether an attempt, if it is written now, is no repeat that must not run: the module allowed it as it was sent, which may
+    /// be some time ago.
+    pub fn repeats_in_time(&self, now: Micros, attempt: AttemptId) -> bool {
+        self.gateway.repeats_in_time(now, attempt.query, attempt.number)
+    }
+
     /// Whether a query waits for its final answer.
     pub fn owes(&self, query: QueryId) -> bool {
         self.books.owes(query)
--- a/crates/platform/src/door.rs
+++ b/crates/platform/src/door.rs
@@ -28,6 +28,11 @@
         self.flow.held()
     }
 
+    /// What was counted of clients that left while their query waited.
+    pub fn left(&self) -> crate::left::Counts {
+        self.flow.left()
+    }
+
     fn wire(&mut self, id: ConnId) -> Option<&mut Wire> {
         match id.room() {
             clients::ROOM => self.flow.clients.wire(id),
--- a/crates/platform/src/flow.rs
+++ b/crates/platform/src/flow.rs
@@ -4,6 +4,7 @@
 use crate::executors::{self, Ended, Executors, Job, Told};
 use crate::front::{Asked, Bad, Reply, Wants};
 use crate::launch::{Launch, Listed};
+use crate::left::{self, Left};
 use crate::lines::Request;
 use crate::names::{self, Feed, Unused};
 use crate::open::{InHand, Open};
@@ -44,6 +45,7 @@
     /// Of each class, whether its queries may run twice.
     harmless: Vec<bool>,
     open: Open,
+    left: Left,
     feed: Feed,
     peers: Peers,
     stop: Stop,
@@ -78,6 +80,7 @@
             names: launch.names,
             harmless,
             open: Open::default(),
+            left: Left::default(),
             feed: Feed::new(launch.resolver, launch.serial),
             peers: Peers::new(&launch.peers, index, launch.peers_all),
             stop: Stop::new(longest),
@@ -158,7 +161,9 @@
     pub fn client_gone(&mut self, id: ConnId) {
         self.clients.close(id, &mut self.out);
         if let Some(query) = self.open.of(id) {
-            self.open.take(query);
+            if let Some(unit) = self.open.take(query) {
+                self.left.leaves(unit.id, !unit.out, self.out.now);
+            }
             self.tape.tell(self.out.now, Input::Departed(query));
         }
     }
@@ -207,7 +212,9 @@
             tables: table_group(statement).unwrap_or(0),
         };
         match self.tape.arrive(self.out.now, arrival, "") {
-            Ok(query) => self.open.put(query, InHand { client, id, class, statement: body, nonce }),
+            Ok(query) => {
+                self.open.put(query, InHand { client, id, class, statement: body, nonce, out: false })
+            }
             // Nothing of it ran.
             Err(_) => self.answer(client, &Reply::Refused(0)),
         }
@@ -290,6 +297,7 @@
     }
 
     fn ended(&mut self, attempt: AttemptId, outcome: Outcome) {
+        self.open.set_out(attempt.query, false);
         if self.tape.mind().is_out(attempt) {
             let (billed_work, report) = (None, wheelfield::interface::Report::default());
             self.tape.tell(self.out.now, Input::Ended { attempt, outcome, billed_work, report });
@@ -301,7 +309,10 @@
         while let Some(job) = self.executors.take(conn) {
             let mind = self.tape.mind();
             let limit = mind.driver().and_then(|d| d.limit_of(job.attempt));
-            let Some(unit) = self.open.get(job.attempt.query).filter(|_| mind.may_write(job.attempt)) else {
+            // The window in which repeats are dropped may have closed while its connection came up.
+            let in_time = mind.driver().is_none_or(|d| d.repeats_in_time(Micros(self.out.now), job.attempt));
+            let may = mind.may_write(job.attempt) && in_time;
+            let Some(unit) = self.open.get(job.attempt.query).filter(|_| may) else {
                 self.ended(job.attempt, Outcome::Skipped);
                 continue;
             };
@@ -319,11 +330,14 @@
                 let class = self.open.get(attempt.query).map(|unit| unit.class);
                 let harmless = class.and_then(|n| self.harmless.get(n)).is_some_and(|harmless| *harmless);
                 self.open.spend(id, harmless);
+                self.open.set_out(attempt.query, true);
+                self.left.begun(id, self.out.now);
                 self.tape.tell(self.out.now, Input::Dispatched(attempt));
             }
             Told::Noted(attempt, note) => self.tape.tell(self.out.now, Input::Noted(attempt, note)),
             Told::Ended(ended) => {
                 let Ended { attempt, outcome, billed_work, report, pages } = *ended;
+                self.open.set_out(attempt.query, false);
                 let served = outcome == Outcome::Served && self.tape.mind().may_answer(attempt);
                 let unit = if served { self.open.take(attempt.query) } else { None };
                 self.tape.tell(self.out.now, Input::Ended { attempt, outcome, billed_work, report });
@@ -365,6 +379,11 @@
         }
     }
 
+    /// What was counted of clients that left while their query waited.
+    pub fn left(&self) -> left::Counts {
+        self.left.counts
+    }
+
     /// Connections and executors held.
     pub fn held(&self) -> usize {
         self.clients.len() + self.executors.len() + self.executors.known() + self.open.len()
@@ -383,6 +402,7 @@
             ?driver,
             ?clients,
             ?executors,
+            left = ?self.left.counts,
             unused = ?self.unused,
             "counts"
         );
--- a/crates/platform/src/launch.rs
+++ b/crates/platform/src/launch.rs
@@ -15,6 +15,12 @@
     /// Its settings can't be used.
     #[error("settings: {0}")]
     Settings(#[from] SettingsError),
+    /// A limit among the settings is missing, or is no whole number.
+    #[error("settings: ceilings.{0} is missing, or is no whole number")]
+    Ceiling(&'static str),
+    /// There is nothing to be asked for.
+    #[error("settings: grades is missing or empty, or one of them has no name")]
+    Classes,
     /// The seed is no number.
     #[error("the seed is not up to 16 hex digits: '{0}'")]
     Seed(String),
@@ -61,7 +67,7 @@
 }
 
 /// Limits among the settings that are not the module's.
-#[derive(Clone, Copy, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug)]
 pub struct Ceilings {
     /// A connect that is not through in this time has failed, in microseconds.
     pub connect_timeout_us: i64,
@@ -73,6 +79,23 @@
     pub most_held: usize,
 }
 
+impl Ceilings {
+    fn read(settings: &serde_json::Value) -> Result<Ceilings, LaunchError> {
+        // A whole number may be written with a point.
+        let one = |key: &'static str| {
+            let told = &settings["ceilings"][key];
+            let told = told.as_i64().or_else(|| told.as_f64().filter(|x| x.fract() == 0.0).map(|x| x as i64));
+            told.filter(|x| *x >= 0).ok_or(LaunchError::Ceiling(key))
+        };
+        Ok(Ceilings {
+            connect_timeout_us: one("connect_timeout_us")?,
+            conn_idle_us: one("conn_idle_us")?,
+            max_streams: one("max_streams")? as usize,
+            most_held: one("most_held")? as usize,
+        })
+    }
+}
+
 /// An executor as it is listed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Listed {
@@ -210,7 +233,10 @@
     pub fn read(text: &str) -> Result<Launch, LaunchError> {
         let file: File = serde_json::from_str(text)?;
         let (names, settings) = Names::settings(&file.settings)?;
-        let ceilings = Ceilings::deserialize(&file.settings["ceilings"])?;
+        if names.classes.is_empty() || names.classes.iter().any(String::is_empty) {
+            return Err(LaunchError::Classes);
+        }
+        let ceilings = Ceilings::read(&file.settings)?;
         let seed = u64::from_str_radix(&file.seed, 16).map_err(|_| LaunchError::Seed(file.seed.clone()))?;
         Ok(Launch {
             name: file.name,
--- /dev/null
+++ b/crates/platform/src/left.rs
@@ -0,0 +1,71 @@
+//! Clients that left while their query waited, and whether anything went on for them: told by the sockets, as a check on the books.
+
+use crate::lines::RequestId;
+use std::collections::{BTreeMap, VecDeque};
+
+/// So long after its client left nothing of a query may be sent on, in microseconds.
+const LATE: i64 = 300_000;
+/// Who left lately: so many are remembered, the oldest is forgotten first.
+const KEPT: usize = 1_024;
+
+/// What is counted of them since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Clients that left before a first or further attempt of their query was written.
+    pub waiting: u64,
+    /// Attempts whose first byte went after their client had left.
+    pub sent_on: u64,
+    /// Of these, those that went 0.3 s later or more.
+    pub sent_late: u64,
+}
+
+/// Who left lately.
+#[derive(Debug, Default)]
+pub struct Left {
+    at: BTreeMap<RequestId, i64>,
+    oldest: VecDeque<RequestId>,
+    /// What was counted.
+    pub counts: Counts,
+}
+
+impl Left {
+    /// The client of a query left, which was with no executor then if it was `waiting`.
+    pub fn leaves(&mut self, id: RequestId, waiting: bool, now: i64) {
+        self.counts.waiting += u64::from(waiting);
+        if self.at.insert(id, now).is_none() {
+            self.oldest.push_back(id);
+        }
+        if self.oldest.len() > KEPT {
+            let oldest = self.oldest.pop_front();
+            oldest.map(|id| self.at.remove(&id));
+        }
+    }
+
+    /// The first byte of an attempt under this id has gone.
+    pub fn begun(&mut self, id: RequestId, now: i64) {
+        if let Some(at) = self.at.get(&id) {
+            self.counts.sent_on += 1;
+            self.counts.sent_late += u64::from(now - at >= LATE);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_sent_on_for_one_that_left_is_counted_and_late_from_three_tenths_of_a_second_on() {
+        let id = |n: u64| RequestId::read(format!("{n:016x}").as_bytes()).expect("16 digits");
+        let mut left = Left::default();
+        left.leaves(id(1), true, 1_000);
+        left.leaves(id(2), false, 1_000);
+        left.begun(id(1), 300_999);
+        left.begun(id(2), 301_000);
+        left.begun(id(3), 900_000);
+        assert_eq!(left.counts, Counts { waiting: 1, sent_on: 2, sent_late: 1 });
+        (10..10 + KEPT as u64).for_each(|n| left.leaves(id(n), true, 2_000));
+        left.begun(id(1), 900_000);
+        assert_eq!((left.counts.sent_on, left.at.len()), (2, KEPT));
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -17,6 +17,7 @@
 mod flow;
 mod front;
 mod launch;
+mod left;
 mod lines;
 mod names;
 mod open;
--- a/crates/platform/src/open.rs
+++ b/crates/platform/src/open.rs
@@ -23,6 +23,8 @@
     pub statement: Bytes,
     /// By what executors know a repeat of it.
     pub nonce: Option<String>,
+    /// Something of it is with an executor.
+    pub out: bool,
 }
 
 /// All queries whose answer is owed: at most one for each client.
@@ -72,6 +74,13 @@
         self.by_query.get(&query)
     }
 
+    /// Something of a query went to an executor, or is over there.
+    pub fn set_out(&mut self, query: QueryId, out: bool) {
+        if let Some(what) = self.by_query.get_mut(&query) {
+            what.out = out;
+        }
+    }
+
     /// The query that a client waits for.
     pub fn of(&self, client: ConnId) -> Option<QueryId> {
         self.by_client.get(&client).copied()
--- a/crates/platform/tests/clients.rs
+++ b/crates/platform/tests/clients.rs
@@ -304,3 +304,21 @@
     rig.pass(200_000);
     assert!(rig.stopped);
 }
+
+#[test]
+fn clients_that_leave_while_their_query_waits_are_counted_and_nothing_goes_for_them() {
+    let mut rig = Rig::new(1);
+    let (running, executor, _) = rig.asked("look", &id(1));
+    let waiting = rig.client();
+    rig.says(waiting, &post("look", &id(2), ""));
+    assert_eq!(rig.connects.len(), 1);
+    rig.tell(Socketed::Closing(waiting));
+    rig.tell(Socketed::Closing(running));
+    rig.pass(100_000);
+    let fresh = rig.connect()[0];
+    rig.pass(400_000);
+    assert!(rig.read(fresh).is_empty());
+    assert_eq!(rig.read(executor), format!("STOP {}\r\n", id(1)));
+    let left = rig.platform.left();
+    assert_eq!((left.waiting, left.sent_on, left.sent_late), (1, 0, 0));
+}
--- a/crates/platform/tests/executors.rs
+++ b/crates/platform/tests/executors.rs
@@ -294,3 +294,25 @@
     assert_eq!(status(&rig.read(other)), 200);
     assert!(rig.closed.contains(&busy));
 }
+
+/// A repeat that was in time as it was chosen is too late as its connection comes up.
+#[test]
+fn a_repeat_whose_window_closed_while_its_connection_came_up_is_not_written() {
+    for (waits, written) in [(50_000, true), (150_000, false)] {
+        let mut text: serde_json::Value =
+            serde_json::from_str(&config(vec![server("e1", 1, "ready")], 256)).expect("JSON");
+        text["settings"]["grades"][1]["effect"] = "by_key".into();
+        text["settings"]["grades"][1]["window_us"] = 400_000.into();
+        let mut rig = Rig::of(&text.to_string());
+        let (client, executor, _) = rig.asked("load", &id(1));
+        rig.pass(280_000);
+        rig.tell(Socketed::Broken { id: executor, writing: false, refused: false, reason: "reset" });
+        rig.pass(20_000);
+        assert_eq!(rig.connects.len(), 1, "tried again");
+        rig.pass(waits);
+        let again = rig.connect()[0];
+        assert_eq!(rig.read(again).starts_with(&format!("REQ {} ", id(1))), written);
+        // All executors drop repeats, so that its client may ask again.
+        assert_eq!(status(&rig.read(client)), if written { 0 } else { 503 });
+    }
+}
