--- a/crates/platform/src/door.rs
+++ b/crates/platform/src/door.rs
@@ -28,6 +28,12 @@
         self.flow.held()
     }
 
+    /// A fault for a judge to find: what went to executors is forgotten.
+    #[cfg(feature = "planted")]
+    pub fn forget_spent(&mut self) {
+        self.flow.forget_spent();
+    }
+
     /// What was counted of clients that left while their query waited.
     pub fn left(&self) -> crate::left::Counts {
         self.flow.left()
--- a/crates/platform/src/flow.rs
+++ b/crates/platform/src/flow.rs
@@ -379,6 +379,11 @@
         }
     }
 
+    #[cfg(feature = "planted")]
+    pub fn forget_spent(&mut self) {
+        self.open.forget_spent();
+    }
+
     /// What was counted of clients that left while their query waited.
     pub fn left(&self) -> left::Counts {
         self.left.counts
--- a/crates/platform/src/open.rs
+++ b/crates/platform/src/open.rs
@@ -81,6 +81,12 @@
         }
     }
 
+    /// A fault for a judge to find.
+    #[cfg(feature = "planted")]
+    pub fn forget_spent(&mut self) {
+        (self.harmless, self.others) = (Spent::default(), Spent::default());
+    }
+
     /// The query that a client waits for.
     pub fn of(&self, client: ConnId) -> Option<QueryId> {
         self.by_client.get(&client).copied()
