--- a/crates/platform/tests/clients.rs
+++ b/crates/platform/tests/clients.rs
@@ -322,3 +322,31 @@
     let left = rig.platform.left();
     assert_eq!((left.waiting, left.sent_on, left.sent_late), (1, 0, 0));
 }
+
+/// Who rests for longest is closed for a new one just as it asks: its call finds nobody, and comes again under its id.
+#[test]
+fn a_call_that_crosses_its_connections_end_is_served_as_it_comes_again() {
+    let mut rig = Rig::of(&config(vec![server("e1", 1, "ready")], 64));
+    let (resting, executor, _) = rig.asked("load", &id(1));
+    rig.says(executor, &format!("{} HIT pages=1 0\r\n\r\n", id(1)));
+    assert_eq!(status(&rig.read(resting)), 200);
+    rig.now += 1_000;
+    // All others have a query in hand.
+    for n in 2..18 {
+        let client = rig.client();
+        rig.says(client, &post("look", &id(n), ""));
+    }
+    assert!(rig.closed.contains(&resting));
+    rig.says(resting, &post("load", &id(99), ""));
+    for _ in 2..18 {
+        rig.connect();
+        while let Some((conn, _)) = rig.request() {
+            (2..18).for_each(|n| rig.says(conn, &format!("{} HIT pages=1 0\r\n\r\n", id(n))));
+        }
+    }
+    let again = rig.client();
+    rig.says(again, &post("load", &id(99), ""));
+    rig.connect();
+    let (_, request) = rig.request().expect("sent to an executor");
+    assert!(request.contains(&format!("REQ {} ", id(99))), "{request}");
+}
