--- a/crates/platform/tests/clients.rs
+++ b/crates/platform/tests/clients.rs
@@ -350,3 +350,31 @@
     let (_, request) = rig.request().expect("sent to an executor");
     assert!(request.contains(&format!("REQ {} ", id(99))), "{request}");
 }
+
+/// A departure, and a timer that would have the query go on, in one turn.
+#[test]
+fn a_departure_goes_before_every_timer_that_is_due_with_it() {
+    for (what, due_after) in [("a connect that times out", 250_000), ("the wait after a cut", 20_000)] {
+        let mut rig = Rig::new(1);
+        let client = rig.client();
+        rig.says(client, &post("look", &id(1), ""));
+        if due_after == 20_000 {
+            let executor = rig.connect()[0];
+            assert!(rig.read(executor).starts_with("REQ "));
+            rig.tell(Socketed::Broken { id: executor, writing: false, refused: false, reason: "reset" });
+            assert!(rig.connects.is_empty(), "its executor may not know yet");
+        } else {
+            assert_eq!(rig.connects.len(), 1);
+        }
+        rig.now += due_after;
+        rig.platform.socketed(rig.now, Socketed::Closing(client));
+        rig.platform.due(rig.now);
+        rig.turn();
+        rig.connects.retain(|(conn, _)| !rig.closed.contains(conn));
+        rig.connect();
+        rig.pass(500_000);
+        rig.connect();
+        assert!(rig.request().is_none(), "{what}");
+        assert_eq!(rig.platform.left().waiting, 1, "{what}");
+    }
+}
