--- a/crates/gate/tests/bytes.rs
+++ b/crates/gate/tests/bytes.rs
@@ -127,6 +127,18 @@
     }
 }
 
+/// Whoever still waits to be taken as listening ends is taken, told, and let go.
+#[test]
+fn a_client_that_is_taken_after_the_word_to_stop_is_told_so() {
+    let mut wired = Wired::new(usize::MAX);
+    let _other = wired.started();
+    wired.tell(Step::Stop);
+    let late = wired.client();
+    wired.pass(5_000);
+    assert!(String::from_utf8_lossy(&wired.heard(late)).contains("57P01"));
+    assert!(wired.closed.contains(&late));
+}
+
 #[test]
 fn a_client_reset_between_execute_and_sync_leaves_the_session_clean_or_closed() {
     let mut wired = Wired::new(usize::MAX);
