Who is taken as listening ends is answered before all is over

Seen on reading the change again: where nobody else was owed anything as listening ended, StopListening and Stopped were said in one breath. Whoever the shell took from the backlog in between was dropped with the process, which the mend of the backlog was to prevent. The test on sockets did not show it, as those 600 are heard before the timer. At fault: flow.rs settle() of both protocols said Stopped without waiting for the outside to have ended its listening. Change: parts::Out knows whether that effect was handed over, and both cores say Stopped only after it, when those who were taken are known. On the platform resting clients are closed first, so that there is room for them. Measured: both new tests fail without it ('two are owed' not kept on the platform; no 57P01 with 0 others on the gate); 39 tests on sockets of the controller pass. The gate's test of before is one of the two cases of the new one.

--- a/crates/gate/src/flow.rs
+++ b/crates/gate/src/flow.rs
@@ -161,7 +161,7 @@
                 break;
             }
         }
-        if self.stop == Stop::Stopping && self.clients.len() == 0 {
+        if self.stop == Stop::Stopping && self.out.listening_ended() && self.clients.len() == 0 {
             self.out.saw(Seen::StopDone);
             self.stop.over(&mut self.out);
         }
--- a/crates/gate/tests/bytes.rs
+++ b/crates/gate/tests/bytes.rs
@@ -127,16 +127,22 @@
     }
 }
 
-/// Whoever still waits to be taken as listening ends is taken, told, and let go.
+/// Whoever still waits as listening ends is taken, told, and let go, also where nobody else is there.
 #[test]
 fn a_client_that_is_taken_after_the_word_to_stop_is_told_so() {
-    let mut wired = Wired::new(usize::MAX);
-    let _other = wired.started();
-    wired.tell(Step::Stop);
-    let late = wired.client();
-    wired.pass(5_000);
-    assert!(String::from_utf8_lossy(&wired.heard(late)).contains("57P01"));
-    assert!(wired.closed.contains(&late));
+    for others in [0, 1] {
+        let mut wired = Wired::new(usize::MAX);
+        for _ in 0..others {
+            wired.started();
+        }
+        wired.backlog = 1;
+        wired.tell(Step::Stop);
+        wired.settle();
+        wired.pass(5_000);
+        let [late] = wired.taken_late[..] else { panic!("one was taken") };
+        assert!(String::from_utf8_lossy(&wired.heard(late)).contains("57P01"), "{others} others");
+        assert!(wired.closed.contains(&late) && wired.stopped);
+    }
 }
 
 #[test]
--- a/crates/gate/tests/common/mod.rs
+++ b/crates/gate/tests/common/mod.rs
@@ -67,6 +67,9 @@
     pub effects: Vec<String>,
     pub closed: Vec<ConnId>,
     pub stopped: bool,
+    /// So many wait in the backlog, and are taken as listening ends; and who they were.
+    pub backlog: usize,
+    pub taken_late: Vec<ConnId>,
     engine_of: HashMap<ConnId, ConnId>,
     gate_of: HashMap<ConnId, ConnId>,
 }
@@ -93,6 +96,8 @@
             effects: Vec::new(),
             closed: Vec::new(),
             stopped: false,
+            backlog: 0,
+            taken_late: Vec::new(),
             engine_of: HashMap::new(),
             gate_of: HashMap::new(),
         };
@@ -150,6 +155,10 @@
             }
             for effect in effects.drain(..) {
                 self.effects.push(format!("{effect:?}"));
+                // Nothing more is done from here on.
+                if self.stopped {
+                    continue;
+                }
                 match effect {
                     Effect::Connect(id, _) => {
                         let there = self.stand.accept();
@@ -165,6 +174,12 @@
                             self.stand.gone(there, self.now);
                         }
                     }
+                    Effect::StopListening => {
+                        for _ in 0..std::mem::take(&mut self.backlog) {
+                            let id = self.tell(Step::Accept).expect("accepted");
+                            self.taken_late.push(id);
+                        }
+                    }
                     Effect::Stopped => self.stopped = true,
                     _ => {}
                 }
--- a/crates/parts/src/out.rs
+++ b/crates/parts/src/out.rs
@@ -36,7 +36,7 @@
     Close(ConnId),
     /// Send a datagram; one that can't go is lost.
     Send(Port, SocketAddr, Vec<u8>),
-    /// Take no more clients.
+    /// Take whoever waits already, and no more clients after them.
     StopListening,
     /// All is over.
     Stopped,
@@ -49,16 +49,30 @@
     pub now: i64,
     effects: Vec<Effect>,
     timers: Timers<W>,
+    door: Listening,
+}
+
+/// How far the end of listening has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Listening {
+    On,
+    /// It is among the effects.
+    Ends,
+    /// It was handed over.
+    Ended,
 }
 
 impl<W> Out<W> {
     /// With nothing to do.
     pub fn new(now: i64) -> Out<W> {
-        Out { now, effects: Vec::new(), timers: Timers::default() }
+        Out { now, effects: Vec::new(), timers: Timers::default(), door: Listening::On }
     }
 
     /// Wants something done.
     pub fn push(&mut self, effect: Effect) {
+        if effect == Effect::StopListening {
+            self.door = Listening::Ends;
+        }
         self.effects.push(effect);
     }
 
@@ -95,9 +109,18 @@
         self.timers.pop(self.now)
     }
 
+    /// Whether the end of listening was handed over, so that whoever was still taken then is known. Guards against saying that
+    /// all is over in one breath with it.
+    pub fn listening_ended(&self) -> bool {
+        self.door == Listening::Ended
+    }
+
     /// Hands over what is to be done; `into` is emptied first.
     pub fn take(&mut self, into: &mut Vec<Effect>) {
         into.clear();
         std::mem::swap(&mut self.effects, into);
+        if self.door == Listening::Ends {
+            self.door = Listening::Ended;
+        }
     }
 }
--- a/crates/platform/src/flow.rs
+++ b/crates/platform/src/flow.rs
@@ -246,7 +246,7 @@
                 break;
             }
         }
-        if self.stopped || !self.stop.nobody_comes(self.out.now) {
+        if self.stopped || !self.out.listening_ended() {
             return;
         }
         let owed = self.open.len() > 0 || self.clients.owed();
@@ -373,8 +373,9 @@
                 }
             }
             Wake::Stop => {
-                self.out.push(Effect::StopListening);
+                // First, so that there is room for those who are taken as listening ends.
                 self.clients.end(&mut self.out);
+                self.out.push(Effect::StopListening);
             }
         }
     }
--- a/crates/platform/tests/clients.rs
+++ b/crates/platform/tests/clients.rs
@@ -378,3 +378,22 @@
         assert_eq!(rig.platform.left().waiting, 1, "{what}");
     }
 }
+
+/// Nobody else is owed anything as listening ends: who is taken from the backlog in that moment is answered all the same.
+#[test]
+fn who_is_taken_in_the_moment_in_which_listening_ends_is_answered_before_the_end() {
+    let mut rig = Rig::new(1);
+    rig.backlog = vec!["GET /health HTTP/1.1\r\n\r\n".to_string(), post("look", &id(1), "")];
+    rig.platform.stop(rig.now);
+    rig.turn();
+    rig.pass(700_000);
+    assert!(!rig.listening && !rig.stopped, "two are owed");
+    let [health, asks] = rig.taken_late[..] else { panic!("two were taken") };
+    assert_eq!(status(&rig.read(health)), 503);
+    let executor = rig.connect()[0];
+    assert!(rig.read(executor).starts_with("REQ "));
+    rig.says(executor, &format!("{} HIT pages=1 0\r\n\r\n", id(1)));
+    assert_eq!(status(&rig.read(asks)), 200);
+    rig.pass(200_000);
+    assert!(rig.stopped);
+}
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -23,6 +23,9 @@
     pub datagrams: Vec<(Port, SocketAddr, Vec<u8>)>,
     pub listening: bool,
     pub stopped: bool,
+    /// Calls of clients that wait in the backlog, and are taken as listening ends; and those who asked.
+    pub backlog: Vec<String>,
+    pub taken_late: Vec<ConnId>,
     /// Of what is to go, only so many bytes do.
     pub partial: Option<usize>,
 }
@@ -81,6 +84,8 @@
             datagrams: Vec::new(),
             listening: true,
             stopped: false,
+            backlog: Vec::new(),
+            taken_late: Vec::new(),
             partial: None,
         };
         rig.platform.started(now);
@@ -108,7 +113,16 @@
                     Effect::Read(_) => {}
                     Effect::Close(id) => self.closed.push(id),
                     Effect::Send(port, to, bytes) => self.datagrams.push((port, to, bytes)),
-                    Effect::StopListening => self.listening = false,
+                    Effect::StopListening => {
+                        for call in std::mem::take(&mut self.backlog) {
+                            let id = self.platform.accept(self.now, Door::Clients).expect("room");
+                            self.platform.socketed(self.now, Socketed::Received(id, call.as_bytes()));
+                            self.taken_late.push(id);
+                        }
+                        self.listening = false;
+                    }
+                    // Nothing more is done from here on.
+                    _ if self.stopped => {}
                     Effect::Stopped => self.stopped = true,
                 }
             }
