driver: whether a repeat still may be written is asked at one place, for both protocols

Need: the window of a class by_key was asked again on the platform alone, beside may_write and only where the mind is a driver. The PostgreSQL side has the same fault: its session may take long to come up, too. Change: may_write takes the time and asks the module itself (Driver::may_write); the gate tells that such an attempt was never sent. With it, on the way of each attempt on the platform: one look-up in place of three as its first byte goes (Open::begun), and clients that left are counted by the number of their query, which comes once, in place of their id, which a bad client may send again; their map needs no second queue. What is cut off on a connection states its bound. Whether a bad configuration was logged is told by its name. Measured: a new test of the driver (may be written 0.3 s after, not 0.41 s after, with a window of 0.4 s) does not build without it; the platform's test of the same fails without the check as before.

--- a/crates/check/tests/planted.rs
+++ b/crates/check/tests/planted.rs
@@ -111,7 +111,7 @@
 fn run(driver: &mut Driver, agenda: &mut Agenda, steps: &mut Vec<Step>, (at, told): (i64, Told)) {
     // A wire asks before it writes, and tells no end of what it did not write.
     let idle = match &told {
-        Told::Input(Input::Dispatched(attempt)) => !driver.may_write(*attempt),
+        Told::Input(Input::Dispatched(attempt)) => !driver.may_write(Micros(at), *attempt),
         Told::Input(Input::Ended { attempt, .. }) => !driver.is_out(*attempt),
         _ => false,
     };
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -25,6 +25,8 @@
 struct Again {
     at: i64,
     until: i64,
+    /// That it can't be used was logged.
+    told: bool,
 }
 
 /// A controller on its sockets.
@@ -86,21 +88,23 @@
         let again: Rc<Cell<Option<Again>>> = Rc::default();
         let asked = again.clone();
         let reload = move |core: &mut Platform, now: i64| {
-            let Some(Again { at, until }) = again.get().filter(|a| a.at <= now) else { return };
+            let Some(Again { until, told, .. }) = again.get().filter(|a| a.at <= now) else { return };
             again.set(None);
             match read(&config).and_then(|text| Ok(Launch::resolver(&text)?)) {
                 Ok(resolver) => core.turn_to(now, resolver),
                 Err(fault) => {
-                    if at == until - READ_FOR {
+                    if !told {
                         warn!("the configuration stays as it is: {fault:#}");
                     }
-                    again.set((now < until).then_some(Again { at: now + READ_AGAIN, until }));
+                    again.set((now < until).then_some(Again { at: now + READ_AGAIN, until, told: true }));
                 }
             }
         };
         self.shell.each_turn(Box::new(reload));
-        self.shell
-            .bell(signal, Box::new(move |_, now| asked.set(Some(Again { at: now, until: now + READ_FOR }))))
+        self.shell.bell(
+            signal,
+            Box::new(move |_, now| asked.set(Some(Again { at: now, until: now + READ_FOR, told: false }))),
+        )
     }
 
     /// Serves until asked to stop and all is answered.
--- a/crates/driver/src/lib.rs
+++ b/crates/driver/src/lib.rs
@@ -400,16 +400,12 @@
         self.books.may_answer(attempt)
     }
 
-    /// Whether an attempt may be written: it is out, not withdrawn, and its engine takes work.
-    pub fn may_write(&self, attempt: AttemptId) -> bool {
+    /// Whether an attempt may be written now: it is out, not withdrawn, its engine takes work, and it is no repeat that must not
+    /// run. The module allowed it as it was sent, which may be some time ago.
+    pub fn may_write(&self, now: Micros, attempt: AttemptId) -> bool {
         let up = |e: EngineId| self.engines.get(&e) == Some(&Status::Up);
         self.books.engine_to_write(attempt).is_some_and(up)
-    }
-
-    /// Whether an attempt, if it is written now, is no repeat that must not run: the module allowed it as it was sent, which may
-    /// be some time ago.
-    pub fn repeats_in_time(&self, now: Micros, attempt: AttemptId) -> bool {
-        self.gateway.repeats_in_time(now, attempt.query, attempt.number)
+            && self.gateway.repeats_in_time(now, attempt.query, attempt.number)
     }
 
     /// Whether a query waits for its final answer.
--- a/crates/driver/tests/order_of_events.rs
+++ b/crates/driver/tests/order_of_events.rs
@@ -227,7 +227,7 @@
             match step {
                 Step::Arrive(class) => world.arrive(class),
                 Step::Write(pick) => {
-                    if let Some(a) = world.nth_attempt(pick).filter(|a| world.driver.may_write(*a)) {
+                    if let Some(a) = world.nth_attempt(pick).filter(|a| world.driver.may_write(world.now, *a)) {
                         let seen = world.seen.get_mut(&a.query).expect("known");
                         seen.attempts.get_mut(&a.number).expect("started").written = true;
                         world.tell(Input::Dispatched(a));
--- a/crates/driver/tests/single_cases.rs
+++ b/crates/driver/tests/single_cases.rs
@@ -104,13 +104,13 @@
     let mut rig = Rig::new(Effect::Once, 2);
     let (_, out) = rig.arrive();
     let (attempt, engine) = started(&out)[0];
-    assert!(rig.driver.may_write(attempt));
+    assert!(rig.driver.may_write(rig.now, attempt));
     let out = rig.tell(Input::Engines { whole: false, entries: vec![entry(engine.0, Status::Draining)] });
     assert!(out.contains(&Instruction::Withdraw(attempt)));
     let again = started(&out);
     assert_eq!(again.len(), 1, "once-only work that never ran goes to the other engine");
     assert_ne!(again[0].1, engine);
-    assert!(!rig.driver.may_write(attempt));
+    assert!(!rig.driver.may_write(rig.now, attempt));
 }
 
 #[test]
@@ -195,3 +195,22 @@
     assert!(rig.tell(Input::Told(vec![word])).is_empty());
     assert!(!rig.driver.knows(EngineId(99)));
 }
+
+/// A session or connection may take long to come up: whether a repeat is still one that engines drop is asked as it is written.
+#[test]
+fn a_repeat_whose_window_has_closed_may_not_be_written() {
+    let mut settings = settings(Effect::ByKey);
+    settings.classes[0].window = Micros::from_secs(0.4);
+    let mut rig = Rig { driver: Driver::new(settings, 1, Bounds::default()), now: Micros(0) };
+    rig.tell(Input::Started);
+    rig.tell(Input::Engines { whole: true, entries: vec![entry(1, Status::Up)] });
+    let (_, out) = rig.arrive();
+    let (first, _) = started(&out)[0];
+    rig.tell(Input::Dispatched(first));
+    rig.now = Micros::from_secs(0.3);
+    let out = rig.end(first, Outcome::Reset);
+    let (again, _) = started(&out)[0];
+    assert!(rig.driver.may_write(rig.now, again));
+    rig.now = Micros::from_secs(0.41);
+    assert!(!rig.driver.may_write(rig.now, again));
+}
--- a/crates/gate/src/flow.rs
+++ b/crates/gate/src/flow.rs
@@ -19,7 +19,7 @@
 use rand::{rngs::StdRng, SeedableRng as _};
 use std::collections::VecDeque;
 use tracing::{debug, info, warn};
-use wheelfield::interface::{Effect as Class, EngineId, Micros, Outcome, QueryId, Status};
+use wheelfield::interface::{Effect as Class, EngineId, Micros, Outcome, QueryId, Report, Status};
 use wheelfield_config::Config;
 use wheelfield_driver::{Answer, AttemptId, Input, Instruction, Terms};
 use wheelfield_members::tracker::{from_registry, Change};
@@ -255,8 +255,15 @@
     /// Writes an attempt to a session that is there for it.
     fn dispatch(&mut self, session: ConnId, attempt: AttemptId) {
         let planted = self.plant == Some(Plant::Drained);
-        if !self.tape.mind().may_write(attempt) && !planted || self.units.get(attempt.query).is_none() {
+        if !self.tape.mind().may_write(Micros(self.out.now), attempt) && !planted
+            || self.units.get(attempt.query).is_none()
+        {
             self.out.saw(Seen::NotWritten);
+            // A repeat that came too late is out still, and was not sent.
+            if self.tape.mind().is_out(attempt) {
+                let (outcome, billed_work, report) = (Outcome::Skipped, None, Report::default());
+                self.tape.tell(self.out.now, Input::Ended { attempt, outcome, billed_work, report });
+            }
             return self.engines.rest(session, &mut self.out);
         }
         self.tape.tell(self.out.now, Input::Dispatched(attempt));
--- a/crates/lab/examples/scale.rs
+++ b/crates/lab/examples/scale.rs
@@ -44,8 +44,8 @@
     fn is_out(&self, attempt: AttemptId) -> bool {
         Driver::is_out(&self.driver, attempt)
     }
-    fn may_write(&self, attempt: AttemptId) -> bool {
-        Driver::may_write(&self.driver, attempt)
+    fn may_write(&self, now: Micros, attempt: AttemptId) -> bool {
+        Driver::may_write(&self.driver, now, attempt)
     }
     fn may_answer(&self, attempt: AttemptId) -> bool {
         Driver::may_answer(&self.driver, attempt)
--- a/crates/lab/src/virtual_time/mind.rs
+++ b/crates/lab/src/virtual_time/mind.rs
@@ -189,7 +189,7 @@
         self.by_due.keys().next().map(|(due, _)| *due)
     }
 
-    fn may_write(&self, attempt: AttemptId) -> bool {
+    fn may_write(&self, _: Micros, attempt: AttemptId) -> bool {
         let engine = self.held.get(&attempt.query).and_then(|h| h.engine);
         engine.is_some_and(|e| self.engines.get(&e).is_some_and(|(s, ..)| *s == Status::Up))
     }
--- a/crates/lab/tests/virtual_time.rs
+++ b/crates/lab/tests/virtual_time.rs
@@ -137,8 +137,8 @@
     fn is_out(&self, attempt: AttemptId) -> bool {
         Driver::is_out(&self.driver, attempt)
     }
-    fn may_write(&self, attempt: AttemptId) -> bool {
-        attempt.number >= 100 || Driver::may_write(&self.driver, attempt)
+    fn may_write(&self, now: Micros, attempt: AttemptId) -> bool {
+        attempt.number >= 100 || Driver::may_write(&self.driver, now, attempt)
     }
     fn may_answer(&self, attempt: AttemptId) -> bool {
         attempt.number < 100 && Driver::may_answer(&self.driver, attempt)
--- a/crates/platform/src/executors.rs
+++ b/crates/platform/src/executors.rs
@@ -201,7 +201,8 @@
     told: VecDeque<Told>,
     /// Connections that are up and have attempts waiting to be written.
     ready: VecDeque<ConnId>,
-    /// Requests whose connection ended under them, and when.
+    /// Requests whose connection ended under them, or which had been given up on it, and when. What is older than [`CUT`] is dropped
+    /// at each launch and sweep: at most what the connections closed since then had.
     cut: Vec<(RequestId, EngineId, i64)>,
     /// Attempts that wait until their executor knows of that.
     held: Vec<(EngineId, Job)>,
--- a/crates/platform/src/flow.rs
+++ b/crates/platform/src/flow.rs
@@ -162,7 +162,7 @@
         self.clients.close(id, &mut self.out);
         if let Some(query) = self.open.of(id) {
             if let Some(unit) = self.open.take(query) {
-                self.left.leaves(unit.id, !unit.out, self.out.now);
+                self.left.leaves(query, !unit.out, self.out.now);
             }
             self.tape.tell(self.out.now, Input::Departed(query));
         }
@@ -213,7 +213,8 @@
         };
         match self.tape.arrive(self.out.now, arrival, "") {
             Ok(query) => {
-                self.open.put(query, InHand { client, id, class, statement: body, nonce, out: false })
+                let (harmless, out) = (self.harmless.get(class).is_some_and(|h| *h), false);
+                self.open.put(query, InHand { client, id, class, statement: body, nonce, harmless, out });
             }
             // Nothing of it ran.
             Err(_) => self.answer(client, &Reply::Refused(0)),
@@ -297,7 +298,7 @@
     }
 
     fn ended(&mut self, attempt: AttemptId, outcome: Outcome) {
-        self.open.set_out(attempt.query, false);
+        self.open.is_back(attempt.query);
         if self.tape.mind().is_out(attempt) {
             let (billed_work, report) = (None, wheelfield::interface::Report::default());
             self.tape.tell(self.out.now, Input::Ended { attempt, outcome, billed_work, report });
@@ -309,9 +310,7 @@
         while let Some(job) = self.executors.take(conn) {
             let mind = self.tape.mind();
             let limit = mind.driver().and_then(|d| d.limit_of(job.attempt));
-            // The window in which repeats are dropped may have closed while its connection came up.
-            let in_time = mind.driver().is_none_or(|d| d.repeats_in_time(Micros(self.out.now), job.attempt));
-            let may = mind.may_write(job.attempt) && in_time;
+            let may = mind.may_write(Micros(self.out.now), job.attempt);
             let Some(unit) = self.open.get(job.attempt.query).filter(|_| may) else {
                 self.ended(job.attempt, Outcome::Skipped);
                 continue;
@@ -327,17 +326,14 @@
     fn told(&mut self, told: Told) {
         match told {
             Told::Begun(attempt, id) => {
-                let class = self.open.get(attempt.query).map(|unit| unit.class);
-                let harmless = class.and_then(|n| self.harmless.get(n)).is_some_and(|harmless| *harmless);
-                self.open.spend(id, harmless);
-                self.open.set_out(attempt.query, true);
-                self.left.begun(id, self.out.now);
+                self.open.begun(attempt.query, id);
+                self.left.begun(attempt.query, self.out.now);
                 self.tape.tell(self.out.now, Input::Dispatched(attempt));
             }
             Told::Noted(attempt, note) => self.tape.tell(self.out.now, Input::Noted(attempt, note)),
             Told::Ended(ended) => {
                 let Ended { attempt, outcome, billed_work, report, pages } = *ended;
-                self.open.set_out(attempt.query, false);
+                self.open.is_back(attempt.query);
                 let served = outcome == Outcome::Served && self.tape.mind().may_answer(attempt);
                 let unit = if served { self.open.take(attempt.query) } else { None };
                 self.tape.tell(self.out.now, Input::Ended { attempt, outcome, billed_work, report });
--- a/crates/platform/src/left.rs
+++ b/crates/platform/src/left.rs
@@ -1,7 +1,7 @@
 //! Clients that left while their query waited, and whether anything went on for them: told by the sockets, as a check on the books.
 
-use crate::lines::RequestId;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
+use wheelfield::interface::QueryId;
 
 /// So long after its client left nothing of a query may be sent on, in microseconds.
 const LATE: i64 = 300_000;
@@ -22,28 +22,25 @@
 /// Who left lately.
 #[derive(Debug, Default)]
 pub struct Left {
-    at: BTreeMap<RequestId, i64>,
-    oldest: VecDeque<RequestId>,
+    /// By query, whose numbers rise: the first is the oldest.
+    at: BTreeMap<QueryId, i64>,
     /// What was counted.
     pub counts: Counts,
 }
 
 impl Left {
     /// The client of a query left, which was with no executor then if it was `waiting`.
-    pub fn leaves(&mut self, id: RequestId, waiting: bool, now: i64) {
+    pub fn leaves(&mut self, query: QueryId, waiting: bool, now: i64) {
         self.counts.waiting += u64::from(waiting);
-        if self.at.insert(id, now).is_none() {
-            self.oldest.push_back(id);
-        }
-        if self.oldest.len() > KEPT {
-            let oldest = self.oldest.pop_front();
-            oldest.map(|id| self.at.remove(&id));
+        self.at.insert(query, now);
+        if self.at.len() > KEPT {
+            self.at.pop_first();
         }
     }
 
-    /// The first byte of an attempt under this id has gone.
-    pub fn begun(&mut self, id: RequestId, now: i64) {
-        if let Some(at) = self.at.get(&id) {
+    /// The first byte of an attempt has gone. Numbers of queries come once, ids of clients that misbehave may come again.
+    pub fn begun(&mut self, query: QueryId, now: i64) {
+        if let Some(at) = self.at.get(&query) {
             self.counts.sent_on += 1;
             self.counts.sent_late += u64::from(now - at >= LATE);
         }
@@ -56,16 +53,15 @@
 
     #[test]
     fn what_is_sent_on_for_one_that_left_is_counted_and_late_from_three_tenths_of_a_second_on() {
-        let id = |n: u64| RequestId::read(format!("{n:016x}").as_bytes()).expect("16 digits");
         let mut left = Left::default();
-        left.leaves(id(1), true, 1_000);
-        left.leaves(id(2), false, 1_000);
-        left.begun(id(1), 300_999);
-        left.begun(id(2), 301_000);
-        left.begun(id(3), 900_000);
+        left.leaves(QueryId(1), true, 1_000);
+        left.leaves(QueryId(2), false, 1_000);
+        left.begun(QueryId(1), 300_999);
+        left.begun(QueryId(2), 301_000);
+        left.begun(QueryId(3), 900_000);
         assert_eq!(left.counts, Counts { waiting: 1, sent_on: 2, sent_late: 1 });
-        (10..10 + KEPT as u64).for_each(|n| left.leaves(id(n), true, 2_000));
-        left.begun(id(1), 900_000);
+        (10..10 + KEPT as u64).for_each(|n| left.leaves(QueryId(n), true, 2_000));
+        left.begun(QueryId(1), 900_000);
         assert_eq!((left.counts.sent_on, left.at.len()), (2, KEPT));
     }
 }
--- a/crates/platform/src/open.rs
+++ b/crates/platform/src/open.rs
@@ -23,6 +23,8 @@
     pub statement: Bytes,
     /// By what executors know a repeat of it.
     pub nonce: Option<String>,
+    /// It may run twice.
+    pub harmless: bool,
     /// Something of it is with an executor.
     pub out: bool,
 }
@@ -74,10 +76,10 @@
         self.by_query.get(&query)
     }
 
-    /// Something of a query went to an executor, or is over there.
-    pub fn set_out(&mut self, query: QueryId, out: bool) {
+    /// Nothing of a query is with an executor any more.
+    pub fn is_back(&mut self, query: QueryId) {
         if let Some(what) = self.by_query.get_mut(&query) {
-            what.out = out;
+            what.out = false;
         }
     }
 
@@ -92,8 +94,13 @@
         self.by_client.get(&client).copied()
     }
 
-    /// An attempt under this id goes to an executor; where it is `harmless`, it may run twice.
-    pub fn spend(&mut self, id: RequestId, harmless: bool) {
+    /// The first byte of a query went to an executor, under this id.
+    pub fn begun(&mut self, query: QueryId, id: RequestId) {
+        let what = self.by_query.get_mut(&query);
+        let harmless = what.is_some_and(|what| {
+            what.out = true;
+            what.harmless
+        });
         if harmless { &mut self.harmless } else { &mut self.others }.put(id);
     }
 
--- a/crates/tape/src/mind.rs
+++ b/crates/tape/src/mind.rs
@@ -23,8 +23,8 @@
     fn next_due(&self) -> Option<Micros>;
     /// Whether an attempt counts still.
     fn is_out(&self, attempt: AttemptId) -> bool;
-    /// Whether an attempt may be written.
-    fn may_write(&self, attempt: AttemptId) -> bool;
+    /// Whether an attempt may be written now.
+    fn may_write(&self, now: Micros, attempt: AttemptId) -> bool;
     /// Whether an attempt's answer may go to the client.
     fn may_answer(&self, attempt: AttemptId) -> bool;
     /// The driver, where it is one: its state is captured and its counts are told.
@@ -54,8 +54,8 @@
     fn is_out(&self, attempt: AttemptId) -> bool {
         Driver::is_out(self, attempt)
     }
-    fn may_write(&self, attempt: AttemptId) -> bool {
-        Driver::may_write(self, attempt)
+    fn may_write(&self, now: Micros, attempt: AttemptId) -> bool {
+        Driver::may_write(self, now, attempt)
     }
     fn may_answer(&self, attempt: AttemptId) -> bool {
         Driver::may_answer(self, attempt)
--- a/crates/wirehost/tests/one_core.rs
+++ b/crates/wirehost/tests/one_core.rs
@@ -210,7 +210,7 @@
         };
         // A wire asks before it writes, and lets no answer through that is not wanted.
         let idle = match &told {
-            Told::Input(Input::Dispatched(a)) => !driver.may_write(*a),
+            Told::Input(Input::Dispatched(a)) => !driver.may_write(Micros(at), *a),
             Told::Input(Input::Began(a)) => !driver.may_answer(*a),
             Told::Input(Input::Ended { attempt, .. }) => !driver.is_out(*attempt),
             _ => false,
