--- a/crates/controller/tests/endings.rs
+++ b/crates/controller/tests/endings.rs
@@ -253,6 +253,96 @@
     }
 }
 
+/// A client is closed as it says nothing for 2 s, another as its call does not go on for so long. Both go on while the process
+/// stands still, and their time has passed as it goes on.
+#[test]
+fn a_call_that_has_come_as_its_clients_time_ends_is_served() {
+    let names = NameService::new();
+    let program = Program::start(&config(free(), &[("e1", Executor::new().serves("e1"))], names.at));
+    let (mut silent, mut slow) = (Client::connect(program.listen), Client::connect(program.listen));
+    let call = post("load", 2, "SELECT 1");
+    slow.says(&call[..60]);
+    assert_eq!(program.health(), Some(200), "heard behind them");
+    program.halt();
+    // Until its clock has passed their time.
+    std::thread::sleep(Duration::from_millis(2_300));
+    silent.asks("load", 1);
+    slow.says(&call[60..]);
+    program.go_on();
+    assert_eq!((silent.status(), slow.status()), (200, 200));
+}
+
+/// Who rests for longest is closed for a new one, and asks in that moment: the call comes again, under its id, on a new connection.
+#[test]
+fn a_call_that_crosses_the_end_of_a_connection_closed_for_a_new_one_is_served_as_it_comes_again() {
+    let names = NameService::new();
+    let mut config = config(free(), &[("e1", Executor::new().serves("e1"))], names.at);
+    config["limits"]["sockets"] = 64.into();
+    let program = Program::start(&config);
+    let mut resting: Vec<Client> = Vec::new();
+    for n in 0..16 {
+        let mut client = Client::connect(program.listen);
+        client.asks("load", n);
+        assert_eq!(client.status(), 200);
+        resting.push(client);
+    }
+    let mut new = Client::connect(program.listen);
+    new.asks("load", 100);
+    assert_eq!(new.status(), 200);
+    // It is closed by now, and does not know.
+    let mut oldest = resting.remove(0);
+    oldest.asks("load", 101);
+    assert_eq!(oldest.status(), 0, "closed without an answer");
+    let mut again = Client::connect(program.listen);
+    again.asks("load", 101);
+    assert_eq!(again.status(), 200);
+}
+
+/// What may have run is known for as long as a flood of others takes that do no harm.
+#[test]
+fn a_flood_does_not_have_a_spent_id_run_again() {
+    let names = NameService::new();
+    let program = Program::start(&config(free(), &[("e1", Executor::new().serves("e1"))], names.at));
+    let mut client = Client::connect(program.listen);
+    client.asks("load", 1);
+    assert_eq!(client.status(), 200);
+    for n in 0..8_300 {
+        client.asks("look", (1 << 32) + n);
+        assert_eq!(client.status(), 200);
+    }
+    client.asks("load", 1);
+    assert_eq!(client.status(), 409);
+    client.asks("look", 1 << 32);
+    assert_eq!(client.status(), 200, "the oldest harmless one is forgotten");
+}
+
+/// As many are in hand as may be: one more is refused at once, the others have their answers.
+#[test]
+fn one_more_than_may_be_held_is_refused_at_once_and_costs_the_others_nothing() {
+    let (executor, names) = (Executor::new(), NameService::new());
+    let mut config = config(free(), &[("e1", executor.at)], names.at);
+    config["settings"]["ceilings"]["most_held"] = 2.into();
+    let program = Program::start(&config);
+    let mut held: Vec<(Client, Conn)> = Vec::new();
+    for n in 1..=2 {
+        let mut client = Client::connect(program.listen);
+        client.asks("load", n);
+        let mut conn = executor.take();
+        assert_eq!(conn.request().id, id(n));
+        held.push((client, conn));
+    }
+    let mut third = Client::connect(program.listen);
+    third.asks("load", 3);
+    assert_eq!(third.status(), 503);
+    for (n, (client, conn)) in held.iter_mut().enumerate() {
+        conn.says(&hit(&id(n as u64 + 1), "e1"));
+        assert_eq!(client.status(), 200);
+    }
+    third.asks("load", 3);
+    held[1].1.answers(3, "e1");
+    assert_eq!(third.status(), 200, "it never ran, and may come again");
+}
+
 /// Between the module's choice and the first byte the executor drains, is gone, or gives its address to another.
 #[test]
 fn nothing_goes_to_an_executor_that_was_told_to_drain_while_the_connection_came_up() {
--- a/crates/controller/tests/rig/mod.rs
+++ b/crates/controller/tests/rig/mod.rs
@@ -263,9 +263,7 @@
 
 impl Executor {
     pub fn new() -> Executor {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-        let at = listener.local_addr().expect("bound");
-        Executor { listener, at }
+        Executor::on(TcpListener::bind("127.0.0.1:0").expect("a port"))
     }
 
     /// One whose door is full: a connect does not come up until [`Door::opens`].
@@ -275,10 +273,16 @@
         let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
         socket.bind(&any.into()).expect("a port");
         socket.listen(0).expect("listens");
-        let listener: TcpListener = socket.into();
+        let executor = Executor::on(socket.into());
+        let inside = TcpStream::connect(executor.at).expect("the one that has room");
+        (executor, Door { _inside: inside })
+    }
+
+    fn on(listener: TcpListener) -> Executor {
+        // A connection that never comes is a failure, and does not hang the test.
+        socket2::SockRef::from(&listener).set_read_timeout(Some(PATIENCE)).expect("a socket");
         let at = listener.local_addr().expect("bound");
-        let inside = TcpStream::connect(at).expect("the one that has room");
-        (Executor { listener, at }, Door { _inside: inside })
+        Executor { listener, at }
     }
 
     /// The next connection.
@@ -287,6 +291,16 @@
         Conn::new(stream)
     }
 
+    /// The next connection, if it is here.
+    pub fn try_take(&self) -> Option<Conn> {
+        self.listener.set_nonblocking(true).expect("a socket");
+        let taken = self.listener.accept().ok();
+        self.listener.set_nonblocking(false).expect("a socket");
+        let (stream, _) = taken?;
+        stream.set_nonblocking(false).expect("a socket");
+        Some(Conn::new(stream))
+    }
+
     /// Answers each request on each connection with its own name, from now on and by itself.
     pub fn serves(self, name: &'static str) -> SocketAddr {
         std::thread::spawn(move || {
@@ -316,6 +330,12 @@
         drop(filler);
         conn
     }
+
+    /// There is room, long after: the connection that had come up by then, if any.
+    pub fn opens_late(self, executor: &Executor) -> Option<Conn> {
+        drop(executor.take());
+        executor.try_take()
+    }
 }
 
 /// A good answer with one row.
@@ -353,6 +373,19 @@
         Some(line.trim_end().to_string())
     }
 
+    /// Whether the other side has closed or broken it, whatever it said before.
+    pub fn ended(&mut self) -> bool {
+        use std::io::ErrorKind::{TimedOut, WouldBlock};
+        let mut line = Vec::new();
+        loop {
+            match self.reader.read_until(b'\n', &mut line) {
+                Ok(0) => return true,
+                Ok(_) => {}
+                Err(e) => return !matches!(e.kind(), TimedOut | WouldBlock),
+            }
+        }
+    }
+
     /// The next request, other words left out; none once the connection has ended.
     pub fn try_request(&mut self) -> Option<Request> {
         loop {
@@ -371,6 +404,12 @@
         self.try_request().expect("a request")
     }
 
+    /// Reads the next request, which is this one, and answers it.
+    pub fn answers(&mut self, n: u64, name: &str) {
+        assert_eq!(self.request().id, id(n));
+        self.says(&hit(&id(n), name));
+    }
+
     pub fn says(&mut self, text: &str) {
         let _ = self.stream.write_all(text.as_bytes());
     }
@@ -390,6 +429,14 @@
 /// A question, and whose.
 pub struct Question(Message, SocketAddr);
 
+impl Question {
+    /// The same, as if asked under another number.
+    pub fn under_another_number(mut self) -> Question {
+        self.0.metadata.id ^= 0x5555;
+        self
+    }
+}
+
 impl NameService {
     pub fn new() -> NameService {
         let socket = UdpSocket::bind("127.0.0.1:0").expect("a port");
@@ -420,6 +467,14 @@
     }
 }
 
+impl NameService {
+    /// The same, cut short on its way.
+    pub fn tells_cut(&self, to: &Question, serial: u32, executors: &[(&str, SocketAddr, bool)]) {
+        let bytes = list(&to.0, serial, executors).to_vec().expect("bytes");
+        self.socket.send_to(&bytes[..bytes.len() - 9], to.1).expect("sent");
+    }
+}
+
 /// A list as the name service tells it.
 pub fn list(question: &Message, serial: u32, executors: &[(&str, SocketAddr, bool)]) -> Message {
     let mut answer = Message::new(question.metadata.id, MessageType::Response, OpCode::Query);
