platform: whom a new client or connection takes the place of, judged by what is owed

Two faults of evictions, found by their tests.

Clients: a connection that had just come up, its first call a moment away, was closed for the next new one before anybody who kept a connection for good (clients.rs, evict: never asked before asked). And a client that had left in the same turn kept its place while another was closed. Now: who has left, who never asked for 50 ms, who rests for over the 4 s of usual clients (PROTOCOL), the newest, the others.

Executors: with all places taken by connects under way whose clients had left, a query for another executor was told as full (executors.rs, evict: only connections that were up). Now those make room.

Without the mends: clients 'left: [...], right: [...]' (the second place taken was the first new client's); endings 'assertion left == right failed' at 'closed for them'; endings_at_executors 'a connection: WouldBlock' (none came in 30 s).

Seen on the way: a_query_that_crosses_... failed once in five runs beside builds: the end of a connection was still on its way in the kernel as the program went on, so the order was not forced. Program::go_on now waits until all has arrived (by the system's tables: other ends, unsent bytes), is_told for datagrams; addresses given to programs are of their own, so that no other test has the port. Two tests more: a stop right after the start, an answer not taken yet at the end.

--- a/crates/controller/tests/endings.rs
+++ b/crates/controller/tests/endings.rs
@@ -182,6 +182,49 @@
     panic!("this machine is too slow to stop the program in time");
 }
 
+/// The word to stop comes as soon as anybody can know that it listens.
+#[test]
+fn a_stop_right_after_the_start_ends_it_as_ever() {
+    for _ in 0..10 {
+        let names = NameService::new();
+        let mut program = Program::spawn(&config(free(), &[("e1", Executor::new().serves("e1"))], names.at));
+        let mut client = None;
+        until("it listens", || {
+            client = Client::try_connect(program.listen).ok();
+            client.is_some()
+        });
+        program.signal("-TERM");
+        let mut client = client.expect("taken");
+        client.asks("load", 1);
+        assert_eq!(client.status(), 200);
+        assert_eq!(program.ended().code(), Some(0));
+    }
+}
+
+/// The client takes nothing of a long answer until the controller listens no more.
+#[test]
+fn an_answer_that_is_not_taken_yet_as_the_controller_ends_is_told_whole() {
+    let (executor, names) = (Executor::new(), NameService::new());
+    let mut program = Program::start(&config(free(), &[("e1", executor.at)], names.at));
+    let mut client = Client::with_little_room(program.listen);
+    client.asks("load", 1);
+    let mut conn = executor.take();
+    assert_eq!(conn.request().id, id(1));
+    // Eight pages of 5,900 bytes.
+    let page = format!("{}\tb\tc\n", "a".repeat(55)).repeat(98);
+    conn.says(&format!("{} HIT pages=8,cost=1.0 {}\r\n{page}\r\n", id(1), page.len()));
+    for n in 1..8 {
+        assert_eq!(conn.line(), Some(format!("FETCH {} {n}", id(1))));
+        conn.says(&format!("{} PART page={n} {}\r\n{page}\r\n", id(1), page.len()));
+    }
+    assert_eq!(conn.line(), Some(format!("END {}", id(1))));
+    program.signal("-TERM");
+    program.await_closed_door();
+    let (status, body) = client.answer().expect("whole");
+    assert_eq!((status, body.matches("\"b\"").count()), (200, 8 * 98));
+    assert_eq!(program.ended().code(), Some(0));
+}
+
 /// Who rests is closed as the controller ends; a call that crosses that comes again, on a new connection.
 #[test]
 fn a_call_that_crosses_the_end_of_its_connection_at_the_stop_is_served_on_another() {
@@ -298,6 +341,42 @@
     assert_eq!(again.status(), 200);
 }
 
+/// All places are taken by some who keep their connections for good. Two come in one turn, and ask a moment later; one more comes as
+/// one of the others leaves.
+#[test]
+fn new_clients_are_not_closed_for_each_other_nor_anybody_where_one_has_left() {
+    let names = NameService::new();
+    let mut config = config(free(), &[("e1", Executor::new().serves("e1"))], names.at);
+    config["limits"]["sockets"] = 64.into();
+    let program = Program::start(&config);
+    let mut keep: Vec<Client> = Vec::new();
+    for n in 0..16 {
+        let mut client = Client::connect(program.listen);
+        client.asks("load", n);
+        assert_eq!(client.status(), 200);
+        keep.push(client);
+    }
+    // Longer than usual clients rest.
+    std::thread::sleep(Duration::from_millis(4_200));
+    program.halt();
+    let (mut first, mut second) = (Client::connect(program.listen), Client::connect(program.listen));
+    program.go_on();
+    assert_eq!((keep.remove(0).status(), keep.remove(0).status()), (0, 0), "closed for them");
+    first.asks("load", 100);
+    second.asks("load", 101);
+    assert_eq!((first.status(), second.status()), (200, 200));
+    program.halt();
+    drop(keep.pop());
+    let mut third = Client::connect(program.listen);
+    program.go_on();
+    third.asks("load", 102);
+    assert_eq!(third.status(), 200);
+    for (n, client) in keep.iter_mut().enumerate() {
+        client.asks("load", 200 + n as u64);
+        assert_eq!(client.status(), 200, "still there");
+    }
+}
+
 /// What may have run is known for as long as a flood of others takes that do no harm.
 #[test]
 fn a_flood_does_not_have_a_spent_id_run_again() {
@@ -356,10 +435,12 @@
         program.await_connecting(first.at);
         let question = names.asked_anew();
         program.halt();
-        let tell = || match what {
-            "drains" => names.tells(&question, 2, &[("e1", first.at, true), ("e2", second.at, false)]),
-            "gone" => names.tells(&question, 2, &[("e2", second.at, false)]),
-            _ => names.tells(&question, 2, &[("e2", first.at, false)]),
+        let tell = || {
+            program.is_told(|| match what {
+                "drains" => names.tells(&question, 2, &[("e1", first.at, true), ("e2", second.at, false)]),
+                "gone" => names.tells(&question, 2, &[("e2", second.at, false)]),
+                _ => names.tells(&question, 2, &[("e2", first.at, false)]),
+            });
         };
         if told_first {
             tell();
--- a/crates/controller/tests/endings_at_executors.rs
+++ b/crates/controller/tests/endings_at_executors.rs
@@ -188,7 +188,7 @@
     assert_eq!(client.status(), 200);
     let question = names.asked_anew();
     program.halt();
-    names.tells(&question, 2, &[("e1", new.at, false)]);
+    program.is_told(|| names.tells(&question, 2, &[("e1", new.at, false)]));
     // The second connection rests.
     client.asks("load", 3);
     program.go_on();
@@ -215,10 +215,10 @@
     };
     let question = names.asked_anew();
     program.halt();
-    names.tells(&question, 1, &[("e2", elsewhere, false)]);
-    names.tells_cut(&question, 2, &[("e2", elsewhere, false)]);
-    new.tells(&question, 3, &[("e2", elsewhere, false)]);
-    names.tells(&question.under_another_number(), 4, &[("e2", elsewhere, false)]);
+    program.is_told(|| names.tells(&question, 1, &[("e2", elsewhere, false)]));
+    program.is_told(|| names.tells_cut(&question, 2, &[("e2", elsewhere, false)]));
+    program.is_told(|| new.tells(&question, 3, &[("e2", elsewhere, false)]));
+    program.is_told(|| names.tells(&question.under_another_number(), 4, &[("e2", elsewhere, false)]));
     program.go_on();
     still_served(&mut client, &mut conn, 1, "old, cut, of a stranger, unasked");
     let before = names.asked_anew();
@@ -227,7 +227,7 @@
     program.signal("-HUP");
     new.asked();
     program.halt();
-    names.tells(&before, 9, &[("e2", elsewhere, false)]);
+    program.is_told(|| names.tells(&before, 9, &[("e2", elsewhere, false)]));
     program.go_on();
     still_served(&mut client, &mut conn, 2, "of the one before");
     // The numbers carry on: the first list of the new one counts, and e1 drains in it.
@@ -240,3 +240,31 @@
     third.take().answers(3, "e3");
     assert_eq!(client.status(), 200);
 }
+
+/// All places are taken by connections that come up for nobody any more: a query for another executor has one of them.
+#[test]
+fn a_connection_that_comes_up_for_nobody_makes_room_at_the_bound_of_descriptors() {
+    let names = NameService::new();
+    let (hangs, _door) = Executor::with_full_door();
+    let second = Executor::new();
+    let mut config = config(free(), &[("e1", hangs.at)], names.at);
+    config["settings"]["ceilings"]["connect_timeout_us"] = 25_000_000.into();
+    // 16 clients and 16 connections to executors.
+    config["limits"]["sockets"] = 64.into();
+    let program = Program::start(&config);
+    let mut leave: Vec<Client> = (0..16).map(|_| Client::connect(program.listen)).collect();
+    for (n, client) in leave.iter_mut().enumerate() {
+        client.asks("look", n as u64);
+    }
+    program.await_all_connecting(hangs.at, 16);
+    leave.clear();
+    let question = names.asked_anew();
+    names.tells(&question, 2, &[("e1", hangs.at, true), ("e2", second.at, false)]);
+    // Two more questions: all of that has been heard before the second.
+    names.asked_anew();
+    names.asked();
+    let mut client = Client::connect(program.listen);
+    client.asks("load", 99);
+    second.take().answers(99, "e2");
+    assert_eq!(client.status(), 200);
+}
--- a/crates/controller/tests/rig/mod.rs
+++ b/crates/controller/tests/rig/mod.rs
@@ -7,10 +7,12 @@
 use hickory_proto::op::{Message, MessageType, OpCode};
 use hickory_proto::rr::rdata::{A, SOA, SRV, TXT};
 use hickory_proto::rr::{Name, RData, Record};
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
 /// What is awaited must come within this; no verdict rests on how soon.
@@ -25,9 +27,14 @@
     }
 }
 
-/// An address that nobody listens on yet.
+/// An address that nobody listens on yet, and that no other test is given: others may have the port from the system meanwhile, but not
+/// on this address.
 pub fn free() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port")
+    static GIVEN: AtomicU8 = AtomicU8::new(1);
+    let id = std::process::id();
+    let part = |n: u32| 1 + (n % 250) as u8;
+    let ip = Ipv4Addr::new(127, part(id), part(id / 250), GIVEN.fetch_add(1, Ordering::SeqCst));
+    TcpListener::bind((ip, 0)).and_then(|l| l.local_addr()).expect("a port")
 }
 
 /// A configuration with the classes `look` (may be repeated) and `load` (never runs twice), and these executors.
@@ -118,10 +125,38 @@
         });
     }
 
+    /// Has it go on, once all that was put into the kernel has arrived there: under load the system carries it over later than the
+    /// call that sent it returns.
     pub fn go_on(&self) {
+        until("all has arrived", || self.has_all());
         self.signal("-CONT");
     }
 
+    /// While it stands still, has `tell` send it a datagram, which has arrived then.
+    pub fn is_told(&self, tell: impl FnOnce()) {
+        let waiting = || rows(self, "udp").iter().map(|row| row.unread).sum::<u64>();
+        let before = waiting();
+        tell();
+        until("a datagram arrived", || waiting() > before);
+    }
+
+    /// Whether nothing is on its way to it: each of its connections has another end that has sent all it had to, and each end that
+    /// is gone is known to be.
+    fn has_all(&self) -> bool {
+        let all = rows(self, "tcp");
+        let others: BTreeMap<(&str, &str), &Row> =
+            all.iter().map(|row| ((row.remote.as_str(), row.local.as_str()), row)).collect();
+        all.iter().filter(|row| row.own).all(|row| match row.state.as_str() {
+            // Established: the other end is there, and nothing of it is unsent or unheard.
+            "01" => others
+                .get(&(row.local.as_str(), row.remote.as_str()))
+                .is_some_and(|other| other.state == "01" && other.unsent == 0),
+            // Half taken.
+            "03" => false,
+            _ => true,
+        })
+    }
+
     /// Descriptors open, and resident memory in pages.
     pub fn held(&self) -> (usize, usize) {
         let at = format!("/proc/{}", self.child.id());
@@ -147,16 +182,16 @@
         self.child.try_wait().expect("a child").is_some()
     }
 
-    /// A connect to this address is under way (SYN_SENT).
+    /// A connect to this address is under way.
     pub fn await_connecting(&self, to: SocketAddr) {
-        let to = format!("0100007F:{:04X}", to.port());
-        until("a connect under way", || {
-            let table = std::fs::read_to_string(format!("/proc/{}/net/tcp", self.child.id())).expect("Linux");
-            table.lines().any(|line| {
-                let words: Vec<&str> = line.split_whitespace().collect();
-                words.len() > 3 && words[2] == to && words[3] == "02"
-            })
-        });
+        self.await_all_connecting(to, 1);
+    }
+
+    /// So many connects to this address are under way (SYN_SENT).
+    pub fn await_all_connecting(&self, to: SocketAddr, count: usize) {
+        let to = format!(":{:04X}", to.port());
+        let under_way = |row: &&Row| row.own && row.state == "02" && row.remote.ends_with(&to);
+        until("connects under way", || rows(self, "tcp").iter().filter(under_way).count() >= count);
     }
 
     /// Nobody is taken any more.
@@ -165,6 +200,44 @@
     }
 }
 
+/// A socket of this machine, as the system lists it.
+struct Row {
+    local: String,
+    remote: String,
+    state: String,
+    /// Bytes that the other end does not have yet, and that were not read yet.
+    unsent: u64,
+    unread: u64,
+    /// It is the program's, or waits to be taken by it.
+    own: bool,
+}
+
+/// All sockets of a protocol.
+fn rows(program: &Program, protocol: &str) -> Vec<Row> {
+    let at = PathBuf::from(format!("/proc/{}", program.child.id()));
+    let descriptors = std::fs::read_dir(at.join("fd")).expect("Linux").flatten();
+    let inodes: BTreeSet<String> = descriptors
+        .filter_map(|d| std::fs::read_link(d.path()).ok())
+        .filter_map(|to| Some(to.to_str()?.strip_prefix("socket:[")?.strip_suffix(']')?.to_string()))
+        .collect();
+    let listens = format!(":{:04X}", program.listen.port());
+    let table = std::fs::read_to_string(at.join("net").join(protocol)).expect("Linux");
+    let read = |line: &str| {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let [_, local, remote, state, queues, _, _, _, _, inode, ..] = words[..] else { return None };
+        let (unsent, unread) = queues.split_once(':')?;
+        Some(Row {
+            local: local.to_string(),
+            remote: remote.to_string(),
+            state: state.to_string(),
+            unsent: u64::from_str_radix(unsent, 16).ok()?,
+            unread: u64::from_str_radix(unread, 16).ok()?,
+            own: inodes.contains(inode) || (protocol == "tcp" && local.ends_with(&listens)),
+        })
+    };
+    table.lines().filter_map(read).collect()
+}
+
 /// A client.
 pub struct Client {
     stream: BufReader<TcpStream>,
@@ -175,8 +248,20 @@
         Client::try_connect(to).expect("taken")
     }
 
+    /// One whose system takes little that it does not read.
+    pub fn with_little_room(to: SocketAddr) -> Client {
+        use socket2::{Domain, Protocol, Socket, Type};
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP)).expect("a socket");
+        socket.set_recv_buffer_size(2_048).expect("a socket");
+        socket.connect(&to.into()).expect("taken");
+        Client::on(socket.into()).expect("a socket")
+    }
+
     pub fn try_connect(to: SocketAddr) -> std::io::Result<Client> {
-        let stream = TcpStream::connect(to)?;
+        Client::on(TcpStream::connect(to)?)
+    }
+
+    fn on(stream: TcpStream) -> std::io::Result<Client> {
         stream.set_read_timeout(Some(PATIENCE))?;
         stream.set_nodelay(true)?;
         Ok(Client { stream: BufReader::new(stream) })
--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -19,6 +19,8 @@
 const KEPT: i64 = 30_000_000;
 /// The first call of a connection may be so long on its way, in microseconds: as long as one that crosses the end of another.
 const FIRST: i64 = 50_000;
+/// Clients as the protocol knows them rest no longer than this, and close then, in microseconds.
+const USUAL: i64 = 4_000_000;
 /// Read on while a call is in hand: its client may send the next one ahead.
 const AHEAD: usize = 4 << 10;
 
@@ -58,6 +60,24 @@
         let here = self.state == State::Busy || self.fresh || !self.wire.input.is_empty();
         !comes && !here && self.wire.output.is_empty()
     }
+
+    /// How readily it is closed for a new one, the least first; none if something is owed. Guards against closing on a call that has
+    /// come and was not looked at yet, or is on its way on a connection that has just come up.
+    fn spare(&self, now: i64) -> Option<(u8, bool, i64)> {
+        let left = self.wire.ended || self.wire.closing;
+        if self.state == State::Busy || (!left && (self.fresh || !self.wire.output.is_empty())) {
+            return None;
+        }
+        let silent = now - self.since;
+        let rank = match self.asked {
+            _ if left => 0,
+            false if silent >= FIRST => 1,
+            true if silent > USUAL => 2,
+            false => 3,
+            true => 4,
+        };
+        Some((rank, self.begun.is_some(), self.since))
+    }
 }
 
 /// What a client wants.
@@ -118,12 +138,10 @@
         }))
     }
 
-    /// Closes one with no call in hand: who never asked before who did, who is silent for longest first. Guards against closing
-    /// on a call that has come and was not looked at yet.
+    /// Closes one with no call in hand; false if there is none.
     fn evict(&mut self, out: &mut Out<Wake>) -> bool {
-        let spare = |c: &Client| c.state != State::Busy && !c.fresh && c.wire.output.is_empty();
-        let idle = self.all.iter().filter(|(_, c)| spare(c));
-        let Some((id, _)) = idle.min_by_key(|(_, c)| (c.asked, c.begun.is_some(), c.since)) else {
+        let spare = self.all.iter().filter_map(|(id, c)| Some((c.spare(out.now)?, id)));
+        let Some((_, id)) = spare.min_by_key(|(rank, _)| *rank) else {
             return false;
         };
         self.counts.evicted += 1;
--- a/crates/platform/src/executors.rs
+++ b/crates/platform/src/executors.rs
@@ -372,10 +372,11 @@
         Some(id)
     }
 
-    /// Closes the connection that is idle for longest; false if none is.
+    /// Closes a connection that carries nothing: one that comes up for nobody any more, else the one that is idle for longest. False
+    /// if none is.
     fn evict(&mut self, out: &mut Out<Wake>) -> bool {
-        let idle = self.conns.iter().filter(|(_, c)| c.up && c.load() == 0);
-        let oldest = idle.min_by_key(|(_, c)| c.idle_since).map(|(id, _)| id);
+        let idle = self.conns.iter().filter(|(_, c)| c.load() == 0);
+        let oldest = idle.min_by_key(|(_, c)| (c.up, c.idle_since)).map(|(id, _)| id);
         oldest.map(|id| self.close(id, out)).is_some()
     }
 
--- a/crates/platform/tests/clients.rs
+++ b/crates/platform/tests/clients.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use wheelfield_parts::{Inside, Socketed};
+use wheelfield_parts::{ConnId, Inside, Socketed};
 
 #[test]
 fn a_query_is_carried_and_its_pages_come_as_one_answer() {
@@ -430,3 +430,36 @@
     rig.turn();
     assert!(rig.stopped);
 }
+
+/// All places are taken by some who keep their connections for good: new ones who have not asked yet are not closed for each other.
+#[test]
+fn new_clients_have_time_to_ask_where_all_places_are_taken() {
+    let mut rig = Rig::of(&config(vec![server("e1", 1, "ready")], 64));
+    let keepers: Vec<ConnId> = (0..16)
+        .map(|n| {
+            let client = rig.client();
+            rig.says(client, "GET /health HTTP/1.1\r\n\r\n");
+            assert_eq!(status(&rig.read(client)), 200);
+            rig.pass(if n == 7 { 1_000_000 } else { 1_000 });
+            client
+        })
+        .collect();
+    rig.pass(3_500_000);
+    // Eight rest for longer than usual ones do, and are closed first; the others stay, and then it is the silent who go.
+    let (first, second) = (rig.client(), rig.client());
+    assert_eq!(rig.closed, keepers[..2]);
+    let more: Vec<ConnId> = (0..6).map(|_| rig.client()).collect();
+    assert_eq!(rig.closed, keepers[..8]);
+    rig.says(second, &post("look", &id(1), ""));
+    rig.connect();
+    let (executor, _) = rig.request().expect("sent on");
+    let one_more = rig.client();
+    assert_eq!(rig.closed[8..], [first]);
+    // Who has left goes first of all.
+    rig.platform.socketed(rig.now, Socketed::Ended(keepers[15]));
+    let last = rig.client();
+    assert_eq!(rig.closed[9..], [keepers[15]]);
+    assert!([&more[..], &[one_more, last]].concat().iter().all(|c| !rig.closed.contains(c)));
+    rig.says(executor, &format!("{} HIT pages=1 0\r\n\r\n", id(1)));
+    assert_eq!(status(&rig.read(second)), 200);
+}
