shell: what came before a timer was due is heard before it, wherever the process stood still

Cause: run() in shell.rs polled, then read the clock. A process that is stopped between the two finds timers due by a clock that has gone on, and has heard nothing of what happened meanwhile: calls that lay in the kernel were closed on as silent. Checked: an interrupted wait was handled already; it is the stop outside of the wait.

Change: where a timer is due, the sockets are looked at once more after the clock was read, and that time stands (hear_all).

The order can't be forced from outside, so the loop's hearing is tested with a process whose clock jumps at each of its looks.

Beside it the debug log of the platform names each call as it is asked, answered, served or left, to follow an id.

--- a/crates/controller/src/shell.rs
+++ b/crates/controller/src/shell.rs
@@ -78,12 +78,47 @@
     }
 }
 
+/// Who hears what has happened, and when.
+trait Hears {
+    /// Waits for so long at most until something has happened; whether more may have than was heard.
+    fn hear(&mut self, wait: Duration) -> std::io::Result<bool>;
+    /// The time.
+    fn time(&mut self) -> i64;
+    /// Acts on what was heard, as of a time.
+    fn act(&mut self, now: i64);
+    /// Whether a timer is due at a time.
+    fn due(&self, now: i64) -> bool;
+}
+
+/// Waits for so long at most until something has happened, and hears all that had by the time that it gives. Guards against acting
+/// on timers before what came ahead of them: a process that stands still between hearing and looking at the clock finds them due, and
+/// has heard nothing of what happened meanwhile.
+fn hear_all(ears: &mut impl Hears, mut wait: Duration) -> std::io::Result<i64> {
+    // The time, looked at before the hearing under way.
+    let mut looked = None;
+    for _ in 0..HEARINGS {
+        let more = match ears.hear(std::mem::take(&mut wait)) {
+            // Nothing is known of what has happened meanwhile: a process that was stopped and goes on comes here.
+            Err(e) if e.kind() == ErrorKind::Interrupted => continue,
+            heard => heard?,
+        };
+        let now = looked.unwrap_or_else(|| ears.time());
+        ears.act(now);
+        if !more && (looked.is_some() || !ears.due(now)) {
+            return Ok(now);
+        }
+        looked = Some(if more { ears.time() } else { now });
+    }
+    Ok(looked.unwrap_or_else(|| ears.time()))
+}
+
 /// A controller on its sockets.
 pub(crate) struct Shell<C> {
     pub core: C,
     pub clock: Clock,
     pub now: i64,
     poll: Poll,
+    events: Events,
     sockets: Sockets,
     listening: Vec<Listening>,
     ports: Vec<(Port, UdpSocket)>,
@@ -113,6 +148,7 @@
             clock,
             now,
             poll: Poll::new()?,
+            events: Events::with_capacity(EVENTS),
             sockets: Sockets::new(),
             listening: Vec::new(),
             ports: Vec::new(),
@@ -176,25 +212,9 @@
     /// # Errors
     /// As the system tells of the poll itself; a connection's trouble is its own.
     pub fn run(&mut self) -> Result<()> {
-        let mut events = Events::with_capacity(EVENTS);
         while !self.stopped {
-            let mut wait = if self.carry_out() { Duration::ZERO } else { self.wait() };
-            for _ in 0..HEARINGS {
-                let heard = self.poll.poll(&mut events, Some(wait));
-                self.now = self.clock.now();
-                wait = Duration::ZERO;
-                match heard {
-                    // Nothing is known of what has happened meanwhile: a process that was stopped and goes on comes here.
-                    Err(e) if e.kind() == ErrorKind::Interrupted => continue,
-                    heard => heard?,
-                }
-                for event in &events {
-                    self.on_event(event);
-                }
-                if events.iter().count() < EVENTS {
-                    break;
-                }
-            }
+            let wait = if self.carry_out() { Duration::ZERO } else { self.wait() };
+            self.now = hear_all(self, wait)?;
             for at in 0..self.listening.len() {
                 if self.listening[at].again.is_some_and(|again| again <= self.now) {
                     let (core, registry) = (&mut self.core, self.poll.registry());
@@ -292,6 +312,30 @@
     }
 }
 
+impl<C: Inside> Hears for Shell<C> {
+    fn hear(&mut self, wait: Duration) -> std::io::Result<bool> {
+        self.poll.poll(&mut self.events, Some(wait))?;
+        Ok(self.events.iter().count() >= EVENTS)
+    }
+
+    fn time(&mut self) -> i64 {
+        self.clock.now()
+    }
+
+    fn act(&mut self, now: i64) {
+        self.now = now;
+        let events = std::mem::replace(&mut self.events, Events::with_capacity(0));
+        for event in &events {
+            self.on_event(event);
+        }
+        self.events = events;
+    }
+
+    fn due(&self, now: i64) -> bool {
+        self.core.next_due().is_some_and(|at| at <= now)
+    }
+}
+
 /// Binds a listening socket.
 ///
 /// # Errors
@@ -307,3 +351,69 @@
 pub(crate) fn bind_datagrams(address: SocketAddr, what: &str) -> Result<UdpSocket> {
     datagrams(address).with_context(|| format!("cannot listen for {what} on {address}"))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A process whose clock moves on by `still` as it is looked at for the `at`-th time, as if it had stood still just before, and
+    /// meanwhile so much happens as is told.
+    struct Still {
+        now: i64,
+        looks: usize,
+        at: usize,
+        still: i64,
+        /// When what happens does, and what was heard of it.
+        happens: Vec<i64>,
+        heard: Vec<i64>,
+        interrupted: bool,
+        /// Heard at a time.
+        most: usize,
+    }
+
+    const TIMER: i64 = 1_000;
+
+    impl Hears for Still {
+        fn hear(&mut self, wait: Duration) -> std::io::Result<bool> {
+            if std::mem::take(&mut self.interrupted) {
+                self.now += self.still;
+                return Err(ErrorKind::Interrupted.into());
+            }
+            self.now += wait.as_micros() as i64;
+            let here = self.happens.iter().filter(|at| **at <= self.now).count().min(self.most);
+            self.heard.extend(self.happens.drain(..here));
+            Ok(here == self.most)
+        }
+
+        fn time(&mut self) -> i64 {
+            self.looks += 1;
+            if self.looks == self.at {
+                self.now += self.still;
+            }
+            self.now
+        }
+
+        fn act(&mut self, _: i64) {}
+
+        fn due(&self, now: i64) -> bool {
+            now >= TIMER
+        }
+    }
+
+    #[test]
+    fn all_that_came_before_a_timer_was_due_is_heard_before_it_wherever_the_process_stood_still() {
+        let ways =
+            (0..4usize).flat_map(|at| [(at, false, 300), (at, true, 300), (at, false, 2), (at, true, 2)]);
+        for (at, interrupted, most) in ways {
+            let happens = vec![100, 200, 300, 900, 5_000, 5_500, 9_000];
+            let mut process =
+                Still { now: 0, looks: 0, at, still: 6_000, happens, heard: Vec::new(), interrupted, most };
+            for _ in 0..9 {
+                let now = hear_all(&mut process, Duration::from_micros(500)).expect("heard");
+                let unheard = process.happens.iter().filter(|at| **at <= now).count();
+                assert_eq!(unheard, 0, "at {now}: stood still at look {at}, {interrupted}, {most} at a time");
+            }
+            assert!(process.now >= TIMER && process.heard.len() >= 4);
+        }
+    }
+}
--- a/crates/platform/src/flow.rs
+++ b/crates/platform/src/flow.rs
@@ -163,6 +163,7 @@
         self.clients.close(id, &mut self.out);
         if let Some(query) = self.open.of(id) {
             if let Some(unit) = self.open.take(query) {
+                debug!(id = %unit.id, out = unit.out, "left");
                 self.left.leaves(query, !unit.out, self.out.now);
             }
             self.tape.tell(self.out.now, Input::Departed(query));
@@ -202,6 +203,7 @@
         if self.open.uses(id) {
             return self.bad(client, Bad::Doubled);
         }
+        debug!(%id, class, wait, "asked");
         let tenant = tenant.and_then(|name| position(&self.names.tenants, &name));
         let arrival = Arrival {
             class,
@@ -275,6 +277,7 @@
             }
             Instruction::Answer(query, answer) => {
                 let Some(unit) = self.open.take(query) else { return };
+                debug!(id = %unit.id, ?answer, "answered");
                 let reply = match answer {
                     Answer::Refused { retry_after } => Reply::Refused((retry_after.0 + 999) / 1000),
                     Answer::Failed { .. } | Answer::Broken => Reply::Failed,
@@ -339,6 +342,7 @@
                 let unit = if served { self.open.take(attempt.query) } else { None };
                 self.tape.tell(self.out.now, Input::Ended { attempt, outcome, billed_work, report });
                 if let Some(unit) = unit {
+                    debug!(id = %unit.id, "served");
                     self.answer(unit.client, &Reply::Rows(rows::answer(&pages)));
                 }
             }
