--- a/crates/controller/tests/endings.rs
+++ b/crates/controller/tests/endings.rs
@@ -377,6 +377,32 @@
     }
 }
 
+/// A call that can't be used is told so and closed, and what its client still sends does not take the answer along.
+#[test]
+fn the_answer_to_a_call_that_cannot_be_used_outlives_what_comes_behind_it() {
+    let names = NameService::new();
+    let program = Program::start(&config(free(), &[("e1", Executor::new().serves("e1"))], names.at));
+    let whole = post("load", 1, "SELECT 1");
+    let bad = [
+        (whole.replace("Content-Length: 8", "Content-Length: 60000000"), 413),
+        (whole.replace("Content-Length: 8", "Content-Length: 8\r\nTransfer-Encoding: chunked"), 400),
+        (whole.replace("Content-Length: 8", "Transfer-Encoding: chunked"), 411),
+        (whole.replace("HTTP/1.1", "nonsense"), 400),
+        (whole.replace("X-Timeout-Ms", &"X".repeat(20_000)), 431),
+    ];
+    for (call, status) in &bad {
+        let mut client = Client::connect(program.listen);
+        client.says(call);
+        // Calls of others, as it seems, and much of it.
+        client.says(&whole.replace("SELECT 1", "SELECT 2").repeat(5_000));
+        assert_eq!(client.status(), *status, "{}", &call[..call.len().min(200)]);
+    }
+    // Nothing of it went anywhere: the id is not known.
+    let mut client = Client::connect(program.listen);
+    client.says(&whole);
+    assert_eq!(client.status(), 200);
+}
+
 /// What may have run is known for as long as a flood of others takes that do no harm.
 #[test]
 fn a_flood_does_not_have_a_spent_id_run_again() {
--- a/crates/controller/tests/endings_at_executors.rs
+++ b/crates/controller/tests/endings_at_executors.rs
@@ -268,3 +268,42 @@
     second.take().answers(99, "e2");
     assert_eq!(client.status(), 200);
 }
+
+/// The window in which repeats of a query are dropped closes while the connection for its repeat comes up.
+#[test]
+fn a_repeat_whose_window_closed_while_its_connection_came_up_is_not_written() {
+    for closes in [false, true] {
+        let names = NameService::new();
+        let (executor, door) = Executor::with_full_door();
+        let mut config = config(free(), &[("e1", executor.at)], names.at);
+        config["settings"]["ceilings"]["connect_timeout_us"] = 25_000_000.into();
+        let load = &mut config["settings"]["grades"][1];
+        load["effect"] = "by_key".into();
+        load["dedup_scope"] = "all".into();
+        load["window_us"] = if closes { 1_000_000 } else { 12_000_000 }.into();
+        let program = Program::start(&config);
+        let mut client = Client::connect(program.listen);
+        client.asks("look", 900);
+        program.await_connecting(executor.at);
+        let mut first = door.opens(&executor);
+        first.answers(900, "e1");
+        assert_eq!(client.status(), 200);
+        let door = executor.fills();
+        client.says(&post("load", 1, "SELECT 1").replace("X-Timeout", "Idempotency-Key: k1\r\nX-Timeout"));
+        assert_eq!(first.request().id, id(1));
+        first.breaks();
+        program.await_connecting(executor.at);
+        program.halt();
+        // Until its clock has passed the shorter window.
+        std::thread::sleep(Duration::from_millis(1_200));
+        let mut second = door.opens(&executor);
+        program.go_on();
+        if !closes {
+            second.answers(1, "e1");
+        }
+        assert_eq!(client.status(), if closes { 503 } else { 200 });
+        client.asks("look", 2);
+        second.answers(2, "e1");
+        assert_eq!(client.status(), 200, "nothing else went there");
+    }
+}
--- a/crates/controller/tests/rig/mod.rs
+++ b/crates/controller/tests/rig/mod.rs
@@ -376,6 +376,11 @@
         Conn::new(stream)
     }
 
+    /// Its door, which was opened, is full again.
+    pub fn fills(&self) -> Door {
+        Door { _inside: TcpStream::connect(self.at).expect("the one that has room") }
+    }
+
     /// The next connection, if it is here.
     pub fn try_take(&self) -> Option<Conn> {
         self.listener.set_nonblocking(true).expect("a socket");
