--- a/crates/controller/tests/endings.rs
+++ b/crates/controller/tests/endings.rs
@@ -268,20 +268,26 @@
     assert_eq!(program.ended().code(), Some(0));
 }
 
-/// A new client finds all places taken, and who rests for longest has asked just now.
-#[test]
-fn whoever_has_asked_is_not_closed_for_a_new_one() {
-    let names = NameService::new();
+/// All 16 places for clients are taken by some who were served, and rest.
+fn full_of_those_who_rest(names: &NameService) -> (Program, Vec<Client>) {
     let mut config = config(free(), &[("e1", Executor::new().serves("e1"))], names.at);
     config["limits"]["sockets"] = 64.into();
     let program = Program::start(&config);
-    let mut resting: Vec<Client> = Vec::new();
-    for n in 0..16 {
+    let served = |n| {
         let mut client = Client::connect(program.listen);
-        client.asks("look", n);
+        client.asks("load", n);
         assert_eq!(client.status(), 200);
-        resting.push(client);
-    }
+        client
+    };
+    let resting = (0..16).map(served).collect();
+    (program, resting)
+}
+
+/// A new client finds all places taken, and who rests for longest has asked just now.
+#[test]
+fn whoever_has_asked_is_not_closed_for_a_new_one() {
+    let names = NameService::new();
+    let (program, mut resting) = full_of_those_who_rest(&names);
     for round in 0..4 {
         program.halt();
         let mut new = Client::connect(program.listen);
@@ -319,16 +325,7 @@
 #[test]
 fn a_call_that_crosses_the_end_of_a_connection_closed_for_a_new_one_is_served_as_it_comes_again() {
     let names = NameService::new();
-    let mut config = config(free(), &[("e1", Executor::new().serves("e1"))], names.at);
-    config["limits"]["sockets"] = 64.into();
-    let program = Program::start(&config);
-    let mut resting: Vec<Client> = Vec::new();
-    for n in 0..16 {
-        let mut client = Client::connect(program.listen);
-        client.asks("load", n);
-        assert_eq!(client.status(), 200);
-        resting.push(client);
-    }
+    let (program, mut resting) = full_of_those_who_rest(&names);
     let mut new = Client::connect(program.listen);
     new.asks("load", 100);
     assert_eq!(new.status(), 200);
@@ -346,16 +343,7 @@
 #[test]
 fn new_clients_are_not_closed_for_each_other_nor_anybody_where_one_has_left() {
     let names = NameService::new();
-    let mut config = config(free(), &[("e1", Executor::new().serves("e1"))], names.at);
-    config["limits"]["sockets"] = 64.into();
-    let program = Program::start(&config);
-    let mut keep: Vec<Client> = Vec::new();
-    for n in 0..16 {
-        let mut client = Client::connect(program.listen);
-        client.asks("load", n);
-        assert_eq!(client.status(), 200);
-        keep.push(client);
-    }
+    let (program, mut keep) = full_of_those_who_rest(&names);
     // Longer than usual clients rest.
     std::thread::sleep(Duration::from_millis(4_200));
     program.halt();
