platform: the log says whose list it is, who left it and for how long none confirmed it

Change: 'executor list replaced' names serial number, service, and the executors that drain or are gone, in fewer bytes; 'executor list confirmed again' after a second without; metrics for the age of the list and unanswered queries; the guard of sending looks once more as the first byte is written. Answers that confirm the list no longer count as ignored; 'not_newer' is now 'older', and means just that.

--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -23,6 +23,15 @@
 /// Maximum number of executors in a list. Deployments have up to 3,200.
 const MAX_EXECUTORS: usize = 4_096;
 
+/// What an answer says of the current list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum DiscoveryUpdate {
+    /// It is the same.
+    Confirmed,
+    /// This complete list replaces it.
+    Replaced(Vec<ExecutorEndpoint>),
+}
+
 /// Why an answer was ignored.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum IgnoredAnswer {
@@ -41,9 +50,9 @@
     /// Records are missing.
     #[error("missing records")]
     Incomplete,
-    /// Its serial number is not above that of the current list.
-    #[error("serial number not newer")]
-    NotNewer,
+    /// Its serial number is below that of the current list.
+    #[error("list older than the current one")]
+    Older,
 }
 
 impl IgnoredAnswer {
@@ -54,7 +63,7 @@
         IgnoredAnswer::Unsolicited,
         IgnoredAnswer::Failed,
         IgnoredAnswer::Incomplete,
-        IgnoredAnswer::NotNewer,
+        IgnoredAnswer::Older,
     ];
     /// Number of reasons.
     pub const COUNT: usize = IgnoredAnswer::ALL.len();
@@ -67,13 +76,13 @@
             IgnoredAnswer::Unsolicited => "unsolicited",
             IgnoredAnswer::Failed => "failed",
             IgnoredAnswer::Incomplete => "incomplete",
-            IgnoredAnswer::NotNewer => "not_newer",
+            IgnoredAnswer::Older => "older",
         }
     }
 
     /// Whether answers are ignored for this reason in normal operation.
     pub fn is_expected(self) -> bool {
-        matches!(self, IgnoredAnswer::NotNewer | IgnoredAnswer::Unsolicited)
+        matches!(self, IgnoredAnswer::Older | IgnoredAnswer::Unsolicited)
     }
 }
 
@@ -86,6 +95,10 @@
     lower_since: Option<i64>,
     /// When an answer last confirmed or replaced the current list, in microseconds.
     confirmed_at: i64,
+    /// The name service that did.
+    confirmed_by: SocketAddr,
+    /// Queries sent since then.
+    queries_since_confirmed: u64,
     /// The queries whose answers are accepted, the latest last: the name service and the id of each.
     open_queries: VecDeque<(SocketAddr, u16)>,
     service: Option<Name>,
@@ -99,6 +112,8 @@
             serial,
             lower_since: None,
             confirmed_at: now,
+            confirmed_by: resolver,
+            queries_since_confirmed: 0,
             open_queries: VecDeque::new(),
             service: Name::from_ascii(SERVICE_NAME).ok(),
         }
@@ -118,6 +133,21 @@
         self.confirmed_at
     }
 
+    /// The serial number of the current list.
+    pub fn serial(&self) -> u64 {
+        self.serial
+    }
+
+    /// The name service that last confirmed or replaced the current list.
+    pub fn confirmed_by(&self) -> SocketAddr {
+        self.confirmed_by
+    }
+
+    /// Number of queries sent since the current list was last confirmed or replaced.
+    pub fn queries_since_confirmed(&self) -> u64 {
+        self.queries_since_confirmed
+    }
+
     /// Encodes a query with this id, which is to be random; and its destination.
     pub fn query(&mut self, id: u16) -> Option<(SocketAddr, Vec<u8>)> {
         let mut message = Message::new(id, MessageType::Query, OpCode::Query);
@@ -127,19 +157,20 @@
             self.open_queries.pop_front();
         }
         self.open_queries.push_back((self.resolver, id));
+        self.queries_since_confirmed += 1;
         Some((self.resolver, bytes))
     }
 
-    /// Handles an answer: the complete list of executors, if it is newer than the current one.
+    /// Handles an answer: what it says of the current list.
     ///
     /// # Errors
-    /// [`IgnoredAnswer`]; the current list stays.
+    /// [`IgnoredAnswer`]; the current list stays, and is not confirmed.
     pub fn handle_answer(
         &mut self,
         now: i64,
         from: SocketAddr,
         datagram: &[u8],
-    ) -> Result<Vec<ExecutorEndpoint>, IgnoredAnswer> {
+    ) -> Result<DiscoveryUpdate, IgnoredAnswer> {
         if from != self.resolver {
             return Err(IgnoredAnswer::UnknownSender);
         }
@@ -151,27 +182,32 @@
             return Err(IgnoredAnswer::Failed);
         }
         let serial = find_serial(&message).ok_or(IgnoredAnswer::Incomplete)?;
-        if !self.is_to_be_used(serial, now) {
-            return Err(IgnoredAnswer::NotNewer);
+        if serial == self.serial {
+            self.confirm(now, from);
+            return Ok(DiscoveryUpdate::Confirmed);
+        }
+        if serial < self.serial && !self.counts_by_itself(now) {
+            return Err(IgnoredAnswer::Older);
         }
         let executors = parse_executors(&message).ok_or(IgnoredAnswer::Incomplete)?;
         self.serial = serial;
+        self.confirm(now, from);
+        Ok(DiscoveryUpdate::Replaced(executors))
+    }
+
+    /// Notes that the current list is that of a name service.
+    fn confirm(&mut self, now: i64, from: SocketAddr) {
         self.lower_since = None;
         self.confirmed_at = now;
-        Ok(executors)
+        self.confirmed_by = from;
+        self.queries_since_confirmed = 0;
     }
 
-    /// Whether a list with this serial number replaces the current one: it is newer, or its name service counts by itself.
-    fn is_to_be_used(&mut self, serial: u64, now: i64) -> bool {
-        if serial < self.serial {
-            let since = *self.lower_since.get_or_insert(now);
-            return now - since >= LOWER_SERIAL_TIMEOUT_US;
-        }
-        self.lower_since = None;
-        if serial == self.serial {
-            self.confirmed_at = now;
-        }
-        serial > self.serial
+    /// Whether a name service that answers with a lower serial number has done so, and nothing else, for so long that it counts by
+    /// itself.
+    fn counts_by_itself(&mut self, now: i64) -> bool {
+        let since = *self.lower_since.get_or_insert(now);
+        now - since >= LOWER_SERIAL_TIMEOUT_US
     }
 
     fn answers_open_query(&self, message: &Message) -> bool {
--- a/crates/platform/src/dispatcher/attempts.rs
+++ b/crates/platform/src/dispatcher/attempts.rs
@@ -5,7 +5,9 @@
 use crate::executors::{AttemptEvent, EndedAttempt, PendingAttempt};
 use crate::http_server::Reply;
 use crate::in_flight::{AttemptHistory, InFlightQuery};
-use crate::invariants::{check_repeating, check_sending, RepeatFacts, SendFacts, Violation};
+use crate::invariants::{
+    check_dispatch, check_repeating, check_sending, RepeatFacts, SendFacts, Violation,
+};
 use crate::planted::PlantedFault;
 use crate::result_pages;
 use tracing::{debug, info};
@@ -194,10 +196,17 @@
     /// Passes what has become of an attempt to the driver.
     pub(super) fn handle_attempt_event(&mut self, event: AttemptEvent) {
         match event {
-            AttemptEvent::Dispatched(attempt, id) => {
+            AttemptEvent::Dispatched {
+                attempt,
+                request,
+                executor,
+            } => {
                 self.in_flight
-                    .mark_dispatched(attempt.query, id, self.out.now);
-                self.guard_start(attempt, id);
+                    .mark_dispatched(attempt.query, request, self.out.now);
+                if let Err(violation) = check_dispatch(executor) {
+                    self.violations.record(request, violation.into());
+                }
+                self.guard_start(attempt, request);
                 self.abandonments
                     .record_dispatch(attempt.query, self.out.now);
                 self.driver
--- a/crates/platform/src/dispatcher/mod.rs
+++ b/crates/platform/src/dispatcher/mod.rs
@@ -223,6 +223,17 @@
         &self.ignored_answers
     }
 
+    /// The client of the name service.
+    pub(crate) fn discovery(&self) -> &DiscoveryClient {
+        &self.discovery
+    }
+
+    /// Time since the name service last confirmed the list of executors, in milliseconds.
+    pub(crate) fn list_age_ms(&self) -> usize {
+        let age_us = self.out.now - self.discovery.confirmed_at();
+        usize::try_from(age_us / 1_000).unwrap_or(0)
+    }
+
     /// Number of queries in flight.
     pub(crate) fn in_flight_count(&self) -> usize {
         self.in_flight.len()
--- a/crates/platform/src/dispatcher/topology.rs
+++ b/crates/platform/src/dispatcher/topology.rs
@@ -2,23 +2,38 @@
 
 use super::Dispatcher;
 use crate::bootstrap::ExecutorEndpoint;
-use crate::executors::ListedExecutor;
+use crate::discovery::{self, DiscoveryUpdate};
+use crate::executors::{ListChange, ListedExecutor};
 use crate::invariants::ListedState;
 use crate::planted::PlantedFault;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use tracing::{debug, info};
-use wheelfield::interface::{EngineEntry, Micros, PeerLoadReport, Status};
+use wheelfield::interface::{EngineEntry, EngineId, Micros, PeerLoadReport, Status};
 use wheelfield_driver::Input;
 use wheelfield_sans_io::{DatagramSocket, Effect};
 
+/// A list that nothing confirms for longer than this has the next confirmation logged, in microseconds: four queries in a row had no
+/// answer.
+const LATE_CONFIRMATION_US: i64 = 4 * discovery::POLL_INTERVAL_US;
+
+/// When the list before the current one was last confirmed, and how many queries were sent since.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct FormerConfirmation {
+    /// In microseconds.
+    confirmed_at: i64,
+    queries: u64,
+}
+
 impl Dispatcher {
-    /// Replaces the list of executors; `confirmed_at` is when the one before it was last confirmed, if there was one.
+    /// Replaces the list of executors; `former` tells of the one before it, if there was one.
     pub(super) fn replace_executors(
         &mut self,
         executors: &[ExecutorEndpoint],
-        confirmed_at: Option<i64>,
+        former: Option<FormerConfirmation>,
     ) {
-        self.names.engines.clear();
+        let confirmed_at = former.map(|former| former.confirmed_at);
+        let former_names = std::mem::take(&mut self.names.engines);
         let started_at = self
             .start_times
             .take_list(executors, confirmed_at, self.out.now);
@@ -45,7 +60,7 @@
             })
             .collect();
         let change = self.executors.replace_list(listed, &mut self.out);
-        info!(listed = entries.len(), ?change, "executor list replaced");
+        self.log_list_change(entries.len(), &change, &former_names, former);
         self.driver.handle_input(
             self.out.now,
             Input::Engines {
@@ -55,6 +70,36 @@
         );
     }
 
+    /// Logs how the list has changed: in short, as operators may keep but a part of each log.
+    fn log_list_change(
+        &self,
+        listed: usize,
+        change: &ListChange,
+        former_names: &BTreeMap<EngineId, String>,
+        former: Option<FormerConfirmation>,
+    ) {
+        let names = |engines: &[EngineId]| -> Vec<&String> {
+            let name = |engine: &EngineId| {
+                let current = self.names.engines.get(engine);
+                current.or(former_names.get(engine))
+            };
+            engines.iter().filter_map(name).collect()
+        };
+        info!(
+            serial = self.discovery.serial(),
+            service = %self.discovery.confirmed_by(),
+            listed,
+            added = change.added,
+            readmitted = change.readmitted,
+            moved = change.moved,
+            draining = ?names(&change.draining),
+            gone = ?names(&change.removed),
+            unconfirmed_ms = former.map(|former| (self.out.now - former.confirmed_at) / 1_000),
+            queries = former.map(|former| former.queries),
+            "executor list replaced"
+        );
+    }
+
     /// Tells the guard of starting of an executor that is new, is back, or states a start.
     fn record_start(&mut self, entry: &EngineEntry) {
         let now = self.out.now;
@@ -82,11 +127,15 @@
         if self.has_planted(PlantedFault::IgnoreLists) {
             return;
         }
-        let confirmed_at = self.discovery.confirmed_at();
+        let former = FormerConfirmation {
+            confirmed_at: self.discovery.confirmed_at(),
+            queries: self.discovery.queries_since_confirmed(),
+        };
         match self.discovery.handle_answer(self.out.now, from, datagram) {
-            Ok(executors) => {
-                self.replace_executors(&executors, Some(confirmed_at));
+            Ok(DiscoveryUpdate::Replaced(executors)) => {
+                self.replace_executors(&executors, Some(former));
             }
+            Ok(DiscoveryUpdate::Confirmed) => self.log_late_confirmation(former),
             Err(reason) => {
                 self.ignored_answers[reason as usize] += 1;
                 if !reason.is_expected() {
@@ -96,6 +145,20 @@
         }
     }
 
+    /// Logs that the list is confirmed, where nothing did so for long.
+    fn log_late_confirmation(&self, former: FormerConfirmation) {
+        let unconfirmed_us = self.out.now - former.confirmed_at;
+        if unconfirmed_us >= LATE_CONFIRMATION_US {
+            info!(
+                serial = self.discovery.serial(),
+                service = %self.discovery.confirmed_by(),
+                unconfirmed_ms = unconfirmed_us / 1_000,
+                queries = former.queries,
+                "executor list confirmed again"
+            );
+        }
+    }
+
     /// Uses another name service from now on, and queries it.
     pub fn use_resolver(&mut self, resolver: SocketAddr) {
         info!(%resolver, "name service changed");
--- a/crates/platform/src/executors/attempts.rs
+++ b/crates/platform/src/executors/attempts.rs
@@ -1,6 +1,7 @@
 //! Attempts as this side receives them, and the events that report what has become of them.
 
 use crate::executor_protocol::RequestId;
+use crate::invariants::ListedState;
 use bytes::Bytes;
 use wheelfield::interface::{AttemptUpdate, LoadReport, Outcome};
 use wheelfield_driver::{AttemptId, AttemptOptions};
@@ -36,8 +37,15 @@
 /// A change in the state of an attempt.
 #[derive(Clone, Debug, PartialEq)]
 pub enum AttemptEvent {
-    /// The first byte of its request, sent under this id, has been written.
-    Dispatched(AttemptId, RequestId),
+    /// The first byte of its request has been written.
+    Dispatched {
+        /// Number of the attempt.
+        attempt: AttemptId,
+        /// Id under which the request is sent.
+        request: RequestId,
+        /// The state, in the list of that time, of the executor that it is sent to.
+        executor: ListedState,
+    },
     /// The executor reported progress.
     Updated(AttemptId, AttemptUpdate),
     /// The attempt has ended.
--- a/crates/platform/src/executors/mod.rs
+++ b/crates/platform/src/executors/mod.rs
@@ -51,16 +51,18 @@
 }
 
 /// How a list differs from the one before.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ListChange {
-    /// Executors that the one before did not name.
+    /// Number of executors that the one before did not name.
     pub added: usize,
-    /// Executors that it no longer names.
-    pub removed: usize,
-    /// Executors that take work no longer, or again.
-    pub changed_state: usize,
-    /// Executors with another address.
+    /// Number of executors that take work again.
+    pub readmitted: usize,
+    /// Number of executors with another address.
     pub moved: usize,
+    /// Executors that take work no longer.
+    pub draining: Vec<EngineId>,
+    /// Executors that it no longer names.
+    pub removed: Vec<EngineId>,
 }
 
 /// Counters since the start of the process.
@@ -163,9 +165,13 @@
             .collect();
         for listed in list {
             let state_before = before.get(&listed.engine).copied().flatten();
+            let has_changed = state_before != Some(listed.status);
+            if listed.status == Status::Draining && has_changed {
+                change.draining.push(listed.engine);
+            }
             change.added += usize::from(state_before.is_none());
-            change.changed_state +=
-                usize::from(state_before.is_some_and(|state| state != listed.status));
+            change.readmitted +=
+                usize::from(state_before == Some(Status::Draining) && listed.status == Status::Up);
             if self.update_executor(listed) {
                 change.moved += 1;
                 self.take_off_former_address(listed.engine, out);
@@ -174,7 +180,8 @@
         let is_removed = |(engine, state): &(&EngineId, &Option<Status>)| {
             state.is_some() && !self.is_engine_listed(**engine)
         };
-        change.removed = before.iter().filter(is_removed).count();
+        let removed = before.iter().filter(is_removed);
+        change.removed = removed.map(|(engine, _)| *engine).collect();
         let unusable = |connection: &Connection| {
             connection.load() == 0
                 && (connection.buffer.peer_closing || !self.is_engine_listed(connection.engine))
@@ -289,12 +296,16 @@
 
     /// Records that so many bytes were written to a connection.
     pub fn bytes_written(&mut self, id: ConnId, count: usize) {
+        let executor = self.listed_state_at(id);
         let Some(connection) = self.connections.get_mut(id) else {
             return;
         };
         for (attempt, request) in connection.advance_written(count) {
-            self.events
-                .push_back(AttemptEvent::Dispatched(attempt, request));
+            self.events.push_back(AttemptEvent::Dispatched {
+                attempt,
+                request,
+                executor,
+            });
         }
     }
 
--- a/crates/platform/src/invariants/mod.rs
+++ b/crates/platform/src/invariants/mod.rs
@@ -11,7 +11,7 @@
 
 pub use closing::{check_closing, CloseFacts, CloseReason, ClosingViolation};
 pub use repeating::{check_repeating, RepeatFacts, RepeatingViolation};
-pub use sending::{check_sending, ListedState, SendFacts, SendingViolation};
+pub use sending::{check_dispatch, check_sending, ListedState, SendFacts, SendingViolation};
 pub use starting::{SlowStartSettings, StartGuard, StartingViolation};
 
 use std::fmt;
--- a/crates/platform/src/invariants/sending.rs
+++ b/crates/platform/src/invariants/sending.rs
@@ -38,6 +38,9 @@
     /// Its executor is draining or gone.
     #[error("attempt for an executor that is {0:?} in the list")]
     ExecutorUnavailable(ListedState),
+    /// Its first byte was written although its executor was draining or gone by then.
+    #[error("request written to an executor that is {0:?} in the list")]
+    WrittenAfterListing(ListedState),
     /// It has more time than its client.
     #[error("attempt may take {limit_us} us, its client waits {left_us} us more")]
     LimitTooLong {
@@ -67,3 +70,15 @@
     }
     Ok(())
 }
+
+/// Checks a request whose first byte has just been written, against the list of that moment: what was allowed to be sent may have
+/// waited in the output.
+///
+/// # Errors
+/// The violation that this was.
+pub fn check_dispatch(executor: ListedState) -> Result<(), SendingViolation> {
+    match executor {
+        ListedState::Up => Ok(()),
+        state => Err(SendingViolation::WrittenAfterListing(state)),
+    }
+}
--- a/crates/platform/src/metrics.rs
+++ b/crates/platform/src/metrics.rs
@@ -159,6 +159,16 @@
             IgnoredAnswer::ALL
                 .map(|reason| (reason.name(), self.ignored_answers()[reason as usize])),
         );
+        page.gauge(
+            "executor_list_age_milliseconds",
+            "Time since the name service last confirmed the list of executors.",
+            self.list_age_ms(),
+        );
+        page.gauge(
+            "executor_list_queries_unanswered",
+            "Queries for the list of executors since then.",
+            self.discovery().queries_since_confirmed() as usize,
+        );
         page.gauge(
             "queries_in_flight",
             "Queries in flight.",
