controller: failing tests of lists that are old, unheard or not asked for

Cause: requests go to draining or removed servers past the grace whenever the list can't be asked for or heard: across a reload, in a series of configurations, after a suspension (also in a shutdown, and for what waits in the output), after a slow start, when answers are lost in a row, and reads that fail are repeated without a pause.

--- /dev/null
+++ b/crates/controller/tests/executor_list_age.rs
@@ -0,0 +1,323 @@
+//! In pre-production, requests went to servers that drained or were gone, a few times, more than a second after the name service had
+//! told of it. The controller did not know how old its list was: an answer on its way across a reload was dropped ("unknown
+//! sender"), and 135 requests followed to a server that it named as draining; after three seconds of suspension 58 went by the list of
+//! before; eleven lost answers, asked for again four times a second, cost 62. So each thing that keeps the list from being asked
+//! for or heard is forced here, on the built program.
+
+mod rig;
+use rig::*;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+use wheelfield_fault_shim::{Call, Errno, FaultControl, ALWAYS};
+
+/// What happened counts as told after this time, whether it was heard or not.
+const TOLD_WITHIN: Duration = Duration::from_millis(1_500);
+/// The same, counted from the beginning of a silence of the name service.
+const TOLD_WITHIN_OF_SILENCE: Duration = Duration::from_millis(4_500);
+/// Time for which requests may go to an executor after its drain was told, with what sockets add.
+const GRACE: Duration = Duration::from_millis(1_050);
+/// What this test may see late.
+const TIMING_SLACK: Duration = Duration::from_millis(100);
+/// For how long traffic is watched after the grace.
+const WATCHED: Duration = Duration::from_millis(700);
+/// For how long a process is suspended, and when the drain happens in that time.
+const SUSPENDED: Duration = Duration::from_millis(3_000);
+const DRAIN_DELAY: Duration = Duration::from_millis(200);
+/// How long the name service takes for its answers once a suspended process asks again.
+const SLOW_ANSWER: Duration = Duration::from_millis(300);
+
+/// Two executors, of which the first drains or goes later, and whose list at first has both.
+struct Pair {
+    leaving: NotingExecutor,
+    staying: NotingExecutor,
+}
+
+/// How an executor leaves the list.
+#[derive(Clone, Copy, Debug)]
+enum Leaves {
+    Drains,
+    IsGone,
+}
+
+impl Pair {
+    fn new() -> Pair {
+        Pair {
+            leaving: NotingExecutor::new("e1"),
+            staying: NotingExecutor::new("e2"),
+        }
+    }
+
+    fn before(&self) -> [Listed; 2] {
+        [ready("e1", self.leaving.at), ready("e2", self.staying.at)]
+    }
+
+    fn after(&self, leaves: Leaves) -> Vec<Listed> {
+        let staying = ready("e2", self.staying.at);
+        match leaves {
+            Leaves::Drains => vec![draining("e1", self.leaving.at), staying],
+            Leaves::IsGone => vec![staying],
+        }
+    }
+
+    fn config(&self, names: &ServingNames) -> serde_json::Value {
+        let known = [("e1", self.leaving.at), ("e2", self.staying.at)];
+        config(free(), &known, names.at)
+    }
+
+    /// Until the grace after this telling is over, and a little longer; then nothing has come after it at the executor that leaves.
+    fn assert_nothing_past_the_grace(&self, told_at: Instant, case: &str) {
+        let over_at = told_at + GRACE + TIMING_SLACK;
+        let until = over_at + WATCHED;
+        sleep(until.saturating_duration_since(Instant::now()));
+        let past = self.leaving.received_after(over_at);
+        assert_eq!(past, 0, "requests past the grace: {case}");
+        assert!(self.staying.received_after(over_at) > 0, "served: {case}");
+    }
+}
+
+fn reload(program: &Program, config: &mut serde_json::Value, names: &ServingNames) {
+    config["resolver"] = names.at.to_string().into();
+    let partial = program.file.with_extension("partial");
+    std::fs::write(&partial, config.to_string()).expect("written");
+    std::fs::rename(&partial, &program.file).expect("renamed");
+    program.signal("-HUP");
+}
+
+/// The new service may lag behind for four seconds; what the former one sent was told all the same.
+#[test]
+fn an_answer_of_the_former_name_service_that_crosses_a_reload_counts() {
+    for leaves in [Leaves::Drains, Leaves::IsGone] {
+        let pair = Pair::new();
+        let former = ServingNames::new(1, &pair.before());
+        let new = ServingNames::new(1, &pair.before());
+        let mut config = pair.config(&former);
+        let program = Program::start(&config);
+        let _traffic = Traffic::begin(program.listen);
+        former.takes(Duration::from_millis(400));
+        former.has(2, &pair.after(leaves));
+        let asked = former.questions();
+        until("a question", || former.questions() > asked);
+        reload(&program, &mut config, &new);
+        until("the new one is asked", || new.questions() > 0);
+        assert!(former.told_at(2).is_none(), "the answer is on its way");
+        until("told", || former.told_at(2).is_some());
+        let told_at = former.told_at(2).expect("told");
+        pair.assert_nothing_past_the_grace(told_at, &format!("{leaves:?}"));
+    }
+}
+
+/// Each answers within the time to the next configuration but one, so that no answer comes while its service is the current one.
+#[test]
+fn a_series_of_configurations_keeps_no_answer_out() {
+    let pair = Pair::new();
+    let services: Vec<ServingNames> = (0..3)
+        .map(|_| ServingNames::new(1, &pair.before()))
+        .collect();
+    for names in &services {
+        names.takes(Duration::from_millis(120));
+    }
+    let mut config = pair.config(&services[0]);
+    let program = Program::start(&config);
+    let _traffic = Traffic::begin(program.listen);
+    for names in &services {
+        names.has(2, &pair.after(Leaves::Drains));
+    }
+    let began_at = Instant::now();
+    for next in 1..30 {
+        reload(&program, &mut config, &services[next % services.len()]);
+        sleep(Duration::from_millis(100));
+    }
+    let told = services.iter().filter_map(|names| names.told_at(2)).min();
+    let told_at = told.expect("told");
+    assert!(told_at < began_at + TOLD_WITHIN, "told while it went on");
+    let over_at = told_at + GRACE + TIMING_SLACK;
+    assert_eq!(pair.leaving.received_after(over_at), 0, "past the grace");
+    assert!(pair.staying.received_after(over_at) > 0, "served");
+}
+
+/// Nobody is asked while the process is suspended, so that nothing waits in the socket. What waits in those of the clients goes nowhere
+/// before the name service was asked.
+#[test]
+fn a_process_that_was_suspended_asks_before_it_sends() {
+    for leaves in [Leaves::Drains, Leaves::IsGone] {
+        let pair = Pair::new();
+        let names = ServingNames::new(1, &pair.before());
+        let program = Program::start(&pair.config(&names));
+        let _traffic = Traffic::begin(program.listen);
+        sleep(Duration::from_millis(500));
+        names.takes(SLOW_ANSWER);
+        program.halt();
+        sleep(DRAIN_DELAY);
+        names.has(2, &pair.after(leaves));
+        let told_at = Instant::now() + TOLD_WITHIN;
+        sleep(SUSPENDED - DRAIN_DELAY);
+        program.go_on();
+        pair.assert_nothing_past_the_grace(told_at, &format!("{leaves:?}"));
+    }
+}
+
+/// A request that could not be written yet as the process was suspended.
+#[test]
+fn what_waits_in_the_output_of_a_suspended_process_is_not_written_by_the_list_of_before() {
+    let pair = Pair::new();
+    let names = ServingNames::new(1, &[ready("e1", pair.leaving.at)]);
+    let config = config(free(), &[("e1", pair.leaving.at)], names.at);
+    let faults = FaultControl::new().expect("a control file");
+    let program = Program::start_with_faults(&config, &faults);
+    let mut client = Client::connect(program.listen);
+    client.asks("look", 1);
+    assert_eq!(client.status(), 200, "a connection is kept");
+    faults
+        .fail(Call::WriteConnected, Errno::NoBufferSpace, ALWAYS)
+        .expect("set");
+    client.asks("look", 2);
+    until("a write that failed", || {
+        faults.injected(Call::WriteConnected).expect("set") > 0
+    });
+    names.takes(SLOW_ANSWER);
+    program.halt();
+    faults.succeed(Call::WriteConnected).expect("set");
+    names.has(2, &pair.after(Leaves::Drains));
+    sleep(SUSPENDED);
+    let resumed_at = Instant::now();
+    program.go_on();
+    assert_eq!(client.status(), 200);
+    assert_eq!(pair.leaving.received_after(resumed_at), 0);
+    assert_eq!(pair.staying.received_after(resumed_at), 1);
+}
+
+/// Asked to end, and suspended then: what came on open connections is answered before the process may be killed, and goes to no
+/// executor that has left.
+#[test]
+fn a_process_that_is_suspended_in_its_shutdown_asks_before_it_sends() {
+    let pair = Pair::new();
+    let names = ServingNames::new(1, &pair.before());
+    let mut program = Program::start(&pair.config(&names));
+    let mut clients: Vec<Client> = (0..8).map(|_| Client::connect(program.listen)).collect();
+    for (n, client) in (1..).zip(&mut clients) {
+        client.asks("look", n);
+        assert_eq!(client.status(), 200);
+    }
+    names.takes(SLOW_ANSWER);
+    let terminated_at = Instant::now();
+    program.signal("-TERM");
+    program.halt();
+    for (n, client) in (100..).zip(&mut clients) {
+        client.asks("look", n);
+    }
+    names.has(2, &pair.after(Leaves::Drains));
+    sleep(Duration::from_millis(2_900));
+    let resumed_at = Instant::now();
+    program.go_on();
+    for client in &mut clients {
+        assert!([200, 503].contains(&client.status()), "answered");
+    }
+    // The longest deadline, 3 s at most, and 0.7 s.
+    assert!(terminated_at.elapsed() < Duration::from_millis(3_700));
+    assert_eq!(pair.leaving.received_after(resumed_at), 0);
+    assert_eq!(program.ended().code(), Some(0));
+}
+
+/// The configuration that it starts with is read seconds before it can listen.
+#[test]
+fn a_start_that_took_long_asks_before_it_sends() {
+    let pair = Pair::new();
+    let names = ServingNames::new(1, &pair.before());
+    names.takes(SLOW_ANSWER);
+    let faults = FaultControl::new().expect("a control file");
+    faults
+        .fail(Call::Bind, Errno::AddressInUse, ALWAYS)
+        .expect("set");
+    let program = Program::spawn_with_faults(&pair.config(&names), &faults);
+    until("a bind that failed", || {
+        faults.injected(Call::Bind).expect("set") > 0
+    });
+    names.has(2, &pair.after(Leaves::Drains));
+    let told_at = Instant::now() + TOLD_WITHIN;
+    sleep(SUSPENDED);
+    faults.succeed(Call::Bind).expect("set");
+    until("it listens", || Client::try_connect(program.listen).is_ok());
+    let _traffic = Traffic::begin(program.listen);
+    pair.assert_nothing_past_the_grace(told_at, "a slow start");
+}
+
+/// At four polls a second, eleven lost ones would be all of the time until the end of the grace.
+#[test]
+fn answers_that_are_lost_one_after_another_are_asked_for_again_soon() {
+    let pair = Pair::new();
+    let names = ServingNames::new(1, &pair.before());
+    let program = Program::start(&pair.config(&names));
+    let _traffic = Traffic::begin(program.listen);
+    sleep(Duration::from_millis(500));
+    names.loses(11);
+    names.has(2, &pair.after(Leaves::Drains));
+    let told_at = Instant::now() + TOLD_WITHIN;
+    pair.assert_nothing_past_the_grace(told_at, "eleven answers lost");
+}
+
+/// What happened in the silence counts as told as soon as it ends, so that there is but the grace to hear of it.
+#[test]
+fn answers_that_are_lost_after_a_silence_are_asked_for_again_soon() {
+    let pair = Pair::new();
+    let names = ServingNames::new(1, &pair.before());
+    let program = Program::start(&pair.config(&names));
+    let _traffic = Traffic::begin(program.listen);
+    sleep(Duration::from_millis(500));
+    names.loses(usize::MAX);
+    let told_at = Instant::now() + TOLD_WITHIN_OF_SILENCE;
+    sleep(Duration::from_millis(1_000));
+    names.has(2, &pair.after(Leaves::Drains));
+    sleep(told_at.saturating_duration_since(Instant::now()));
+    names.loses(6);
+    pair.assert_nothing_past_the_grace(told_at, "six answers lost after a silence");
+}
+
+/// Each failing call would be repeated at once, for as long as they fail.
+#[test]
+fn answers_that_cannot_be_read_for_a_while_cost_no_processor_time_and_are_heard_after_it() {
+    let pair = Pair::new();
+    let names = ServingNames::new(1, &pair.before());
+    let faults = FaultControl::new().expect("a control file");
+    let program = Program::start_with_faults(&pair.config(&names), &faults);
+    let _traffic = Traffic::begin(program.listen);
+    faults
+        .fail(Call::ReceiveDatagram, Errno::NoMemory, ALWAYS)
+        .expect("set");
+    names.has(2, &pair.after(Leaves::Drains));
+    until("told", || names.told_at(2).is_some());
+    let told_at = names.told_at(2).expect("told");
+    sleep(Duration::from_millis(700));
+    faults.succeed(Call::ReceiveDatagram).expect("set");
+    let failed = faults.injected(Call::ReceiveDatagram).expect("set");
+    // Every five milliseconds, and what traffic adds.
+    assert!((1..1_000).contains(&failed), "{failed} failing calls");
+    pair.assert_nothing_past_the_grace(told_at, "unreadable answers");
+}
+
+/// A request that was decided before the list said so, and can be written only long after.
+#[test]
+fn what_could_not_be_written_before_a_drain_goes_elsewhere_after_it() {
+    let pair = Pair::new();
+    let names = ServingNames::new(1, &[ready("e1", pair.leaving.at)]);
+    let config = config(free(), &[("e1", pair.leaving.at)], names.at);
+    let faults = FaultControl::new().expect("a control file");
+    let program = Program::start_with_faults(&config, &faults);
+    let mut client = Client::connect(program.listen);
+    client.asks("look", 1);
+    assert_eq!(client.status(), 200, "a connection is kept");
+    faults
+        .fail(Call::WriteConnected, Errno::NoBufferSpace, ALWAYS)
+        .expect("set");
+    client.asks("look", 2);
+    until("a write that failed", || {
+        faults.injected(Call::WriteConnected).expect("set") > 0
+    });
+    names.has(2, &pair.after(Leaves::Drains));
+    until("told", || names.told_at(2).is_some());
+    let told_at = names.told_at(2).expect("told");
+    sleep(GRACE + TIMING_SLACK);
+    faults.succeed(Call::WriteConnected).expect("set");
+    assert_eq!(client.status(), 200);
+    assert_eq!(pair.leaving.received_after(told_at), 0);
+    assert_eq!(pair.staying.received_after(told_at), 1);
+}
--- a/crates/controller/tests/rig/mod.rs
+++ b/crates/controller/tests/rig/mod.rs
@@ -4,6 +4,10 @@
 //! To have several things heard in one turn of the program: [`Program::halt`], put them into the kernel, [`Program::go_on`].
 #![allow(dead_code)]
 
+mod serving;
+#[allow(unused_imports)]
+pub use serving::*;
+
 use hickory_proto::op::{Message, MessageType, OpCode};
 use hickory_proto::rr::rdata::{A, SOA, SRV, TXT};
 use hickory_proto::rr::{Name, RData, Record};
@@ -502,6 +506,18 @@
         }
     }
 
+    /// The next connection, however long it takes; none once that fails.
+    pub fn next(&self) -> Option<Conn> {
+        self.listener.set_nonblocking(false).ok()?;
+        loop {
+            match self.listener.accept() {
+                Ok((stream, _)) => return Some(Conn::new(stream)),
+                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
+                Err(_) => return None,
+            }
+        }
+    }
+
     /// The next connection, if it is here.
     pub fn try_take(&self) -> Option<Conn> {
         self.listener.set_nonblocking(true).expect("a socket");
