event loop: datagrams that cannot be read for a while are read again after 5 ms

Cause: DatagramPort::receive went round without a pause as long as recvfrom failed, up to 512 calls a turn, and the next turn came at once. Change: calls that lack memory, and more than 16 other errors in one turn, put the socket off for 5 ms, as for connections.

--- a/crates/controller/src/event_loop/mod.rs
+++ b/crates/controller/src/event_loop/mod.rs
@@ -229,12 +229,17 @@
         self.apply_effects();
     }
 
-    /// Time until the next timer or accept is due.
+    /// Time until the next timer, accept or repeated call is due.
     fn poll_timeout(&self) -> Duration {
         let accepts = self.acceptors.iter().filter_map(Acceptor::accept_at);
         let retry = self.connections.retry_at();
+        let datagrams = self
+            .datagram_ports
+            .iter()
+            .filter_map(DatagramPort::retry_at);
         let next = accepts
             .chain(retry)
+            .chain(datagrams)
             .chain(self.protocol.next_timer_at())
             .min();
         next.map_or(IDLE_POLL_TIMEOUT, |at| self.clock.until(at))
@@ -249,9 +254,7 @@
             arrivals_since: self.arrivals_since,
         };
         for port in &mut self.datagram_ports {
-            if port.is_pending() {
-                port.receive(&mut io);
-            }
+            port.receive_pending(&mut io);
         }
     }
 
@@ -399,6 +402,7 @@
 
     fn dispatch(&mut self, now: i64) {
         self.now = now;
+        self.protocol.begin_turn(now);
         if let Some(since) = self.lateness.end_poll(now) {
             self.arrivals_since = since;
             self.protocol.note_arrivals_since(since);
--- a/crates/sans-io/src/protocol.rs
+++ b/crates/sans-io/src/protocol.rs
@@ -49,6 +49,10 @@
     fn handle_start(&mut self, now: i64);
     /// A connection was accepted. None if there is no capacity, and the socket is to be closed. Read from it at once.
     fn accept(&mut self, now: i64, listener: Listener) -> Option<ConnId>;
+    /// The events of a poll follow, or timers: the first call of each turn of the event loop.
+    fn begin_turn(&mut self, now: i64) {
+        let _ = now;
+    }
     /// What is reported until the next call of this kind may have arrived as early as `since`: the process was suspended or busy, or
     /// could not look, from then on.
     fn note_arrivals_since(&mut self, since: i64) {
