platform: the age of the executor list decides whether requests may go by it

Cause: nothing knew how old the list was. Answers counted only if they came from the name service in use (DiscoveryClient::handle_answer), so that those that cross a reload were dropped; a process that was suspended, or long in starting, sent what had come by a list of seconds ago; a lost answer cost a whole interval of 250 ms. Change: answers of every service that was asked count by their serial numbers. A module without I/O, list_freshness, knows when the list was last confirmed, repeats unanswered queries after 50 to 125 ms, and after a gap of ours that made the list older than a second has new requests wait for the first answer, 0.5 s at most; silence of the name service is no such gap. What was not written is taken out of the output and decided anew. An executor that stands twice in a list takes no work if either record says so.

--- a/crates/controller/src/main.rs
+++ b/crates/controller/src/main.rs
@@ -7,16 +7,16 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::ExitCode;
 use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 use wheelfield_config::Config;
-use wheelfield_controller::platform::{self, PlatformController};
+use wheelfield_controller::platform::{self, Launch, PlatformController};
 use wheelfield_controller::postgres::PostgresController;
 use wheelfield_controller::startup::Startup;
 use wheelfield_pg_gateway::fault_injection::FaultInjection;
-use wheelfield_platform::{BootstrapConfig, PlantedFault};
+use wheelfield_platform::PlantedFault;
 
 /// Log lines that wait to be written, at most; more are lost.
 const MAX_BUFFERED_LOG_LINES: usize = 4_096;
@@ -156,7 +156,7 @@
     };
     match startup.step(|| platform::load(&path)) {
         Ok(Some(launch)) => {
-            let opened = open_platform(&launch, &path, &signals, &mut startup);
+            let opened = open_platform(&launch, &signals, &mut startup);
             exit_code(opened.and_then(|controller| run_platform(controller, plant)))
         }
         Ok(None) => ExitCode::SUCCESS,
@@ -235,13 +235,12 @@
 
 /// Opens the sockets of a controller; none if a shutdown was requested meanwhile.
 fn open_platform(
-    launch: &BootstrapConfig,
-    config_file: &Path,
+    launch: &Launch,
     signals: &PlatformSignals,
     startup: &mut Startup,
 ) -> Result<Option<PlatformController>> {
     Ok(startup.step(|| {
-        let mut controller = PlatformController::open(launch.clone(), config_file)?;
+        let mut controller = PlatformController::open(launch)?;
         controller.shut_down_on(signals.shutdown.try_clone()?)?;
         controller.reload_on(signals.reload.try_clone()?)?;
         Ok(controller)
--- a/crates/controller/src/platform.rs
+++ b/crates/controller/src/platform.rs
@@ -21,6 +21,15 @@
 /// The longest such delay: it doubles with each failure.
 const MAX_RELOAD_RETRY_DELAY_US: i64 = 1_000_000;
 
+/// A configuration, the file that it was read from, and when: the list of executors in it is that old.
+pub struct Launch {
+    config: BootstrapConfig,
+    config_file: PathBuf,
+    clock: Clock,
+    /// By the clock, in microseconds.
+    read_at: i64,
+}
+
 /// A controller on the platform, on its sockets.
 pub struct PlatformController {
     event_loop: EventLoop<Platform>,
@@ -31,30 +40,35 @@
 ///
 /// # Errors
 /// [`ControllerError::ReadFile`] or [`ControllerError::Configuration`].
-pub fn load(config_file: &Path) -> Result<BootstrapConfig, ControllerError> {
+pub fn load(config_file: &Path) -> Result<Launch, ControllerError> {
+    let clock = Clock::start();
+    let read_at = clock.now();
     let text = read_file(config_file)?;
-    BootstrapConfig::parse(&text).map_err(configuration_error(config_file))
+    let config = BootstrapConfig::parse(&text).map_err(configuration_error(config_file))?;
+    Ok(Launch {
+        config,
+        config_file: config_file.to_path_buf(),
+        clock,
+        read_at,
+    })
 }
 
 impl PlatformController {
-    /// Opens the sockets of a configuration, which may be read again from `config_file` later.
+    /// Opens the sockets of a configuration, which may be read again from its file later.
     ///
     /// # Errors
     /// [`ControllerError`], if a socket can't be had.
-    pub fn open(
-        launch: BootstrapConfig,
-        config_file: &Path,
-    ) -> Result<PlatformController, ControllerError> {
-        let clients = bind_listener(launch.listen, BACKLOG)?;
-        let peers = launch
+    pub fn open(launch: &Launch) -> Result<PlatformController, ControllerError> {
+        let config = &launch.config;
+        let clients = bind_listener(config.listen, BACKLOG)?;
+        let peers = config
             .peer_listen
             .map(|at| bind_datagram_socket(at, "messages"))
             .transpose()?;
         let discovery =
-            bind_datagram_socket(SocketAddr::new(launch.listen.ip(), 0), "the name service")?;
-        let clock = Clock::start();
-        let now = clock.now();
-        let mut event_loop = EventLoop::new(clock, now, Platform::new(launch, now))?;
+            bind_datagram_socket(SocketAddr::new(config.listen.ip(), 0), "the name service")?;
+        let platform = Platform::new(config.clone(), launch.read_at);
+        let mut event_loop = EventLoop::new(launch.clock, launch.clock.now(), platform)?;
         event_loop.add_listener(Listener::Clients, clients)?;
         event_loop.add_datagram_socket(DatagramSocket::Discovery, discovery)?;
         if let Some(peers) = peers {
@@ -62,7 +76,7 @@
         }
         Ok(PlatformController {
             event_loop,
-            config_file: config_file.to_path_buf(),
+            config_file: launch.config_file.clone(),
         })
     }
 
--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -10,12 +10,9 @@
 
 /// The name of the service whose instances are requested.
 const SERVICE_NAME: &str = "_rpc._tcp.mesh.local.";
-/// Time between two queries, in microseconds: within the one second for which a draining executor still accepts requests, three
-/// queries in a row may remain without an answer.
-pub const POLL_INTERVAL_US: i64 = 250_000;
-/// Number of queries whose answers are accepted: the latest ones. At the interval above they are those of 16 seconds, so that a name
-/// service that is slow is still heard.
-const MAX_OPEN_QUERIES: usize = 64;
+/// Number of queries whose answers are accepted: the latest ones. They are those of 16 seconds at least, so that a name service that
+/// is slow is still heard.
+const MAX_OPEN_QUERIES: usize = 128;
 /// Time after which a name service that answers with serial numbers below the current one, and with no other, is taken to count by
 /// itself, in microseconds. Until then it may be one that lags: what happened is told within 4.5 s in any case, so that this is
 /// about twice as long.
@@ -32,6 +29,24 @@
     Replaced(Vec<ExecutorEndpoint>),
 }
 
+/// An answer that counts.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DiscoveryAnswer {
+    /// When the query was sent that it answers, in microseconds.
+    pub asked_at: i64,
+    /// What it says.
+    pub update: DiscoveryUpdate,
+}
+
+/// A query whose answer is accepted.
+#[derive(Clone, Copy, Debug)]
+struct OpenQuery {
+    service: SocketAddr,
+    id: u16,
+    /// When it was sent, in microseconds.
+    sent_at: i64,
+}
+
 /// Why an answer was ignored.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum IgnoredAnswer {
@@ -99,8 +114,8 @@
     confirmed_by: SocketAddr,
     /// Queries sent since then.
     queries_since_confirmed: u64,
-    /// The queries whose answers are accepted, the latest last: the name service and the id of each.
-    open_queries: VecDeque<(SocketAddr, u16)>,
+    /// The queries whose answers are accepted, the latest last.
+    open_queries: VecDeque<OpenQuery>,
     service: Option<Name>,
 }
 
@@ -119,8 +134,8 @@
         }
     }
 
-    /// Uses another name service from now on. Answers of the former one are ignored, unless it is used again before they come.
-    /// The serial number stays, as the new one may lag behind.
+    /// Uses another name service from now on. What the former one still answers counts as before: it was sent to this process, and
+    /// the new one may lag behind for seconds. The serial number stays, as the numbers carry on.
     pub fn use_resolver(&mut self, resolver: SocketAddr) {
         if resolver != self.resolver {
             self.resolver = resolver;
@@ -133,6 +148,11 @@
         self.confirmed_at
     }
 
+    /// The name service that is asked.
+    pub fn resolver(&self) -> SocketAddr {
+        self.resolver
+    }
+
     /// The serial number of the current list.
     pub fn serial(&self) -> u64 {
         self.serial
@@ -149,14 +169,18 @@
     }
 
     /// Encodes a query with this id, which is to be random; and its destination.
-    pub fn query(&mut self, id: u16) -> Option<(SocketAddr, Vec<u8>)> {
+    pub fn query(&mut self, now: i64, id: u16) -> Option<(SocketAddr, Vec<u8>)> {
         let mut message = Message::new(id, MessageType::Query, OpCode::Query);
         message.add_query(Query::query(self.service.clone()?, RecordType::SRV));
         let bytes = message.to_vec().ok()?;
         if self.open_queries.len() == MAX_OPEN_QUERIES {
             self.open_queries.pop_front();
         }
-        self.open_queries.push_back((self.resolver, id));
+        self.open_queries.push_back(OpenQuery {
+            service: self.resolver,
+            id,
+            sent_at: now,
+        });
         self.queries_since_confirmed += 1;
         Some((self.resolver, bytes))
     }
@@ -170,29 +194,35 @@
         now: i64,
         from: SocketAddr,
         datagram: &[u8],
-    ) -> Result<DiscoveryUpdate, IgnoredAnswer> {
-        if from != self.resolver {
+    ) -> Result<DiscoveryAnswer, IgnoredAnswer> {
+        if !self.was_asked(from) {
             return Err(IgnoredAnswer::UnknownSender);
         }
         let message = Message::from_vec(datagram).map_err(|_| IgnoredAnswer::Malformed)?;
-        if !self.answers_open_query(&message) {
-            return Err(IgnoredAnswer::Unsolicited);
-        }
+        let asked_at = self
+            .find_query(from, &message)
+            .ok_or(IgnoredAnswer::Unsolicited)?;
         if message.metadata.response_code != ResponseCode::NoError || message.metadata.truncation {
             return Err(IgnoredAnswer::Failed);
         }
         let serial = find_serial(&message).ok_or(IgnoredAnswer::Incomplete)?;
-        if serial == self.serial {
-            self.confirm(now, from);
-            return Ok(DiscoveryUpdate::Confirmed);
-        }
-        if serial < self.serial && !self.counts_by_itself(now) {
-            return Err(IgnoredAnswer::Older);
-        }
-        let executors = parse_executors(&message).ok_or(IgnoredAnswer::Incomplete)?;
+        let update = if serial == self.serial {
+            DiscoveryUpdate::Confirmed
+        } else {
+            let is_renumbered = serial < self.serial;
+            if is_renumbered && !self.counts_by_itself(from, now) {
+                return Err(IgnoredAnswer::Older);
+            }
+            let executors = parse_executors(&message).ok_or(IgnoredAnswer::Incomplete)?;
+            if is_renumbered {
+                // The numbers of other services are not comparable any more.
+                self.open_queries.retain(|query| query.service == from);
+            }
+            DiscoveryUpdate::Replaced(executors)
+        };
         self.serial = serial;
         self.confirm(now, from);
-        Ok(DiscoveryUpdate::Replaced(executors))
+        Ok(DiscoveryAnswer { asked_at, update })
     }
 
     /// Notes that the current list is that of a name service.
@@ -203,23 +233,34 @@
         self.queries_since_confirmed = 0;
     }
 
-    /// Whether a name service that answers with a lower serial number has done so, and nothing else, for so long that it counts by
-    /// itself.
-    fn counts_by_itself(&mut self, now: i64) -> bool {
+    /// Whether the current name service answers with lower serial numbers, and has done so, and nothing else, for so long that it
+    /// counts by itself.
+    fn counts_by_itself(&mut self, from: SocketAddr, now: i64) -> bool {
+        if from != self.resolver {
+            return false;
+        }
         let since = *self.lower_since.get_or_insert(now);
         now - since >= LOWER_SERIAL_TIMEOUT_US
     }
 
-    fn answers_open_query(&self, message: &Message) -> bool {
-        let [query] = &message.queries[..] else {
-            return false;
+    /// Whether answers of this sender may be accepted.
+    fn was_asked(&self, from: SocketAddr) -> bool {
+        let mut queries = self.open_queries.iter();
+        from == self.resolver || queries.any(|query| query.service == from)
+    }
+
+    /// When the query was sent that this message of a name service answers; `None` if there is none.
+    fn find_query(&self, from: SocketAddr, message: &Message) -> Option<i64> {
+        let [question] = &message.queries[..] else {
+            return None;
         };
-        message.metadata.message_type == MessageType::Response
-            && self
-                .open_queries
-                .contains(&(self.resolver, message.metadata.id))
-            && Some(&query.name) == self.service.as_ref()
-            && query.query_type == RecordType::SRV
+        let is_answer = message.metadata.message_type == MessageType::Response
+            && Some(&question.name) == self.service.as_ref()
+            && question.query_type == RecordType::SRV;
+        let is_asked =
+            |query: &&OpenQuery| query.service == from && query.id == message.metadata.id;
+        let query = self.open_queries.iter().rev().find(is_asked)?;
+        is_answer.then_some(query.sent_at)
     }
 }
 
@@ -268,13 +309,24 @@
     }
 }
 
-/// The executors in an answer; `None` if a record is missing, or there are too many.
+/// The executors in an answer; `None` if a record is missing, or there are too many. One that stands there twice takes no work if
+/// either record says so.
 fn parse_executors(message: &Message) -> Option<Vec<ExecutorEndpoint>> {
     let hosts = HostRecords::collect(message);
-    let mut executors = Vec::new();
+    let mut executors: Vec<ExecutorEndpoint> = Vec::new();
+    let mut positions: BTreeMap<String, usize> = BTreeMap::new();
     for record in &message.answers {
-        if let RData::SRV(service) = &record.data {
-            executors.push(parse_executor(service, &hosts)?);
+        let RData::SRV(service) = &record.data else {
+            continue;
+        };
+        let executor = parse_executor(service, &hosts)?;
+        match positions.get(&executor.name) {
+            Some(_) if executor.status == Status::Up => {}
+            Some(position) => executors[*position] = executor,
+            None => {
+                positions.insert(executor.name.clone(), executors.len());
+                executors.push(executor);
+            }
         }
     }
     (executors.len() <= MAX_EXECUTORS).then_some(executors)
--- a/crates/platform/src/dispatcher/lifecycle.rs
+++ b/crates/platform/src/dispatcher/lifecycle.rs
@@ -1,7 +1,6 @@
 //! Timers, the shutdown, and the log of counters.
 
 use super::Dispatcher;
-use crate::discovery;
 use crate::planted::PlantedFault;
 use crate::shutdown;
 use crate::timer_event::TimerEvent;
@@ -20,11 +19,9 @@
     /// Handles a timer that is due.
     pub fn handle_timer(&mut self, event: TimerEvent) {
         match event {
-            TimerEvent::QueryDiscovery => {
-                self.query_discovery();
-                self.out
-                    .set_timer_after(discovery::POLL_INTERVAL_US, TimerEvent::QueryDiscovery);
-            }
+            TimerEvent::QueryDiscovery => self.query_discovery(),
+            TimerEvent::EndHold => self.end_overdue_hold(),
+            TimerEvent::ExpireHeld => self.expire_held_requests(),
             TimerEvent::CheckConnections => {
                 self.check_connections();
                 self.out
@@ -37,6 +34,7 @@
                 self.executors.release_delayed(attempt, &mut self.out)
             }
             TimerEvent::ShutdownDeadline => {
+                self.submit_held_requests();
                 for query in self.in_flight.queries() {
                     self.driver
                         .handle_input(self.out.now, Input::ShutdownDeadline(query));
--- a/crates/platform/src/dispatcher/mod.rs
+++ b/crates/platform/src/dispatcher/mod.rs
@@ -5,6 +5,7 @@
 //! of other controllers, and `lifecycle` handles timers, the shutdown and the log of counters.
 
 mod attempts;
+mod held_requests;
 mod lifecycle;
 mod requests;
 mod topology;
@@ -16,18 +17,20 @@
 use crate::executors::{ConnectionLimits, Executors};
 use crate::in_flight::InFlightQueries;
 use crate::invariants::{SlowStartSettings, StartGuard, ViolationCounts};
+use crate::list_freshness::ListFreshness;
 use crate::peers::Peers;
 use crate::planted::PlantedFault;
 use crate::shutdown::Shutdown;
 use crate::start_times::StartTimes;
 use crate::timer_event::TimerEvent;
 use crate::written_work::WrittenWork;
+use held_requests::{HeldRequests, HoldCounters};
 use lifecycle::{CHECK_INTERVAL_US, MAX_POLICY_LOG_LINES};
 use std::collections::VecDeque;
 use wheelfield::interface::{Class, ExecutionSemantics};
 use wheelfield_driver::{Driver, DriverLimits, Input};
 use wheelfield_recorder::RecordingDriver;
-use wheelfield_sans_io::{ConnId, Effect, EffectQueue};
+use wheelfield_sans_io::{ConnId, Effect, EffectQueue, TimerKey};
 use wheelfield_settings::Names;
 
 /// Descriptors reserved for listeners, datagrams, signals, logs, and sockets that wait to be closed.
@@ -80,6 +83,10 @@
     in_flight: InFlightQueries,
     abandonments: Abandonments,
     discovery: DiscoveryClient,
+    /// The timer of the next query for the list.
+    discovery_timer: Option<TimerKey>,
+    list_freshness: ListFreshness,
+    held_requests: HeldRequests,
     peers: Peers,
     shutdown: Shutdown,
     initial_executors: Vec<ExecutorEndpoint>,
@@ -94,7 +101,7 @@
 }
 
 impl Dispatcher {
-    /// Creates a dispatcher that has not started.
+    /// Creates a dispatcher that has not started, with a configuration that was read at this time.
     pub fn new(config: BootstrapConfig, now: i64) -> Dispatcher {
         let descriptors = config
             .limits
@@ -143,6 +150,9 @@
             in_flight: InFlightQueries::default(),
             abandonments: Abandonments::default(),
             discovery: DiscoveryClient::new(config.resolver, config.serial, now),
+            discovery_timer: None,
+            list_freshness: ListFreshness::new(now),
+            held_requests: HeldRequests::default(),
             peers: Peers::new(&config.peers, own_index, config.peers_all),
             shutdown: Shutdown::new(longest_deadline_us),
             initial_executors: config.executors,
@@ -159,7 +169,7 @@
         self.driver.handle_input(self.out.now, Input::Started);
         let executors = std::mem::take(&mut self.initial_executors);
         self.replace_executors(&executors, None);
-        self.out.set_timer_after(0, TimerEvent::QueryDiscovery);
+        self.query_discovery();
         self.out
             .set_timer_after(CHECK_INTERVAL_US, TimerEvent::CheckConnections);
     }
@@ -196,14 +206,14 @@
         }
     }
 
-    /// Processes the next event, in this order: input of clients, instructions, requests to be written, ends of attempts.
-    /// Returns whether there was one.
+    /// Processes the next event, in this order: input of clients, instructions, requests to be written (unless they wait for a list
+    /// that is confirmed), ends of attempts. Returns whether there was one.
     fn process_next(&mut self) -> bool {
         if let Some(client) = self.ready_clients.pop_front() {
             self.read_client(client);
         } else if let Some(instruction) = self.driver.next_instruction() {
             self.execute_instruction(instruction);
-        } else if let Some(connection) = self.executors.next_ready() {
+        } else if let Some(connection) = self.next_to_write() {
             self.write_requests(connection);
         } else if let Some(event) = self.executors.next_event() {
             self.handle_attempt_event(event);
@@ -213,6 +223,14 @@
         true
     }
 
+    /// A connection on which attempts wait to be written.
+    fn next_to_write(&mut self) -> Option<ConnId> {
+        if self.is_holding() {
+            return None;
+        }
+        self.executors.next_ready()
+    }
+
     /// Counts of clients that left while their query was in flight.
     pub fn abandonment_counts(&self) -> AbandonmentCounts {
         self.abandonments.counts
@@ -234,6 +252,11 @@
         usize::try_from(age_us / 1_000).unwrap_or(0)
     }
 
+    /// What was counted of requests that waited for a list.
+    pub(crate) fn hold_counters(&self) -> HoldCounters {
+        self.held_requests.counters
+    }
+
     /// Number of queries in flight.
     pub(crate) fn in_flight_count(&self) -> usize {
         self.in_flight.len()
--- a/crates/platform/src/dispatcher/requests.rs
+++ b/crates/platform/src/dispatcher/requests.rs
@@ -1,14 +1,14 @@
 //! Requests of clients: turned into queries of the driver, or answered at once.
 
+use super::held_requests::HeldRequest;
 use super::Dispatcher;
 use crate::abandonment::QueryLocation;
 use crate::clients::ClientRequest;
-use crate::http_server::{QueryRequest, Reply, RequestError, RequestKind};
+use crate::http_server::{Reply, RequestError, RequestKind};
 use crate::in_flight::{AttemptHistory, InFlightQuery};
 use crate::invariants::CloseReason;
 use crate::planted::PlantedFault;
 use crate::table_group::table_group;
-use bytes::Bytes;
 use tracing::debug;
 use wheelfield::interface::{ExecutionSemantics, Micros};
 use wheelfield_driver::{Arrival, Input};
@@ -33,6 +33,9 @@
         if self.has_planted(PlantedFault::IgnoreDisconnects) {
             return;
         }
+        if self.held_requests.remove(client) {
+            return;
+        }
         let Some(query) = self.in_flight.query_of(client) else {
             return;
         };
@@ -76,22 +79,36 @@
                 self.respond(client, &Reply::Health { is_serving });
             }
             RequestKind::Query(query) => {
-                if let Err(error) = self.submit_query(client, query, body, arrived_at) {
-                    self.clients.reject_request(client, error, &mut self.out);
-                    self.ready_clients.push_back(client);
+                let request = HeldRequest {
+                    client,
+                    query,
+                    statement: body,
+                    arrived_at,
+                };
+                if let Some(request) = self.hold_request(request) {
+                    self.submit_request(request);
                 }
             }
         }
     }
 
+    /// Submits a query to the driver, or answers it at once if it is invalid.
+    pub(super) fn submit_request(&mut self, request: HeldRequest) {
+        let client = request.client;
+        if let Err(error) = self.submit_query(request) {
+            self.clients.reject_request(client, error, &mut self.out);
+            self.ready_clients.push_back(client);
+        }
+    }
+
     /// Submits a query to the driver, or answers it at once if there are too many.
-    fn submit_query(
-        &mut self,
-        client: ConnId,
-        request: QueryRequest,
-        statement: Bytes,
-        arrived_at: i64,
-    ) -> Result<(), RequestError> {
+    fn submit_query(&mut self, held: HeldRequest) -> Result<(), RequestError> {
+        let HeldRequest {
+            client,
+            query: request,
+            statement,
+            arrived_at,
+        } = held;
         let class = position(&self.names.classes, &request.class).ok_or(RequestError::NotFound)?;
         let text = std::str::from_utf8(&statement).map_err(|_| RequestError::InvalidField)?;
         if text.trim().is_empty() {
@@ -141,7 +158,7 @@
     }
 
     /// When a query that arrived at a time with this timeout must be answered.
-    fn response_deadline(&self, arrived_at: i64, timeout_us: i64) -> Micros {
+    pub(super) fn response_deadline(&self, arrived_at: i64, timeout_us: i64) -> Micros {
         let deadline = arrived_at + (timeout_us - RESPONSE_MARGIN_US).max(1);
         Micros(deadline.min(self.shutdown.response_deadline().unwrap_or(i64::MAX)))
     }
--- a/crates/platform/src/dispatcher/topology.rs
+++ b/crates/platform/src/dispatcher/topology.rs
@@ -2,10 +2,12 @@
 
 use super::Dispatcher;
 use crate::bootstrap::ExecutorEndpoint;
-use crate::discovery::{self, DiscoveryUpdate};
+use crate::discovery::DiscoveryUpdate;
 use crate::executors::{ListChange, ListedExecutor};
 use crate::invariants::ListedState;
+use crate::list_freshness;
 use crate::planted::PlantedFault;
+use crate::timer_event::TimerEvent;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use tracing::{debug, info};
@@ -15,7 +17,7 @@
 
 /// A list that nothing confirms for longer than this has the next confirmation logged, in microseconds: four queries in a row had no
 /// answer.
-const LATE_CONFIRMATION_US: i64 = 4 * discovery::POLL_INTERVAL_US;
+const LATE_CONFIRMATION_US: i64 = 4 * list_freshness::POLL_INTERVAL_US;
 
 /// When the list before the current one was last confirmed, and how many queries were sent since.
 #[derive(Clone, Copy, Debug)]
@@ -114,17 +116,32 @@
         }
     }
 
-    /// Sends a query for the list of executors.
+    /// Sends a query for the list of executors, and sets the time of the next.
     pub(super) fn query_discovery(&mut self) {
-        if let Some((resolver, query)) = self.discovery.query(self.rng.u16(..)) {
+        let query = self.discovery.query(self.out.now, self.rng.u16(..));
+        if let Some((resolver, query)) = query {
             self.out
                 .push(Effect::Send(DatagramSocket::Discovery, resolver, query));
         }
+        self.list_freshness.note_query(self.out.now);
+        self.schedule_discovery();
+    }
+
+    fn schedule_discovery(&mut self) {
+        let at = match self.has_planted(PlantedFault::PollAtFixedRate) {
+            true => self.out.now + list_freshness::POLL_INTERVAL_US,
+            false => self.list_freshness.next_query_at(),
+        };
+        self.out.cancel_timer(&mut self.discovery_timer);
+        self.discovery_timer = Some(self.out.set_timer_at(at, TimerEvent::QueryDiscovery));
     }
 
     /// Handles a datagram of the name service.
     pub fn handle_discovery_answer(&mut self, from: SocketAddr, datagram: &[u8]) {
-        if self.has_planted(PlantedFault::IgnoreLists) {
+        let is_former = from != self.discovery.resolver();
+        if self.has_planted(PlantedFault::IgnoreLists)
+            || (is_former && self.has_planted(PlantedFault::IgnoreFormerService))
+        {
             return;
         }
         let former = FormerConfirmation {
@@ -132,10 +149,19 @@
             queries: self.discovery.queries_since_confirmed(),
         };
         match self.discovery.handle_answer(self.out.now, from, datagram) {
-            Ok(DiscoveryUpdate::Replaced(executors)) => {
-                self.replace_executors(&executors, Some(former));
+            Ok(answer) => {
+                match answer.update {
+                    DiscoveryUpdate::Replaced(executors) => {
+                        self.replace_executors(&executors, Some(former));
+                    }
+                    DiscoveryUpdate::Confirmed => self.log_late_confirmation(former),
+                }
+                let end = self
+                    .list_freshness
+                    .note_answer(self.out.now, answer.asked_at);
+                self.end_hold(end);
+                self.schedule_discovery();
             }
-            Ok(DiscoveryUpdate::Confirmed) => self.log_late_confirmation(former),
             Err(reason) => {
                 self.ignored_answers[reason as usize] += 1;
                 if !reason.is_expected() {
--- a/crates/platform/src/executors/connection.rs
+++ b/crates/platform/src/executors/connection.rs
@@ -154,4 +154,30 @@
         }
         dispatched
     }
+
+    /// Takes the requests of which nothing was written out of the output; they wait again, to be written anew.
+    pub fn withdraw_unwritten(&mut self) {
+        let mut unwritten: Vec<(u64, RequestId)> = self
+            .running
+            .iter()
+            .filter(|(_, running)| !running.is_dispatched)
+            .map(|(id, running)| (running.request_bytes.start, *id))
+            .collect();
+        unwritten.sort_unstable();
+        // From the last one on, so that those before it stay where they are.
+        for (_, id) in unwritten.into_iter().rev() {
+            if let Some(running) = self.running.remove(&id) {
+                self.remove_output(running.request_bytes);
+                self.queued.insert(0, running.attempt);
+            }
+        }
+    }
+
+    /// Removes bytes that have not been written from the output, by their position among all bytes sent.
+    fn remove_output(&mut self, bytes: Range<u64>) {
+        let position = |byte: u64| (byte - self.bytes_written) as usize;
+        let in_output = position(bytes.start)..position(bytes.end);
+        self.buffer.remove_output(in_output);
+        self.bytes_queued -= bytes.end - bytes.start;
+    }
 }
--- a/crates/platform/src/executors/failures.rs
+++ b/crates/platform/src/executors/failures.rs
@@ -86,18 +86,23 @@
         }
     }
 
-    /// Takes the attempts off a connection of which nothing was written, to be written anew elsewhere. Where another attempt on it
-    /// was written, they stay.
-    pub fn take_back_unwritten(&mut self, id: ConnId, out: &mut EffectQueue<TimerEvent>) {
-        let Some(connection) = self.connections.get(id) else {
+    /// Takes the requests of which nothing was written back from the output of a connection, to be written anew.
+    pub fn take_back_unwritten(&mut self, id: ConnId) {
+        let Some(connection) = self.connections.get_mut(id) else {
             return;
         };
-        let has_dispatched = connection.running.values().any(|r| r.is_dispatched);
-        if !connection.running.is_empty() && !has_dispatched {
-            self.lose_connection(id, ConnectionLoss::Broken, out);
+        connection.withdraw_unwritten();
+        if connection.is_up && !connection.queued.is_empty() {
+            self.ready.push_back(id);
         }
     }
 
+    /// Takes the requests of which nothing was written back from the output of all connections.
+    pub fn withdraw_unwritten(&mut self) {
+        let all: Vec<ConnId> = self.connections.iter().map(|(id, _)| id).collect();
+        all.into_iter().for_each(|id| self.take_back_unwritten(id));
+    }
+
     fn lose_connection(
         &mut self,
         id: ConnId,
--- a/crates/platform/src/gateway.rs
+++ b/crates/platform/src/gateway.rs
@@ -17,7 +17,7 @@
 }
 
 impl Platform {
-    /// Creates a controller that has not started.
+    /// Creates a controller that has not started, with a configuration that was read at this time.
     pub fn new(config: BootstrapConfig, now: i64) -> Platform {
         Platform {
             dispatcher: Dispatcher::new(config, now),
@@ -27,7 +27,7 @@
     /// Uses the name service at this address from now on, after the configuration was reloaded.
     pub fn use_resolver(&mut self, now: i64, resolver: SocketAddr) {
         assert!(!self.dispatcher.has_planted(PlantedFault::PanicOnReload));
-        self.dispatcher.out.now = now;
+        self.dispatcher.set_time(now);
         self.dispatcher.use_resolver(resolver);
     }
 
@@ -106,22 +106,26 @@
 
 impl Protocol for Platform {
     fn handle_start(&mut self, now: i64) {
-        self.dispatcher.out.now = now;
+        self.dispatcher.set_time(now);
         self.dispatcher.start();
     }
 
+    fn begin_turn(&mut self, now: i64) {
+        self.dispatcher.set_time(now);
+    }
+
     fn note_arrivals_since(&mut self, since: i64) {
         self.dispatcher.arrivals_since = Some(since);
     }
 
     fn accept(&mut self, now: i64, _: Listener) -> Option<ConnId> {
-        self.dispatcher.out.now = now;
+        self.dispatcher.set_time(now);
         self.dispatcher.clients.accept(&mut self.dispatcher.out)
     }
 
     fn handle_io(&mut self, now: i64, event: IoEvent<'_>) {
+        self.dispatcher.set_time(now);
         let Dispatcher { out, executors, .. } = &mut self.dispatcher;
-        out.now = now;
         match event {
             IoEvent::Connected(id) => executors.handle_connected(id, out),
             IoEvent::Received(id, bytes) => self.handle_received(id, bytes),
@@ -148,20 +152,19 @@
     }
 
     fn begin_shutdown(&mut self, now: i64) {
-        self.dispatcher.out.now = now;
+        self.dispatcher.set_time(now);
         self.dispatcher.begin_shutdown();
     }
 
     fn handle_listening_stopped(&mut self, now: i64) {
-        self.dispatcher.out.now = now;
+        self.dispatcher.set_time(now);
         self.dispatcher.out.mark_listening_stopped();
     }
 
     fn take_back_stale_output(&mut self, now: i64, id: ConnId) {
-        let Dispatcher { out, executors, .. } = &mut self.dispatcher;
-        out.now = now;
+        self.dispatcher.set_time(now);
         if id.owner() != clients::OWNER {
-            executors.take_back_unwritten(id, out);
+            self.dispatcher.executors.take_back_unwritten(id);
         }
     }
 
@@ -180,13 +183,13 @@
     }
 
     fn bytes_written(&mut self, now: i64, id: ConnId, count: usize) {
+        self.dispatcher.set_time(now);
         let Dispatcher {
             out,
             clients,
             executors,
             ..
         } = &mut self.dispatcher;
-        out.now = now;
         match id.owner() {
             clients::OWNER => clients.bytes_written(id, count, out),
             _ => executors.bytes_written(id, count),
@@ -205,7 +208,7 @@
     }
 
     fn handle_timers(&mut self, now: i64) {
-        self.dispatcher.out.now = now;
+        self.dispatcher.set_time(now);
         self.dispatcher.process_events();
         self.dispatcher.driver.handle_timers(now);
         self.dispatcher.process_events();
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -22,6 +22,7 @@
 mod http_server;
 mod in_flight;
 mod invariants;
+mod list_freshness;
 mod metrics;
 mod peers;
 mod planted;
--- /dev/null
+++ b/crates/platform/src/list_freshness.rs
@@ -0,0 +1,145 @@
+//! How old the list of executors is: when the name service last confirmed it, when to ask again, and whether requests may go by it.
+//!
+//! An executor that drains must get nothing new about two and a half seconds after it began to, whether this process has heard of it
+//! or not. A list that is confirmed four times a second is far younger than that. It may be older without the name service being at
+//! fault when this process was suspended, or took long to start: then nobody was asked. New requests wait in that case until the
+//! first answer to a query sent since, for a bounded time. While the name service itself is silent they go by the last list, since
+//! it may be away for long.
+
+/// Time between a query that was answered and the next one, in microseconds.
+pub const POLL_INTERVAL_US: i64 = 250_000;
+/// Time until the first query without an answer is repeated, in microseconds, unless answers are known to take longer.
+const FIRST_RETRY_US: i64 = 50_000;
+/// The longest such time: it doubles with each query that has no answer.
+const MAX_RETRY_US: i64 = 125_000;
+/// The process is active at least ten times a second; one that was not for so long was suspended or starved, in microseconds.
+const MAX_INACTIVITY_US: i64 = 300_000;
+/// Age up to which a list is good without being confirmed, in microseconds. What happens is told within 1.5 s, and requests may go on
+/// for the grace (1 s) after that.
+const TRUSTED_AGE_US: i64 = 1_000_000;
+/// For how long new requests wait for a list that is confirmed, in microseconds: several queries may be lost in this time. Every
+/// client of the platform waits longer than that for an answer, or is answered when its own time is up.
+const MAX_HOLD_US: i64 = 500_000;
+
+/// A span in which nobody could be asked, and which made the list too old.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Gap {
+    /// Age of the list at its end, in microseconds.
+    pub list_age_us: i64,
+    /// When it ended, in microseconds.
+    ended_at: i64,
+}
+
+impl Gap {
+    /// Until when new requests wait at most, in microseconds.
+    pub fn hold_until(self) -> i64 {
+        self.ended_at + MAX_HOLD_US
+    }
+}
+
+/// What became of a gap.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GapEnd {
+    /// The list was confirmed or replaced.
+    Confirmed,
+    /// No answer came in time.
+    Unanswered,
+}
+
+/// What follows from the process having been inactive.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Inactivity {
+    /// The list is to be asked for at once, and is good meanwhile.
+    Short,
+    /// The list is to be asked for at once, and new requests wait.
+    Gap(Gap),
+}
+
+/// The state of the list; all times are in microseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct ListFreshness {
+    /// When the last query was sent whose answer confirmed or replaced the list; at first, when the list was read.
+    confirmed_at: i64,
+    last_active_at: i64,
+    last_query_at: i64,
+    /// Queries since the last answer.
+    unanswered: u32,
+    /// How long the last answer took.
+    round_trip_us: i64,
+    gap: Option<Gap>,
+}
+
+impl ListFreshness {
+    /// A list that was read at a time, before the process began to serve.
+    pub fn new(read_at: i64) -> ListFreshness {
+        ListFreshness {
+            confirmed_at: read_at,
+            last_active_at: read_at,
+            last_query_at: read_at,
+            unanswered: 0,
+            round_trip_us: 0,
+            gap: None,
+        }
+    }
+
+    /// Notes that the process is active; what follows, if it was not for long.
+    pub fn note_activity(&mut self, now: i64) -> Option<Inactivity> {
+        let inactive_us = now - self.last_active_at;
+        self.last_active_at = self.last_active_at.max(now);
+        if inactive_us <= MAX_INACTIVITY_US {
+            return None;
+        }
+        let list_age_us = now - self.confirmed_at;
+        if list_age_us <= TRUSTED_AGE_US {
+            return Some(Inactivity::Short);
+        }
+        let gap = Gap {
+            list_age_us,
+            ended_at: now,
+        };
+        self.gap = Some(gap);
+        Some(Inactivity::Gap(gap))
+    }
+
+    /// Notes that a query is sent.
+    pub fn note_query(&mut self, now: i64) {
+        self.last_query_at = now;
+        self.unanswered = self.unanswered.saturating_add(1);
+    }
+
+    /// Notes an answer that confirms or replaces the list, to a query sent at a time; what became of the gap, if it ends one.
+    pub fn note_answer(&mut self, now: i64, asked_at: i64) -> Option<GapEnd> {
+        self.unanswered = 0;
+        self.round_trip_us = now - asked_at;
+        self.confirmed_at = self.confirmed_at.max(asked_at);
+        self.gap.take_if(|gap| asked_at >= gap.ended_at)?;
+        Some(GapEnd::Confirmed)
+    }
+
+    /// Ends the gap if its time is up.
+    pub fn end_overdue_gap(&mut self, now: i64) -> Option<GapEnd> {
+        self.gap.take_if(|gap| now >= gap.hold_until())?;
+        Some(GapEnd::Unanswered)
+    }
+
+    /// Until when new requests wait at most; `None` if they may go by the list.
+    pub fn hold_until(&self) -> Option<i64> {
+        self.gap.map(Gap::hold_until)
+    }
+
+    /// When the next query is due.
+    pub fn next_query_at(&self) -> i64 {
+        self.last_query_at
+            + match self.unanswered.checked_sub(1) {
+                None => POLL_INTERVAL_US,
+                Some(retries) => self.retry_delay_us(retries),
+            }
+    }
+
+    /// Twice the time of an answer, so that a service that is slow or crowded is not asked more often than usual.
+    fn retry_delay_us(&self, retries: u32) -> i64 {
+        let doublings = retries.min(i64::BITS / 4);
+        let delay_us = (FIRST_RETRY_US << doublings).min(MAX_RETRY_US);
+        delay_us.max((2 * self.round_trip_us).min(POLL_INTERVAL_US))
+    }
+}
--- a/crates/platform/src/metrics.rs
+++ b/crates/platform/src/metrics.rs
@@ -159,6 +159,22 @@
             IgnoredAnswer::ALL
                 .map(|reason| (reason.name(), self.ignored_answers()[reason as usize])),
         );
+        let holds = self.hold_counters();
+        page.counter(
+            "executor_list_gaps_total",
+            "Spans in which the list became too old, as nobody could be asked.",
+            holds.gaps,
+        );
+        page.counter(
+            "executor_list_gaps_unanswered_total",
+            "Gaps after which the name service did not answer in time.",
+            holds.gaps_unanswered,
+        );
+        page.counter(
+            "requests_held_total",
+            "Requests that waited for a list that is confirmed.",
+            holds.requests,
+        );
         page.gauge(
             "executor_list_age_milliseconds",
             "Time since the name service last confirmed the list of executors.",
--- a/crates/platform/src/timer_event.rs
+++ b/crates/platform/src/timer_event.rs
@@ -8,6 +8,10 @@
 pub enum TimerEvent {
     /// The list of executors is requested from the name service.
     QueryDiscovery,
+    /// Requests have waited long enough for a list that is confirmed.
+    EndHold,
+    /// The time of a request that waits for one is up.
+    ExpireHeld,
     /// The timeouts of all connections are checked.
     CheckConnections,
     /// The connect timeout of a connection to an executor.
--- a/crates/sans-io/src/connection_buffer.rs
+++ b/crates/sans-io/src/connection_buffer.rs
@@ -3,6 +3,7 @@
 use crate::effect_queue::{Effect, EffectQueue};
 use crate::ConnId;
 use bytes::{Buf, BytesMut};
+use std::ops::Range;
 
 /// An empty output buffer keeps no more memory than this, in bytes.
 const RETAINED_CAPACITY: usize = 2048;
@@ -62,6 +63,15 @@
         }
     }
 
+    /// Takes bytes out of the output, by their position in it.
+    pub fn remove_output(&mut self, bytes: Range<usize>) {
+        let behind = self.output.split_off(bytes.end.min(self.output.len()));
+        self.output.truncate(bytes.start);
+        self.output.unsplit(behind);
+        // What is added to an empty output is to be written by a request of its own.
+        self.write_requested &= !self.output.is_empty();
+    }
+
     /// So many bytes were written; true once all are.
     pub fn advance_written(&mut self, count: usize) -> bool {
         self.output.advance(count.min(self.output.len()));
