--- a/crates/platform/src/dispatcher/held_requests.rs
+++ b/crates/platform/src/dispatcher/held_requests.rs
@@ -59,8 +59,11 @@
     /// Sets the time of the current call. If the process was inactive before it, nobody was asked for the list meanwhile.
     pub fn set_time(&mut self, now: i64) {
         self.out.now = now;
+        if self.has_planted(PlantedFault::IgnoreInactivity) {
+            return;
+        }
         let inactivity = self.list_freshness.note_activity(now);
-        if inactivity.is_none() || self.has_planted(PlantedFault::IgnoreInactivity) {
+        if inactivity.is_none() {
             return;
         }
         self.query_discovery();
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -19,7 +19,8 @@
 const LOOK_BEYOND_US: i64 = 6_000_000;
 /// A request that crosses the close of its connection is sent again, so many times at most.
 const MOST_REPEATS: u32 = 3;
-/// A request on a kept connection that ends this soon after it was sent has crossed its close, in microseconds.
+/// A request on a kept connection that ends this soon after it was sent has crossed its close, in microseconds: 50 ms, and what two
+/// threads take to notice.
 const CROSSING_US: i64 = 100_000;
 /// Pause of a client that finds its controller away.
 const AWAY_PAUSE: Duration = Duration::from_millis(20);
@@ -40,6 +41,8 @@
     pub ledger: Ledger,
     /// Numbers of requests.
     pub last_request: Arc<AtomicU64>,
+    /// The longest time that it waits, in microseconds.
+    pub longest_timeout_us: i64,
     /// No more requests are sent.
     pub has_stopped: Arc<AtomicBool>,
 }
@@ -85,6 +88,7 @@
     sent_at: i64,
     timeout_us: i64,
     is_pipelined: bool,
+    is_first: bool,
 }
 
 impl Client {
@@ -102,23 +106,32 @@
         while !self.setup.has_stopped.load(Ordering::SeqCst) {
             let pause = self.rng.random_range(0..2 * MEAN_PAUSE_MS);
             thread::sleep(Duration::from_millis(pause));
-            if !self.setup.state.takes_requests(self.setup.ledger.now()) {
+            self.check_surplus();
+            if !self.may_send() {
                 self.connection = None;
                 thread::sleep(AWAY_PAUSE);
                 continue;
             }
-            self.check_surplus();
             let class = if self.rng.random_bool(0.3) {
                 Class::Load
             } else {
                 Class::Look
             };
             let timeout_ms = TIMEOUTS_MS[self.rng.random_range(0..TIMEOUTS_MS.len())];
+            let timeout_us = (timeout_ms * 1_000).min(self.setup.longest_timeout_us);
             let manner = self.draw_manner();
-            self.request(class, timeout_ms * 1_000, manner);
+            self.request(class, timeout_us, manner);
         }
     }
 
+    /// Whether a request may be sent: on an open connection for as long as the process is there.
+    fn may_send(&self) -> bool {
+        let state = &self.setup.state;
+        let now = self.setup.ledger.now();
+        let is_kept = self.connection.as_ref().is_some_and(|c| c.is_kept);
+        state.takes_first_requests(now) || (is_kept && state.is_up())
+    }
+
     fn draw_manner(&mut self) -> Manner {
         match self.rng.random_range(0..100) {
             0..4 => Manner::Leaves(self.rng.random_range(0..40)),
@@ -145,7 +158,10 @@
             .and_then(|()| stream.peek(&mut byte));
         let _ = stream.set_nonblocking(false);
         let has_buffered = !connection.reader.buffer().is_empty();
-        if has_buffered || matches!(peeked, Ok(1)) {
+        if matches!(peeked, Ok(0)) && !has_buffered {
+            // It was closed while it was idle.
+            self.connection = None;
+        } else if has_buffered || matches!(peeked, Ok(1)) {
             let at = self.setup.ledger.now();
             let last = self.setup.last_request.load(Ordering::SeqCst);
             let id = RequestId::new(self.setup.controller, last);
@@ -183,13 +199,18 @@
                 sent_at: now,
                 timeout_us,
                 is_pipelined: false,
+                is_first: !was_kept,
             });
             let is_lost = matches!(end, RequestEnd::Lost | RequestEnd::NotSent);
             let crossed = is_lost && was_kept && now - sent.sent_at < CROSSING_US;
-            if crossed && repeat < MOST_REPEATS && self.setup.state.takes_requests(now) {
+            if crossed && repeat < MOST_REPEATS && self.setup.state.takes_first_requests(now) {
                 self.connection = None;
                 continue;
             }
+            let end = match crossed && !self.setup.state.is_accepting(now) {
+                true => RequestEnd::CrossedClose,
+                false => end,
+            };
             if manner == Manner::Pipelines && matches!(end, RequestEnd::Answered(_)) {
                 self.request_behind(&sent);
             }
@@ -264,6 +285,7 @@
             end,
             ended_at,
             is_pipelined: sent.is_pipelined,
+            is_first: sent.is_first,
         };
         self.setup.ledger.records().requests.push(record);
     }
@@ -304,6 +326,7 @@
             sent_at: ledger.now(),
             timeout_us,
             is_pipelined: false,
+            is_first: !self.is_kept,
         })
     }
 
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -1,47 +1,37 @@
 //! Everything that runs: controllers, proxies, clients, executors and the name service; and the faults as they begin and end.
 
+mod executors;
+
 use crate::client::{Client, ClientSetup};
 use crate::controller::{free_address, log_file, Controller, ControllerSetup};
+use crate::crowd;
 use crate::executor::Executor;
-use crate::ledger::{ExecutorChange, ExecutorEvent, FaultRecord, Ledger, Records};
-use crate::name_service::{List, ListedExecutor, NameService};
-use crate::plan::{Fault, Plan, PlannedFault};
+use crate::ledger::{FaultRecord, Ledger, Records};
+use crate::name_service::{NameService, ADDRESSES};
+use crate::plan::{Deployment, Fault, Plan, PlannedFault, SignalSeries};
 use crate::proxy::Proxy;
 use crate::SoakOptions;
 use anyhow::{Context as _, Result};
+use executors::ExecutorStep;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 
+/// Time between two configurations of a series, in microseconds.
+const RELOAD_INTERVAL_US: i64 = 100_000;
 /// How often the run looks what is due.
 const TICK: Duration = Duration::from_millis(5);
 /// A sleep that takes this much longer than asked means that this test is late, in microseconds.
 const LATE_US: i64 = 60_000;
 /// How long the controllers may take to be ready at first.
 const READY_TIMEOUT_US: i64 = 20_000_000;
-/// Time for which a draining executor stays, and after which another one takes the place of one that is gone, in microseconds.
-const DRAIN_TIME_US: i64 = 4_000_000;
-const ABSENCE_US: i64 = 1_000_000;
-/// Time after which the list says that an executor crashed, in microseconds.
-const CRASH_NOTICE_US: i64 = 500_000;
-/// Executors that stay up, whatever the plan says.
-const LEAST_EXECUTORS: usize = 3;
 /// Lines of a controller's log that tell of something that must not happen.
 const ALARMS: [&str; 2] = ["invariant violated", "panicked"];
 
-/// A step in the life of an executor.
-#[derive(Clone, Copy, Debug)]
-enum ExecutorStep {
-    /// The list stops naming it, and it ends if it runs.
-    Remove(usize),
-    /// A new one starts at this address.
-    Start(SocketAddr),
-}
-
 /// A fault that is in force.
 struct ActiveFault {
     planned: PlannedFault,
@@ -58,9 +48,12 @@
     executors: BTreeMap<usize, Executor>,
     executors_started: usize,
     steps: BTreeMap<i64, Vec<ExecutorStep>>,
+    /// Controllers whose configuration is read again at a time.
+    reloads: BTreeMap<i64, Vec<usize>>,
     active: Vec<ActiveFault>,
     clients: Vec<JoinHandle<()>>,
     has_stopped: Arc<AtomicBool>,
+    is_crowded: bool,
     logs: PathBuf,
 }
 
@@ -69,7 +62,7 @@
     ///
     /// # Errors
     /// If something cannot be started.
-    pub fn start(options: &SoakOptions) -> Result<Cluster> {
+    pub fn start(options: &SoakOptions, deployment: &Deployment) -> Result<Cluster> {
         let ledger = Ledger::new(options.controllers);
         let addresses: Vec<SocketAddr> = (0..options.controllers)
             .map(free_address)
@@ -84,23 +77,32 @@
             executors: BTreeMap::new(),
             executors_started: 0,
             steps: BTreeMap::new(),
+            reloads: BTreeMap::new(),
             active: Vec::new(),
             clients: Vec::new(),
             has_stopped: Arc::new(AtomicBool::new(false)),
+            is_crowded: deployment.crowd > 0,
             logs: options.logs.clone(),
         };
         for _ in 0..options.executors {
             cluster.start_executor("127.0.0.1:0".parse()?, 0)?;
         }
-        cluster.start_controllers(options, &addresses)?;
+        cluster.start_controllers(options, deployment, &addresses)?;
         cluster.watch_lateness();
-        cluster.start_clients(options)?;
+        cluster.start_clients(options, deployment)?;
+        cluster.start_crowds(deployment, &addresses);
         Ok(cluster)
     }
 
-    fn start_controllers(&mut self, options: &SoakOptions, addresses: &[SocketAddr]) -> Result<()> {
+    fn start_controllers(
+        &mut self,
+        options: &SoakOptions,
+        deployment: &Deployment,
+        addresses: &[SocketAddr],
+    ) -> Result<()> {
         let setup = ControllerSetup {
             controllers: options.controllers,
+            longest_timeout_us: deployment.longest_timeout_us,
             program: options.program.clone(),
             plant: options.plant.clone(),
             folder: options.logs.clone(),
@@ -112,6 +114,7 @@
             let mut controller =
                 Controller::new(&setup, index, *address, resolver, self.ledger.clone())?;
             controller.start(&self.name_service.list())?;
+            self.name_service.record_known(index);
             let proxy = Proxy::start(
                 index,
                 *address,
@@ -129,7 +132,15 @@
         Ok(())
     }
 
-    fn start_clients(&mut self, options: &SoakOptions) -> Result<()> {
+    fn start_crowds(&self, deployment: &Deployment, addresses: &[SocketAddr]) {
+        let crowd = deployment.crowd;
+        for address in addresses.iter().copied().filter(|_| crowd > 0) {
+            let has_stopped = self.has_stopped.clone();
+            thread::spawn(move || crowd::keep_coming(address, crowd, &has_stopped));
+        }
+    }
+
+    fn start_clients(&mut self, options: &SoakOptions, deployment: &Deployment) -> Result<()> {
         for (controller, proxy) in self.controllers.iter().zip(&self.proxies) {
             let setup = ClientSetup {
                 controller: controller.index,
@@ -137,6 +148,7 @@
                 state: controller.state.clone(),
                 ledger: self.ledger.clone(),
                 last_request: Arc::new(AtomicU64::new(0)),
+                longest_timeout_us: deployment.longest_timeout_us,
                 has_stopped: self.has_stopped.clone(),
             };
             for n in 0..options.clients_per_controller {
@@ -183,9 +195,12 @@
             self.active = active;
             self.end_all(ended)?;
             self.take_steps(now)?;
+            self.take_reloads(now)?;
             let list = self.name_service.list();
             for controller in &mut self.controllers {
-                controller.look(&list)?;
+                if controller.look(&list)? {
+                    self.name_service.record_known(controller.index);
+                }
             }
             thread::sleep(TICK);
         }
@@ -216,6 +231,7 @@
             alarms.extend(lines.map(|line| (controller.index, line.to_string())));
         }
         let mut records = self.ledger.records();
+        records.is_crowded = self.is_crowded;
         records.alarms = alarms;
         Ok(std::mem::take(&mut *records))
     }
@@ -241,7 +257,7 @@
     /// Begins a fault at its controllers; those that it cannot begin at are taken off it.
     fn begin_at_controllers(&mut self, planned: &mut PlannedFault) -> Result<()> {
         let list = self.name_service.list();
-        let resolvers = &self.name_service.addresses;
+        let now = self.ledger.now();
         let mut concerned = Vec::new();
         for index in planned.controllers.drain(..) {
             let (controller, proxy) = (&mut self.controllers[index], &self.proxies[index]);
@@ -263,9 +279,18 @@
                 Fault::Suspend => controller.suspend()?,
                 Fault::Terminate => controller.terminate()?,
                 Fault::Kill => controller.kill()?,
-                Fault::Reload => {
-                    let resolver = resolvers[(index + self.active.len()) % resolvers.len()];
-                    controller.reload(&list, resolver)?;
+                Fault::Reload(behind_ms) => {
+                    let address = (index + self.active.len()) % ADDRESSES;
+                    let behind = Duration::from_millis(*behind_ms);
+                    self.name_service.fall_behind(address, [index], behind);
+                    controller.reload(&list, self.name_service.addresses[address])?;
+                }
+                Fault::Signals(series) => {
+                    let reloads = send_signals(*series, controller, &self.name_service)?;
+                    for n in 1..=reloads {
+                        let at = now + i64::from(n) * RELOAD_INTERVAL_US;
+                        self.reloads.entry(at).or_default().push(index);
+                    }
                 }
                 Fault::ProxyDelay(ms) => proxy.faults().delay_ms.store(*ms, Ordering::SeqCst),
                 Fault::ProxySplit => proxy.faults().splits.store(true, Ordering::SeqCst),
@@ -279,11 +304,36 @@
         Ok(())
     }
 
+    /// Has the configurations read again that are due, each with the next address of the name service.
+    fn take_reloads(&mut self, now: i64) -> Result<()> {
+        while let Some(entry) = self
+            .reloads
+            .first_entry()
+            .filter(|entry| *entry.key() <= now)
+        {
+            let (at, controllers) = entry.remove_entry();
+            for index in controllers {
+                let address = (index + (at / RELOAD_INTERVAL_US) as usize) % ADDRESSES;
+                let resolver = self.name_service.addresses[address];
+                self.controllers[index].reload(&self.name_service.list(), resolver)?;
+            }
+        }
+        Ok(())
+    }
+
     fn begin_elsewhere(&mut self, fault: &Fault, executor: Option<usize>) -> Result<()> {
         match fault {
             Fault::NameServiceSilent => self.name_service.set_silent(true),
             Fault::NameServiceSlow(ms) => self.name_service.set_delay(*ms),
-            Fault::ExecutorDrain | Fault::ExecutorCrash => self.begin_absence(fault, executor),
+            Fault::NameServiceLossy(per_mille) => self.name_service.set_loss(*per_mille),
+            Fault::NameServiceBehind(address, ms) => {
+                let behind = Duration::from_millis(*ms);
+                self.name_service
+                    .fall_behind(*address, 0..self.controllers.len(), behind);
+            }
+            Fault::ExecutorDrain | Fault::ExecutorUnlist | Fault::ExecutorCrash => {
+                self.begin_absence(fault, executor)
+            }
             _ => {
                 let executor = executor.and_then(|number| self.executors.get(&number));
                 if let Some(executor) = executor {
@@ -294,39 +344,6 @@
         Ok(())
     }
 
-    /// An executor drains or crashes, unless too few would stay.
-    fn begin_absence(&mut self, fault: &Fault, executor: Option<usize>) {
-        let Some(number) = executor else {
-            return;
-        };
-        let list = self.name_service.list();
-        let up = list.executors.iter().filter(|e| !e.is_draining).count();
-        let listed = list.executors.iter().find(|e| e.number == number);
-        let Some(address) = listed.filter(|_| up > LEAST_EXECUTORS).map(|e| e.address) else {
-            return;
-        };
-        let now = self.ledger.now();
-        if *fault == Fault::ExecutorDrain {
-            let serial = self.name_service.change(|executors| {
-                executors
-                    .iter_mut()
-                    .filter(|e| e.number == number)
-                    .for_each(|e| e.is_draining = true);
-            });
-            self.record_executor(number, ExecutorChange::Draining, serial, now);
-            self.add_step(now + DRAIN_TIME_US, ExecutorStep::Remove(number));
-            let anywhere = SocketAddr::new(address.ip(), 0);
-            let started_at = now + DRAIN_TIME_US + ABSENCE_US;
-            self.add_step(started_at, ExecutorStep::Start(anywhere));
-        } else {
-            // Its connections are reset at once, and the list says so late.
-            self.executors.remove(&number);
-            self.add_step(now + CRASH_NOTICE_US, ExecutorStep::Remove(number));
-            let started_at = now + CRASH_NOTICE_US + ABSENCE_US;
-            self.add_step(started_at, ExecutorStep::Start(address));
-        }
-    }
-
     fn end_all(&mut self, ended: Vec<ActiveFault>) -> Result<()> {
         for fault in ended {
             self.end(&fault)?;
@@ -341,9 +358,9 @@
             }
             let until = self.ledger.now();
             self.ledger.records().faults.push(FaultRecord {
-                delays_clients: planned.fault.delays_clients(),
+                client_delay_us: planned.fault.client_delay_us(until - from),
                 holds_up_answers: planned.fault.holds_up_answers(),
-                hides_lists: planned.fault.hides_lists(),
+                telling: planned.fault.telling(),
                 controllers: planned.controllers,
                 what,
                 from,
@@ -360,7 +377,7 @@
                 Fault::Call { call, .. } => controller.faults.succeed(*call)?,
                 Fault::ShortTransfers(_) => controller.faults.limit_transfers(None, None)?,
                 Fault::WallClock(_) => step_wall_clock(controller, 0)?,
-                Fault::Suspend => controller.resume()?,
+                Fault::Suspend | Fault::Signals(_) => controller.resume()?,
                 Fault::ProxyDelay(_) => proxy.faults().delay_ms.store(0, Ordering::SeqCst),
                 Fault::ProxySplit => proxy.faults().splits.store(false, Ordering::SeqCst),
                 Fault::ProxyWithhold => proxy.faults().withholds.store(false, Ordering::SeqCst),
@@ -373,85 +390,55 @@
         match (&fault.planned.fault, executor) {
             (Fault::NameServiceSilent, _) => self.name_service.set_silent(false),
             (Fault::NameServiceSlow(_), _) => self.name_service.set_delay(0),
+            (Fault::NameServiceLossy(_), _) => self.name_service.set_loss(0),
             (_, Some(executor)) => behave(&fault.planned.fault, executor),
             (_, None) => {}
         }
         Ok(())
     }
-
-    /// Takes the steps that are due.
-    fn take_steps(&mut self, now: i64) -> Result<()> {
-        while let Some(entry) = self.steps.first_entry().filter(|entry| *entry.key() <= now) {
-            for step in entry.remove() {
-                match step {
-                    ExecutorStep::Remove(number) => self.remove_executor(number),
-                    ExecutorStep::Start(address) => {
-                        let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH)?;
-                        self.start_executor(address, unix.as_millis() as u64)?;
-                    }
-                }
-            }
-        }
-        Ok(())
-    }
-
-    fn remove_executor(&mut self, number: usize) {
-        let serial = self
-            .name_service
-            .change(|executors| executors.retain(|e| e.number != number));
-        let now = self.ledger.now();
-        self.record_executor(number, ExecutorChange::Gone, serial, now);
-        self.executors.remove(&number);
-    }
-
-    fn start_executor(&mut self, address: SocketAddr, started_ms: u64) -> Result<()> {
-        let number = self.executors_started;
-        self.executors_started += 1;
-        let executor = Executor::start(number, address, self.ledger.clone())
-            .with_context(|| format!("an executor cannot listen on {address}"))?;
-        let listed = ListedExecutor {
-            number,
-            address: executor.address,
-            is_draining: false,
-            started_ms,
-        };
-        let serial = self.name_service.change(|executors| executors.push(listed));
-        if started_ms > 0 {
-            let now = self.ledger.now();
-            self.record_executor(number, ExecutorChange::Started, serial, now);
-        }
-        self.executors.insert(number, executor);
-        Ok(())
-    }
-
-    fn record_executor(&self, executor: usize, change: ExecutorChange, serial: u32, at: i64) {
-        self.ledger.records().executors.push(ExecutorEvent {
-            executor,
-            change,
-            serial,
-            at,
-        });
-    }
-
-    fn add_step(&mut self, at: i64, step: ExecutorStep) {
-        self.steps.entry(at).or_default().push(step);
-    }
-
-    /// One of the executors that take work.
-    fn pick_executor(&self, pick: usize) -> Option<usize> {
-        let List { executors, .. } = self.name_service.list();
-        let up: Vec<usize> = executors
-            .iter()
-            .filter(|e| !e.is_draining && self.executors.contains_key(&e.number))
-            .map(|e| e.number)
-            .collect();
-        up.get(pick % up.len().max(1)).copied()
-    }
 }
 
 /// Whether a fault begins only at controllers that serve.
 fn needs_serving(fault: &Fault) -> bool {
-    matches!(fault, Fault::Suspend | Fault::Terminate | Fault::Kill)
+    matches!(
+        fault,
+        Fault::Suspend | Fault::Terminate | Fault::Kill | Fault::Signals(_)
+    )
+}
+
+/// Sends the signals of a series at once; how many further configurations follow.
+fn send_signals(
+    series: SignalSeries,
+    controller: &mut Controller,
+    names: &NameService,
+) -> Result<u32> {
+    let resolver = names.addresses[(controller.index + 1) % ADDRESSES];
+    let list = names.list();
+    match series {
+        SignalSeries::ReloadSuspend => {
+            controller.reload(&list, resolver)?;
+            controller.suspend()?;
+        }
+        SignalSeries::TerminateSuspend => {
+            controller.terminate()?;
+            controller.suspend()?;
+        }
+        SignalSeries::SuspendTerminate => {
+            controller.suspend()?;
+            controller.terminate()?;
+        }
+        SignalSeries::ReloadTerminate => {
+            controller.reload(&list, resolver)?;
+            controller.terminate()?;
+        }
+        SignalSeries::TerminateReloadTerminate => {
+            controller.terminate()?;
+            controller.reload(&list, resolver)?;
+            controller.terminate()?;
+        }
+        SignalSeries::Reloads(count) => return Ok(count),
+    }
+    Ok(0)
 }
 
 fn step_wall_clock(controller: &Controller, seconds: i64) -> Result<()> {
--- a/crates/soak/src/controller.rs
+++ b/crates/soak/src/controller.rs
@@ -3,7 +3,7 @@
 use crate::http;
 use crate::ledger::{ControllerChange, Ledger};
 use crate::name_service::List;
-use crate::settings::{settings, LONGEST_TIMEOUT_US};
+use crate::settings::settings;
 use anyhow::{Context as _, Result};
 use serde_json::{json, Value};
 use std::fs::File;
@@ -16,7 +16,8 @@
 use std::time::Duration;
 use wheelfield_fault_shim::FaultControl;
 
-/// For how long clients connect after the process was asked to end, and for how long they send requests, in microseconds.
+/// For how long clients connect after the process was asked to end, and for how long they send requests on new connections, in
+/// microseconds. They use those that are open until the process has ended.
 const CONNECT_GRACE_US: i64 = 350_000;
 const REQUEST_GRACE_US: i64 = 550_000;
 /// The process may be killed no sooner than the longest deadline and this time after it was asked to end, in microseconds.
@@ -50,11 +51,16 @@
         self.is_within(now, CONNECT_GRACE_US)
     }
 
-    /// Whether clients may send requests at a time.
-    pub fn takes_requests(&self, now: i64) -> bool {
+    /// Whether clients may send the first request of a connection at a time.
+    pub fn takes_first_requests(&self, now: i64) -> bool {
         self.is_within(now, REQUEST_GRACE_US)
     }
 
+    /// Whether clients may send requests on connections that are open.
+    pub fn is_up(&self) -> bool {
+        self.is_up.load(Ordering::SeqCst)
+    }
+
     fn is_within(&self, now: i64, grace: i64) -> bool {
         let until = self
             .terminated_at
@@ -75,6 +81,7 @@
     /// The faults of its process.
     pub faults: FaultControl,
     controllers: usize,
+    longest_timeout_us: i64,
     program: PathBuf,
     plant: Option<String>,
     config: PathBuf,
@@ -91,6 +98,8 @@
 pub struct ControllerSetup {
     /// How many there are.
     pub controllers: usize,
+    /// The longest time that a client waits, in microseconds.
+    pub longest_timeout_us: i64,
     /// The program.
     pub program: PathBuf,
     /// A fault planted in it.
@@ -126,6 +135,7 @@
             state: Arc::new(ControllerState::new()),
             faults: FaultControl::new()?,
             controllers: setup.controllers,
+            longest_timeout_us: setup.longest_timeout_us,
             program: setup.program.clone(),
             plant: setup.plant.clone(),
             config: setup.folder.join(format!("controller-{index}.json")),
@@ -205,7 +215,7 @@
             "peers": [], "resolver": self.resolver,
             "known": {"cursor": list.serial,
                 "cmds": [{"cursor": list.serial, "nodes": {"full": true, "servers": servers}}]},
-            "settings": settings(self.controllers, self.index)});
+            "settings": settings(self.controllers, self.index, self.longest_timeout_us)});
         // In place at once: a half-written file is another test's matter.
         let partial = self.config.with_extension("partial");
         std::fs::write(&partial, config.to_string())?;
@@ -225,8 +235,10 @@
     /// If the signal cannot be sent.
     pub fn terminate(&mut self) -> Result<()> {
         let now = self.ledger.now();
-        self.state.terminated_at.store(now, Ordering::SeqCst);
-        self.kill_at = now + LONGEST_TIMEOUT_US + KILL_DELAY_US;
+        self.state.terminated_at.fetch_min(now, Ordering::SeqCst);
+        self.kill_at = self
+            .kill_at
+            .min(now + self.longest_timeout_us + KILL_DELAY_US);
         self.ledger
             .record_controller(self.index, ControllerChange::Terminated);
         self.signal("-TERM")
@@ -274,38 +286,40 @@
     /// # Errors
     /// If the signal cannot be sent.
     pub fn resume(&mut self) -> Result<()> {
-        let Some(suspended_at) = self.suspended_at.take() else {
+        if self.suspended_at.take().is_none() {
             return Ok(());
-        };
-        let now = self.ledger.now();
-        self.kill_at = self.kill_at.saturating_add(now - suspended_at);
+        }
         let resumed = self.signal("-CONT");
         self.ledger
             .record_controller(self.index, ControllerChange::Resumed);
         resumed
     }
 
-    /// Kills the process if it should have ended, and starts it again if it has ended.
+    /// Kills the process if it should have ended, and starts it again if it has ended; whether it did.
     ///
     /// # Errors
     /// If it cannot be started.
-    pub fn look(&mut self, list: &List) -> Result<()> {
+    pub fn look(&mut self, list: &List) -> Result<bool> {
         let Some(child) = &mut self.child else {
-            return Ok(());
+            return Ok(false);
         };
         if let Some(status) = child.try_wait()? {
             self.state.is_up.store(false, Ordering::SeqCst);
             self.ledger
                 .record_controller(self.index, ControllerChange::Exited(status.code()));
-            return self.start(list);
+            self.start(list)?;
+            return Ok(true);
         }
         if self.ledger.now() > self.kill_at {
             self.kill_at = NEVER;
-            self.ledger
-                .record_controller(self.index, ControllerChange::Overdue);
+            let change = match self.suspended_at {
+                Some(_) => ControllerChange::KilledSuspended,
+                None => ControllerChange::Overdue,
+            };
+            self.ledger.record_controller(self.index, change);
             child.kill()?;
         }
-        Ok(())
+        Ok(false)
     }
 
     /// Asks the process to end for good, and waits for that; kills it after some seconds.
@@ -318,7 +332,7 @@
             return Ok(());
         };
         self.state.generation.fetch_add(1, Ordering::SeqCst);
-        let kill_at = self.ledger.now() + LONGEST_TIMEOUT_US + 2 * KILL_DELAY_US;
+        let kill_at = self.ledger.now() + self.longest_timeout_us + 2 * KILL_DELAY_US;
         send_signal("-TERM", child.id())?;
         while self.ledger.now() < kill_at {
             if child.try_wait()?.is_some() {
--- a/crates/soak/src/judge/mod.rs
+++ b/crates/soak/src/judge/mod.rs
@@ -1,11 +1,14 @@
 //! The invariants, judged from what was seen at both ends of each connection.
 //!
-//! Slack is given for what this test cannot time better, and for spans in which a fault of the plan itself holds up bytes or a
-//! process. What falls into a span in which the test was late is counted apart, and not judged.
+//! Slack is given for what this test cannot time better. What a fault of the plan excuses is bounded: `bounds` for bytes and
+//! processes that are held up, `telling` for what the name service tells. What comes from this test being late itself, by no more than
+//! it was, is counted apart.
+
+mod bounds;
+mod telling;
 
 use crate::ledger::{
-    ControllerChange, ExecutorChange, FaultRecord, Receipt, Records, RequestEnd, RequestId,
-    RequestRecord,
+    ControllerChange, ExecutorChange, Receipt, Records, RequestEnd, RequestId, RequestRecord,
 };
 use crate::settings::{
     Class, CORES, DRAIN_GRACE_US, OVERLOAD_MULTIPLE, OVERLOAD_WINDOW_US, SLOW_START_FRACTION,
@@ -24,10 +27,6 @@
 const SOCKET_SLACK_US: i64 = 50_000;
 /// What this test cannot time better, in microseconds.
 const TIMING_SLACK_US: i64 = 100_000;
-/// Time that a process that was resumed has until it counts as up to date, in microseconds.
-const CATCH_UP_US: i64 = 300_000;
-/// Time in which a controller that was asked to end may close connections, in microseconds.
-const SHUTDOWN_US: i64 = 4_000_000;
 /// Restarted controllers are ready within this time, in microseconds.
 const READY_US: i64 = 10_000_000;
 /// Below so many requests the margin of the slow-start bound is wider.
@@ -71,6 +70,10 @@
     pub request: Option<RequestId>,
     /// When, in microseconds since the start.
     pub at: i64,
+    /// Since when what was seen is judged, in microseconds.
+    pub since: i64,
+    /// By how much a time was missed, where one was, in microseconds.
+    pub excess_us: Option<i64>,
     /// What was seen.
     pub what: String,
     /// What led to it, a line each.
@@ -92,6 +95,8 @@
     pub abandoned: usize,
     /// The proxy broke their connections.
     pub cut: usize,
+    /// They crossed the close of their connections in a shutdown.
+    pub crossed: usize,
     /// Their connections ended before they were sent whole.
     pub not_sent: usize,
     /// Requests read by executors.
@@ -149,6 +154,7 @@
         failed: count(&|end| end == RequestEnd::Answered(500)),
         abandoned: count(&|end| end == RequestEnd::Abandoned),
         cut: count(&|end| end == RequestEnd::CutByProxy),
+        crossed: count(&|end| end == RequestEnd::CrossedClose),
         not_sent: count(&|end| end == RequestEnd::NotSent),
         receipts: records.receipts.len(),
         not_judged: 0,
@@ -177,7 +183,9 @@
                         last.1 = event.at;
                     }
                 }
-                ControllerChange::Killed => kills[event.controller].push((event.at, i64::MAX)),
+                ControllerChange::Killed | ControllerChange::KilledSuspended => {
+                    kills[event.controller].push((event.at, i64::MAX))
+                }
                 ControllerChange::Exited(_) => {
                     let open = kills[event.controller].last_mut();
                     if let Some(last) = open.filter(|last| last.1 == i64::MAX) {
@@ -195,72 +203,31 @@
         }
     }
 
-    /// Whether this test was late around a violation.
+    /// Whether a violation comes from this test being late.
     fn was_late(&self, violation: &Violation) -> bool {
-        let around = TIMING_SLACK_US + LATE_ANSWER_US;
-        let spans = &self.records.late_spans;
         let is_timed = !matches!(violation.invariant, Invariant::Repeat | Invariant::Guard);
-        is_timed
-            && spans.iter().any(|(from, until)| {
-                violation.at + around >= *from && violation.at - around <= *until
-            })
-    }
-
-    /// The end of the last suspension of a controller that overlaps a span.
-    fn suspended_until(&self, controller: usize, from: i64, until: i64) -> Option<i64> {
-        let spans = self.suspensions[controller].iter();
-        spans
-            .filter(|(begin, end)| *begin <= until && *end + CATCH_UP_US >= from)
-            .map(|(_, end)| *end)
-            .max()
-    }
-
-    fn faults_at(
-        &self,
-        controller: usize,
-        from: i64,
-        until: i64,
-    ) -> impl Iterator<Item = &FaultRecord> {
-        self.records.faults.iter().filter(move |fault| {
-            let concerns = fault.controllers.is_empty() || fault.controllers.contains(&controller);
-            concerns && fault.from <= until && fault.until + CATCH_UP_US >= from
-        })
-    }
-
-    fn is_delayed(&self, controller: usize, from: i64, until: i64) -> bool {
-        self.faults_at(controller, from, until)
-            .any(|fault| fault.delays_clients && fault.controllers.contains(&controller))
-    }
-
-    fn was_killed(&self, controller: usize, from: i64, until: i64) -> bool {
-        self.kills[controller]
-            .iter()
-            .any(|(at, ended)| *at <= until + SOCKET_SLACK_US && *ended >= from - SOCKET_SLACK_US)
-    }
-
-    /// Whether a request may have been withheld until its controller, which was asked to end, had closed its connection.
-    fn crossed_shutdown(&self, request: &RequestRecord) -> bool {
-        let controller = request.id.controller();
-        let was_terminated = self.records.controller_events.iter().any(|event| {
-            event.controller == controller
-                && event.change == ControllerChange::Terminated
-                && (request.began_at - SHUTDOWN_US..=request.ended_at).contains(&event.at)
-        });
-        was_terminated && self.is_delayed(controller, request.began_at, request.ended_at)
+        let from = violation.since - TIMING_SLACK_US;
+        let until = violation.at + TIMING_SLACK_US;
+        is_timed && self.is_own_lateness(from, until, violation.excess_us)
     }
 
+    /// A violation that was seen at a time; by how much that was too late, if it was.
     fn violation(
         &self,
         invariant: Invariant,
         request: RequestId,
         at: i64,
+        excess_us: Option<i64>,
         what: String,
     ) -> Violation {
+        let sent = self.requests.get(&request);
         Violation {
             invariant,
             controller: Some(request.controller()),
             request: Some(request),
             at,
+            since: sent.map_or(at, |request| request.began_at.min(at)),
+            excess_us,
             what,
             timeline: Vec::new(),
         }
@@ -269,32 +236,12 @@
     /// Each request has one whole answer, not later than half a second after its time.
     fn answers(&self, found: &mut Vec<Violation>) {
         for request in &self.records.requests {
-            let controller = request.id.controller();
-            if self.was_killed(controller, request.began_at, request.ended_at) {
-                continue;
-            }
-            let mut violate = |what: String| {
-                found.push(self.violation(Invariant::Answer, request.id, request.ended_at, what));
-            };
-            match request.end {
-                RequestEnd::Abandoned | RequestEnd::CutByProxy | RequestEnd::NotSent => {}
-                RequestEnd::Lost if self.crossed_shutdown(request) => {}
-                RequestEnd::Lost => violate("its connection ended without an answer".into()),
-                RequestEnd::Unreadable => violate("what came is no whole answer to it".into()),
-                RequestEnd::Silent => violate("no answer".into()),
-                RequestEnd::Answered(200 | 500 | 503 | 409) => {
-                    let late = request.ended_at - self.answer_due_at(request);
-                    if late > 0 {
-                        violate(format!("answered {late} us too late"));
-                    }
-                }
-                RequestEnd::Answered(408)
-                    if self.is_delayed(controller, request.sent_at, request.ended_at) => {}
-                RequestEnd::Answered(status) => violate(format!("answered with {status}")),
-            }
+            let found_wrong = self.answer_violation(request);
+            found.extend(found_wrong.filter(|_| !self.was_killed(request)));
         }
         for (id, at) in &self.records.surplus_answers {
-            found.push(self.violation(Invariant::Answer, *id, *at, "more than one answer".into()));
+            let what = "more than one answer".to_string();
+            found.push(self.violation(Invariant::Answer, *id, *at, None, what));
         }
         for (controller, at) in &self.records.refused {
             found.push(Violation {
@@ -302,27 +249,36 @@
                 controller: Some(*controller),
                 request: None,
                 at: *at,
+                since: *at,
+                excess_us: None,
                 what: "a controller that serves refused a connect".into(),
                 timeline: Vec::new(),
             });
         }
     }
 
-    /// When an answer is lost, with what holds it up on its way.
-    fn answer_due_at(&self, request: &RequestRecord) -> i64 {
-        let controller = request.id.controller();
-        let due_at = request.sent_at + request.timeout_us;
-        let span = (request.sent_at, request.ended_at);
-        let resumed_at = self.suspended_until(controller, span.0, span.1);
-        let delayed_until = self
-            .faults_at(controller, span.0, span.1)
-            .filter(|fault| fault.holds_up_answers && fault.controllers.contains(&controller))
-            .map(|fault| fault.until)
-            .max();
-        let latest = due_at
-            .max(resumed_at.unwrap_or(due_at))
-            .max(delayed_until.unwrap_or(due_at));
-        latest + LATE_ANSWER_US + SOCKET_SLACK_US + TIMING_SLACK_US
+    /// What is wrong with the end of a request.
+    fn answer_violation(&self, request: &RequestRecord) -> Option<Violation> {
+        let violation = |excess_us, what: String| {
+            let at = request.ended_at;
+            Some(self.violation(Invariant::Answer, request.id, at, excess_us, what))
+        };
+        match request.end {
+            RequestEnd::Abandoned | RequestEnd::CutByProxy | RequestEnd::NotSent => None,
+            RequestEnd::CrossedClose => None,
+            RequestEnd::Lost if self.arrived_after_grace(request) => None,
+            RequestEnd::Lost if self.is_shut_out(request) => None,
+            RequestEnd::Lost => violation(None, "its connection ended without an answer".into()),
+            RequestEnd::Unreadable => violation(None, "what came is no whole answer to it".into()),
+            RequestEnd::Silent => violation(None, "no answer".into()),
+            RequestEnd::Answered(200 | 500 | 503 | 409) => {
+                let lost_at = self.answer_due_at(request) + LATE_ANSWER_US + SOCKET_SLACK_US;
+                let late = request.ended_at - lost_at - TIMING_SLACK_US;
+                (late > 0).then(|| violation(Some(late), format!("answered {late} us too late")))?
+            }
+            RequestEnd::Answered(408) if self.was_overdue(request) => None,
+            RequestEnd::Answered(status) => violation(None, format!("answered with {status}")),
+        }
     }
 
     /// Nothing that must run at most once runs twice.
@@ -339,7 +295,7 @@
             if is_load {
                 let executors: Vec<usize> = receipts.iter().map(|r| r.executor).collect();
                 let what = format!("ran {} times, at executors {executors:?}", receipts.len());
-                found.push(self.violation(Invariant::Repeat, id, receipts[1].at, what));
+                found.push(self.violation(Invariant::Repeat, id, receipts[1].at, None, what));
             }
         }
     }
@@ -350,26 +306,23 @@
             if event.change == ExecutorChange::Started {
                 continue;
             }
-            let told = self.told(event.serial);
-            for receipt in self
-                .records
-                .receipts
-                .iter()
-                .filter(|r| r.executor == event.executor)
-            {
-                let controller = receipt.id.controller();
-                let Some(told_at) = told.get(&controller).copied() else {
-                    continue;
-                };
-                let past =
-                    receipt.at - told_at - DRAIN_GRACE_US - SOCKET_SLACK_US - TIMING_SLACK_US;
-                if past > 0 && !self.may_not_know(controller, told_at, receipt.at) {
-                    let change = event.change;
-                    let what = format!(
-                        "sent {past} us past the grace of executor {}, {change:?}",
-                        event.executor
-                    );
-                    found.push(self.violation(Invariant::Drain, receipt.id, receipt.at, what));
+            let may_send_until: Vec<i64> = (0..self.records.controllers)
+                .map(|controller| self.may_send_until(controller, event))
+                .collect();
+            let receipts = self.records.receipts.iter();
+            for receipt in receipts.filter(|r| r.executor == event.executor) {
+                let past = receipt.at - may_send_until[receipt.id.controller()];
+                if past > 0 {
+                    let (executor, change) = (event.executor, event.change);
+                    let what =
+                        format!("sent {past} us past the grace of executor {executor}, {change:?}");
+                    found.push(self.violation(
+                        Invariant::Drain,
+                        receipt.id,
+                        receipt.at,
+                        Some(past),
+                        what,
+                    ));
                 }
             }
         }
@@ -387,41 +340,43 @@
         told
     }
 
-    /// Whether what a controller was told may not have been received before it sent something.
-    fn may_not_know(&self, controller: usize, told_at: i64, sent_at: i64) -> bool {
-        let hidden = self
-            .faults_at(controller, told_at, sent_at)
-            .any(|fault| fault.hides_lists && fault.controllers.contains(&controller));
-        hidden || self.suspended_until(controller, told_at, sent_at).is_some()
-    }
-
-    /// No attempt begins long after its client left, and none has much more time than its client.
+    /// No attempt begins long after its client left, and none has much more time than its client. What a client does counts as done when
+    /// its controller can know of it.
     fn departures_and_limits(&self, found: &mut Vec<Violation>) {
         for receipt in &self.records.receipts {
             let Some(request) = self.requests.get(&receipt.id) else {
                 continue;
             };
             let controller = receipt.id.controller();
-            if self.is_delayed(controller, request.sent_at, receipt.at) {
-                continue;
-            }
+            let delay_us = self.client_delay_us(controller, request.began_at, receipt.at);
             let has_left = request.end == RequestEnd::Abandoned;
-            let after = receipt.at - request.ended_at - DEPARTURE_US - TIMING_SLACK_US;
-            let is_suspended = self
-                .suspended_until(controller, request.sent_at, receipt.at)
-                .is_some();
-            if has_left && after > 0 && !is_suspended {
+            let noticeable_at = request.ended_at + delay_us;
+            let after = receipt.at - noticeable_at - DEPARTURE_US - TIMING_SLACK_US;
+            if has_left && after > 0 {
                 let what = format!("attempt began {after} us too late after its client left");
-                found.push(self.violation(Invariant::Departure, receipt.id, receipt.at, what));
+                found.push(self.violation(
+                    Invariant::Departure,
+                    receipt.id,
+                    receipt.at,
+                    Some(after),
+                    what,
+                ));
             }
             let left = request.sent_at + request.timeout_us - receipt.at;
-            let excess = receipt.limit_us - left - LIMIT_SLACK_US - SOCKET_SLACK_US;
+            let slack_us = LIMIT_SLACK_US + SOCKET_SLACK_US + delay_us;
+            let excess = receipt.limit_us - left - slack_us;
             if excess > 0 && !has_left {
                 let (limit, pipelined) = (receipt.limit_us, request.is_pipelined);
                 let what = format!(
                     "limit {limit} us, its client had {left} us left (pipelined: {pipelined})"
                 );
-                found.push(self.violation(Invariant::Limit, receipt.id, receipt.at, what));
+                found.push(self.violation(
+                    Invariant::Limit,
+                    receipt.id,
+                    receipt.at,
+                    Some(excess),
+                    what,
+                ));
             }
         }
     }
@@ -450,7 +405,7 @@
                     let executor = event.executor;
                     let age = at - event.at;
                     let what = format!("{sent} requests in the window for executor {executor}, {age} us after its start, at most {most:.0}");
-                    found.push(self.violation(Invariant::SlowStart, *id, *at, what));
+                    found.push(self.violation(Invariant::SlowStart, *id, *at, None, what));
                     break;
                 }
             }
@@ -466,16 +421,20 @@
                     controller: Some(controller),
                     request: None,
                     at,
+                    since: at,
+                    excess_us: None,
                     what,
                     timeline: Vec::new(),
                 });
             };
             let (mut asked, mut overdue, mut started_at) = (false, false, None);
+            let mut terminated_at = None;
             let events = self.records.controller_events.iter();
             for event in events.filter(|event| event.controller == controller) {
                 match event.change {
                     ControllerChange::Started => {
                         (asked, overdue) = (false, false);
+                        terminated_at = None;
                         started_at = Some(event.at);
                     }
                     ControllerChange::Ready => {
@@ -484,10 +443,17 @@
                             violate(event.at, format!("ready {took} us after its start"));
                         }
                     }
-                    ControllerChange::Terminated | ControllerChange::Killed => asked = true,
+                    ControllerChange::Terminated => {
+                        asked = true;
+                        terminated_at = terminated_at.or(Some(event.at));
+                    }
+                    ControllerChange::Killed | ControllerChange::KilledSuspended => asked = true,
                     ControllerChange::Overdue => {
                         overdue = true;
-                        violate(event.at, "had not ended in time and was killed".into());
+                        let asked_at = terminated_at.unwrap_or(event.at);
+                        if !self.may_be_overdue(controller, asked_at, event.at) {
+                            violate(event.at, "had not ended in time and was killed".into());
+                        }
                     }
                     ControllerChange::Exited(code) => {
                         let was_killed = code.is_none() && asked;
@@ -511,6 +477,8 @@
                     controller: Some(*controller),
                     request: id_in(line),
                     at: 0,
+                    since: 0,
+                    excess_us: None,
                     what: line.clone(),
                     timeline: Vec::new(),
                 });
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -46,6 +46,9 @@
     NotSent,
     /// The connection ended without an answer.
     Lost,
+    /// It was sent on a kept connection within the time in which it may cross the close of that, and could not be sent again, as no
+    /// new connections are accepted any more.
+    CrossedClose,
     /// Nothing came for as long as the client looked.
     Silent,
     /// The client left.
@@ -73,6 +76,8 @@
     pub ended_at: i64,
     /// Sent without waiting for the answer to the one before it.
     pub is_pipelined: bool,
+    /// Nothing was answered on its connection before it.
+    pub is_first: bool,
 }
 
 /// A request as an executor read it.
@@ -129,6 +134,8 @@
     Exited(Option<i32>),
     /// It was killed as it had not ended in time.
     Overdue,
+    /// It was suspended as its time to end was over, and was killed.
+    KilledSuspended,
     /// It was suspended.
     Suspended,
     /// It was resumed.
@@ -148,6 +155,17 @@
     pub at: i64,
 }
 
+/// What a fault does to the answers of the name service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TellingFault {
+    /// There are none.
+    Silent,
+    /// They come so many microseconds later.
+    Slow(i64),
+    /// They may hold a list that is so many microseconds old.
+    Behind(i64),
+}
+
 /// A fault that was in force for a while.
 #[derive(Clone, Debug)]
 pub struct FaultRecord {
@@ -155,12 +173,12 @@
     pub controllers: Vec<usize>,
     /// What it was.
     pub what: String,
-    /// Whether it delays or withholds bytes between clients and controllers.
-    pub delays_clients: bool,
+    /// For how long it holds up bytes between clients and controllers at most, in microseconds.
+    pub client_delay_us: i64,
     /// Whether it keeps the controllers from accepting, reading or answering while it lasts.
     pub holds_up_answers: bool,
-    /// Whether it keeps answers of the name service from being received.
-    pub hides_lists: bool,
+    /// What it does to the answers of the name service.
+    pub telling: Option<TellingFault>,
     /// When it began.
     pub from: i64,
     /// When it ended.
@@ -172,6 +190,8 @@
 pub struct Records {
     /// Controllers.
     pub controllers: usize,
+    /// Whether idle clients filled the descriptors of the controllers.
+    pub is_crowded: bool,
     /// Requests, as they ended.
     pub requests: Vec<RequestRecord>,
     /// Requests read by executors.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -4,7 +4,7 @@
 //! - [`plan`]: the faults of a run, drawn from its seed.
 //! - [`cluster`]: everything that runs, and the faults as they begin and end.
 //! - [`ledger`]: what was seen at both ends of each connection.
-//! - [`judge`]: the invariants.
+//! - [`judge`]: the invariants, and the bounds within which faults excuse what they cause.
 //! - [`timeline`]: what led to a violation.
 //!
 //! What is judged is written in [`judge`]; it never looks into a controller, but for the violations that its own guards log.
@@ -14,6 +14,7 @@
 mod client;
 pub mod cluster;
 mod controller;
+mod crowd;
 mod executor;
 mod http;
 pub mod judge;
@@ -68,7 +69,7 @@
 pub fn run_plan(options: &SoakOptions, plan: &Plan) -> Result<Verdict> {
     std::fs::create_dir_all(&options.logs)
         .with_context(|| format!("cannot make {}", options.logs.display()))?;
-    let mut cluster = Cluster::start(options)?;
+    let mut cluster = Cluster::start(options, &plan.deployment)?;
     cluster.play(plan, options.length)?;
     let records = cluster.stop()?;
     let mut verdict = judge::judge(&records);
--- a/crates/soak/src/name_service.rs
+++ b/crates/soak/src/name_service.rs
@@ -1,10 +1,10 @@
-//! A name service: two addresses that answer with the same list, late or not at all when told to.
+//! A name service: three addresses that answer with the same list; late, not at all, or with one of some time ago when told to.
 
 use crate::ledger::Ledger;
 use hickory_proto::op::{Message, MessageType, OpCode};
 use hickory_proto::rr::rdata::{A, SOA, SRV, TXT};
 use hickory_proto::rr::{Name, RData, Record};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::io;
 use std::net::{IpAddr, SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -13,7 +13,7 @@
 use std::time::{Duration, Instant};
 
 /// Addresses of the service.
-pub const ADDRESSES: usize = 2;
+pub const ADDRESSES: usize = 3;
 const SERVICE_NAME: &str = "_rpc._tcp.mesh.local.";
 const LOOK_INTERVAL: Duration = Duration::from_millis(5);
 const TTL_SECONDS: u32 = 1;
@@ -38,6 +38,12 @@
     }
 }
 
+/// A list that an address goes on telling a controller, and until when.
+struct OldList {
+    list: List,
+    until: Instant,
+}
+
 /// The list and its serial number.
 #[derive(Clone, Debug, Default)]
 pub struct List {
@@ -51,8 +57,11 @@
     ledger: Ledger,
     list: Mutex<List>,
     controllers: BTreeMap<IpAddr, usize>,
+    /// By address and controller.
+    old_lists: Mutex<BTreeMap<(usize, usize), OldList>>,
     is_silent: AtomicBool,
     delay_ms: AtomicU64,
+    lost_per_mille: AtomicU64,
     has_stopped: AtomicBool,
 }
 
@@ -73,17 +82,19 @@
             ledger,
             list: Mutex::default(),
             controllers: controllers.iter().copied().zip(0..).collect(),
+            old_lists: Mutex::default(),
             is_silent: AtomicBool::new(false),
             delay_ms: AtomicU64::new(0),
+            lost_per_mille: AtomicU64::new(0),
             has_stopped: AtomicBool::new(false),
         });
         let mut addresses = Vec::new();
-        for _ in 0..ADDRESSES {
+        for address in 0..ADDRESSES {
             let socket = UdpSocket::bind("127.0.0.1:0")?;
             socket.set_read_timeout(Some(LOOK_INTERVAL))?;
             addresses.push(socket.local_addr()?);
             let shared = shared.clone();
-            thread::spawn(move || serve(&socket, &shared));
+            thread::spawn(move || serve(address, &socket, &shared));
         }
         Ok(NameService { addresses, shared })
     }
@@ -106,6 +117,35 @@
         self.shared.is_silent.store(is_silent, Ordering::SeqCst);
     }
 
+    /// Loses so many of a thousand answers.
+    pub fn set_loss(&self, per_mille: u64) {
+        self.shared
+            .lost_per_mille
+            .store(per_mille, Ordering::SeqCst);
+    }
+
+    /// Has one address tell some controllers the list of now for so long, whatever it becomes.
+    pub fn fall_behind(
+        &self,
+        address: usize,
+        controllers: impl IntoIterator<Item = usize>,
+        span: Duration,
+    ) {
+        let list = self.list();
+        let until = Instant::now() + span;
+        let mut old_lists = self.shared.old_lists();
+        for controller in controllers {
+            let list = list.clone();
+            old_lists.insert((address, controller), OldList { list, until });
+        }
+    }
+
+    /// Notes that a controller starts with the list of now.
+    pub fn record_known(&self, controller: usize) {
+        let serial = self.list().serial;
+        record_told(&self.shared, controller, serial);
+    }
+
     /// Answers after so many milliseconds.
     pub fn set_delay(&self, delay_ms: u64) {
         self.shared.delay_ms.store(delay_ms, Ordering::SeqCst);
@@ -122,6 +162,20 @@
     fn list(&self) -> std::sync::MutexGuard<'_, List> {
         self.list.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    fn old_lists(&self) -> std::sync::MutexGuard<'_, BTreeMap<(usize, usize), OldList>> {
+        self.old_lists
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The list that an address tells a controller.
+    fn list_for(&self, address: usize, controller: Option<usize>) -> List {
+        let mut old_lists = self.old_lists();
+        old_lists.retain(|_, old| old.until > Instant::now());
+        let old = controller.and_then(|controller| old_lists.get(&(address, controller)));
+        old.map_or_else(|| self.list().clone(), |old| old.list.clone())
+    }
 }
 
 /// An answer that is to be sent.
@@ -132,42 +186,51 @@
     serial: u32,
 }
 
-fn serve(socket: &UdpSocket, shared: &Shared) {
+fn serve(address: usize, socket: &UdpSocket, shared: &Shared) {
     let mut buffer = [0; 2_048];
-    let mut pending: VecDeque<Pending> = VecDeque::new();
+    let mut pending: Vec<Pending> = Vec::new();
     while !shared.has_stopped.load(Ordering::SeqCst) {
         if let Ok((length, from)) = socket.recv_from(&mut buffer) {
-            if !shared.is_silent.load(Ordering::SeqCst) {
-                let list = shared.list().clone();
-                let delay = Duration::from_millis(shared.delay_ms.load(Ordering::SeqCst));
-                pending.extend(answer(&buffer[..length], &list).map(|bytes| Pending {
-                    due: Instant::now() + delay,
-                    to: from,
-                    bytes,
-                    serial: list.serial,
-                }));
-            }
+            pending.extend(prepare_answer(address, &buffer[..length], from, shared));
         }
-        while pending
-            .front()
-            .is_some_and(|next| next.due <= Instant::now())
-        {
-            let Some(next) = pending.pop_front() else {
-                break;
-            };
-            if socket.send_to(&next.bytes, next.to).is_ok() {
-                record_told(shared, next.to, next.serial);
+        let now = Instant::now();
+        for next in pending.extract_if(.., |next| next.due <= now) {
+            // Before it is sent: the controller may act by it at once.
+            if let Some(controller) = shared.controllers.get(&next.to.ip()) {
+                record_told(shared, *controller, next.serial);
             }
+            let _ = socket.send_to(&next.bytes, next.to);
         }
     }
 }
 
-fn record_told(shared: &Shared, to: SocketAddr, serial: u32) {
-    if let Some(controller) = shared.controllers.get(&to.ip()) {
-        let at = shared.ledger.now();
-        let mut records = shared.ledger.records();
-        records.told.entry((*controller, serial)).or_insert(at);
+/// What is to be sent to whoever asked, unless it is lost.
+fn prepare_answer(
+    address: usize,
+    query: &[u8],
+    from: SocketAddr,
+    shared: &Shared,
+) -> Option<Pending> {
+    let lost_per_mille = shared.lost_per_mille.load(Ordering::SeqCst);
+    let is_lost = rand::random_range(0..1_000) < lost_per_mille;
+    if is_lost || shared.is_silent.load(Ordering::SeqCst) {
+        return None;
     }
+    let controller = shared.controllers.get(&from.ip()).copied();
+    let list = shared.list_for(address, controller);
+    let delay = Duration::from_millis(shared.delay_ms.load(Ordering::SeqCst));
+    Some(Pending {
+        due: Instant::now() + delay,
+        to: from,
+        bytes: answer(query, &list)?,
+        serial: list.serial,
+    })
+}
+
+fn record_told(shared: &Shared, controller: usize, serial: u32) {
+    let at = shared.ledger.now();
+    let mut records = shared.ledger.records();
+    records.told.entry((controller, serial)).or_insert(at);
 }
 
 /// The answer to a query for the list.
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -1,5 +1,8 @@
-//! The faults of a run, drawn from its seed: episodes of two or three that overlap.
+//! The faults of a run, drawn from its seed: episodes of two or three that overlap; and the deployment that it plays.
 
+use crate::ledger::TellingFault;
+use crate::name_service::ADDRESSES;
+use crate::settings::LONGEST_TIMEOUT_US;
 use rand::{Rng, RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
 use std::time::Duration;
@@ -13,6 +16,11 @@
 /// Faults of an episode begin within this time of each other, in microseconds.
 const OVERLAP_US: i64 = 600_000;
 
+/// An address of the name service may tell an older list for so long, and for longer after a configuration that names it, in
+/// milliseconds: what happened is told 1.5 s later, and 4 s after SIGHUP.
+const MAX_BEHIND_MS: u64 = 1_400;
+const MAX_BEHIND_AFTER_RELOAD_MS: u64 = 3_900;
+
 /// A fault.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Fault {
@@ -35,8 +43,11 @@
     Terminate,
     /// The process is killed, and started again.
     Kill,
-    /// The configuration is read again, with the other name service.
-    Reload,
+    /// The configuration is read again, with another address of the name service, which tells the list of before for so many
+    /// milliseconds.
+    Reload(u64),
+    /// Signals within milliseconds of each other, or one reload after the other.
+    Signals(SignalSeries),
     /// The proxy holds up bytes for so many milliseconds.
     ProxyDelay(u64),
     /// The proxy passes bytes on one by one.
@@ -49,6 +60,10 @@
     NameServiceSilent,
     /// The name service answers after so many milliseconds.
     NameServiceSlow(u64),
+    /// The name service loses so many of a thousand answers.
+    NameServiceLossy(u64),
+    /// One address of the name service tells the list of before for so many milliseconds.
+    NameServiceBehind(usize, u64),
     /// An executor answers nothing.
     ExecutorHang,
     /// An executor resets its connections.
@@ -63,10 +78,75 @@
     ExecutorFail,
     /// An executor drains, goes, and another one starts.
     ExecutorDrain,
+    /// An executor is taken off the list, serves on for a while, and another one starts.
+    ExecutorUnlist,
     /// An executor crashes, and another one starts at its address.
     ExecutorCrash,
 }
 
+/// Signals that a process gets in series.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SignalSeries {
+    /// HUP, then STOP.
+    ReloadSuspend,
+    /// TERM, then STOP.
+    TerminateSuspend,
+    /// STOP, then TERM, which is taken as the process is resumed.
+    SuspendTerminate,
+    /// HUP, then TERM.
+    ReloadTerminate,
+    /// TERM, HUP, TERM.
+    TerminateReloadTerminate,
+    /// So many configurations, a tenth of a second between them.
+    Reloads(u32),
+}
+
+impl SignalSeries {
+    /// Whether the process is suspended, until the fault ends.
+    pub fn suspends(self) -> bool {
+        matches!(
+            self,
+            SignalSeries::ReloadSuspend
+                | SignalSeries::TerminateSuspend
+                | SignalSeries::SuspendTerminate
+        )
+    }
+}
+
+/// What a run plays beside its faults.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Deployment {
+    /// The longest time that a client waits, in microseconds.
+    pub longest_timeout_us: i64,
+    /// Idle clients that come to each controller, at most.
+    pub crowd: usize,
+}
+
+impl Default for Deployment {
+    fn default() -> Deployment {
+        Deployment {
+            longest_timeout_us: LONGEST_TIMEOUT_US,
+            crowd: 0,
+        }
+    }
+}
+
+/// Longest timeouts of a run: a process that is asked to end may be killed that much and 0.7 s later.
+const LONGEST_TIMEOUTS_US: [i64; 4] = [400_000, 1_500_000, LONGEST_TIMEOUT_US, LONGEST_TIMEOUT_US];
+/// One in so many runs has a crowd of idle clients, of so many for each controller.
+const CROWDED_RUNS: f64 = 0.25;
+const CROWD: usize = 400;
+
+impl Deployment {
+    fn draw(rng: &mut impl Rng) -> Deployment {
+        let is_crowded = rng.random_bool(CROWDED_RUNS);
+        Deployment {
+            longest_timeout_us: *pick(&LONGEST_TIMEOUTS_US, rng),
+            crowd: if is_crowded { CROWD } else { 0 },
+        }
+    }
+}
+
 /// A fault and when it is in force, in microseconds since the start.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PlannedFault {
@@ -82,17 +162,20 @@
     pub until: i64,
 }
 
-/// All faults of a run, in order of their beginnings.
+/// All faults of a run, in order of their beginnings, and its deployment.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Plan {
     /// The faults.
     pub faults: Vec<PlannedFault>,
+    /// The deployment.
+    pub deployment: Deployment,
 }
 
 impl Plan {
     /// Draws the faults of a run.
     pub fn draw(seed: u64, length: Duration, controllers: usize) -> Plan {
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let deployment = Deployment::draw(&mut rng);
         let end = length.as_micros() as i64 - CALM_AT_END_US;
         let mut faults = Vec::new();
         let mut episode_at = CALM_AT_START_US;
@@ -114,7 +197,7 @@
             episode_at += EPISODE_US;
         }
         faults.sort_by_key(|fault| fault.from);
-        Plan { faults }
+        Plan { faults, deployment }
     }
 }
 
@@ -129,10 +212,11 @@
 
 fn draw_duration(fault: &Fault, rng: &mut impl Rng) -> i64 {
     match fault {
-        Fault::Suspend => rng.random_range(100_000..2_500_000),
+        Fault::Suspend => rng.random_range(100_000..3_200_000),
+        Fault::Signals(series) if series.suspends() => rng.random_range(100_000..2_500_000),
         Fault::Call { .. } | Fault::ShortTransfers(_) => rng.random_range(200_000..1_500_000),
         Fault::ProxyWithhold => rng.random_range(100_000..900_000),
-        Fault::NameServiceSilent => rng.random_range(500_000..6_000_000),
+        Fault::NameServiceSilent => rng.random_range(500_000..8_000_000),
         Fault::NameServiceSlow(_) => rng.random_range(1_000_000..6_000_000),
         Fault::ExecutorHang => rng.random_range(500_000..4_000_000),
         _ => rng.random_range(500_000..2_000_000),
@@ -140,24 +224,30 @@
 }
 
 fn draw_fault(rng: &mut impl Rng) -> Fault {
-    match rng.random_range(0..24) {
+    match rng.random_range(0..30) {
         0..4 => draw_call(rng),
         4 => Fault::ShortTransfers(rng.random_range(1..16)),
         5 => Fault::WallClock(*pick(&[-3_600, -5, 5, 3_600], rng)),
         6 => Fault::Suspend,
-        7..10 => Fault::Terminate,
-        10 => Fault::Kill,
-        11 => Fault::Reload,
-        12 => Fault::ProxyDelay(rng.random_range(5..200)),
-        13 => Fault::ProxySplit,
-        14 => Fault::ProxyReset,
-        15 => Fault::ProxyWithhold,
-        16 => Fault::NameServiceSilent,
-        17 => Fault::NameServiceSlow(rng.random_range(100..3_000)),
-        18 => Fault::ExecutorHang,
-        19 => Fault::ExecutorReset,
-        20 => Fault::ExecutorCloseIdle,
-        21 => pick(
+        7..9 => Fault::Terminate,
+        9 => Fault::Kill,
+        10 => Fault::Reload(rng.random_range(0..MAX_BEHIND_AFTER_RELOAD_MS)),
+        11..14 => Fault::Signals(draw_signals(rng)),
+        14 => Fault::ProxyDelay(rng.random_range(5..200)),
+        15 => Fault::ProxySplit,
+        16 => Fault::ProxyReset,
+        17 => Fault::ProxyWithhold,
+        18 => Fault::NameServiceSilent,
+        19 => Fault::NameServiceSlow(rng.random_range(100..3_000)),
+        20 => Fault::NameServiceLossy(rng.random_range(200..600)),
+        21 => Fault::NameServiceBehind(
+            rng.random_range(0..ADDRESSES),
+            rng.random_range(100..MAX_BEHIND_MS),
+        ),
+        22 => Fault::ExecutorHang,
+        23 => Fault::ExecutorReset,
+        24 => Fault::ExecutorCloseIdle,
+        25 => pick(
             &[
                 Fault::ExecutorForget,
                 Fault::ExecutorFull,
@@ -166,11 +256,27 @@
             rng,
         )
         .clone(),
-        22 => Fault::ExecutorDrain,
+        26..28 => Fault::ExecutorDrain,
+        28 => Fault::ExecutorUnlist,
         _ => Fault::ExecutorCrash,
     }
 }
 
+fn draw_signals(rng: &mut impl Rng) -> SignalSeries {
+    let reloads = rng.random_range(2..20);
+    *pick(
+        &[
+            SignalSeries::ReloadSuspend,
+            SignalSeries::TerminateSuspend,
+            SignalSeries::SuspendTerminate,
+            SignalSeries::ReloadTerminate,
+            SignalSeries::TerminateReloadTerminate,
+            SignalSeries::Reloads(reloads),
+        ],
+        rng,
+    )
+}
+
 /// Errors that Linux documents for a call, and how many of a thousand calls they hit.
 const CALL_FAULTS: [(Call, &[Errno], u32); 13] = [
     (
@@ -264,7 +370,8 @@
                 | Fault::Suspend
                 | Fault::Terminate
                 | Fault::Kill
-                | Fault::Reload
+                | Fault::Reload(_)
+                | Fault::Signals(_)
                 | Fault::ProxyDelay(_)
                 | Fault::ProxySplit
                 | Fault::ProxyReset
@@ -272,12 +379,14 @@
         )
     }
 
-    /// Whether it delays or withholds bytes between clients and controllers, or their look at them.
-    pub fn delays_clients(&self) -> bool {
-        matches!(
-            self,
-            Fault::ProxyDelay(_) | Fault::ProxySplit | Fault::ProxyWithhold
-        )
+    /// For how long it may hold up bytes between clients and controllers, in microseconds, if it is in force for this long.
+    pub fn client_delay_us(&self, span_us: i64) -> i64 {
+        match self {
+            Fault::ProxyDelay(ms) => micros(*ms),
+            Fault::ProxySplit => SPLIT_DELAY_US,
+            Fault::ProxyWithhold => span_us,
+            _ => 0,
+        }
     }
 
     /// Whether it keeps a controller from accepting, reading or answering while it lasts.
@@ -288,17 +397,23 @@
                 Call::Accept | Call::ReadAccepted | Call::WriteAccepted
             )
         };
-        matches!(self, Fault::Call { call, .. } if is_held_up(call)) || self.delays_clients()
+        matches!(self, Fault::Call { call, .. } if is_held_up(call)) || self.client_delay_us(1) > 0
     }
 
-    /// Whether it keeps answers of the name service from being received.
-    pub fn hides_lists(&self) -> bool {
-        matches!(
-            self,
-            Fault::Call {
-                call: Call::ReceiveDatagram | Call::SendDatagram,
-                ..
-            } | Fault::Suspend
-        )
+    /// What it does to the answers of the name service.
+    pub fn telling(&self) -> Option<TellingFault> {
+        match self {
+            Fault::NameServiceSilent => Some(TellingFault::Silent),
+            Fault::NameServiceSlow(ms) => Some(TellingFault::Slow(micros(*ms))),
+            Fault::NameServiceBehind(_, ms) => Some(TellingFault::Behind(micros(*ms))),
+            _ => None,
+        }
     }
 }
+
+/// What a request that is passed on byte by byte takes longer, in microseconds.
+const SPLIT_DELAY_US: i64 = 100_000;
+
+fn micros(ms: u64) -> i64 {
+    i64::try_from(ms).unwrap_or(i64::MAX / 1_000) * 1_000
+}
--- a/crates/soak/src/settings.rs
+++ b/crates/soak/src/settings.rs
@@ -21,7 +21,7 @@
     }
 }
 
-/// The longest time that a client waits, in microseconds.
+/// The longest time that a client waits in any run, in microseconds.
 pub const LONGEST_TIMEOUT_US: i64 = 3_000_000;
 /// Time after which executors close an idle connection, in microseconds.
 pub const IDLE_TIMEOUT_US: i64 = 4_000_000;
@@ -40,10 +40,10 @@
 /// Time over which that is counted, in microseconds.
 pub const OVERLOAD_WINDOW_US: i64 = 1_000_000;
 
-/// The settings that each controller is started with.
-pub fn settings(controllers: usize, index: usize) -> Value {
+/// The settings that each controller is started with, where no client waits longer than `longest_timeout_us`.
+pub fn settings(controllers: usize, index: usize, longest_timeout_us: i64) -> Value {
     let class = |class: Class, effect: &str| {
-        json!({"name": class.name(), "on_time_us": 500_000, "give_up_us": LONGEST_TIMEOUT_US,
+        json!({"name": class.name(), "on_time_us": 500_000.min(longest_timeout_us), "give_up_us": longest_timeout_us,
             "gain": 1.0, "effect": effect, "window_us": 1_000_000})
     };
     json!({
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -4,9 +4,9 @@
 use wheelfield_soak::judge::{judge, Invariant};
 use wheelfield_soak::ledger::{
     ControllerChange, ControllerEvent, ExecutorChange, ExecutorEvent, FaultRecord, Receipt,
-    Records, RequestEnd, RequestId, RequestRecord,
+    Records, RequestEnd, RequestId, RequestRecord, TellingFault,
 };
-use wheelfield_soak::plan::Plan;
+use wheelfield_soak::plan::{Deployment, Plan};
 use wheelfield_soak::settings::Class;
 
 const SECOND: i64 = 1_000_000;
@@ -21,9 +21,31 @@
         end,
         ended_at: 10 * SECOND + 50_000,
         is_pipelined: false,
+        is_first: false,
     }
 }
 
+/// A fault at the first controller that excuses nothing by itself.
+fn fault(from: i64, until: i64) -> FaultRecord {
+    FaultRecord {
+        controllers: vec![0],
+        what: String::new(),
+        client_delay_us: 0,
+        holds_up_answers: false,
+        telling: None,
+        from,
+        until,
+    }
+}
+
+fn happened(records: &mut Records, change: ControllerChange, at: i64) {
+    records.controller_events.push(ControllerEvent {
+        controller: 0,
+        change,
+        at,
+    });
+}
+
 fn receipt(n: u64, executor: usize, at: i64) -> Receipt {
     Receipt {
         id: RequestId::new(0, n),
@@ -88,34 +110,27 @@
 }
 
 #[test]
-fn a_kill_and_a_suspension_excuse_what_they_cause() {
+fn a_kill_excuses_what_was_under_way_and_a_suspension_answers_until_half_a_second_after_it() {
     let mut killed = records();
     killed
         .requests
         .push(request(1, Class::Look, RequestEnd::Lost));
-    killed.controller_events.push(ControllerEvent {
-        controller: 0,
-        change: ControllerChange::Killed,
-        at: 10 * SECOND + 40_000,
-    });
+    happened(&mut killed, ControllerChange::Killed, 10 * SECOND + 40_000);
     assert_eq!(violated(&killed), []);
-    let mut suspended = records();
-    suspended.requests.push(RequestRecord {
-        ended_at: 13 * SECOND,
-        ..request(1, Class::Look, RequestEnd::Answered(503))
-    });
-    assert_eq!(violated(&suspended), [Invariant::Answer]);
-    for (change, at) in [
-        (ControllerChange::Suspended, 10 * SECOND + 10_000),
-        (ControllerChange::Resumed, 13 * SECOND - 10_000),
-    ] {
-        suspended.controller_events.push(ControllerEvent {
-            controller: 0,
-            change,
-            at,
+    let suspended = |ended_at| {
+        let mut records = records();
+        records.requests.push(RequestRecord {
+            ended_at,
+            ..request(1, Class::Look, RequestEnd::Answered(503))
         });
-    }
-    assert_eq!(violated(&suspended), []);
+        let (from, until) = (10 * SECOND + 10_000, 13 * SECOND);
+        happened(&mut records, ControllerChange::Suspended, from);
+        happened(&mut records, ControllerChange::Resumed, until);
+        records
+    };
+    assert_eq!(violated(&suspended(13 * SECOND + 600_000)), []);
+    let late = suspended(13 * SECOND + 700_000);
+    assert_eq!(violated(&late), [Invariant::Answer]);
 }
 
 /// No answer can be given while no connection can be accepted; half a second after that it is late again.
@@ -128,13 +143,8 @@
             ..request(1, Class::Look, RequestEnd::Answered(503))
         });
         records.faults.push(FaultRecord {
-            controllers: vec![0],
-            what: String::new(),
-            delays_clients: false,
             holds_up_answers: true,
-            hides_lists: false,
-            from: 10 * SECOND,
-            until: 13 * SECOND,
+            ..fault(10 * SECOND, 13 * SECOND)
         });
         records
     };
@@ -142,6 +152,64 @@
     assert_eq!(violated(&with(14 * SECOND)), [Invariant::Answer]);
 }
 
+/// Only what can have come after the grace for requests may be lost in a shutdown, and what is rejected as overdue took two seconds.
+#[test]
+fn bytes_that_are_held_up_excuse_what_comes_too_late_and_no_more() {
+    let with = |client_delay_us, end, ended_at, terminated_at| {
+        let mut records = records();
+        records.requests.push(RequestRecord {
+            ended_at,
+            ..request(1, Class::Look, end)
+        });
+        records.faults.push(FaultRecord {
+            client_delay_us,
+            ..fault(9 * SECOND, 13 * SECOND)
+        });
+        happened(&mut records, ControllerChange::Terminated, terminated_at);
+        records
+    };
+    let soon = 10 * SECOND + 500_000;
+    let lost = RequestEnd::Lost;
+    let before = 10 * SECOND - 300_000;
+    assert_eq!(violated(&with(450_000, lost, soon, before)), []);
+    assert_eq!(
+        violated(&with(200_000, lost, soon, before)),
+        [Invariant::Answer]
+    );
+    assert_eq!(
+        violated(&with(450_000, lost, soon, 10 * SECOND)),
+        [Invariant::Answer],
+        "it came within the grace"
+    );
+    let overdue = RequestEnd::Answered(408);
+    assert_eq!(violated(&with(450_000, overdue, 12 * SECOND, before)), []);
+    assert_eq!(
+        violated(&with(450_000, overdue, 11 * SECOND, before)),
+        [Invariant::Answer]
+    );
+    assert_eq!(
+        violated(&with(0, overdue, 12 * SECOND, before)),
+        [Invariant::Answer]
+    );
+}
+
+/// Idle clients that fill the descriptors may shut out new connections, and nobody else.
+#[test]
+fn a_crowd_excuses_new_connections_that_are_closed() {
+    let with = |is_crowded, is_first| {
+        let mut records = records();
+        records.is_crowded = is_crowded;
+        records.requests.push(RequestRecord {
+            is_first,
+            ..request(1, Class::Look, RequestEnd::Lost)
+        });
+        violated(&records)
+    };
+    assert_eq!(with(true, true), []);
+    assert_eq!(with(true, false), [Invariant::Answer]);
+    assert_eq!(with(false, true), [Invariant::Answer]);
+}
+
 #[test]
 fn what_must_run_at_most_once_runs_once() {
     for (class, expected) in [
@@ -163,33 +231,96 @@
     }
 }
 
+/// An executor that drains at second 9; its list is told at `told_at`, and a request is sent to it at `sent_at`.
+fn drained(told_at: i64, sent_at: i64) -> Records {
+    let mut records = records();
+    records.executors.push(ExecutorEvent {
+        executor: 3,
+        change: ExecutorChange::Draining,
+        serial: 7,
+        at: 9 * SECOND,
+    });
+    records.told.insert((0, 8), told_at);
+    records.receipts.push(receipt(1, 3, sent_at));
+    records
+}
+
 #[test]
-fn nothing_goes_to_an_executor_past_its_grace_after_its_drain_was_told() {
-    let with = |sent_at| {
-        let mut records = records();
-        records.executors.push(ExecutorEvent {
-            executor: 3,
-            change: ExecutorChange::Draining,
-            serial: 7,
-            at: 9 * SECOND,
+fn nothing_goes_to_an_executor_past_its_grace_after_its_drain_was_told_or_counts_as_told() {
+    let told_at = 9 * SECOND + 200_000;
+    assert_eq!(violated(&drained(told_at, 10 * SECOND + 300_000)), []);
+    let late = drained(told_at, 10 * SECOND + 400_000);
+    assert_eq!(violated(&late), [Invariant::Drain]);
+    // Never told: it counts as told 1.5 s after it happened.
+    let never = 90 * SECOND;
+    assert_eq!(violated(&drained(never, 11 * SECOND + 600_000)), []);
+    let late = drained(never, 11 * SECOND + 700_000);
+    assert_eq!(violated(&late), [Invariant::Drain]);
+}
+
+/// While the name service takes for its answers what it takes; a process that was suspended has no more time than that.
+#[test]
+fn faults_of_the_name_service_put_off_when_a_drain_counts_as_told() {
+    let with = |telling, span: (i64, i64), sent_at| {
+        let mut records = drained(90 * SECOND, sent_at);
+        records.faults.push(FaultRecord {
+            controllers: Vec::new(),
+            telling: Some(telling),
+            ..fault(span.0, span.1)
         });
-        records.told.insert((0, 8), 9 * SECOND + 200_000);
-        records.receipts.push(receipt(1, 3, sent_at));
-        records
+        violated(&records)
     };
-    assert_eq!(violated(&with(10 * SECOND + 100_000)), []);
-    let mut late = with(10 * SECOND + 400_000);
-    assert_eq!(violated(&late), [Invariant::Drain]);
-    late.faults.push(FaultRecord {
-        controllers: vec![0],
-        what: String::new(),
-        delays_clients: false,
-        holds_up_answers: false,
-        hides_lists: true,
-        from: 9 * SECOND,
-        until: 10 * SECOND,
-    });
-    assert_eq!(violated(&late), [], "it cannot have known");
+    let silence = |until, sent_at| with(TellingFault::Silent, (8 * SECOND, until), sent_at);
+    // 4.5 s after the silence began, and the grace.
+    assert_eq!(silence(11 * SECOND, 13 * SECOND + 600_000), []);
+    let late = 13 * SECOND + 700_000;
+    assert_eq!(silence(11 * SECOND, late), [Invariant::Drain]);
+    // A longer one can't be heard through.
+    assert_eq!(silence(14 * SECOND, 15 * SECOND + 300_000), []);
+    let late = 15 * SECOND + 500_000;
+    assert_eq!(silence(14 * SECOND, late), [Invariant::Drain]);
+    let slow = |sent_at| {
+        let slow = TellingFault::Slow(2 * SECOND);
+        with(slow, (8 * SECOND, 20 * SECOND), sent_at)
+    };
+    assert_eq!(slow(12 * SECOND + 300_000), []);
+    assert_eq!(slow(12 * SECOND + 500_000), [Invariant::Drain]);
+}
+
+#[test]
+fn a_reload_puts_off_when_a_drain_counts_as_told_and_a_suspension_does_not() {
+    let never = 90 * SECOND;
+    let with = |sent_at, changes: &[(ControllerChange, i64)]| {
+        let mut records = drained(never, sent_at);
+        for (change, at) in changes {
+            happened(&mut records, *change, *at);
+        }
+        violated(&records)
+    };
+    let reload = [(ControllerChange::Reloaded, 8 * SECOND)];
+    assert_eq!(with(13 * SECOND + 100_000, &reload), []);
+    assert_eq!(with(13 * SECOND + 300_000, &reload), [Invariant::Drain]);
+    let suspension = [
+        (ControllerChange::Suspended, 9 * SECOND),
+        (ControllerChange::Resumed, 12 * SECOND),
+    ];
+    assert_eq!(with(12 * SECOND + 1_000, &suspension), [Invariant::Drain]);
+    // It may go by the old list only where an answer takes longer than a request can wait, and until then.
+    let slow = |answer_us, sent_at| {
+        let mut records = drained(never, sent_at);
+        for (change, at) in suspension {
+            happened(&mut records, change, at);
+        }
+        records.faults.push(FaultRecord {
+            controllers: Vec::new(),
+            telling: Some(TellingFault::Slow(answer_us)),
+            ..fault(11 * SECOND, 13 * SECOND)
+        });
+        violated(&records)
+    };
+    assert_eq!(slow(SECOND, 12 * SECOND + 900_000), []);
+    assert_eq!(slow(SECOND, 13 * SECOND + 200_000), [Invariant::Drain]);
+    assert_eq!(slow(300_000, 12 * SECOND + 1_000), [Invariant::Drain]);
 }
 
 #[test]
@@ -209,8 +340,25 @@
     assert_eq!(violated(&with(served, at, 1_200_000)), [Invariant::Limit]);
     let left = RequestEnd::Abandoned;
     assert_eq!(violated(&with(left, at + 100_000, 900_000)), []);
-    let long_after = with(left, at + 400_000, 400_000);
+    let mut long_after = with(left, at + 400_000, 400_000);
+    assert_eq!(violated(&long_after), [Invariant::Departure]);
+    // A suspension is no excuse: the process can look before it acts.
+    happened(&mut long_after, ControllerChange::Suspended, at);
+    happened(&mut long_after, ControllerChange::Resumed, at + 399_000);
+    assert_eq!(violated(&long_after), [Invariant::Departure]);
+    // What the proxy holds up can't be known sooner; nor can it be later.
+    long_after.faults.push(FaultRecord {
+        client_delay_us: 200_000,
+        ..fault(9 * SECOND, 12 * SECOND)
+    });
+    assert_eq!(violated(&long_after), []);
+    long_after.receipts[0].at += 100_000;
     assert_eq!(violated(&long_after), [Invariant::Departure]);
+    let mut longer = with(served, at, 1_200_000);
+    longer.faults = long_after.faults;
+    assert_eq!(violated(&longer), []);
+    longer.receipts[0].limit_us += 200_000;
+    assert_eq!(violated(&longer), [Invariant::Limit]);
 }
 
 #[test]
@@ -278,6 +426,26 @@
     let verdict = judge(&records);
     assert!(verdict.violations.is_empty());
     assert_eq!(verdict.totals.not_judged, 1);
+    // An answer that is later than this test was is late all the same.
+    records.requests[0] = RequestRecord {
+        ended_at: 11 * SECOND + 740_000,
+        ..request(1, Class::Look, RequestEnd::Answered(200))
+    };
+    assert!(judge(&records).violations.is_empty(), "by 90 ms");
+    records.requests[0].ended_at += 20_000;
+    assert_eq!(violated(&records), [Invariant::Answer], "by 110 ms");
+}
+
+/// Half of a hundred seeds and more play each of the deployments that differ.
+#[test]
+fn seeds_draw_short_and_long_deadlines_and_crowds() {
+    let deployments: Vec<Deployment> = (0..100)
+        .map(|seed| Plan::draw(seed, Duration::from_secs(20), 4).deployment)
+        .collect();
+    let count = |is: &dyn Fn(&Deployment) -> bool| deployments.iter().filter(|d| is(d)).count();
+    assert!(count(&|d| d.crowd > 0) >= 10);
+    assert!(count(&|d| d.longest_timeout_us < SECOND) >= 10);
+    assert!(count(&|d| d.longest_timeout_us == 3 * SECOND) >= 25);
 }
 
 #[test]
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -192,6 +192,9 @@
     /// How long clients send requests.
     #[arg(long, value_name = "N", default_value_t = 10)]
     minutes: u64,
+    /// The same in seconds, for short runs.
+    #[arg(long, value_name = "N", conflicts_with = "minutes", value_parser = clap::value_parser!(u64).range(11..))]
+    seconds: Option<u64>,
     /// Controllers.
     #[arg(long, value_name = "N", default_value_t = 24, value_parser = clap::value_parser!(u64).range(1..=100))]
     controllers: u64,
@@ -236,7 +239,7 @@
     let folder = tempfile::tempdir()?;
     let options = SoakOptions {
         seed: args.seed,
-        length: Duration::from_secs(60 * args.minutes),
+        length: Duration::from_secs(args.seconds.unwrap_or(60 * args.minutes)),
         controllers: args.controllers as usize,
         clients_per_controller: args.clients as usize,
         executors: args.executors as usize,
--- a/crates/testbed/tests/soak.rs
+++ b/crates/testbed/tests/soak.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 use wheelfield_soak::judge::{Invariant, Verdict};
-use wheelfield_soak::plan::{Fault, Plan, PlannedFault};
+use wheelfield_soak::plan::{Deployment, Fault, Plan, PlannedFault, SignalSeries};
 use wheelfield_soak::SoakOptions;
 use wheelfield_testbed::stage;
 
@@ -26,6 +26,7 @@
                 until: micros(*until),
             })
             .collect(),
+        deployment: Deployment::default(),
     }
 }
 
@@ -48,7 +49,7 @@
     let verdict = played(Some(plant), plan, clients);
     for invariant in expected {
         let found = verdict.violations.iter().any(|violation| violation.invariant == *invariant);
-        assert!(found, "{plant}: no violation of {invariant} was found");
+        assert!(found, "{plant}: no violation of {invariant} was found; {:?}", verdict.totals);
     }
 }
 
@@ -81,12 +82,41 @@
     assert_found("ignore-starts", &planned(&[(Fault::ExecutorCrash, 1.0, 2.0)]), 20, &[Invariant::SlowStart]);
     assert_found(
         "panic-on-reload",
-        &planned(&[(Fault::Reload, 2.0, 2.1)]),
+        &planned(&[(Fault::Reload(0), 2.0, 2.1)]),
         2,
         &[Invariant::Process, Invariant::Guard],
     );
 }
 
+/// Each way in which a list is not heard or asked for, with the drains and removals that it hides.
+#[test]
+fn planted_faults_of_the_age_of_lists_are_found() {
+    let suspensions = planned(&[
+        (Fault::Suspend, 1.0, 4.2),
+        (Fault::ExecutorDrain, 1.2, 1.3),
+        (Fault::ExecutorUnlist, 1.2, 1.3),
+        (Fault::NameServiceSlow(300), 3.0, 8.0),
+    ]);
+    assert_found("ignore-inactivity", &suspensions, 12, &[Invariant::Drain]);
+    let reloads = planned(&[
+        (Fault::NameServiceSlow(150), 1.0, 8.0),
+        (Fault::Signals(SignalSeries::Reloads(40)), 1.5, 5.5),
+        (Fault::ExecutorDrain, 1.2, 1.3),
+    ]);
+    assert_found("ignore-former-service", &reloads, 12, &[Invariant::Drain]);
+    // Most answers are lost: at four questions a second some controller misses all of two and a half seconds.
+    let losses = planned(&[
+        (Fault::NameServiceLossy(920), 1.0, 8.0),
+        (Fault::ExecutorDrain, 1.2, 1.3),
+        (Fault::ExecutorUnlist, 1.4, 1.5),
+    ]);
+    assert_found("poll-at-fixed-rate", &losses, 12, &[Invariant::Drain]);
+    let verdict = played(None, &suspensions, 12);
+    assert!(verdict.violations.is_empty(), "{:#?}", verdict.violations);
+    let verdict = played(None, &reloads, 12);
+    assert!(verdict.violations.is_empty(), "{:#?}", verdict.violations);
+}
+
 #[test]
 fn a_run_without_a_planted_fault_breaks_nothing() {
     let plan = planned(&[
@@ -94,7 +124,7 @@
         (Fault::Suspend, 1.5, 2.5),
         (Fault::ExecutorDrain, 1.8, 2.0),
         (Fault::Terminate, 3.0, 3.1),
-        (Fault::Reload, 4.5, 4.6),
+        (Fault::Reload(2_000), 4.5, 4.6),
     ]);
     let verdict = played(None, &plan, 4);
     let told: Vec<String> = verdict
