controller: failing tests of queries that can't be sent and requests that can't be written

Cause: two related paths of the old list. A process whose queries can't be sent as it is resumed goes by its list after half a second; and a request that waits in the output keeps the limit that was right when it was decided.

--- a/crates/controller/tests/executor_list_age.rs
+++ b/crates/controller/tests/executor_list_age.rs
@@ -186,6 +186,29 @@
     assert_eq!(pair.staying.received_after(resumed_at), 1);
 }
 
+/// Its questions can't be sent for a while after it was resumed, as the system lacks buffers: it is as if it were suspended longer.
+#[test]
+fn a_process_that_cannot_ask_as_it_is_resumed_does_not_send_either() {
+    let pair = Pair::new();
+    let names = ServingNames::new(1, &pair.before());
+    let faults = FaultControl::new().expect("a control file");
+    let program = Program::start_with_faults(&pair.config(&names), &faults);
+    let _traffic = Traffic::begin(program.listen);
+    sleep(Duration::from_millis(500));
+    program.halt();
+    faults
+        .fail(Call::SendDatagram, Errno::NoBufferSpace, ALWAYS)
+        .expect("set");
+    names.has(2, &pair.after(Leaves::Drains));
+    let told_at = Instant::now() + TOLD_WITHIN;
+    sleep(SUSPENDED);
+    program.go_on();
+    // Longer than the half second for which an answer is waited for.
+    sleep(Duration::from_millis(1_200));
+    faults.succeed(Call::SendDatagram).expect("set");
+    pair.assert_nothing_past_the_grace(told_at, "questions that can't be sent");
+}
+
 /// Asked to end, and suspended then: what came on open connections is answered before the process may be killed, and goes to no
 /// executor that has left.
 #[test]
--- a/crates/controller/tests/suspended_process.rs
+++ b/crates/controller/tests/suspended_process.rs
@@ -95,3 +95,32 @@
         assert_eq!(client.status(), 200);
     }
 }
+
+/// The request is decided at once, and lies in the output until the executor's connection takes it.
+#[test]
+fn the_deadline_of_an_attempt_counts_the_time_for_which_it_could_not_be_written() {
+    const UNWRITABLE_MS: u64 = 1_200;
+    let (executor, names) = (Executor::new(), NameService::new());
+    let faults = FaultControl::new().expect("a control file");
+    let config = config(free(), &[("e1", executor.at)], names.at);
+    let program = Program::start_with_faults(&config, &faults);
+    let mut client = Client::connect(program.listen);
+    client.asks("look", 1);
+    let mut conn = executor.take();
+    conn.answers(1, "e1");
+    assert_eq!(client.status(), 200);
+    faults
+        .fail(Call::WriteConnected, Errno::NoBufferSpace, ALWAYS)
+        .expect("set");
+    client.says(&post_within("load", 2, TIMEOUT_MS));
+    std::thread::sleep(Duration::from_millis(UNWRITABLE_MS));
+    faults.succeed(Call::WriteConnected).expect("set");
+    let request = conn.request();
+    let limit = limit_of(&request);
+    assert!(
+        limit <= TIMEOUT_MS - UNWRITABLE_MS + SLACK_MS,
+        "limit {limit} ms"
+    );
+    conn.says(&hit(&request.id, "e1"));
+    assert_eq!(client.status(), 200);
+}
