soak: half of all episodes hide the list of executors as one of them leaves

Change: episodes that overlap a suspension, a crossing reload, a series of configurations or lost answers with a drain or a removal.

--- a/crates/platform/src/executors/failures.rs
+++ b/crates/platform/src/executors/failures.rs
@@ -80,6 +80,7 @@
                 self.lose_connection(id, ConnectionLoss::Broken, out);
                 continue;
             }
+            connection.withdraw_unwritten();
             for attempt in std::mem::take(&mut connection.queued) {
                 self.relaunch(engine, attempt, ConnectionLoss::Broken, out);
             }
--- a/crates/soak/src/judge/mod.rs
+++ b/crates/soak/src/judge/mod.rs
@@ -5,16 +5,15 @@
 //! it was, is counted apart.
 
 mod bounds;
+mod processes;
+mod slow_start;
 mod telling;
 
 use crate::ledger::{
     ControllerChange, ExecutorChange, Receipt, Records, RequestEnd, RequestId, RequestRecord,
 };
-use crate::settings::{
-    Class, CORES, DRAIN_GRACE_US, OVERLOAD_MULTIPLE, OVERLOAD_WINDOW_US, SLOW_START_FRACTION,
-    SLOW_START_US, WORK_MS,
-};
-use std::collections::{BTreeMap, BTreeSet};
+use crate::settings::{Class, DRAIN_GRACE_US};
+use std::collections::BTreeMap;
 use std::fmt;
 
 /// Time by which an answer may be late before it is lost, in microseconds.
@@ -27,10 +26,6 @@
 const SOCKET_SLACK_US: i64 = 50_000;
 /// What this test cannot time better, in microseconds.
 const TIMING_SLACK_US: i64 = 100_000;
-/// Restarted controllers are ready within this time, in microseconds.
-const READY_US: i64 = 10_000_000;
-/// Below so many requests the margin of the slow-start bound is wider.
-const FEW_REQUESTS: f64 = 30.0;
 
 /// A rule that was broken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -328,18 +323,6 @@
         }
     }
 
-    /// When each controller was first told of a list at least as new.
-    fn told(&self, serial: u32) -> BTreeMap<usize, i64> {
-        let mut told: BTreeMap<usize, i64> = BTreeMap::new();
-        for ((controller, told_serial), at) in &self.records.told {
-            if *told_serial >= serial {
-                let first = told.entry(*controller).or_insert(*at);
-                *first = (*first).min(*at);
-            }
-        }
-        told
-    }
-
     /// No attempt begins long after its client left, and none has much more time than its client. What a client does counts as done when
     /// its controller can know of it.
     fn departures_and_limits(&self, found: &mut Vec<Violation>) {
@@ -380,129 +363,4 @@
             }
         }
     }
-
-    /// An executor in slow start gets no more within the window than the settings allow, of controllers that were told.
-    fn slow_starts(&self, found: &mut Vec<Violation>) {
-        for event in &self.records.executors {
-            if event.change != ExecutorChange::Started {
-                continue;
-            }
-            let told = self.told(event.serial);
-            let mut sends: Vec<(i64, RequestId)> = self
-                .records
-                .receipts
-                .iter()
-                .filter(|r| r.executor == event.executor && r.at < event.at + SLOW_START_US)
-                .filter(|r| told.get(&r.id.controller()).is_some_and(|at| *at <= r.at))
-                .map(|r| (r.at, r.id))
-                .collect();
-            sends.sort_unstable();
-            for (n, (at, id)) in sends.iter().enumerate() {
-                let from = sends.partition_point(|(t, _)| *t <= at - OVERLOAD_WINDOW_US);
-                let sent = n + 1 - from;
-                let most = most_requests(at - event.at);
-                if sent as f64 > most {
-                    let executor = event.executor;
-                    let age = at - event.at;
-                    let what = format!("{sent} requests in the window for executor {executor}, {age} us after its start, at most {most:.0}");
-                    found.push(self.violation(Invariant::SlowStart, *id, *at, None, what));
-                    break;
-                }
-            }
-        }
-    }
-
-    /// No process ends by itself unless asked to, ends badly, or takes too long to be ready.
-    fn processes(&self, found: &mut Vec<Violation>) {
-        for controller in 0..self.records.controllers {
-            let mut violate = |at: i64, what: String| {
-                found.push(Violation {
-                    invariant: Invariant::Process,
-                    controller: Some(controller),
-                    request: None,
-                    at,
-                    since: at,
-                    excess_us: None,
-                    what,
-                    timeline: Vec::new(),
-                });
-            };
-            let (mut asked, mut overdue, mut started_at) = (false, false, None);
-            let mut terminated_at = None;
-            let events = self.records.controller_events.iter();
-            for event in events.filter(|event| event.controller == controller) {
-                match event.change {
-                    ControllerChange::Started => {
-                        (asked, overdue) = (false, false);
-                        terminated_at = None;
-                        started_at = Some(event.at);
-                    }
-                    ControllerChange::Ready => {
-                        let took = event.at - started_at.take().unwrap_or(event.at);
-                        if took > READY_US {
-                            violate(event.at, format!("ready {took} us after its start"));
-                        }
-                    }
-                    ControllerChange::Terminated => {
-                        asked = true;
-                        terminated_at = terminated_at.or(Some(event.at));
-                    }
-                    ControllerChange::Killed | ControllerChange::KilledSuspended => asked = true,
-                    ControllerChange::Overdue => {
-                        overdue = true;
-                        let asked_at = terminated_at.unwrap_or(event.at);
-                        if !self.may_be_overdue(controller, asked_at, event.at) {
-                            violate(event.at, "had not ended in time and was killed".into());
-                        }
-                    }
-                    ControllerChange::Exited(code) => {
-                        let was_killed = code.is_none() && asked;
-                        let ended_well = asked && code == Some(0);
-                        if !(overdue || was_killed || ended_well) {
-                            violate(event.at, format!("ended with {code:?}, asked to: {asked}"));
-                        }
-                    }
-                    _ => {}
-                }
-            }
-        }
-    }
-
-    fn guards(&self, found: &mut Vec<Violation>) {
-        let mut seen = BTreeSet::new();
-        for (controller, line) in &self.records.alarms {
-            if seen.insert((*controller, line)) {
-                found.push(Violation {
-                    invariant: Invariant::Guard,
-                    controller: Some(*controller),
-                    request: id_in(line),
-                    at: 0,
-                    since: 0,
-                    excess_us: None,
-                    what: line.clone(),
-                    timeline: Vec::new(),
-                });
-            }
-        }
-    }
-}
-
-/// The request that a line of a log names.
-fn id_in(line: &str) -> Option<RequestId> {
-    line.split(|c: char| !c.is_ascii_hexdigit())
-        .find(|word| word.len() == 16)
-        .and_then(RequestId::parse)
-}
-
-/// Requests that an executor of this age may get within the window.
-fn most_requests(age_us: i64) -> f64 {
-    let age = (age_us as f64 / SLOW_START_US as f64).clamp(0.0, 1.0);
-    let fraction = SLOW_START_FRACTION + (1.0 - SLOW_START_FRACTION) * age;
-    let window = OVERLOAD_WINDOW_US as f64 / 1e6;
-    let requests = OVERLOAD_MULTIPLE * fraction * CORES * window / (WORK_MS / 1e3);
-    if requests < FEW_REQUESTS {
-        requests + 3.0 * requests.sqrt() + 3.0
-    } else {
-        requests + 2.0 * requests.sqrt() + 2.0
-    }
 }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -1,5 +1,7 @@
 //! The faults of a run, drawn from its seed: episodes of two or three that overlap; and the deployment that it plays.
 
+mod stale_lists;
+
 use crate::ledger::TellingFault;
 use crate::name_service::ADDRESSES;
 use crate::settings::LONGEST_TIMEOUT_US;
@@ -13,6 +15,8 @@
 const CALM_AT_END_US: i64 = 7_000_000;
 /// Time from one episode to the next, in microseconds.
 const EPISODE_US: i64 = 3_000_000;
+/// This part of all episodes hides the list of executors as one leaves.
+const STALE_LIST_EPISODES: f64 = 0.5;
 /// Faults of an episode begin within this time of each other, in microseconds.
 const OVERLAP_US: i64 = 600_000;
 
@@ -180,6 +184,11 @@
         let mut faults = Vec::new();
         let mut episode_at = CALM_AT_START_US;
         while episode_at < end {
+            if rng.random_bool(STALE_LIST_EPISODES) {
+                faults.extend(stale_lists::draw(episode_at, controllers, &mut rng));
+                episode_at += EPISODE_US;
+                continue;
+            }
             for _ in 0..rng.random_range(2..=3) {
                 let from = episode_at + rng.random_range(0..OVERLAP_US);
                 let fault = draw_fault(&mut rng);
