--- a/crates/controller/tests/executor_list_age.rs
+++ b/crates/controller/tests/executor_list_age.rs
@@ -75,6 +75,27 @@
     }
 }
 
+/// A program whose list has the leaving executor alone, and a client whose request to it can't be written.
+fn with_unwritten_request(
+    pair: &Pair,
+    names: &ServingNames,
+    faults: &FaultControl,
+) -> (Program, Client) {
+    let config = config(free(), &[("e1", pair.leaving.at)], names.at);
+    let program = Program::start_with_faults(&config, faults);
+    let mut client = Client::connect(program.listen);
+    client.asks("look", 1);
+    assert_eq!(client.status(), 200, "a connection is kept");
+    faults
+        .fail(Call::WriteConnected, Errno::NoBufferSpace, ALWAYS)
+        .expect("set");
+    client.asks("look", 2);
+    until("a write that failed", || {
+        faults.injected(Call::WriteConnected).expect("set") > 0
+    });
+    (program, client)
+}
+
 fn reload(program: &Program, config: &mut serde_json::Value, names: &ServingNames) {
     config["resolver"] = names.at.to_string().into();
     let partial = program.file.with_extension("partial");
@@ -161,19 +182,8 @@
 fn what_waits_in_the_output_of_a_suspended_process_is_not_written_by_the_list_of_before() {
     let pair = Pair::new();
     let names = ServingNames::new(1, &[ready("e1", pair.leaving.at)]);
-    let config = config(free(), &[("e1", pair.leaving.at)], names.at);
     let faults = FaultControl::new().expect("a control file");
-    let program = Program::start_with_faults(&config, &faults);
-    let mut client = Client::connect(program.listen);
-    client.asks("look", 1);
-    assert_eq!(client.status(), 200, "a connection is kept");
-    faults
-        .fail(Call::WriteConnected, Errno::NoBufferSpace, ALWAYS)
-        .expect("set");
-    client.asks("look", 2);
-    until("a write that failed", || {
-        faults.injected(Call::WriteConnected).expect("set") > 0
-    });
+    let (program, mut client) = with_unwritten_request(&pair, &names, &faults);
     names.takes(SLOW_ANSWER);
     program.halt();
     faults.succeed(Call::WriteConnected).expect("set");
@@ -319,19 +329,8 @@
 fn what_could_not_be_written_before_a_drain_goes_elsewhere_after_it() {
     let pair = Pair::new();
     let names = ServingNames::new(1, &[ready("e1", pair.leaving.at)]);
-    let config = config(free(), &[("e1", pair.leaving.at)], names.at);
     let faults = FaultControl::new().expect("a control file");
-    let program = Program::start_with_faults(&config, &faults);
-    let mut client = Client::connect(program.listen);
-    client.asks("look", 1);
-    assert_eq!(client.status(), 200, "a connection is kept");
-    faults
-        .fail(Call::WriteConnected, Errno::NoBufferSpace, ALWAYS)
-        .expect("set");
-    client.asks("look", 2);
-    until("a write that failed", || {
-        faults.injected(Call::WriteConnected).expect("set") > 0
-    });
+    let (_program, mut client) = with_unwritten_request(&pair, &names, &faults);
     names.has(2, &pair.after(Leaves::Drains));
     until("told", || names.told_at(2).is_some());
     let told_at = names.told_at(2).expect("told");
