--- a/crates/controller/tests/executor_list_age.rs
+++ b/crates/controller/tests/executor_list_age.rs
@@ -177,6 +177,24 @@
     }
 }
 
+/// The answers to its first questions are lost, and those to the next take a while.
+#[test]
+fn a_process_that_was_suspended_asks_often_while_requests_wait() {
+    let pair = Pair::new();
+    let names = ServingNames::new(1, &pair.before());
+    let program = Program::start(&pair.config(&names));
+    let _traffic = Traffic::begin(program.listen);
+    sleep(Duration::from_millis(500));
+    names.takes(SLOW_ANSWER);
+    program.halt();
+    names.has(2, &pair.after(Leaves::Drains));
+    let told_at = Instant::now() + TOLD_WITHIN;
+    sleep(SUSPENDED);
+    names.loses(4);
+    program.go_on();
+    pair.assert_nothing_past_the_grace(told_at, "four answers lost after a suspension");
+}
+
 /// A request that could not be written yet as the process was suspended.
 #[test]
 fn what_waits_in_the_output_of_a_suspended_process_is_not_written_by_the_list_of_before() {
