--- a/crates/platform/src/dispatcher/held_requests.rs
+++ b/crates/platform/src/dispatcher/held_requests.rs
@@ -68,10 +68,10 @@
         if inactivity.is_none() {
             return;
         }
-        self.query_discovery();
         if let Some(Inactivity::Gap(gap)) = inactivity {
             self.begin_hold(gap);
         }
+        self.query_discovery();
     }
 
     /// Requests that were decided by the list of before are decided anew, and new ones wait.
--- a/crates/platform/src/list_freshness.rs
+++ b/crates/platform/src/list_freshness.rs
@@ -12,13 +12,15 @@
 const FIRST_RETRY_US: i64 = 50_000;
 /// The longest such time: it doubles with each query that has no answer.
 const MAX_RETRY_US: i64 = 125_000;
+/// Time until a query is repeated while requests wait for its answer, in microseconds: some answers may be lost, and others slow.
+const RETRY_WHILE_WAITING_US: i64 = 25_000;
 /// The process is active at least ten times a second; one that was not for so long was suspended or starved, in microseconds.
 const MAX_INACTIVITY_US: i64 = 300_000;
 /// For how long queries that can't be sent have new requests wait, in microseconds; after it they go by the last list.
 const MAX_UNSENT_US: i64 = 2_000_000;
 /// For how long new requests wait for a list that is confirmed, in microseconds: several queries may be lost in this time. Every
 /// client of the platform waits longer than that for an answer, or is answered when its own time is up.
-const MAX_HOLD_US: i64 = 500_000;
+const MAX_HOLD_US: i64 = 1_000_000;
 
 /// A span in which nobody could be asked, and which made the list too old.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -154,11 +156,12 @@
 
     /// When the next query is due.
     pub fn next_query_at(&self) -> i64 {
-        self.last_query_at
-            + match self.unanswered.checked_sub(1) {
-                None => POLL_INTERVAL_US,
-                Some(retries) => self.retry_delay_us(retries),
-            }
+        let delay_us = match self.unanswered.checked_sub(1) {
+            _ if self.gap.is_some() => RETRY_WHILE_WAITING_US,
+            None => POLL_INTERVAL_US,
+            Some(retries) => self.retry_delay_us(retries),
+        };
+        self.last_query_at + delay_us
     }
 
     /// Twice the time of an answer, so that a service that is slow or crowded is not asked more often than usual.
--- a/crates/platform/tests/crossings.rs
+++ b/crates/platform/tests/crossings.rs
@@ -315,3 +315,32 @@
         .and_then(|rest| rest.split(',').next());
     assert_eq!(limit, Some("980"), "{request}");
 }
+
+/// The process is suspended there until the client's time is up: it is neither written nor a fault of the guard's.
+#[test]
+fn a_request_whose_time_is_up_as_it_is_to_be_written_anew_is_not_written() {
+    let mut harness = Harness::new(1);
+    let (first, executor, _) = harness.forward_query("look", &request_id(1));
+    harness.receive(
+        executor,
+        &format!("{} HIT pages=1 0\r\n\r\n", request_id(1)),
+    );
+    harness.take_written(first);
+    harness.write_limit = Some(0);
+    let client = harness.connect_client();
+    let request = query_request("look", &request_id(2), "");
+    harness.receive(
+        client,
+        &request.replace("Timeout-Ms: 2000", "Timeout-Ms: 60"),
+    );
+    harness.write_limit = None;
+    harness.now += 120_000;
+    harness
+        .platform
+        .take_back_stale_output(harness.now, executor);
+    harness.run_effects();
+    harness.advance(1);
+    assert_eq!(harness.take_written(executor), "");
+    assert_eq!(status(&harness.take_written(client)), 503);
+    assert_eq!(harness.platform.violation_counts().total(), 0);
+}
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -409,6 +409,18 @@
     );
     let slow = with(&[(Started, 0), (Ready, 11)]);
     assert_eq!(violated(&slow), [Invariant::Process]);
+    // It had less time than others, and is killed at the same time.
+    let mut held_up = with(&[(Started, 0), (Ready, 1), (Terminated, 5), (Overdue, 9)]);
+    held_up.faults.push(FaultRecord {
+        holds_up_answers: true,
+        ..fault(8 * SECOND, 10 * SECOND)
+    });
+    assert_eq!(violated(&held_up), []);
+    held_up.faults[0].from = 9 * SECOND + 1;
+    assert_eq!(violated(&held_up), [Invariant::Process]);
+    use ControllerChange::{Resumed, Suspended};
+    let suspended = [(Terminated, 5), (Suspended, 6), (Resumed, 7), (Overdue, 9)];
+    assert_eq!(after(&suspended), []);
 }
 
 #[test]
