platform: a request whose client's time is up is not written anew, and no violation

Cause: a request that is taken back from the output may come to be written again before the driver's own timer has ended its query. Change: write_request holds it back as never sent, before the guard looks.

--- a/crates/platform/src/dispatcher/attempts.rs
+++ b/crates/platform/src/dispatcher/attempts.rs
@@ -108,7 +108,10 @@
             .and_then(|driver| driver.timeout_at(attempt.id));
         let may_write = decision_engine.may_write(Micros(self.out.now), attempt.id);
         let may_write = may_write && self.take_slow_start_share(connection, attempt.id);
-        let Some(in_flight) = self.in_flight.get(attempt.id.query).filter(|_| may_write) else {
+        let now = self.out.now;
+        // Its client's time may be up before the driver has noticed.
+        let is_due = |query: &&InFlightQuery| may_write && now < query.client_deadline_at;
+        let Some(in_flight) = self.in_flight.get(attempt.id.query).filter(is_due) else {
             debug!(id = %attempt.request, attempt = %attempt.id, "attempt not written");
             self.end_attempt(attempt.id, Outcome::NeverSent);
             return;
