platform: failing tests of failed queries long ago and of a former service's answers

The time since when queries can't be sent ends with an answer only: after one failure and a long silence of the name service, queries that fail again hold up nothing, however old the list. And each answer of a former name service with the current number begins the ten seconds anew after which a new service that counts from lower is believed.

--- a/crates/platform/tests/discovery.rs
+++ b/crates/platform/tests/discovery.rs
@@ -184,6 +184,31 @@
     assert_eq!(forwarded_to(&mut harness, 2), expected, "not asked for");
 }
 
+/// A former service has answered with the current number, and each of its answers began the ten seconds anew after which the new one's
+/// lower numbers count: twelve seconds on, its list was not in force yet.
+#[test]
+fn answers_of_a_former_name_service_do_not_put_off_a_new_one_that_counts_from_lower() {
+    const NEW: &str = "127.9.0.3:1053";
+    let mut harness = Harness::new(1);
+    let former: Vec<Vec<u8>> = (0..12)
+        .map(|_| next_query(&mut harness, RESOLVER))
+        .collect();
+    harness.platform.use_resolver(harness.now, address(NEW));
+    harness.run_effects();
+    for turn in 0..32 {
+        let query = next_query(&mut harness, NEW);
+        let answer = dns_answer(&query, 1, &[("e8", 8, 0)]);
+        receive(&mut harness, NEW, &answer.to_vec().expect("bytes"));
+        if let Some(asked) = former.get(turn / 4).filter(|_| turn % 4 == 0) {
+            let answer = dns_answer(asked, 3, &[("e1", 1, 0)]);
+            receive(&mut harness, RESOLVER, &answer.to_vec().expect("bytes"));
+        }
+        harness.advance(125_000);
+    }
+    let expected = Some(address("127.1.0.8:6565"));
+    assert_eq!(forwarded_to(&mut harness, 1), expected);
+}
+
 /// Whichever record comes first.
 #[test]
 fn an_executor_that_stands_twice_in_a_list_takes_no_work_if_either_record_says_so() {
--- a/crates/platform/tests/list_age.rs
+++ b/crates/platform/tests/list_age.rs
@@ -181,6 +181,32 @@
     assert_eq!(status_of(&mut harness, client), 0, "it is under way");
 }
 
+/// A query that could not be sent long ago, before a silence of the name service, was taken for the beginning of what fails now: a list
+/// 20.5 s old then held up nothing, and a request went by it at once.
+#[test]
+fn queries_that_cannot_be_sent_are_not_counted_from_a_failure_of_long_ago() {
+    let mut harness = Harness::new(1);
+    let fail = |harness: &mut Harness| {
+        let now = harness.now;
+        let platform = &mut harness.platform;
+        platform.handle_datagram_unsent(now, DatagramSocket::Discovery);
+    };
+    harness.advance(SECOND / 2);
+    fail(&mut harness);
+    harness.advance(20 * SECOND);
+    fail(&mut harness);
+    ask(&mut harness, "look", 1, 10_000);
+    assert!(harness.connects.is_empty(), "it waits");
+    // One now and then has no other request wait once the wait is over.
+    for n in 2..20 {
+        harness.advance(SECOND / 2);
+        fail(&mut harness);
+        ask(&mut harness, "look", n, 10_000);
+    }
+    let connects = harness.connects.len();
+    assert!(connects > 10, "{connects} connects for 19 requests");
+}
+
 /// A list is good for the grace that the settings name.
 #[test]
 fn a_shorter_grace_makes_a_list_too_old_sooner() {
