platform: a failed query of long ago does not shorten a wait, a former service delays nothing

Change: queries that can't be sent are one failure as long as no ten seconds lie between them: far longer than requests wait, so that failures now and then don't have them wait again and again. Answers of a former name service leave the time alone since when the one that is asked counts from lower.

--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -227,7 +227,10 @@
 
     /// Notes that the current list is that of a name service.
     fn confirm(&mut self, now: i64, from: SocketAddr) {
-        self.lower_since = None;
+        // What a former service tells says nothing of how this one counts.
+        if from == self.resolver {
+            self.lower_since = None;
+        }
         self.confirmed_at = now;
         self.confirmed_by = from;
         self.queries_since_confirmed = 0;
--- a/crates/platform/src/list_freshness.rs
+++ b/crates/platform/src/list_freshness.rs
@@ -18,6 +18,9 @@
 const MAX_INACTIVITY_US: i64 = 300_000;
 /// For how long queries that can't be sent have new requests wait, in microseconds; after it they go by the last list.
 const MAX_UNSENT_US: i64 = 2_000_000;
+/// Queries that can't be sent this long after the last such one are another failure, in microseconds. It is far longer than requests
+/// wait, so that failures now and then do not have them wait again and again.
+const UNSENT_RECOVERY_US: i64 = 10_000_000;
 /// For how long new requests wait for a list that is confirmed, in microseconds: several queries may be lost in this time. Every
 /// client of the platform waits longer than that for an answer, or is answered when its own time is up.
 const MAX_HOLD_US: i64 = 1_000_000;
@@ -56,6 +59,24 @@
     Gap(Gap),
 }
 
+/// Queries that could not be sent, one soon after the other; times in microseconds.
+#[derive(Clone, Copy, Debug)]
+struct UnsentQueries {
+    first_at: i64,
+    last_at: i64,
+}
+
+impl UnsentQueries {
+    /// Adds a query to those before it, unless they are of long ago.
+    fn add(before: Option<UnsentQueries>, now: i64) -> UnsentQueries {
+        let recent = before.filter(|unsent| now - unsent.last_at < UNSENT_RECOVERY_US);
+        UnsentQueries {
+            first_at: recent.map_or(now, |unsent| unsent.first_at),
+            last_at: now,
+        }
+    }
+}
+
 /// The state of the list; all times are in microseconds.
 #[derive(Clone, Copy, Debug)]
 pub struct ListFreshness {
@@ -67,8 +88,8 @@
     unanswered: u32,
     /// How long the last answer took.
     round_trip_us: i64,
-    /// Since when queries can't be sent.
-    unsent_since: Option<i64>,
+    /// Queries that could not be sent, since the last answer.
+    unsent: Option<UnsentQueries>,
     gap: Option<Gap>,
     /// Age up to which a list is good without being confirmed.
     trusted_age_us: i64,
@@ -84,7 +105,7 @@
             last_query_at: read_at,
             unanswered: 0,
             round_trip_us: 0,
-            unsent_since: None,
+            unsent: None,
             gap: None,
             trusted_age_us: drain_grace_us,
         }
@@ -119,8 +140,9 @@
 
     /// Notes that a query could not be sent. Returns the gap that has begun by it; one that is there lasts longer by it.
     pub fn note_unsent(&mut self, now: i64) -> Option<Gap> {
-        let unsent_since = *self.unsent_since.get_or_insert(now);
-        if now - unsent_since > MAX_UNSENT_US {
+        let unsent = UnsentQueries::add(self.unsent, now);
+        self.unsent = Some(unsent);
+        if now - unsent.first_at > MAX_UNSENT_US {
             return None;
         }
         let has_gap = self.gap.is_some();
@@ -136,7 +158,7 @@
     /// Notes an answer that confirms or replaces the list, to a query sent at a time; what became of the gap, if it ends one.
     pub fn note_answer(&mut self, now: i64, asked_at: i64) -> Option<GapEnd> {
         self.unanswered = 0;
-        self.unsent_since = None;
+        self.unsent = None;
         self.round_trip_us = now - asked_at;
         self.confirmed_at = self.confirmed_at.max(asked_at);
         self.gap.take_if(|gap| asked_at >= gap.ended_at)?;
