controller: a failing test of a registry that is polled, after a suspension

Change: the built program with PostgreSQL clients, suspended for 2.5 s while an engine drains; queries wait in its sockets. A registry that is watched is heard before them, one that is polled is asked after them.

--- /dev/null
+++ b/crates/controller/tests/suspended_postgres.rs
@@ -0,0 +1,123 @@
+//! The built program for PostgreSQL clients, suspended while an engine drains in a registry that it polls.
+
+mod common;
+
+use common::{await_that, Engines, Raw, BODY, HEAD};
+use serde_json::Value;
+use std::io::{BufRead as _, BufReader};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+const CLIENTS: usize = 16;
+const ENGINES: usize = 4;
+/// Longer than the registry is polled, and than the list may be old by itself.
+const SUSPENDED: Duration = Duration::from_millis(2_500);
+const QUERY: &str = "select 1 /*class='fast'*/";
+
+/// The built program; it is killed when this is dropped.
+struct Program {
+    child: Child,
+    address: SocketAddr,
+    _folder: tempfile::TempDir,
+}
+
+impl Program {
+    fn start(config: &str) -> Program {
+        let folder = tempfile::tempdir().expect("a folder");
+        let file = folder.path().join("controller.toml");
+        std::fs::write(&file, config).expect("written");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_wheelfield-controller"))
+            .arg("--config")
+            .arg(&file)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the program");
+        let mut line = String::new();
+        let stdout = child.stdout.take().expect("piped");
+        BufReader::new(stdout).read_line(&mut line).expect("a line");
+        let told: Value = serde_json::from_str(&line).expect("JSON");
+        let address = told["listen"].as_str().expect("an address");
+        Program {
+            child,
+            address: address.parse().expect("an address"),
+            _folder: folder,
+        }
+    }
+
+    fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let status = Command::new("kill").args([name, &id]).status();
+        assert!(status.expect("kill").success());
+    }
+
+    fn suspend(&self) {
+        self.signal("-STOP");
+        let stat = format!("/proc/{}/stat", self.child.id());
+        await_that("the suspension", || {
+            let stat = std::fs::read_to_string(&stat).expect("Linux");
+            let state = stat.rsplit(") ").next();
+            state.is_some_and(|state| state.starts_with('T'))
+        });
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Each client sends a query while the program is suspended; what the first engine, which drained meanwhile, gets of them.
+fn received_by_the_drained_engine(registry_lines: &str) -> usize {
+    let engines = Engines::start(ENGINES);
+    let registry = engines.address("registry");
+    let registry = format!("[registry]\naddress = {registry:?}\n{registry_lines}");
+    let program = Program::start(&format!("{HEAD}{BODY}{registry}"));
+    let mut clients: Vec<Raw> = (0..CLIENTS)
+        .map(|_| Raw::connect(program.address))
+        .collect();
+    // All engines have sessions that rest, and are known.
+    for _ in 0..4 {
+        clients.iter_mut().for_each(|client| client.query(QUERY));
+        clients.iter_mut().for_each(|client| drop(client.answer()));
+    }
+    let first = engines.told["engines"][0]["id"].clone();
+    let received = || {
+        let lines = engines.log("received", "");
+        lines.iter().filter(|line| line["engine"] == first).count()
+    };
+    await_that("the log", || {
+        engines.log("received", "").len() == 4 * CLIENTS
+    });
+    let before = received();
+    assert!(before > 0, "it has got some");
+    program.suspend();
+    engines.fault(1, "drain", 1.0);
+    clients.iter_mut().for_each(|client| client.query(QUERY));
+    std::thread::sleep(SUSPENDED);
+    program.signal("-CONT");
+    for client in &mut clients {
+        let (tags, state) = client.answer();
+        assert!(tags.starts_with('T'), "{tags} {state}");
+    }
+    await_that("the log", || {
+        engines.log("received", "").len() == 5 * CLIENTS
+    });
+    received() - before
+}
+
+/// What had come while the process was suspended went by the list of before: the registry was asked again only after that, and four or
+/// so of sixteen queries went to an engine that had drained for two seconds and a half.
+#[test]
+fn queries_after_a_suspension_wait_for_a_registry_that_is_polled() {
+    assert_eq!(received_by_the_drained_engine("mode = \"poll\"\n"), 0);
+}
+
+/// What it has to tell has come by then.
+#[test]
+fn a_registry_that_is_watched_is_heard_before_queries_after_a_suspension() {
+    assert_eq!(received_by_the_drained_engine(""), 0);
+}
