pg-gateway: after a suspension new queries wait for a registry that is polled

Change: list_age notes when the process took no turn for longer than 1.3 s (it takes one each second); the registry is asked at once, on a new connection if a call was under way, and clients are not read meanwhile, but those that leave. It ends with the answer or failure of the call, or after 1 s. Attempts that were decided before the suspension are written as before. The wait is logged.

--- a/crates/controller/tests/suspended_postgres.rs
+++ b/crates/controller/tests/suspended_postgres.rs
@@ -2,12 +2,15 @@
 
 mod common;
 
-use common::{await_that, Engines, Raw, BODY, HEAD};
+use bytes::BytesMut;
+use common::{await_that, http, Engines, Raw, BODY, HEAD};
 use serde_json::Value;
-use std::io::{BufRead as _, BufReader};
-use std::net::SocketAddr;
+use std::io::{BufRead as _, BufReader, Write as _};
+use std::net::{SocketAddr, TcpListener};
 use std::process::{Child, Command, Stdio};
-use std::time::Duration;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 const CLIENTS: usize = 16;
 const ENGINES: usize = 4;
@@ -70,6 +73,31 @@
     }
 }
 
+/// A registry that answers with the same list until it falls silent.
+fn registry_with(list: String, is_silent: Arc<AtomicBool>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("bound");
+    std::thread::spawn(move || {
+        let mut silent = Vec::new();
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("a connection");
+            let mut lines = BufReader::new(stream.try_clone().expect("a socket")).lines();
+            // A call ends with an empty line.
+            while lines.any(|line| line.is_ok_and(|line| line.is_empty())) {
+                if is_silent.load(Ordering::SeqCst) {
+                    break;
+                }
+                let mut out = BytesMut::new();
+                let kind = "application/json";
+                wheelfield_net::http::write_response(200, kind, list.as_bytes(), &mut out);
+                let _ = stream.write_all(&out);
+            }
+            silent.push(stream);
+        }
+    });
+    address
+}
+
 /// Each client sends a query while the program is suspended; what the first engine, which drained meanwhile, gets of them.
 fn received_by_the_drained_engine(registry_lines: &str) -> usize {
     let engines = Engines::start(ENGINES);
@@ -121,3 +149,36 @@
 fn a_registry_that_is_watched_is_heard_before_queries_after_a_suspension() {
     assert_eq!(received_by_the_drained_engine(""), 0);
 }
+
+/// The registry may be away for long. A client that has left gets nothing sent.
+#[test]
+fn queries_wait_a_second_at_most_for_a_registry_that_is_silent() {
+    let engines = Engines::start(ENGINES);
+    let (_, list) = http(
+        &engines.address("registry"),
+        "GET",
+        "/engines?since=0&wait_ms=0",
+    );
+    let is_silent = Arc::new(AtomicBool::new(false));
+    let registry = registry_with(list, is_silent.clone());
+    let registry = format!("[registry]\naddress = \"{registry}\"\nmode = \"poll\"\n");
+    let program = Program::start(&format!("{HEAD}{BODY}{registry}"));
+    let mut clients: Vec<Raw> = (0..3).map(|_| Raw::connect(program.address)).collect();
+    for client in &mut clients {
+        client.query(QUERY);
+        assert!(client.answer().0.starts_with('T'));
+    }
+    program.suspend();
+    is_silent.store(true, Ordering::SeqCst);
+    clients.iter_mut().for_each(|client| client.query(QUERY));
+    drop(clients.pop());
+    std::thread::sleep(SUSPENDED);
+    let resumed_at = Instant::now();
+    program.signal("-CONT");
+    for client in &mut clients {
+        let (tags, state) = client.answer();
+        assert!(tags.starts_with('T'), "{tags} {state}");
+        assert!(resumed_at.elapsed() >= Duration::from_millis(900));
+    }
+    await_that("the log", || engines.log("received", "").len() == 5);
+}
--- a/crates/pg-gateway/src/clients.rs
+++ b/crates/pg-gateway/src/clients.rs
@@ -192,6 +192,11 @@
         None
     }
 
+    /// Whether a client is gone or about to leave.
+    pub fn is_leaving(&self, id: ConnId) -> bool {
+        self.all.get(id).is_none_or(|c| c.wire.read_closed || c.wire.peer_closing)
+    }
+
     pub fn session(&self, id: ConnId) -> Option<&Session> {
         self.all.get(id).map(|c| &c.session)
     }
--- a/crates/pg-gateway/src/dispatcher.rs
+++ b/crates/pg-gateway/src/dispatcher.rs
@@ -10,6 +10,7 @@
 use crate::fault_injection::FaultInjection;
 use crate::gossip::Gossip;
 use crate::in_flight::{InFlightQueries, InHand};
+use crate::list_age::ListAge;
 use crate::metrics::Look;
 use crate::peering::Peering;
 use crate::registry::{Call, Told};
@@ -41,6 +42,7 @@
     pub engines: Engines,
     pub sets: EndpointSets,
     pub call: Call,
+    list_age: ListAge,
     pub peering: Option<Peering>,
     pub gossip: Option<Gossip>,
     pub admin: Admin,
@@ -68,6 +70,7 @@
             engines: Engines::new(&config, plant),
             sets: EndpointSets::new(&config),
             call: Call::new(&config),
+            list_age: ListAge::new(&config, now),
             peering: Peering::new(&config, peers, now),
             gossip: gossip.and_then(|(own, keys)| Gossip::new(&config, own, keys, seed, now, plant)),
             admin: Admin::new(),
@@ -99,6 +102,23 @@
         self.out.set_timer_after(SWEEP, TimerEvent::Sweep);
     }
 
+    /// The process is active. If it was not for long, the registry is asked before new queries are taken.
+    pub fn note_activity(&mut self) {
+        let Some(wait_until) = self.list_age.note_activity(self.out.now) else { return };
+        warn!(wait_until, "the process was suspended; new queries wait for the list of engines");
+        self.call.ask_anew(self.sets.registry_version(), &mut self.out);
+        self.out.set_timer_at(wait_until, TimerEvent::ListWaitOver);
+    }
+
+    /// The next client to be looked at. While the list is waited for only those that leave are.
+    fn next_ready(&mut self) -> Option<ConnId> {
+        if !(self.list_age.is_waited_for(self.out.now) && self.call.waiting()) {
+            return self.ready.pop_front();
+        }
+        let leaving = self.ready.iter().position(|id| self.clients.is_leaving(*id))?;
+        self.ready.remove(leaving)
+    }
+
     pub fn woken(&mut self, wake: TimerEvent) {
         let out = &mut self.out;
         match wake {
@@ -118,6 +138,8 @@
             TimerEvent::Cancel(id) => self.engines.cancel_late(id, out),
             TimerEvent::Probe(id) => self.engines.probe_late(id, out),
             TimerEvent::Registry => self.call.ask(self.sets.registry_version(), out),
+            // The clients that wait are looked at after it.
+            TimerEvent::ListWaitOver => {}
             TimerEvent::Gossip => {
                 if let Some(gossip) = &mut self.gossip {
                     gossip.tend(out);
@@ -151,7 +173,7 @@
             // Clients are heard before anything is sent, as one may have left; engines after, as an answer may be long.
             if let Some(word) = self.engines.word() {
                 self.heed(word);
-            } else if let Some(id) = self.ready.pop_front() {
+            } else if let Some(id) = self.next_ready() {
                 self.attend(id);
             } else if let Some(instruction) = self.tape.next_instruction() {
                 self.carry_out(instruction);
--- a/crates/pg-gateway/src/gateway.rs
+++ b/crates/pg-gateway/src/gateway.rs
@@ -274,6 +274,10 @@
     fn accept(&mut self, now: i64, door: Listener) -> Option<ConnId> {
         PgGateway::accept(self, now, door)
     }
+    fn begin_turn(&mut self, now: i64) {
+        self.flow.out.now = now;
+        self.flow.note_activity();
+    }
     fn handle_io(&mut self, now: i64, event: IoEvent<'_>) {
         self.handle(now, GatewayEvent::Io(event));
     }
--- a/crates/pg-gateway/src/lib.rs
+++ b/crates/pg-gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod gossip;
 mod in_flight;
 mod injected_faults;
+mod list_age;
 mod metrics;
 mod peer_load;
 mod peering;
--- a/crates/pg-gateway/src/registry.rs
+++ b/crates/pg-gateway/src/registry.rs
@@ -31,6 +31,8 @@
     wires: ConnectionTable<ConnectionBuffer>,
     id: Option<ConnId>,
     connected: bool,
+    /// A call has neither been answered nor failed yet.
+    waiting: bool,
     timer: Option<TimerKey>,
     /// It could not be had, and that was told.
     pub silent: bool,
@@ -46,6 +48,7 @@
             wires: ConnectionTable::new(ROOM),
             id: None,
             connected: false,
+            waiting: false,
             timer: None,
             silent: false,
             subscribes: config.settings.subscribe,
@@ -65,9 +68,24 @@
         self.wires.get_mut(id).map_or(0, |w| w.read_capacity(wheelfield_endpoints::LONGEST))
     }
 
+    /// Whether a call is under way.
+    pub fn waiting(&self) -> bool {
+        self.waiting
+    }
+
+    /// Asks anew: what a call that is under way brings may be of long ago.
+    pub fn ask_anew(&mut self, version: u64, out: &mut EffectQueue) {
+        if let Some(id) = self.id.take_if(|_| self.waiting) {
+            self.wires.remove(id);
+            out.push(Effect::Close(id));
+        }
+        self.ask(version, out);
+    }
+
     /// Asks for a list newer than this version; on the connection at hand, or a new one.
     pub fn ask(&mut self, version: u64, out: &mut EffectQueue) {
         let Some(at) = self.at else { return };
+        self.waiting = true;
         let id = match self.id {
             Some(id) => id,
             None => {
@@ -110,7 +128,7 @@
         if response.status != 200 {
             return self.failed(&format!("the registry answers {}", response.status), out);
         }
-        self.silent = false;
+        (self.silent, self.waiting) = (false, false);
         // A call that waits there comes next; a registry that does not let it wait is not asked more often than this.
         let after = match self.at.map(|r| (r.refresh, r.poll_interval.0)) {
             Some((Refresh::Poll, every)) => every,
@@ -122,6 +140,7 @@
 
     /// A call failed.
     pub fn failed(&mut self, reason: &str, out: &mut EffectQueue) -> Option<Told> {
+        self.waiting = false;
         if let Some(id) = self.id.take() {
             self.wires.remove(id);
             out.push(Effect::Close(id));
--- a/crates/pg-gateway/src/timer_event.rs
+++ b/crates/pg-gateway/src/timer_event.rs
@@ -23,6 +23,8 @@
     Probe(ConnId),
     /// The registry is asked again.
     Registry,
+    /// New queries wait no longer for the registry.
+    ListWaitOver,
     /// Once a second: idle sessions, age of what was heard, captures.
     Sweep,
     /// Clients had their time to finish.
