controller: a failing test of engine files that change during a suspension

Cause: the last related path that was read only: engine files on the PostgreSQL side. Change: the built program, suspended for 2.5 s while its engine file is replaced by one in which an engine drains; queries wait in its sockets. The other tests of the file share its steps.

--- a/crates/controller/tests/suspended_postgres.rs
+++ b/crates/controller/tests/suspended_postgres.rs
@@ -98,12 +98,13 @@
     address
 }
 
-/// Each client sends a query while the program is suspended; what the first engine, which drained meanwhile, gets of them.
-fn received_by_the_drained_engine(registry_lines: &str) -> usize {
-    let engines = Engines::start(ENGINES);
-    let registry = engines.address("registry");
-    let registry = format!("[registry]\naddress = {registry:?}\n{registry_lines}");
-    let program = Program::start(&format!("{HEAD}{BODY}{registry}"));
+/// Each client sends a query while the program is suspended and the first engine drains; what that engine gets of them.
+fn received_by_the_drained_engine(
+    engines: &Engines,
+    endpoints: &str,
+    drain: impl FnOnce(),
+) -> usize {
+    let program = Program::start(&format!("{HEAD}{BODY}{endpoints}"));
     let mut clients: Vec<Raw> = (0..CLIENTS)
         .map(|_| Raw::connect(program.address))
         .collect();
@@ -117,13 +118,14 @@
         let lines = engines.log("received", "");
         lines.iter().filter(|line| line["engine"] == first).count()
     };
-    await_that("the log", || {
-        engines.log("received", "").len() == 4 * CLIENTS
-    });
+    let await_received = |count| {
+        await_that("the log", || engines.log("received", "").len() == count);
+    };
+    await_received(4 * CLIENTS);
     let before = received();
     assert!(before > 0, "it has got some");
     program.suspend();
-    engines.fault(1, "drain", 1.0);
+    drain();
     clients.iter_mut().for_each(|client| client.query(QUERY));
     std::thread::sleep(SUSPENDED);
     program.signal("-CONT");
@@ -131,23 +133,56 @@
         let (tags, state) = client.answer();
         assert!(tags.starts_with('T'), "{tags} {state}");
     }
-    await_that("the log", || {
-        engines.log("received", "").len() == 5 * CLIENTS
-    });
+    await_received(5 * CLIENTS);
     received() - before
 }
 
+/// The same with a registry, called in a mode.
+fn received_with_a_registry(mode: &str) -> usize {
+    let engines = Engines::start(ENGINES);
+    let registry = engines.address("registry");
+    let endpoints = format!("[registry]\naddress = {registry:?}\nmode = {mode:?}\n");
+    received_by_the_drained_engine(&engines, &endpoints, || engines.fault(1, "drain", 1.0))
+}
+
+/// An engine file in which the first engine has this status.
+fn engine_file(engines: &Engines, version: u64, status: &str) -> String {
+    let list = engines.list();
+    let first = list.replacen(
+        "[[engines]]\n",
+        &format!("[[engines]]\nstatus = {status:?}\n"),
+        1,
+    );
+    format!("version = {version}\n{first}[end]\nengines = {ENGINES}\n")
+}
+
 /// What had come while the process was suspended went by the list of before: the registry was asked again only after that, and four or
 /// so of sixteen queries went to an engine that had drained for two seconds and a half.
 #[test]
 fn queries_after_a_suspension_wait_for_a_registry_that_is_polled() {
-    assert_eq!(received_by_the_drained_engine("mode = \"poll\"\n"), 0);
+    assert_eq!(received_with_a_registry("poll"), 0);
 }
 
 /// What it has to tell has come by then.
 #[test]
 fn a_registry_that_is_watched_is_heard_before_queries_after_a_suspension() {
-    assert_eq!(received_by_the_drained_engine(""), 0);
+    assert_eq!(received_with_a_registry("watch"), 0);
+}
+
+/// What had come while the process was suspended went by the files of before: they are taken as new only once they stood still.
+#[test]
+fn queries_after_a_suspension_wait_for_engine_files_that_have_changed() {
+    let engines = Engines::start(ENGINES);
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = folder.path().join("engines.toml");
+    std::fs::write(&file, engine_file(&engines, 1, "up")).expect("written");
+    let endpoints = format!("[members]\nfiles = [{file:?}]\n");
+    let received = received_by_the_drained_engine(&engines, &endpoints, || {
+        let new = file.with_extension("new");
+        std::fs::write(&new, engine_file(&engines, 2, "draining")).expect("written");
+        std::fs::rename(&new, &file).expect("renamed");
+    });
+    assert_eq!(received, 0);
 }
 
 /// The registry may be away for long. A client that has left gets nothing sent.
