pg-gateway: after a suspension new queries wait until changed engine files are taken

Change: after a suspension the gateway asks, by a number, to be told once the files were read; the thread that watches them answers when they stand still and what they hold is told. New queries wait for that as for a registry that is polled, 1 s at most.

--- a/crates/controller/src/postgres.rs
+++ b/crates/controller/src/postgres.rs
@@ -278,7 +278,12 @@
     wakeup: UnixStream,
 ) -> Result<Rc<Watching>, ControllerError> {
     let watcher = Rc::new(watcher);
-    let receiver = watcher.clone();
+    let (receiver, reader) = (watcher.clone(), watcher.clone());
+    event_loop.add_turn_handler(Box::new(move |gateway, _| {
+        if let Some(number) = gateway.take_files_request() {
+            reader.look_and_report(number);
+        }
+    }));
     event_loop.add_wakeup(
         wakeup,
         Box::new(move |gateway, now| {
--- a/crates/endpoints-cli/src/lib.rs
+++ b/crates/endpoints-cli/src/lib.rs
@@ -61,6 +61,8 @@
 enum Wake {
     /// The system told of a change, or somebody asked to look.
     Look,
+    /// Somebody asks to be told, by this number, once the files were read.
+    Report(u64),
     End,
 }
 
@@ -74,7 +76,7 @@
         let (tell, news) = sync_channel(WAITING);
         let events = wake.clone();
         let thread = std::thread::Builder::new().name("engine files".into()).spawn(move || {
-            let mut watcher = Thread { watch, clock, bell, tell, last: None, is_unkept: false };
+            let mut watcher = Thread { watch, clock, bell, tell, last: None, is_unkept: false, report: None };
             watcher.run(&woken, events);
         })?;
         Ok(Watching { wake, thread: Some(thread), news })
@@ -85,6 +87,12 @@
         // One more than wait is none, and a thread that ended has told why.
         let _ = self.wake.try_send(Wake::Look);
     }
+
+    /// Looks now. [`News::Looked`] with this number comes once what the files hold stood still and is told.
+    pub fn look_and_report(&self, number: u64) {
+        // Where too many wait none comes: who asked waits for a bounded time.
+        let _ = self.wake.try_send(Wake::Report(number));
+    }
 }
 
 impl Drop for Watching {
@@ -110,6 +118,8 @@
     last: Option<News>,
     /// The set in force could not be written to disk, and is to be written again.
     is_unkept: bool,
+    /// Who asked last to be told once the files were read.
+    report: Option<u64>,
 }
 
 impl Thread {
@@ -142,7 +152,12 @@
             let watched = system.as_mut().is_some_and(|s| self.watch_directories(s));
             let now = Micros(self.clock.now());
             let reading = disk::read(&self.watch.places);
-            let again = self.heed(&mut keeper, now, keeper_verdict(&reading, now));
+            let verdict = keeper.look(now, &reading);
+            let is_settling = matches!(verdict, Verdict::Settling(_));
+            let again = self.heed(&keeper, now, verdict);
+            if let Some(number) = self.report.take_if(|_| !is_settling) {
+                self.tell(News::Looked(number));
+            }
             if self.is_unkept {
                 self.keep(&keeper, now);
             }
@@ -150,16 +165,18 @@
             let poll = if self.is_unkept { poll.min(KEEP_AGAIN) } else { poll };
             let wait = again.map_or(poll, |at| (at - now).max(Micros(1_000)).min(poll));
             match woken.recv_timeout(Duration::from_micros(wait.0.max(1_000) as u64)) {
-                Ok(Wake::End) | Err(RecvTimeoutError::Disconnected) => return,
-                Ok(Wake::Look) => {
-                    // Many words of one change are one.
-                    while let Ok(more) = woken.try_recv() {
-                        if matches!(more, Wake::End) {
-                            return;
+                Err(RecvTimeoutError::Disconnected) => return,
+                Err(RecvTimeoutError::Timeout) => {}
+                // Many words of one change are one.
+                Ok(first) => {
+                    for wake in std::iter::once(first).chain(woken.try_iter()) {
+                        match wake {
+                            Wake::End => return,
+                            Wake::Look => {}
+                            Wake::Report(number) => self.report = Some(number),
                         }
                     }
                 }
-                Err(RecvTimeoutError::Timeout) => {}
             }
         }
     }
@@ -187,13 +204,8 @@
     }
 
     /// Tells what came of a reading; when to read again, if before the poll.
-    fn heed(
-        &mut self,
-        keeper: &mut Keeper,
-        now: Micros,
-        look: impl FnOnce(&mut Keeper) -> Verdict,
-    ) -> Option<Micros> {
-        let news = match look(keeper) {
+    fn heed(&mut self, keeper: &Keeper, now: Micros, verdict: Verdict) -> Option<Micros> {
+        let news = match verdict {
             Verdict::Settling(at) => return Some(at),
             Verdict::Same => {
                 if self.last.take().is_some() {
@@ -241,10 +253,3 @@
         && (event.paths.is_empty()
             || event.paths.iter().any(|p| places.iter().any(|place| place.concerns(p))))
 }
-
-fn keeper_verdict(
-    reading: &[wheelfield_endpoints::keeper::Reading],
-    now: Micros,
-) -> impl FnOnce(&mut Keeper) -> Verdict + '_ {
-    move |keeper| keeper.look(now, reading)
-}
--- a/crates/endpoints/src/news.rs
+++ b/crates/endpoints/src/news.rs
@@ -22,6 +22,8 @@
     Fine,
     /// The set in force could not be kept.
     NotKept(String),
+    /// The files were read since somebody asked to be told so, by this number, and what they hold has been told.
+    Looked(u64),
     /// The system tells of no changes; there is the poll alone.
     PollOnly(String),
 }
--- a/crates/pg-gateway/src/dispatcher.rs
+++ b/crates/pg-gateway/src/dispatcher.rs
@@ -42,7 +42,7 @@
     pub engines: Engines,
     pub sets: EndpointSets,
     pub call: Call,
-    list_age: ListAge,
+    pub list_age: ListAge,
     pub peering: Option<Peering>,
     pub gossip: Option<Gossip>,
     pub admin: Admin,
@@ -102,17 +102,19 @@
         self.out.set_timer_after(SWEEP, TimerEvent::Sweep);
     }
 
-    /// The process is active. If it was not for long, the registry is asked before new queries are taken.
+    /// The process is active. If it was not for long, the registry is asked, and files are read, before new queries are taken.
     pub fn note_activity(&mut self) {
         let Some(wait_until) = self.list_age.note_activity(self.out.now) else { return };
-        warn!(wait_until, "the process was suspended; new queries wait for the list of engines");
-        self.call.ask_anew(self.sets.registry_version(), &mut self.out);
+        warn!("the process was suspended; new queries wait for the list of engines");
+        if self.list_age.polls_registry() {
+            self.call.ask_anew(self.sets.registry_version(), &mut self.out);
+        }
         self.out.set_timer_at(wait_until, TimerEvent::ListWaitOver);
     }
 
     /// The next client to be looked at. While the list is waited for only those that leave are.
     fn next_ready(&mut self) -> Option<ConnId> {
-        if !(self.list_age.is_waited_for(self.out.now) && self.call.waiting()) {
+        if !self.list_age.is_awaited(self.out.now, self.call.waiting()) {
             return self.ready.pop_front();
         }
         let leaving = self.ready.iter().position(|id| self.clients.is_leaving(*id))?;
--- a/crates/pg-gateway/src/endpoint_sets.rs
+++ b/crates/pg-gateway/src/endpoint_sets.rs
@@ -98,6 +98,8 @@
                 );
                 self.counts.not_kept += 1;
             }
+            // Who asked for it hears of it before.
+            News::Looked(_) => {}
             News::PollOnly(why) => warn!(why, "the system tells of no changes; engine files are polled"),
         }
         None
--- a/crates/pg-gateway/src/gateway.rs
+++ b/crates/pg-gateway/src/gateway.rs
@@ -13,6 +13,7 @@
 use wheelfield_capture::Recorder;
 use wheelfield_config::Config;
 use wheelfield_driver::Input;
+use wheelfield_endpoints::News;
 use wheelfield_sans_io::ConnectionBuffer;
 use wheelfield_sans_io::{ConnId, DatagramSocket, Effect, IoEvent, Listener, Protocol};
 
@@ -129,6 +130,11 @@
         self.flow.connections()
     }
 
+    /// The number by which [`News::Looked`] is to tell that the engine files were read from now on, if that is asked for.
+    pub fn take_files_request(&mut self) -> Option<u64> {
+        self.flow.list_age.take_files_request()
+    }
+
     /// Handles an event. Its effects are taken by [`PgGateway::take_effects`].
     pub fn handle(&mut self, now: i64, event: GatewayEvent<'_>) {
         self.flow.out.now = now;
@@ -136,6 +142,10 @@
             GatewayEvent::Started => self.flow.started(),
             GatewayEvent::Io(event) => self.dispatch_io(now, event),
             GatewayEvent::EndpointFiles(news) => {
+                if let News::Looked(number) = news {
+                    self.flow.list_age.note_files_read(number);
+                    return;
+                }
                 self.flow.out.saw(Coverage::FilesTaken);
                 let change = self.flow.sets.news(news, now);
                 self.flow.changed(change);
