--- a/crates/controller/tests/suspended_postgres.rs
+++ b/crates/controller/tests/suspended_postgres.rs
@@ -26,6 +26,7 @@
 }
 
 impl Program {
+    /// Starts it, and waits until it has a list of engines.
     fn start(config: &str) -> Program {
         let folder = tempfile::tempdir().expect("a folder");
         let file = folder.path().join("controller.toml");
@@ -41,7 +42,12 @@
         let stdout = child.stdout.take().expect("piped");
         BufReader::new(stdout).read_line(&mut line).expect("a line");
         let told: Value = serde_json::from_str(&line).expect("JSON");
-        let address = told["listen"].as_str().expect("an address");
+        let [address, admin] = ["listen", "admin"].map(|name| told[name].as_str().expect("told"));
+        await_that("a list of engines", || {
+            let (_, status) = http(admin, "GET", "/status");
+            let status: Value = serde_json::from_str(&status).expect("JSON");
+            status["figures"]["list_version"].as_u64() > Some(0)
+        });
         Program {
             child,
             address: address.parse().expect("an address"),
