--- a/crates/controller/tests/executor_list_age.rs
+++ b/crates/controller/tests/executor_list_age.rs
@@ -75,6 +75,31 @@
     }
 }
 
+/// A program with requests, whose name service answers at once.
+struct Serving {
+    pair: Pair,
+    names: ServingNames,
+    program: Program,
+    _traffic: Traffic,
+}
+
+impl Serving {
+    /// Starts it, and waits until it is under way.
+    fn start() -> Serving {
+        let pair = Pair::new();
+        let names = ServingNames::new(1, &pair.before());
+        let program = Program::start(&pair.config(&names));
+        let traffic = Traffic::begin(program.listen);
+        sleep(Duration::from_millis(500));
+        Serving {
+            pair,
+            names,
+            program,
+            _traffic: traffic,
+        }
+    }
+}
+
 /// A program whose list has the leaving executor alone, and a client whose request to it can't be written.
 fn with_unwritten_request(
     pair: &Pair,
@@ -161,11 +186,12 @@
 #[test]
 fn a_process_that_was_suspended_asks_before_it_sends() {
     for leaves in [Leaves::Drains, Leaves::IsGone] {
-        let pair = Pair::new();
-        let names = ServingNames::new(1, &pair.before());
-        let program = Program::start(&pair.config(&names));
-        let _traffic = Traffic::begin(program.listen);
-        sleep(Duration::from_millis(500));
+        let Serving {
+            pair,
+            names,
+            program,
+            _traffic,
+        } = Serving::start();
         names.takes(SLOW_ANSWER);
         program.halt();
         sleep(DRAIN_DELAY);
@@ -180,11 +206,12 @@
 /// The answers to its first questions are lost, and those to the next take a while.
 #[test]
 fn a_process_that_was_suspended_asks_often_while_requests_wait() {
-    let pair = Pair::new();
-    let names = ServingNames::new(1, &pair.before());
-    let program = Program::start(&pair.config(&names));
-    let _traffic = Traffic::begin(program.listen);
-    sleep(Duration::from_millis(500));
+    let Serving {
+        pair,
+        names,
+        program,
+        _traffic,
+    } = Serving::start();
     names.takes(SLOW_ANSWER);
     program.halt();
     names.has(2, &pair.after(Leaves::Drains));
@@ -292,11 +319,7 @@
 /// At four polls a second, eleven lost ones would be all of the time until the end of the grace.
 #[test]
 fn answers_that_are_lost_one_after_another_are_asked_for_again_soon() {
-    let pair = Pair::new();
-    let names = ServingNames::new(1, &pair.before());
-    let program = Program::start(&pair.config(&names));
-    let _traffic = Traffic::begin(program.listen);
-    sleep(Duration::from_millis(500));
+    let Serving { pair, names, .. } = &Serving::start();
     names.loses(11);
     names.has(2, &pair.after(Leaves::Drains));
     let told_at = Instant::now() + TOLD_WITHIN;
@@ -306,11 +329,7 @@
 /// What happened in the silence counts as told as soon as it ends, so that there is but the grace to hear of it.
 #[test]
 fn answers_that_are_lost_after_a_silence_are_asked_for_again_soon() {
-    let pair = Pair::new();
-    let names = ServingNames::new(1, &pair.before());
-    let program = Program::start(&pair.config(&names));
-    let _traffic = Traffic::begin(program.listen);
-    sleep(Duration::from_millis(500));
+    let Serving { pair, names, .. } = &Serving::start();
     names.loses(usize::MAX);
     let told_at = Instant::now() + TOLD_WITHIN_OF_SILENCE;
     sleep(Duration::from_millis(1_000));
--- a/crates/platform/tests/crossings.rs
+++ b/crates/platform/tests/crossings.rs
@@ -6,7 +6,7 @@
 use hickory_proto::rr::rdata::TXT;
 use hickory_proto::rr::RData;
 use std::net::SocketAddr;
-use wheelfield_sans_io::{DatagramSocket, IoEvent, Protocol};
+use wheelfield_sans_io::{ConnId, DatagramSocket, IoEvent, Protocol};
 
 const SECOND: i64 = 1_000_000;
 
@@ -286,10 +286,8 @@
     }
 }
 
-/// The process is suspended between the decision to write a request and the write itself.
-#[test]
-fn a_request_that_was_not_written_as_the_process_was_suspended_is_written_anew_with_the_time_left()
-{
+/// A harness with a client and a connection that is kept to its executor, on which nothing can be written for now.
+fn harness_that_writes_nothing() -> (Harness, ConnId, ConnId) {
     let mut harness = Harness::new(1);
     let (first, executor, _) = harness.forward_query("look", &request_id(1));
     harness.receive(
@@ -297,8 +295,16 @@
         &format!("{} HIT pages=1 0\r\n\r\n", request_id(1)),
     );
     harness.take_written(first);
-    harness.write_limit = Some(0);
     let client = harness.connect_client();
+    harness.write_limit = Some(0);
+    (harness, client, executor)
+}
+
+/// The process is suspended between the decision to write a request and the write itself.
+#[test]
+fn a_request_that_was_not_written_as_the_process_was_suspended_is_written_anew_with_the_time_left()
+{
+    let (mut harness, client, executor) = harness_that_writes_nothing();
     harness.receive(client, &query_request("load", &request_id(2), ""));
     harness.write_limit = None;
     harness.now += SECOND;
@@ -319,15 +325,7 @@
 /// The process is suspended there until the client's time is up: it is neither written nor a fault of the guard's.
 #[test]
 fn a_request_whose_time_is_up_as_it_is_to_be_written_anew_is_not_written() {
-    let mut harness = Harness::new(1);
-    let (first, executor, _) = harness.forward_query("look", &request_id(1));
-    harness.receive(
-        executor,
-        &format!("{} HIT pages=1 0\r\n\r\n", request_id(1)),
-    );
-    harness.take_written(first);
-    harness.write_limit = Some(0);
-    let client = harness.connect_client();
+    let (mut harness, client, executor) = harness_that_writes_nothing();
     let request = query_request("look", &request_id(2), "");
     harness.receive(
         client,
