controller: the name services of the other tests with real sockets answer

Beside that, a test that halts the program and has a silent name service measures the wait for it, too. Assertions unchanged.

--- a/crates/controller/tests/endings_at_executors.rs
+++ b/crates/controller/tests/endings_at_executors.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 /// One client and one executor that know each other: a query was served, and its connection rests.
-fn acquainted(executor: &Executor, names: &NameService) -> (Program, Client, Conn) {
-    let program = Program::start(&config(free(), &[("e1", executor.at)], names.at));
+fn acquainted(executor: &Executor, names: SocketAddr) -> (Program, Client, Conn) {
+    let program = Program::start(&config(free(), &[("e1", executor.at)], names));
     let mut client = Client::connect(program.listen);
     client.asks("look", 900);
     let mut conn = executor.take();
@@ -21,8 +21,8 @@
 #[test]
 fn a_query_that_crosses_the_end_of_a_resting_connection_goes_on_another_whichever_is_heard_first() {
     for (breaks, asked_first) in [(false, true), (false, false), (true, true), (true, false)] {
-        let (executor, names) = (Executor::new(), NameService::new());
-        let (program, mut client, conn) = acquainted(&executor, &names);
+        let (executor, names) = (Executor::new(), ServingNames::new(1, &[]));
+        let (program, mut client, conn) = acquainted(&executor, names.at);
         program.halt();
         if asked_first {
             client.asks("load", 1);
@@ -49,8 +49,8 @@
 #[test]
 fn a_connection_that_breaks_under_a_request_fails_what_must_not_run_twice_and_the_rest_goes_again()
 {
-    let (executor, names) = (Executor::new(), NameService::new());
-    let (_program, mut client, mut conn) = acquainted(&executor, &names);
+    let (executor, names) = (Executor::new(), ServingNames::new(1, &[]));
+    let (_program, mut client, mut conn) = acquainted(&executor, names.at);
     client.asks("load", 1);
     assert_eq!(conn.request().id, id(1));
     conn.breaks();
@@ -70,7 +70,7 @@
 #[test]
 fn what_finds_no_connection_goes_elsewhere() {
     for hangs in [false, true] {
-        let names = NameService::new();
+        let names = ServingNames::new(1, &[]);
         let second = Executor::new().serves("e2");
         let (first, door) = Executor::with_full_door();
         let at = if hangs { first.at } else { free() };
@@ -101,7 +101,7 @@
 /// A connection comes up and breaks in one turn, with a query that waits for it.
 #[test]
 fn a_connection_that_breaks_as_it_comes_up_costs_its_query_nothing() {
-    let names = NameService::new();
+    let names = ServingNames::new(1, &[]);
     let (executor, door) = Executor::with_full_door();
     let program = Program::start(&config(free(), &[("e1", executor.at)], names.at));
     let mut client = Client::connect(program.listen);
@@ -127,8 +127,8 @@
         "x".repeat(600_000),
         endless,
     ] {
-        let (executor, names) = (Executor::new(), NameService::new());
-        let (_program, mut client, mut conn) = acquainted(&executor, &names);
+        let (executor, names) = (Executor::new(), ServingNames::new(1, &[]));
+        let (_program, mut client, mut conn) = acquainted(&executor, names.at);
         client.asks("load", 1);
         assert_eq!(conn.request().id, id(1));
         conn.says(&noise);
@@ -147,8 +147,8 @@
 #[test]
 fn an_answer_that_comes_as_the_time_ends_is_told_once() {
     for class in ["look", "load"] {
-        let (executor, names) = (Executor::new(), NameService::new());
-        let (program, mut client, mut conn) = acquainted(&executor, &names);
+        let (executor, names) = (Executor::new(), ServingNames::new(1, &[]));
+        let (program, mut client, mut conn) = acquainted(&executor, names.at);
         client.says(&post(class, 1, "SELECT 1").replace("15000", "500"));
         let request = conn.request();
         program.halt();
@@ -177,8 +177,8 @@
 fn what_a_client_leaves_behind_at_an_executor_is_given_up() {
     let ways = [Leaves::Closes, Leaves::Breaks, Leaves::ClosesItsSide];
     for (how, crosses) in ways.into_iter().flat_map(|how| [(how, false), (how, true)]) {
-        let (executor, names) = (Executor::new(), NameService::new());
-        let (program, mut client, mut conn) = acquainted(&executor, &names);
+        let (executor, names) = (Executor::new(), ServingNames::new(1, &[]));
+        let (program, mut client, mut conn) = acquainted(&executor, names.at);
         let mut leaver = Client::connect(program.listen);
         leaver.asks("load", 1);
         let request = conn.request();
@@ -209,7 +209,7 @@
 #[test]
 fn an_executor_that_moves_under_its_name_gets_no_more_where_it_was() {
     let (old, new, names) = (Executor::new(), Executor::new(), NameService::new());
-    let (program, mut client, mut first) = acquainted(&old, &names);
+    let (program, mut client, mut first) = acquainted(&old, names.at);
     let mut before = Client::connect(program.listen);
     before.asks("load", 1);
     assert_eq!(first.request().id, id(1));
@@ -236,7 +236,7 @@
 #[test]
 fn a_list_that_does_not_count_takes_nobody_away() {
     let (old, new, names) = (Executor::new(), NameService::new(), NameService::new());
-    let (program, mut client, mut conn) = acquainted(&old, &names);
+    let (program, mut client, mut conn) = acquainted(&old, names.at);
     let elsewhere: SocketAddr = free();
     let still_served = |client: &mut Client, conn: &mut Conn, n: u64, what: &str| {
         assert_eq!(program.health(), Some(200), "heard behind it");
@@ -323,7 +323,7 @@
 #[test]
 fn a_repeat_whose_window_closed_while_its_connection_came_up_is_not_written() {
     for closes in [false, true] {
-        let names = NameService::new();
+        let names = ServingNames::new(1, &[]);
         let (executor, door) = Executor::with_full_door();
         let mut config = config(free(), &[("e1", executor.at)], names.at);
         let load = &mut config["settings"]["grades"][1];
--- a/crates/controller/tests/standing_terms.rs
+++ b/crates/controller/tests/standing_terms.rs
@@ -3,7 +3,7 @@
 
 mod rig;
 use rig::*;
-use std::net::{TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 use wheelfield_net::Socket;
 
@@ -11,8 +11,8 @@
 const PIPELINED: u64 = 60;
 
 /// A program with one executor and an idle connection between them, which takes the next request.
-fn with_idle_connection(executor: &Executor, names: &NameService) -> (Program, Client, Conn) {
-    let program = Program::start(&config(free(), &[("e1", executor.at)], names.at));
+fn with_idle_connection(executor: &Executor, names: SocketAddr) -> (Program, Client, Conn) {
+    let program = Program::start(&config(free(), &[("e1", executor.at)], names));
     let mut client = Client::connect(program.listen);
     client.asks("look", 900);
     let mut conn = executor.take();
@@ -69,7 +69,7 @@
 /// Idle clients take every place, and more come at once than there are descriptors.
 #[test]
 fn idle_clients_that_come_at_once_do_not_use_up_the_descriptors() {
-    let names = NameService::new();
+    let names = ServingNames::new(1, &[]);
     let mut config = config(free(), &[("e1", Executor::new().serves("e1"))], names.at);
     config["limits"]["sockets"] = 64.into();
     let mut program = Program::start_with_descriptors(&config, 64);
@@ -96,8 +96,8 @@
 
 #[test]
 fn pipelined_requests_are_answered_in_order_and_none_is_forwarded_once_their_client_left() {
-    let (executor, names) = (Executor::new(), NameService::new());
-    let (program, mut client, mut conn) = with_idle_connection(&executor, &names);
+    let (executor, names) = (Executor::new(), ServingNames::new(1, &[]));
+    let (program, mut client, mut conn) = with_idle_connection(&executor, names.at);
     client.says(&pipelined(1));
     for n in 1..=PIPELINED {
         conn.answers(n, &format!("row{n}"));
@@ -147,8 +147,8 @@
         .flat_map(|e| [(e, true), (e, false)])
     {
         let case = format!("{end}, left first: {left_first}");
-        let (executor, names) = (Executor::new(), NameService::new());
-        let (program, mut client, mut conn) = with_idle_connection(&executor, &names);
+        let (executor, names) = (Executor::new(), ServingNames::new(1, &[]));
+        let (program, mut client, mut conn) = with_idle_connection(&executor, names.at);
         let mut leaver = Client::connect(program.listen);
         leaver.asks("look", 1);
         assert_eq!(conn.request().id, id(1));
@@ -185,8 +185,8 @@
 #[test]
 fn nothing_is_forwarded_from_a_connection_that_closes_and_unread_bytes_do_not_cost_its_last_answer()
 {
-    let (executor, names) = (Executor::new(), NameService::new());
-    let (program, mut client, mut conn) = with_idle_connection(&executor, &names);
+    let (executor, names) = (Executor::new(), ServingNames::new(1, &[]));
+    let (program, mut client, mut conn) = with_idle_connection(&executor, names.at);
     let mut closes = Client::with_little_room(program.listen);
     closes
         .says(&post("look", 1, "SELECT 1").replace("X-Timeout", "Connection: close\r\nX-Timeout"));
@@ -230,7 +230,7 @@
 #[test]
 fn a_request_that_arrives_on_an_idle_connection_as_the_shutdown_closes_it_is_served() {
     for _ in 0..20 {
-        let names = NameService::new();
+        let names = ServingNames::new(1, &[]);
         let served = Executor::new().serves("e1");
         let mut program = Program::start(&config(free(), &[("e1", served)], names.at));
         let mut idle = Client::connect(program.listen);
@@ -266,8 +266,8 @@
         ("byte by byte", true),
     ] {
         for class in ["load", "look"] {
-            let (executor, names) = (Executor::new(), NameService::new());
-            let (_program, mut client, mut conn) = with_idle_connection(&executor, &names);
+            let (executor, names) = (Executor::new(), ServingNames::new(1, &[]));
+            let (_program, mut client, mut conn) = with_idle_connection(&executor, names.at);
             client.asks(class, 1);
             assert_eq!(conn.request().id, id(1));
             conn.says(if case == "half a line" { "0000000" } else { "" });
@@ -304,7 +304,7 @@
 /// Longer than idle connections and unread answers are kept; the client waits for longer still.
 #[test]
 fn an_answer_that_comes_after_its_executor_hung_for_16_s_under_a_long_deadline_is_served() {
-    let (executor, names) = (Executor::new(), NameService::new());
+    let (executor, names) = (Executor::new(), ServingNames::new(1, &[]));
     let mut config = config(free(), &[("e1", executor.at)], names.at);
     config["settings"]["ceilings"]["conn_idle_us"] = 2_000_000.into();
     let program = Program::start(&config);
--- a/crates/controller/tests/suspended_process.rs
+++ b/crates/controller/tests/suspended_process.rs
@@ -49,7 +49,7 @@
 
 #[test]
 fn the_deadline_of_a_pipelined_request_counts_from_its_arrival() {
-    let (executor, names) = (Executor::new(), NameService::new());
+    let (executor, names) = (Executor::new(), ServingNames::new(1, &[]));
     let program = Program::start(&config(free(), &[("e1", executor.at)], names.at));
     let mut client = Client::connect(program.listen);
     client.says(&(post("look", 1, "SELECT 1") + &post_within("load", 2, TIMEOUT_MS)));
@@ -76,7 +76,7 @@
         (Call::Accept, Errno::ConnectionAborted, SUSPENDED_MS),
         (Call::ReadAccepted, Errno::NoMemory, 1_500),
     ] {
-        let (executor, names) = (Executor::new(), NameService::new());
+        let (executor, names) = (Executor::new(), ServingNames::new(1, &[]));
         let faults = FaultControl::new().expect("a control file");
         let config = config(free(), &[("e1", executor.at)], names.at);
         let program = Program::start_with_faults(&config, &faults);
@@ -101,7 +101,7 @@
 #[test]
 fn the_deadline_of_an_attempt_counts_the_time_for_which_it_could_not_be_written() {
     const UNWRITABLE_MS: u64 = 1_200;
-    let (executor, names) = (Executor::new(), NameService::new());
+    let (executor, names) = (Executor::new(), ServingNames::new(1, &[]));
     let faults = FaultControl::new().expect("a control file");
     let config = config(free(), &[("e1", executor.at)], names.at);
     let program = Program::start_with_faults(&config, &faults);
--- a/crates/controller/tests/system_faults.rs
+++ b/crates/controller/tests/system_faults.rs
@@ -17,7 +17,7 @@
 
 /// A program with one executor that serves everything.
 fn serving_program(faults: &FaultControl) -> Program {
-    let names = NameService::new();
+    let names = ServingNames::new(1, &[]);
     let executor = Executor::new().serves("e1");
     Program::start_with_faults(&config(free(), &[("e1", executor)], names.at), faults)
 }
@@ -157,7 +157,7 @@
         (Call::Register, Errno::NoMemory),
         (Call::Open, Errno::FileTableOverflow),
     ] {
-        let names = NameService::new();
+        let names = ServingNames::new(1, &[]);
         let executor = Executor::new().serves("e1");
         let faults = no_faults();
         faults.fail(call, errno, ALWAYS).expect("set");
@@ -182,7 +182,7 @@
         (Call::Socket, Errno::FileTableOverflow),
         (Call::Register, Errno::NoMemory),
     ] {
-        let (faults, names) = (no_faults(), NameService::new());
+        let (faults, names) = (no_faults(), ServingNames::new(1, &[]));
         let executor = Executor::new().serves("e1");
         let config = config(free(), &[("e1", executor)], names.at);
         let program = Program::start_with_faults(&config, &faults);
@@ -221,7 +221,7 @@
 /// The configuration is read from a pipe, so that the signal comes while the program is still reading it.
 #[test]
 fn a_signal_while_the_configuration_is_read_does_not_end_the_start() {
-    let (names, executor) = (NameService::new(), Executor::new().serves("e1"));
+    let (names, executor) = (ServingNames::new(1, &[]), Executor::new().serves("e1"));
     let config = config(free(), &[("e1", executor)], names.at);
     let dir = tempfile::tempdir().expect("a folder");
     let (pipe, file) = (dir.path().join("config"), dir.path().join("file"));
@@ -271,7 +271,7 @@
 
 /// What an executor in slow start gets of 400 queries beside three warm ones.
 fn queries_to_the_newcomer(faults: &FaultControl, started_ms: u128, wait: Duration) -> usize {
-    let names = NameService::new();
+    let names = ServingNames::new(1, &[]);
     let executors: Vec<(&str, std::net::SocketAddr)> = ["e1", "e2", "e3", "new"]
         .map(|name| (name, Executor::new().serves(name)))
         .to_vec();
