net, tests: a wait that a stopped process interrupted is repeated until its deadline

Seen: a_connect_that_no_query_needs_... once failed with EINTR in the receive call of its DNS query; the roll-out of endpoint files and wheelfield-load ask controllers for their status by the same kind of call. Cause: Linux ends a blocking call that has a time limit with EINTR after a stop, handlers or none. Nobody outside has to stop the test: a child that stops or continues sends SIGCHLD to its parent, and while the thread that started it has all signals blocked, as it has while it starts the next process, the signal goes to another thread and interrupts that one's call. The rig sent each signal by starting kill(1), so that every stop fell close to such a moment on a busy machine. Fix: retry_interrupted repeats a call until a deadline set before the first one: http::get of wheelfield-net, the rig's next_query, the HTTP and PostgreSQL clients of the tests, commands to emulated engines, and the polls of measure. The rig sends signals itself. Elsewhere: event loops, load, emulator, relay, soak repeat already or have no time limit.

--- a/crates/controller/tests/common/mod.rs
+++ b/crates/controller/tests/common/mod.rs
@@ -14,6 +14,7 @@
 use wheelfield_controller::postgres::PostgresController;
 use wheelfield_engine_emulator::host::Host;
 use wheelfield_engine_emulator::setup::Setup;
+use wheelfield_net::retry_interrupted;
 use wheelfield_pg::{backend_messages, frame, frontend_messages};
 
 /// Maximum time to wait for a condition. It only bounds the test: no assertion depends on how soon the condition holds.
@@ -294,7 +295,8 @@
     stream.write_all(&out).expect("write to the connection");
     let (mut input, mut buffer) = (BytesMut::new(), [0; 16 << 10]);
     loop {
-        let n = stream.read(&mut buffer).expect("read the response");
+        let n = retry_interrupted(Instant::now() + WAIT_TIMEOUT, |_| stream.read(&mut buffer))
+            .expect("read the response");
         assert!(n > 0, "connection closed without a response");
         input.extend_from_slice(&buffer[..n]);
         if let Some(response) =
@@ -370,7 +372,10 @@
                 return Some(message);
             }
             let mut buffer = [0; 64 << 10];
-            match self.stream.read(&mut buffer) {
+            let read = retry_interrupted(Instant::now() + WAIT_TIMEOUT, |_| {
+                self.stream.read(&mut buffer)
+            });
+            match read {
                 Ok(0) | Err(_) => return None,
                 Ok(n) => self.input.extend_from_slice(&buffer[..n]),
             }
--- a/crates/controller/tests/endings.rs
+++ b/crates/controller/tests/endings.rs
@@ -207,7 +207,7 @@
         );
         config["limits"]["sockets"] = 2_048.into();
         let mut program = Program::start(&config);
-        program.signal("-TERM");
+        program.signal(Signal::TERM);
         wait_until("the start of the shutdown", || {
             program.health() != Some(200)
         });
@@ -254,7 +254,7 @@
             client = Client::try_connect(program.listen).ok();
             client.is_some()
         });
-        program.signal("-TERM");
+        program.signal(Signal::TERM);
         let mut client = client.expect("connected");
         client.send_query("load", 1);
         assert_eq!(client.read_status(), 200);
@@ -294,7 +294,7 @@
         ));
     }
     assert_eq!(conn.next_line(), Some(format!("END {}", request_id(1))));
-    program.signal("-TERM");
+    program.signal(Signal::TERM);
     program.wait_until_listener_closed();
     let (status, body) = client.read_response().expect("a complete response");
     assert_eq!((status, body.matches("\"b\"").count()), (200, 8 * 98));
@@ -315,7 +315,7 @@
         let mut idle = Client::connect(program.listen);
         idle.send_query("load", 1);
         assert_eq!(idle.read_status(), 200);
-        program.signal("-TERM");
+        program.signal(Signal::TERM);
         assert_eq!(idle.read_status(), 0, "closed without a response");
         program.suspend();
         let Ok(mut reconnected) = Client::try_connect(program.listen) else {
@@ -343,7 +343,7 @@
     ));
     let mut slow = Client::connect(program.listen);
     let request = query_request("look", 1, "SELECT 1");
-    program.signal("-TERM");
+    program.signal(Signal::TERM);
     wait_until("the start of the shutdown", || {
         program.health() != Some(200)
     });
@@ -649,7 +649,7 @@
         assert_eq!(status, 200, "{case}");
         assert!(body.contains("e2"));
         drop(client);
-        program.signal("-TERM");
+        program.signal(Signal::TERM);
         assert_eq!(program.wait_for_exit().code(), Some(0));
         assert_eq!(
             conn.next_request(),
@@ -668,7 +668,7 @@
     let program = Program::start(&config(listen, &[("e1", executor)], old.address));
     let new_config = config(listen, &[("e1", executor)], new.address).to_string();
     std::fs::write(&program.config_file, &new_config[..new_config.len() / 2]).expect("written");
-    program.signal("-HUP");
+    program.signal(Signal::HUP);
     // The program has rejected the incomplete file and still queries the old name service.
     for _ in 0..3 {
         old.next_new_query();
@@ -698,7 +698,13 @@
         config(listen, &[("e1", executor.address)], new.address).to_string(),
     )
     .expect("written");
-    for signal in ["-TERM", "-HUP", "-TERM", "-HUP", "-INT"] {
+    for signal in [
+        Signal::TERM,
+        Signal::HUP,
+        Signal::TERM,
+        Signal::HUP,
+        Signal::INT,
+    ] {
         program.signal(signal);
     }
     let mut late = Client::connect(listen);
@@ -790,7 +796,7 @@
         }
         waiting.push((client, conn));
     }
-    program.signal("-TERM");
+    program.signal(Signal::TERM);
     let statuses: Vec<u16> = waiting
         .iter_mut()
         .map(|(client, _)| client.read_status())
--- a/crates/controller/tests/endings_at_executors.rs
+++ b/crates/controller/tests/endings_at_executors.rs
@@ -306,7 +306,7 @@
     let earlier = name_service.next_new_query();
     let new_config = config(program.listen, &[("e1", old.address)], new.address).to_string();
     std::fs::write(&program.config_file, new_config).expect("written");
-    program.signal("-HUP");
+    program.signal(Signal::HUP);
     new.next_query();
     // An answer of the former service to an earlier query is accepted only if its list is newer; this one is not.
     program.suspend();
--- a/crates/controller/tests/executor_list_age.rs
+++ b/crates/controller/tests/executor_list_age.rs
@@ -143,7 +143,7 @@
     let partial = program.config_file.with_extension("partial");
     std::fs::write(&partial, config.to_string()).expect("written");
     std::fs::rename(&partial, &program.config_file).expect("renamed");
-    program.signal("-HUP");
+    program.signal(Signal::HUP);
 }
 
 /// The new name service may lag behind for four seconds, but the answer of the former one has published the change.
@@ -319,7 +319,7 @@
         assert_eq!(client.read_status(), 200);
     }
     name_service.set_answer_delay(SLOW_ANSWER);
-    program.signal("-TERM");
+    program.signal(Signal::TERM);
     program.suspend();
     for (n, client) in (100..).zip(&mut clients) {
         client.send_query("look", n);
--- a/crates/controller/tests/platform.rs
+++ b/crates/controller/tests/platform.rs
@@ -118,10 +118,10 @@
         old_query_count.load(Ordering::SeqCst) >= 3
     });
     std::fs::write(&program.config_file, "{").expect("write the file");
-    program.signal("-HUP");
+    program.signal(Signal::HUP);
     let new_config = config(listen, &[("e1", first)], new_resolver).to_string();
     std::fs::write(&program.config_file, new_config).expect("write the file");
-    program.signal("-HUP");
+    program.signal(Signal::HUP);
     wait_until("the executor of the new name service answers", || {
         ask(&mut stream, "SELECT 3")
             .is_ok_and(|(status, body)| status == 200 && body.contains("e2"))
@@ -129,7 +129,7 @@
 
     // A shutdown under load: all queries are answered, and the program exits by itself.
     let unanswered = Arc::new(Mutex::new(Vec::new()));
-    program.signal("-TERM");
+    program.signal(Signal::TERM);
     let clients: Vec<_> = (0..8u64)
         .map(|client_index| {
             let unanswered = unanswered.clone();
--- a/crates/controller/tests/rig/mod.rs
+++ b/crates/controller/tests/rig/mod.rs
@@ -12,6 +12,8 @@
 use hickory_proto::op::{Message, MessageType, OpCode};
 use hickory_proto::rr::rdata::{A, SOA, SRV, TXT};
 use hickory_proto::rr::{Name, RData, Record};
+pub use rustix::process::Signal;
+use rustix::process::{kill_process, Pid};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
@@ -20,6 +22,7 @@
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 use wheelfield_fault_shim::FaultControl;
+use wheelfield_net::retry_interrupted;
 
 /// Limit for every wait, so that a failing test ends. No assertion depends on how long a wait takes.
 pub const TIMEOUT: Duration = Duration::from_secs(30);
@@ -186,19 +189,15 @@
         client.read_response().map(|(status, _)| status).ok()
     }
 
-    /// Sends a signal to the program; `name` is an option of `kill`, such as `-TERM`.
-    pub fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
-        assert!(Command::new("kill")
-            .args([name, &id])
-            .status()
-            .expect("kill")
-            .success());
+    /// Sends a signal to the program. No other process is started for it: starting one takes long on a busy machine, and a child
+    /// that stops meanwhile interrupts calls in other threads of the test.
+    pub fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.child), signal).expect("a child");
     }
 
     /// Suspends the program with SIGSTOP. It processes all events that arrive in the meantime in one turn of its event loop.
     pub fn suspend(&self) {
-        self.signal("-STOP");
+        self.signal(Signal::STOP);
         wait_until("the suspension", || {
             let stat =
                 std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).expect("Linux");
@@ -212,7 +211,7 @@
     /// loopback only some time after the sending call has returned.
     pub fn resume(&self) {
         wait_until("the delivery of all data sent", || self.has_received_all());
-        self.signal("-CONT");
+        self.signal(Signal::CONT);
     }
 
     /// While the program is suspended, has `deliver` send a datagram to it, and waits until the datagram has arrived.
@@ -712,7 +711,6 @@
 impl NameService {
     pub fn new() -> NameService {
         let socket = UdpSocket::bind("127.0.0.1:0").expect("a port");
-        socket.set_read_timeout(Some(TIMEOUT)).expect("a socket");
         let address = socket.local_addr().expect("bound");
         NameService { socket, address }
     }
@@ -720,7 +718,11 @@
     /// Receives the next query.
     pub fn next_query(&self) -> DiscoveryQuery {
         let mut buffer = [0; 2048];
-        let (n, from) = self.socket.recv_from(&mut buffer).expect("a DNS query");
+        let received = retry_interrupted(Instant::now() + TIMEOUT, |remaining| {
+            self.socket.set_read_timeout(Some(remaining))?;
+            self.socket.recv_from(&mut buffer)
+        });
+        let (n, from) = received.expect("a DNS query");
         DiscoveryQuery(Message::from_vec(&buffer[..n]).expect("a DNS query"), from)
     }
 
--- a/crates/controller/tests/standing_terms.rs
+++ b/crates/controller/tests/standing_terms.rs
@@ -105,7 +105,7 @@
     let mut client = Client::connect(program.listen);
     client.send_query("load", 1);
     assert_eq!(client.read_status(), 200);
-    program.signal("-TERM");
+    program.signal(Signal::TERM);
     assert_eq!(program.wait_for_exit().code(), Some(0));
     // On a slow machine, connecting all clients takes so long that the list of the suspended program becomes too old.
     let log = program.log();
@@ -271,7 +271,7 @@
         idle.send_query("load", 1);
         assert_eq!(idle.read_status(), 200);
         let signalled_at = Instant::now();
-        program.signal("-TERM");
+        program.signal(Signal::TERM);
         wait_until("the start of the shutdown", || {
             program.health() != Some(200)
         });
--- a/crates/controller/tests/suspended_postgres.rs
+++ b/crates/controller/tests/suspended_postgres.rs
@@ -4,6 +4,7 @@
 
 use bytes::BytesMut;
 use common::{http, wait_until, Engines, RawClient, BASE_CONFIG, LISTEN_CONFIG};
+use rustix::process::{kill_process, Pid, Signal};
 use serde_json::Value;
 use std::io::{BufRead as _, BufReader, Write as _};
 use std::net::{SocketAddr, TcpListener};
@@ -56,14 +57,12 @@
         }
     }
 
-    fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
-        let status = Command::new("kill").args([name, &id]).status();
-        assert!(status.expect("kill").success());
+    fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.child), signal).expect("a child");
     }
 
     fn suspend(&self) {
-        self.signal("-STOP");
+        self.signal(Signal::STOP);
         let stat = format!("/proc/{}/stat", self.child.id());
         wait_until("the suspension", || {
             let stat = std::fs::read_to_string(&stat).expect("Linux");
@@ -140,7 +139,7 @@
     drain();
     clients.iter_mut().for_each(|client| client.query(QUERY));
     std::thread::sleep(SUSPENSION);
-    program.signal("-CONT");
+    program.signal(Signal::CONT);
     for client in &mut clients {
         let (tags, state) = client.read_answer();
         assert!(tags.starts_with('T'), "{tags} {state}");
@@ -226,7 +225,7 @@
     drop(clients.pop());
     std::thread::sleep(SUSPENSION);
     let resumed_at = Instant::now();
-    program.signal("-CONT");
+    program.signal(Signal::CONT);
     for client in &mut clients {
         let (tags, state) = client.read_answer();
         assert!(tags.starts_with('T'), "{tags} {state}");
--- a/crates/controller/tests/system_faults.rs
+++ b/crates/controller/tests/system_faults.rs
@@ -145,7 +145,7 @@
         let faults = no_faults();
         let mut program = serving_program(&faults);
         faults.fail(Call::Accept, errno, ALWAYS).expect("set");
-        program.signal("-TERM");
+        program.signal(Signal::TERM);
         let mut clients = clients_with_requests(&program, 100);
         // The program stops listening 0.8 s after the signal.
         std::thread::sleep(Duration::from_millis(1_000));
@@ -232,7 +232,7 @@
         .expect("set");
     config["resolver"] = second.address.to_string().into();
     std::fs::write(&program.config_file, config.to_string()).expect("written");
-    program.signal("-HUP");
+    program.signal(Signal::HUP);
     // An earlier version stopped retrying after 4 s.
     std::thread::sleep(Duration::from_millis(4_500));
     faults.succeed(Call::Open).expect("set");
@@ -260,7 +260,7 @@
         .write(true)
         .open(&pipe)
         .expect("opened by the program");
-    program.signal("-HUP");
+    program.signal(Signal::HUP);
     std::thread::sleep(Duration::from_millis(100));
     std::fs::write(&file, config.to_string()).expect("written");
     std::fs::rename(&file, &pipe).expect("renamed");
--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -1,9 +1,10 @@
 //! The HTTP codec of `wheelfield-sans-io`, and a blocking HTTP client for programs without an event loop.
 
+use crate::retry_interrupted;
 use bytes::BytesMut;
 use std::io::{self, Read as _, Write as _};
 use std::net::{SocketAddr, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 pub use wheelfield_sans_io::http::*;
 
@@ -23,14 +24,16 @@
     max_body_bytes: usize,
 ) -> io::Result<Response> {
     let mut stream = TcpStream::connect_timeout(&address, timeout)?;
-    stream.set_read_timeout(Some(timeout))?;
     stream.set_write_timeout(Some(timeout))?;
     let mut request = BytesMut::new();
     write_request("GET", path, b"", &mut request);
     stream.write_all(&request)?;
     let (mut input, mut buffer) = (BytesMut::new(), vec![0; READ_BUFFER_BYTES]);
     loop {
-        let length = stream.read(&mut buffer)?;
+        let length = retry_interrupted(Instant::now() + timeout, |remaining| {
+            stream.set_read_timeout(Some(remaining))?;
+            stream.read(&mut buffer)
+        })?;
         input.extend_from_slice(&buffer[..length]);
         match take_response(&mut input, max_body_bytes) {
             Ok(Some(response)) => return Ok(response),
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -8,11 +8,13 @@
 mod bind;
 mod clock;
 pub mod http;
+mod retry;
 mod socket;
 mod stream;
 
 pub use bind::{bind_datagram_socket, listen};
 pub use clock::Clock;
+pub use retry::retry_interrupted;
 pub use socket::{is_transient, Socket};
 pub use stream::Stream;
 pub use wheelfield_sans_io::{TimerKey, Timers};
--- a/crates/testbed/src/measure.rs
+++ b/crates/testbed/src/measure.rs
@@ -129,7 +129,10 @@
 
     /// Polls once, and adds the connections that received a complete answer to `answered`.
     fn poll_once(&mut self, wait: Duration, answered: &mut Vec<usize>) -> Result<()> {
-        self.poll.poll(&mut self.events, Some(wait))?;
+        match self.poll.poll(&mut self.events, Some(wait)) {
+            Err(error) if error.kind() != std::io::ErrorKind::Interrupted => return Err(error.into()),
+            _ => {}
+        }
         for event in &self.events {
             let Token(id) = event.token();
             let Some(c) = self.all.get_mut(id) else { continue };
--- a/crates/testbed/src/stage.rs
+++ b/crates/testbed/src/stage.rs
@@ -15,13 +15,15 @@
 use std::time::{Duration, Instant};
 use wheelfield::interface::Status;
 use wheelfield_invariants::ProcessLifetime;
-use wheelfield_net::{http, Clock};
+use wheelfield_net::{http, retry_interrupted, Clock};
 use wheelfield_network_faults::FaultSchedule;
 
 /// A process must tell where it listens within this.
 const STARTS_WITHIN: Duration = Duration::from_secs(20);
 /// The processes that exist are asked to end, and killed after this.
 const ENDS_WITHIN: Duration = Duration::from_secs(40);
+/// The emulated engines must answer a command within this.
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(10);
 /// Bytes of a controller's status at most.
 const LONGEST_STATUS: usize = 8 << 20;
 
@@ -480,10 +482,12 @@
     /// A call to the control port of the stand-ins.
     fn call(&self, path: &str) -> Result<()> {
         let mut stream = TcpStream::connect_timeout(&self.control, Duration::from_secs(5))?;
-        stream.set_read_timeout(Some(Duration::from_secs(10)))?;
         write!(stream, "POST {path} HTTP/1.1\r\ncontent-length: 0\r\n\r\n")?;
         let mut answer = [0; 512];
-        let n = stream.read(&mut answer)?;
+        let n = retry_interrupted(Instant::now() + CONTROL_TIMEOUT, |remaining| {
+            stream.set_read_timeout(Some(remaining))?;
+            stream.read(&mut answer)
+        })?;
         let answer = String::from_utf8_lossy(&answer[..n]);
         ensure!(answer.starts_with("HTTP/1.1 200"), "the stand-ins refuse {path}: {answer}");
         Ok(())
