controller: a trace line for each socket event; the rig prints its steps and the program's log on failure

Change: each socket event is logged at trace level with the number of its poll. Programs of the rig keep a log; if their test fails, the rig prints the program's sockets, the end of that log and its own steps (connects, suspensions, lists) with times.

--- a/crates/controller/src/event_loop/mod.rs
+++ b/crates/controller/src/event_loop/mod.rs
@@ -21,6 +21,7 @@
 use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
 use std::time::Duration;
+use tracing::trace;
 use wakeup::Wakeup;
 use wheelfield_net::Clock;
 use wheelfield_sans_io::{DatagramSocket, Effect, Listener, Protocol};
@@ -90,6 +91,8 @@
     wakeups: Vec<Wakeup<P>>,
     iteration_handlers: Vec<Handler<P>>,
     effects: Vec<Effect>,
+    /// Number of polls so far, which tells in the log which events were found together.
+    polls: u64,
     /// The timers and effects of the last iteration were deferred, because it had become late before it got to them.
     is_deferred: bool,
     stopped: bool,
@@ -115,6 +118,7 @@
             wakeups: Vec::new(),
             iteration_handlers: Vec::new(),
             effects: Vec::new(),
+            polls: 0,
             is_deferred: false,
             stopped: false,
         })
@@ -365,6 +369,15 @@
     /// Dispatches an event of the poll to the socket that it belongs to.
     fn dispatch_event(&mut self, event: &mio::event::Event) {
         let token = event.token();
+        trace!(
+            poll = self.polls,
+            token = token.0,
+            is_readable = event.is_readable(),
+            is_writable = event.is_writable(),
+            is_read_closed = event.is_read_closed(),
+            is_error = event.is_error(),
+            "socket event"
+        );
         let mut io = IoContext {
             registry: self.poll.registry(),
             protocol: &mut self.protocol,
@@ -404,6 +417,7 @@
 
     fn dispatch(&mut self, now: i64) {
         self.now = now;
+        self.polls += 1;
         self.protocol.begin_iteration(now);
         if let Some(since) = self.lateness.end_poll(now) {
             self.earliest_arrival = since;
--- a/crates/controller/tests/rig/mod.rs
+++ b/crates/controller/tests/rig/mod.rs
@@ -20,13 +20,27 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 use wheelfield_fault_shim::FaultControl;
 use wheelfield_net::retry_interrupted;
 
 /// Limit for every wait, so that a failing test ends. No assertion depends on how long a wait takes.
 pub const TIMEOUT: Duration = Duration::from_secs(30);
 
+/// What a program logs whose log is printed only if its test fails: the events of each poll, and what became of each request.
+const LOG_FILTER: &str = "info,wheelfield_platform=debug,wheelfield_controller::event_loop=trace";
+/// Number of lines of the log that are printed if a test fails.
+const PRINTED_LOG_LINES: usize = 400;
+
+/// Prints what a test does, with the time of day in UTC, for comparison with the log of the program if the test fails.
+fn print_step(step: &str) {
+    let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    let now = now.unwrap_or_default();
+    let (hours, minutes) = (now.as_secs() / 3_600 % 24, now.as_secs() / 60 % 60);
+    let (seconds, micros) = (now.as_secs() % 60, now.subsec_micros());
+    println!("{hours:02}:{minutes:02}:{seconds:02}.{micros:06} test: {step}");
+}
+
 /// Waits until a condition holds; panics after [`TIMEOUT`].
 pub fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
     let started = Instant::now();
@@ -92,6 +106,9 @@
 
 impl Drop for Program {
     fn drop(&mut self) {
+        if std::thread::panicking() {
+            self.print_state();
+        }
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
@@ -110,11 +127,11 @@
     /// Starts the program without waiting until it is ready.
     pub fn spawn(config: &serde_json::Value) -> Program {
         let mut command = Command::new(env!("CARGO_BIN_EXE_wheelfield-controller"));
-        command.args(["platform", "--log", "warn"]);
-        Program::spawn_command(command, config, false)
+        command.args(["platform", "--log", LOG_FILTER]);
+        Program::spawn_command(command, config)
     }
 
-    /// Like [`Program::start`], with a limit of open file descriptors and with its log kept for [`Program::log`].
+    /// Like [`Program::start`], with a limit of open file descriptors. Only warnings are logged.
     pub fn start_with_descriptors(config: &serde_json::Value, limit: usize) -> Program {
         let mut command = Command::new("sh");
         command.args(["-c", "ulimit -n \"$1\" && exec \"$0\" platform --log warn"]);
@@ -122,14 +139,14 @@
             env!("CARGO_BIN_EXE_wheelfield-controller"),
             &limit.to_string(),
         ]);
-        let program = Program::spawn_command(command, config, true);
+        let program = Program::spawn_command(command, config);
         wait_until("status 200 from /health", || {
             program.health().is_some_and(|status| status == 200)
         });
         program
     }
 
-    /// Like [`Program::start`], with the faults of a [`FaultControl`] and with its log kept for [`Program::log`].
+    /// Like [`Program::start`], with the faults of a [`FaultControl`].
     pub fn start_with_faults(config: &serde_json::Value, faults: &FaultControl) -> Program {
         let program = Program::spawn_with_faults(config, faults);
         wait_until("status 200 from /health", || {
@@ -143,17 +160,17 @@
         let mut command = Command::new(env!("CARGO_BIN_EXE_wheelfield-controller"));
         command.args(["platform", "--log", "info"]);
         command.envs(faults.environment());
-        Program::spawn_command(command, config, true)
+        Program::spawn_command(command, config)
     }
 
     /// Starts the program with an existing configuration file, without waiting until it is ready.
     pub fn spawn_with_file(config: &serde_json::Value, file: &Path) -> Program {
         let mut command = Command::new(env!("CARGO_BIN_EXE_wheelfield-controller"));
         command.args(["platform", "--config"]).arg(file);
-        Program::spawn_command(command, config, true)
+        Program::spawn_command(command, config)
     }
 
-    fn spawn_command(mut command: Command, config: &serde_json::Value, keep_log: bool) -> Program {
+    fn spawn_command(mut command: Command, config: &serde_json::Value) -> Program {
         let dir = tempfile::tempdir().expect("a folder");
         let config_file = dir.path().join("config.json");
         std::fs::write(&config_file, config.to_string()).expect("written");
@@ -161,10 +178,9 @@
             .as_str()
             .and_then(|address| address.parse().ok())
             .expect("an address");
-        if keep_log {
-            command.stderr(std::fs::File::create(dir.path().join("log")).expect("a file"));
-        }
+        let log = std::fs::File::create(dir.path().join("log")).expect("a file");
         let child = command
+            .stderr(log)
             .env("LB_CONFIG", &config_file)
             .stdin(Stdio::null())
             .spawn()
@@ -177,11 +193,24 @@
         }
     }
 
-    /// Everything that the program has logged. Only available if it was started by a function that keeps its log.
+    /// Everything that the program has logged.
     pub fn log(&self) -> String {
         std::fs::read_to_string(self.dir.path().join("log")).expect("a file")
     }
 
+    /// Prints the sockets of the program and the end of its log, as evidence for a test that fails.
+    fn print_state(&self) {
+        for row in try_read_socket_table(self, "tcp").unwrap_or_default() {
+            if row.is_of_program {
+                println!("{row:?}");
+            }
+        }
+        let log = std::fs::read_to_string(self.dir.path().join("log")).unwrap_or_default();
+        let lines: Vec<&str> = log.lines().collect();
+        let skipped = lines.len().saturating_sub(PRINTED_LOG_LINES);
+        lines[skipped..].iter().for_each(|line| println!("{line}"));
+    }
+
     /// The status with which `/health` answers; `None` without an answer.
     pub fn health(&self) -> Option<u16> {
         let mut client = Client::try_connect(self.listen).ok()?;
@@ -205,6 +234,7 @@
                 .next()
                 .is_some_and(|rest| rest.starts_with('T'))
         });
+        print_step("program suspended");
     }
 
     /// Continues the program once everything that was sent to it has reached its sockets. Under load, the kernel delivers data on
@@ -212,6 +242,7 @@
     pub fn resume(&self) {
         wait_until("the delivery of all data sent", || self.has_received_all());
         self.signal(Signal::CONT);
+        print_step("program continued");
     }
 
     /// While the program is suspended, has `deliver` send a datagram to it, and waits until the datagram has arrived.
@@ -299,6 +330,7 @@
                 .count()
                 >= count
         });
+        print_step("connects in progress");
     }
 
     /// Waits until the program refuses new connections.
@@ -310,6 +342,7 @@
 }
 
 /// A socket as `/proc/net` lists it.
+#[derive(Debug)]
 struct SocketEntry {
     local: String,
     remote: String,
@@ -323,10 +356,13 @@
 
 /// All sockets of a protocol in the network namespace of the program.
 fn read_socket_table(program: &Program, protocol: &str) -> Vec<SocketEntry> {
+    try_read_socket_table(program, protocol).expect("Linux")
+}
+
+/// Like [`read_socket_table`]; fails if the program has exited.
+fn try_read_socket_table(program: &Program, protocol: &str) -> std::io::Result<Vec<SocketEntry>> {
     let proc_dir = PathBuf::from(format!("/proc/{}", program.child.id()));
-    let descriptors = std::fs::read_dir(proc_dir.join("fd"))
-        .expect("Linux")
-        .flatten();
+    let descriptors = std::fs::read_dir(proc_dir.join("fd"))?.flatten();
     let inodes: BTreeSet<String> = descriptors
         .filter_map(|d| std::fs::read_link(d.path()).ok())
         .filter_map(|to| {
@@ -339,7 +375,7 @@
         })
         .collect();
     let listens = format!(":{:04X}", program.listen.port());
-    let table = std::fs::read_to_string(proc_dir.join("net").join(protocol)).expect("Linux");
+    let table = std::fs::read_to_string(proc_dir.join("net").join(protocol))?;
     let read = |line: &str| {
         let words: Vec<&str> = line.split_whitespace().collect();
         let [_, local, remote, state, queues, _, _, _, _, inode, ..] = words[..] else {
@@ -356,7 +392,7 @@
                 || (protocol == "tcp" && local.ends_with(&listens)),
         })
     };
-    table.lines().filter_map(read).collect()
+    Ok(table.lines().filter_map(read).collect())
 }
 
 /// An HTTP client of the program.
@@ -366,7 +402,9 @@
 
 impl Client {
     pub fn connect(to: SocketAddr) -> Client {
-        Client::try_connect(to).expect("connected")
+        let client = Client::try_connect(to).expect("connected");
+        print_step("client connected");
+        client
     }
 
     /// Connects with a small receive buffer, so that a response which the client does not read stays at the program.
@@ -744,6 +782,7 @@
         let bytes = dns_answer(&to.0, serial, executors)
             .to_vec()
             .expect("bytes");
+        print_step("list sent");
         self.socket.send_to(&bytes, to.1).expect("sent");
     }
 }
