platform: one slow answer of the name service does not delay the repetition of later queries

Cause: the delay between repetitions was at least twice the last round-trip time, up to 250 ms, and stayed so until the next answer. One answer that took long, here on a starved machine, halved the rate of all queries of the outage after it. Fix: the shortest of the last four round trips counts, so that only a name service that is slow throughout is asked less often. Module and adapter untouched.

--- a/crates/platform/src/list_freshness.rs
+++ b/crates/platform/src/list_freshness.rs
@@ -11,6 +11,8 @@
 pub const POLL_INTERVAL_US: i64 = 250_000;
 /// Time after which an unanswered query is first repeated, in microseconds, unless answers are known to take longer.
 const FIRST_RETRY_US: i64 = 50_000;
+/// Number of answers whose round-trip times tell whether the name service is slow: a second of regular queries.
+const ROUND_TRIPS: usize = 4;
 /// Maximum time after which an unanswered query is repeated, in microseconds. The time doubles with each unanswered query.
 const MAX_RETRY_US: i64 = 125_000;
 /// Time after which a query is repeated while requests are held, in microseconds, as answers may be lost or slow.
@@ -90,8 +92,10 @@
     last_query_at: i64,
     /// Number of queries since the last answer.
     unanswered: u32,
-    /// Time between the last answer and its query.
-    round_trip_us: i64,
+    /// Times between the last answers and their queries.
+    round_trips_us: [i64; ROUND_TRIPS],
+    /// Number of answers so far.
+    answers: usize,
     /// The current incident of queries that could not be sent, if any occurred since the last answer.
     unsent: Option<UnsentQueries>,
     /// The gap after which requests are being held, if any.
@@ -110,7 +114,8 @@
             last_active_at: read_at,
             last_query_at: read_at,
             unanswered: 0,
-            round_trip_us: 0,
+            round_trips_us: [0; ROUND_TRIPS],
+            answers: 0,
             unsent: None,
             gap: None,
             max_list_age_us: drain_grace_us,
@@ -178,7 +183,8 @@
     pub fn record_answer(&mut self, now: i64, query_sent_at: i64) -> Option<GapOutcome> {
         self.unanswered = 0;
         self.unsent = None;
-        self.round_trip_us = now - query_sent_at;
+        self.round_trips_us[self.answers % ROUND_TRIPS] = now - query_sent_at;
+        self.answers = self.answers.wrapping_add(1);
         self.confirmed_at = self.confirmed_at.max(query_sent_at);
         self.gap.take_if(|gap| query_sent_at >= gap.ended_at)?;
         Some(GapOutcome::Confirmed)
@@ -205,11 +211,13 @@
         self.last_query_at + delay_us
     }
 
-    /// The delay before the next repetition of an unanswered query. It is at least twice the last round-trip time (up to the usual
-    /// interval), so that a slow or overloaded name service is not queried more often than usual.
+    /// The delay before the next repetition of an unanswered query. It is at least twice the shortest of the last round-trip times (up
+    /// to the usual interval), so that a slow or overloaded name service is not queried more often than usual, and a single slow answer
+    /// delays nothing.
     fn retry_delay_us(&self, retries: u32) -> i64 {
         let doublings = retries.min(i64::BITS / 4);
         let delay_us = (FIRST_RETRY_US << doublings).min(MAX_RETRY_US);
-        delay_us.max((2 * self.round_trip_us).min(POLL_INTERVAL_US))
+        let round_trip_us = self.round_trips_us.into_iter().min().unwrap_or(0);
+        delay_us.max((2 * round_trip_us).min(POLL_INTERVAL_US))
     }
 }
--- a/crates/platform/tests/list_age.rs
+++ b/crates/platform/tests/list_age.rs
@@ -313,3 +313,18 @@
     }
     assert!(queries_within(&mut harness, SECOND) <= 4);
 }
+
+/// After one answer that took long, as on a machine that is briefly short of CPU time, unanswered queries were repeated at half the
+/// usual rate until the next answer. With 14 answers lost in a row, requests went to an executor past its grace period.
+#[test]
+fn a_single_slow_answer_does_not_delay_the_repetition_of_unanswered_queries() {
+    let mut harness = Harness::new(1);
+    for answer_delay_ms in [0, 0, 0, 0, 120] {
+        let query = harness.next_discovery_query();
+        harness.advance(answer_delay_ms * MILLISECOND);
+        harness.receive_discovery_answer(&dns_answer(&query, 3, &[("e1", 1, 0)]));
+    }
+    harness.advance(250 * MILLISECOND);
+    let queries = queries_within(&mut harness, 2 * SECOND);
+    assert!(queries >= 14, "{queries} queries");
+}
