platform: a waiting request is answered at its deadline even if the wait is extended

Seen: six suspensions of 1.2 s with 0.1 s between them and a name service that answers after 150 ms: all 12 clients waited up to 10.9 s for the answer to a request with a timeout of 3 s. Cause: the timer for a held request's deadline was set only if the deadline came before the end of the hold as known then. A further suspension moves that end, again and again, and nothing answered the requests whose deadlines passed meanwhile. Fix: the timer is always set. Elsewhere: timers of shutdown, connects and delayed attempts are set from their own times. Module and adapter untouched.

--- a/crates/platform/src/dispatcher/held_requests.rs
+++ b/crates/platform/src/dispatcher/held_requests.rs
@@ -95,16 +95,15 @@
 
     /// Holds a request if new requests are held and its deadline has not passed; otherwise returns it.
     pub(super) fn hold_if_list_too_old(&mut self, request: HeldRequest) -> Option<HeldRequest> {
-        let Some(until) = self.list_freshness.hold_until() else {
+        if !self.is_holding_requests() {
             return Some(request);
-        };
+        }
         let deadline = self.held_request_deadline(&request);
         if deadline <= self.out.now {
             return Some(request);
         }
-        if deadline < until {
-            self.out.set_timer_at(deadline, TimerEvent::ExpireHeld);
-        }
+        // Set even if the hold is to end sooner, as a further gap would extend it.
+        self.out.set_timer_at(deadline, TimerEvent::ExpireHeld);
         self.held_requests.push(request);
         None
     }
--- a/crates/platform/tests/list_age.rs
+++ b/crates/platform/tests/list_age.rs
@@ -328,3 +328,23 @@
     let queries = queries_within(&mut harness, 2 * SECOND);
     assert!(queries >= 14, "{queries} queries");
 }
+
+/// Each of several suspensions in a row began the wait for the name service anew. Requests whose deadline had passed meanwhile stayed
+/// unanswered until the wait was over, 10.9 s after they were sent in one case.
+#[test]
+fn a_waiting_request_is_answered_at_its_deadline_if_further_suspensions_extend_the_wait() {
+    for alive_ms in [50, 100, 200, 500] {
+        for suspended_ms in [300, 1_200, 3_000] {
+            let mut harness = resumed_harness(1);
+            let deadline = harness.now + 2 * SECOND;
+            let client = send_query(&mut harness, "load", 1, 2_000);
+            harness.advance(alive_ms * MILLISECOND);
+            while harness.now < deadline {
+                harness.now += suspended_ms * MILLISECOND;
+                harness.advance(alive_ms * MILLISECOND);
+            }
+            let case = format!("alive for {alive_ms} ms, suspended for {suspended_ms} ms");
+            assert_eq!(status_of(&mut harness, client), 503, "{case}");
+        }
+    }
+}
