tests: a socket of the rig is closed while no process is being started

Seen: a_connect_that_no_query_needs_... once found the request of a client that had closed its connection (id 0) at an executor; a_disconnect_behind_many_other_events_... failed once. Cause: a child process has a copy of every descriptor of its parent until it executes its program. A client that one test closes while another test of the same program starts a process stays connected until then: close() returns and no FIN is sent. The rig started a process for each signal. Its check before a continuation could not see it, as the client's end still looks open. Fix: processes are started, and sockets closed, under a lock: when the start returns, the child shares nothing. The rig skips TIME_WAIT rows.

--- a/crates/controller/tests/platform.rs
+++ b/crates/controller/tests/platform.rs
@@ -4,7 +4,7 @@
 use rig::*;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
-use std::process::Command;
+use std::process::{Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
@@ -174,19 +174,17 @@
     for text in ["{", "{\"name\": 1}"] {
         std::fs::write(&file, text).expect("write the file");
         let mut command = Command::new(env!("CARGO_BIN_EXE_wheelfield-controller"));
-        let output = command
+        command
             .args(["platform", "--check", "--config"])
             .arg(&file)
-            .output()
-            .expect("run the program");
+            .stderr(Stdio::piped());
+        let child = start_process(&mut command).expect("run the program");
+        let output = child.wait_with_output().expect("a child");
         assert_eq!(output.status.code(), Some(2));
         assert!(String::from_utf8_lossy(&output.stderr).contains("config.json"));
     }
     let mut command = Command::new(env!("CARGO_BIN_EXE_wheelfield-controller"));
-    let output = command
-        .arg("platform")
-        .env_remove("LB_CONFIG")
-        .output()
-        .expect("run the program");
-    assert_eq!(output.status.code(), Some(2));
+    command.arg("platform").env_remove("LB_CONFIG");
+    let mut child = start_process(&mut command).expect("run the program");
+    assert_eq!(child.wait().expect("a child").code(), Some(2));
 }
--- a/crates/controller/tests/rig/mod.rs
+++ b/crates/controller/tests/rig/mod.rs
@@ -6,8 +6,11 @@
 #![allow(dead_code)]
 
 mod serving;
+mod unshared;
 #[allow(unused_imports)]
 pub use serving::*;
+#[allow(unused_imports)]
+pub use unshared::{start_process, Unshared};
 
 use hickory_proto::op::{Message, MessageType, OpCode};
 use hickory_proto::rr::rdata::{A, SOA, SRV, TXT};
@@ -30,7 +33,7 @@
 /// What a program logs whose log is printed only if its test fails: the events of each poll, and what became of each request.
 const LOG_FILTER: &str = "info,wheelfield_platform=debug,wheelfield_controller::event_loop=trace";
 /// Number of lines of the log that are printed if a test fails.
-const PRINTED_LOG_LINES: usize = 400;
+const PRINTED_LOG_LINES: usize = 20_000;
 
 /// Prints what a test does, with the time of day in UTC, for comparison with the log of the program if the test fails.
 fn print_step(step: &str) {
@@ -341,6 +344,9 @@
     }
 }
 
+/// The state of a connection that has been closed, in `/proc/net/tcp`.
+const TIME_WAIT: &str = "06";
+
 /// A socket as `/proc/net` lists it.
 #[derive(Debug)]
 struct SocketEntry {
@@ -377,6 +383,10 @@
     let listens = format!(":{:04X}", program.listen.port());
     let table = std::fs::read_to_string(proc_dir.join("net").join(protocol))?;
     let read = |line: &str| {
+        // Other programs may leave many thousands of these.
+        if line.split_whitespace().nth(3) == Some(TIME_WAIT) {
+            return None;
+        }
         let words: Vec<&str> = line.split_whitespace().collect();
         let [_, local, remote, state, queues, _, _, _, _, inode, ..] = words[..] else {
             return None;
@@ -397,7 +407,7 @@
 
 /// An HTTP client of the program.
 pub struct Client {
-    stream: BufReader<TcpStream>,
+    stream: Unshared<BufReader<TcpStream>>,
 }
 
 impl Client {
@@ -425,7 +435,7 @@
         stream.set_read_timeout(Some(TIMEOUT))?;
         stream.set_nodelay(true)?;
         Ok(Client {
-            stream: BufReader::new(stream),
+            stream: Unshared::new(BufReader::new(stream)),
         })
     }
 
@@ -518,7 +528,7 @@
 
 /// An executor that accepts connections only when a test tells it to.
 pub struct Executor {
-    listener: TcpListener,
+    listener: Unshared<TcpListener>,
     pub address: SocketAddr,
 }
 
@@ -541,7 +551,7 @@
         (
             executor,
             FullBacklog {
-                _occupant: occupant,
+                _occupant: Unshared::new(occupant),
             },
         )
     }
@@ -552,7 +562,10 @@
             .set_read_timeout(Some(TIMEOUT))
             .expect("a socket");
         let address = listener.local_addr().expect("bound");
-        Executor { listener, address }
+        Executor {
+            listener: Unshared::new(listener),
+            address,
+        }
     }
 
     /// Accepts the next connection.
@@ -564,8 +577,10 @@
     /// Fills the accept queue again after it was freed.
     pub fn fill_backlog(&self) -> FullBacklog {
         FullBacklog {
-            _occupant: TcpStream::connect(self.address)
-                .expect("the accept queue has room for one connection"),
+            _occupant: Unshared::new(
+                TcpStream::connect(self.address)
+                    .expect("the accept queue has room for one connection"),
+            ),
         }
     }
 
@@ -609,7 +624,7 @@
 
 /// The connection that fills the accept queue of an executor.
 pub struct FullBacklog {
-    _occupant: TcpStream,
+    _occupant: Unshared<TcpStream>,
 }
 
 impl FullBacklog {
@@ -647,8 +662,8 @@
 
 /// A connection accepted by an executor.
 pub struct ExecutorConnection {
-    stream: TcpStream,
-    reader: BufReader<TcpStream>,
+    stream: Unshared<TcpStream>,
+    reader: Unshared<BufReader<TcpStream>>,
 }
 
 impl ExecutorConnection {
@@ -656,7 +671,10 @@
         stream.set_nodelay(true).expect("a socket");
         stream.set_read_timeout(Some(TIMEOUT)).expect("a socket");
         let reader = BufReader::new(stream.try_clone().expect("a socket"));
-        ExecutorConnection { stream, reader }
+        ExecutorConnection {
+            stream: Unshared::new(stream),
+            reader: Unshared::new(reader),
+        }
     }
 
     /// Reads the next line; `None` once the connection has ended.
@@ -723,7 +741,7 @@
 
     /// Resets the connection.
     pub fn reset(self) {
-        socket2::SockRef::from(&self.stream)
+        socket2::SockRef::from(&*self.stream)
             .set_linger(Some(Duration::ZERO))
             .expect("a socket");
     }
@@ -731,7 +749,7 @@
 
 /// A name service that answers only when a test tells it to.
 pub struct NameService {
-    socket: UdpSocket,
+    socket: Unshared<UdpSocket>,
     pub address: SocketAddr,
 }
 
@@ -750,7 +768,10 @@
     pub fn new() -> NameService {
         let socket = UdpSocket::bind("127.0.0.1:0").expect("a port");
         let address = socket.local_addr().expect("bound");
-        NameService { socket, address }
+        NameService {
+            socket: Unshared::new(socket),
+            address,
+        }
     }
 
     /// Receives the next query.
--- /dev/null
+++ b/crates/controller/tests/rig/unshared.rs
@@ -0,0 +1,51 @@
+//! Sockets that no child process shares when they are closed.
+//!
+//! A child process has a copy of each descriptor of its parent until it executes its program, however they are opened. A socket
+//! that one thread closes while another starts a process stays open until then, tens of milliseconds on a busy machine, and its
+//! peer learns of the close only afterwards.
+
+use std::io;
+use std::ops::{Deref, DerefMut};
+use std::process::{Child, Command};
+use std::sync::{PoisonError, RwLock};
+
+/// Locked for writing while a process is started, and for reading while a socket is closed.
+static PROCESS_START: RwLock<()> = RwLock::new(());
+
+/// Starts a process. When this returns, the process has executed its program and shares no socket.
+pub fn start_process(command: &mut Command) -> io::Result<Child> {
+    let _starting = PROCESS_START
+        .write()
+        .unwrap_or_else(PoisonError::into_inner);
+    command.spawn()
+}
+
+/// A socket that is closed while no process is being started.
+pub struct Unshared<T>(Option<T>);
+
+impl<T> Unshared<T> {
+    pub fn new(socket: T) -> Unshared<T> {
+        Unshared(Some(socket))
+    }
+}
+
+impl<T> Deref for Unshared<T> {
+    type Target = T;
+
+    fn deref(&self) -> &T {
+        self.0.as_ref().expect("taken only when dropped")
+    }
+}
+
+impl<T> DerefMut for Unshared<T> {
+    fn deref_mut(&mut self) -> &mut T {
+        self.0.as_mut().expect("taken only when dropped")
+    }
+}
+
+impl<T> Drop for Unshared<T> {
+    fn drop(&mut self) {
+        let _closing = PROCESS_START.read().unwrap_or_else(PoisonError::into_inner);
+        drop(self.0.take());
+    }
+}
--- a/crates/controller/tests/system_faults.rs
+++ b/crates/controller/tests/system_faults.rs
@@ -249,11 +249,9 @@
     let config = config(unused_address(), &[("e1", executor)], name_service.address);
     let dir = tempfile::tempdir().expect("a folder");
     let (pipe, file) = (dir.path().join("config"), dir.path().join("file"));
-    assert!(std::process::Command::new("mkfifo")
-        .arg(&pipe)
-        .status()
-        .expect("mkfifo")
-        .success());
+    let mut mkfifo = start_process(std::process::Command::new("mkfifo").arg(&pipe));
+    let status = mkfifo.as_mut().expect("mkfifo").wait().expect("a child");
+    assert!(status.success());
     let mut program = Program::spawn_with_file(&config, &pipe);
     // Opening a pipe for writing waits for its reader.
     let mut writer = std::fs::File::options()
