soak: a process is killed no sooner after SIGTERM than the platform does

The platform promises the time from the signal on. Fix: signals are sent by a system call, and the time runs from when that has returned.

--- a/crates/soak/src/controller.rs
+++ b/crates/soak/src/controller.rs
@@ -5,6 +5,7 @@
 use crate::name_service::List;
 use crate::settings::settings;
 use anyhow::{Context as _, Result};
+use rustix::process::{kill_process, Pid, Signal};
 use serde_json::{json, Value};
 use std::fs::File;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
@@ -241,10 +242,13 @@
     pub fn terminate(&mut self) -> Result<()> {
         let now = self.ledger.now();
         self.state.terminated_at.fetch_min(now, Ordering::SeqCst);
-        self.kill_at = self.kill_at.min(now + self.max_timeout_us + KILL_DELAY_US);
         self.ledger
             .record_controller(self.index, ControllerChange::Terminated);
-        self.signal("-TERM")
+        self.signal(Signal::TERM)?;
+        let signalled_at = self.ledger.now();
+        let kill_at = signalled_at + self.max_timeout_us + KILL_DELAY_US;
+        self.kill_at = self.kill_at.min(kill_at);
+        Ok(())
     }
 
     /// Kills the process.
@@ -270,7 +274,7 @@
         self.write_config(list)?;
         self.ledger
             .record_controller(self.index, ControllerChange::Reloaded);
-        self.signal("-HUP")
+        self.signal(Signal::HUP)
     }
 
     /// Suspends the process.
@@ -281,7 +285,7 @@
         self.suspended_at = Some(self.ledger.now());
         self.ledger
             .record_controller(self.index, ControllerChange::Suspended);
-        self.signal("-STOP")
+        self.signal(Signal::STOP)
     }
 
     /// Resumes the process, if it is suspended.
@@ -292,7 +296,7 @@
         if self.suspended_at.take().is_none() {
             return Ok(());
         }
-        let resumed = self.signal("-CONT");
+        let resumed = self.signal(Signal::CONT);
         self.ledger
             .record_controller(self.index, ControllerChange::Resumed);
         resumed
@@ -337,7 +341,7 @@
         };
         self.state.generation.fetch_add(1, Ordering::SeqCst);
         let kill_at = self.ledger.now() + self.max_timeout_us + 2 * KILL_DELAY_US;
-        send_signal("-TERM", child.id())?;
+        send_signal(&child, Signal::TERM)?;
         while self.ledger.now() < kill_at {
             if child.try_wait()?.is_some() {
                 return Ok(());
@@ -349,9 +353,9 @@
         Ok(())
     }
 
-    fn signal(&self, name: &str) -> Result<()> {
+    fn signal(&self, signal: Signal) -> Result<()> {
         match &self.child {
-            Some(child) => send_signal(name, child.id()),
+            Some(child) => send_signal(child, signal),
             None => Ok(()),
         }
     }
@@ -371,12 +375,8 @@
     dir.join(format!("controller-{index}.log"))
 }
 
-fn send_signal(name: &str, process: u32) -> Result<()> {
-    // A process that has just ended cannot be signalled; `kill` fails then, which is ignored.
-    Command::new("kill")
-        .args([name, &process.to_string()])
-        .stderr(Stdio::null())
-        .status()
-        .context("cannot run kill")?;
-    Ok(())
+/// Sends a signal to a process that has not been waited for yet. No other process is started for it, as that takes long on a busy
+/// machine, while the time until the process is killed runs.
+fn send_signal(child: &Child, signal: Signal) -> Result<()> {
+    kill_process(Pid::from_child(child), signal).context("cannot send a signal")
 }
