soak: clients shut their connections down when they disconnect

Change: a client shuts its connection down before it closes it, which sends the FIN whoever has a copy. Proxies and executors do so already. By reading; no violation of the soak is traced to it.

--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -8,7 +8,7 @@
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
 use std::io::{self, BufReader, Write as _};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::thread;
@@ -299,6 +299,14 @@
     }
 }
 
+impl Drop for Connection {
+    /// Shuts the connection down. Closing it is not enough: a process that is being started has a copy of the socket until it has
+    /// executed its program, and the connection stays open until then.
+    fn drop(&mut self) {
+        let _ = self.reader.get_ref().shutdown(Shutdown::Both);
+    }
+}
+
 impl Connection {
     /// Sends a request.
     fn send(
