platform: a client whose request can't be read for 2 s is not closed for sending none

Seen: with reads that fail for lack of memory for more than 2 s, a client that had sent its request at once was closed without an answer (408 had part of it been read), as its connection counted as one that sends nothing. Cause: the event loop repeats such reads, but the gateway did not know of them; its time for receiving a request ran on. Fix: the event loop reports a read that fails for the moment; the time stands still until a read succeeds, and starts anew then. The idle time of 30 s and eviction still bound such connections. Elsewhere: deadlines count from the arrival already; accepts that fail leave the client in the backlog; the PostgreSQL side has no such time for a session's query. Measured: the case of 2.5 s, new in the test of unreadable requests, failed before (closed), passes now; all 90 tests of platform and 4 of suspended_process pass.

--- a/crates/controller/src/event_loop/connections.rs
+++ b/crates/controller/src/event_loop/connections.rs
@@ -148,6 +148,7 @@
                 Err(error) if is_transient(&error) => {
                     connection.read_failing_since.get_or_insert(io.now);
                     self.schedule_retry(id, io.now);
+                    io.protocol.handle_read_delay(io.now, id);
                     self.read_buffer = buffer;
                     return;
                 }
--- a/crates/controller/tests/suspended_process.rs
+++ b/crates/controller/tests/suspended_process.rs
@@ -82,11 +82,12 @@
 /// A connection with a request cannot be accepted or read for a while.
 #[test]
 fn the_deadline_of_an_attempt_counts_the_time_for_which_its_request_could_not_be_read() {
-    // A connection from which nothing can be read for two seconds is closed, like any connection that sends nothing.
     for (call, errno, failing_ms) in [
         (Call::Accept, Errno::TooManyFiles, SUSPENDED_MS),
         (Call::Accept, Errno::ConnectionAborted, SUSPENDED_MS),
         (Call::ReadAccepted, Errno::NoMemory, 1_500),
+        // Longer than the time within which a request must be received.
+        (Call::ReadAccepted, Errno::NoMemory, SUSPENDED_MS),
     ] {
         let (executor, name_service) = (Executor::new(), AutomaticNameService::new(1, &[]));
         let faults = FaultControl::new().expect("a control file");
--- a/crates/platform/src/clients/connection.rs
+++ b/crates/platform/src/clients/connection.rs
@@ -65,6 +65,8 @@
     pub has_unread_input: bool,
     /// Arrival times of the bytes in the input buffer.
     pub arrival_times: ArrivalTimes,
+    /// Whether the last read failed for the moment, so that a request may have arrived that can't be received.
+    pub is_read_delayed: bool,
     /// Time since which reading is paused because the input buffer is full, in microseconds.
     pub read_paused_since: Option<i64>,
 }
@@ -106,6 +108,7 @@
             last_write_progress_at: now,
             has_unread_input: false,
             arrival_times: ArrivalTimes::default(),
+            is_read_delayed: false,
             read_paused_since: None,
         }
     }
@@ -173,7 +176,8 @@
                 Some(ExpiredTimeout::Close(CloseReason::WriteStalled))
             }
             ClientState::AwaitingRequest
-                if request_due_since.is_some_and(|since| now - since > REQUEST_TIMEOUT_US) =>
+                if !self.is_read_delayed
+                    && request_due_since.is_some_and(|since| now - since > REQUEST_TIMEOUT_US) =>
             {
                 match self.request_started_at {
                     Some(_) => Some(ExpiredTimeout::RejectRequest),
--- a/crates/platform/src/clients/mod.rs
+++ b/crates/platform/src/clients/mod.rs
@@ -135,6 +135,24 @@
         }
     }
 
+    /// Records that a read on a connection fails for the moment, so that a request which has arrived can't be received.
+    pub fn begin_read_delay(&mut self, id: ConnId) {
+        if let Some(client) = self.connections.get_mut(id) {
+            client.is_read_delayed = true;
+        }
+    }
+
+    /// Records that reads on a connection succeed again. The time within which a request must be received starts anew.
+    pub fn end_read_delay(&mut self, id: ConnId, now: i64) {
+        let Some(client) = self.connections.get_mut(id) else {
+            return;
+        };
+        if std::mem::take(&mut client.is_read_delayed) {
+            client.last_active_at = now;
+            client.request_started_at = client.request_started_at.map(|_| now);
+        }
+    }
+
     /// Records that `count` bytes of output were written. If the client has closed its side, the connection is closed after the
     /// last byte.
     pub fn bytes_written(&mut self, id: ConnId, count: usize, out: &mut EffectQueue<TimerEvent>) {
--- a/crates/platform/src/gateway.rs
+++ b/crates/platform/src/gateway.rs
@@ -82,6 +82,7 @@
         };
         buffer.receive(bytes);
         if id.owner() == clients::OWNER {
+            self.end_read_delay(id);
             let arrived_at = self.dispatcher.arrival_time();
             self.dispatcher
                 .clients
@@ -95,9 +96,15 @@
             return;
         };
         buffer.read_closed = true;
+        self.end_read_delay(id);
         self.handle_input(id);
     }
 
+    fn end_read_delay(&mut self, id: ConnId) {
+        let Dispatcher { out, clients, .. } = &mut self.dispatcher;
+        clients.end_read_delay(id, out.now);
+    }
+
     fn handle_client_closing(&mut self, id: ConnId) {
         let Some(buffer) = self.buffer(id) else {
             return;
@@ -156,6 +163,13 @@
         }
     }
 
+    fn handle_read_delay(&mut self, now: i64, id: ConnId) {
+        self.dispatcher.set_time(now);
+        if id.owner() == clients::OWNER {
+            self.dispatcher.clients.begin_read_delay(id);
+        }
+    }
+
     fn handle_datagram_send_failure(&mut self, now: i64, socket: DatagramSocket) {
         self.dispatcher.set_time(now);
         if socket == DatagramSocket::Discovery {
--- a/crates/sans-io/src/protocol.rs
+++ b/crates/sans-io/src/protocol.rs
@@ -63,6 +63,11 @@
     }
     /// Handles an event on a socket.
     fn handle_io(&mut self, now: i64, event: IoEvent<'_>);
+    /// Handles a read on a connection that failed for the moment, because the system is short of memory. It is repeated until it
+    /// succeeds or the connection fails; data may have arrived meanwhile.
+    fn handle_read_delay(&mut self, now: i64, id: ConnId) {
+        let _ = (now, id);
+    }
     /// Handles the failure to send a datagram because of an error on this host.
     fn handle_datagram_send_failure(&mut self, now: i64, socket: DatagramSocket) {
         let _ = (now, socket);
