sans-io: heads over the limit and Content-Lengths that differ are errors, however they arrive

Seen, by new tests: a head of over 8 KiB that came in one piece was accepted and one that came in two was not; a second Content-Length was ignored, so that a proxy and we could differ about where a message ends; '+2' was taken for a number. Cause: the limit was checked for incomplete heads only, and the first header of a name was taken. Fix: the limit holds for complete heads too; Content-Lengths must be digits and equal (RFC 9112, 6.3).

--- a/crates/sans-io/src/http.rs
+++ b/crates/sans-io/src/http.rs
@@ -6,7 +6,7 @@
 
 /// Maximum number of headers of a message; a message with more is malformed.
 const MAX_HEADERS: usize = 32;
-/// Maximum number of bytes received of a start line and headers that are not complete yet.
+/// Maximum size of a start line and headers in bytes, however they arrive.
 const MAX_HEAD_BYTES: usize = 8 << 10;
 
 /// The reason why a message cannot be parsed.
@@ -68,22 +68,15 @@
     buf: &mut BytesMut,
     max_body_bytes: usize,
 ) -> Result<Option<Bytes>, HttpError> {
-    let header_value = |name: &str| {
-        headers
-            .iter()
-            .find(|h| h.name.eq_ignore_ascii_case(name))
-            .map(|h| h.value)
-    };
-    if header_value("transfer-encoding").is_some() {
+    if head_length > MAX_HEAD_BYTES {
+        return Err(HttpError::TooLong(MAX_HEAD_BYTES));
+    }
+    let is_encoded =
+        |header: &httparse::Header<'_>| header.name.eq_ignore_ascii_case("transfer-encoding");
+    if headers.iter().any(is_encoded) {
         return Err(HttpError::UnsupportedTransferEncoding);
     }
-    let length = match header_value("content-length") {
-        None => 0,
-        Some(value) => std::str::from_utf8(value)
-            .ok()
-            .and_then(|v| v.trim().parse::<usize>().ok())
-            .ok_or_else(|| HttpError::Malformed("a content-length that is no number".into()))?,
-    };
+    let length = content_length(headers)?;
     if length > max_body_bytes {
         return Err(HttpError::TooLong(max_body_bytes));
     }
@@ -94,6 +87,31 @@
     Ok(Some(buf.split_to(length).freeze()))
 }
 
+/// Returns the value of the Content-Length headers, zero without one. Several must be equal (RFC 9112, 6.3).
+fn content_length(headers: &[httparse::Header<'_>]) -> Result<usize, HttpError> {
+    let mut length = None;
+    for header in headers {
+        if !header.name.eq_ignore_ascii_case("content-length") {
+            continue;
+        }
+        let value = parse_content_length(header.value)?;
+        if length.is_some_and(|earlier| earlier != value) {
+            return Err(HttpError::Malformed("content-lengths that differ".into()));
+        }
+        length = Some(value);
+    }
+    Ok(length.unwrap_or(0))
+}
+
+fn parse_content_length(value: &[u8]) -> Result<usize, HttpError> {
+    std::str::from_utf8(value)
+        .ok()
+        .map(str::trim)
+        .filter(|digits| digits.bytes().all(|byte| byte.is_ascii_digit()))
+        .and_then(|digits| digits.parse().ok())
+        .ok_or_else(|| HttpError::Malformed("a content-length that is no number".into()))
+}
+
 /// Rejects an incomplete head that exceeds [`MAX_HEAD_BYTES`].
 fn check_incomplete_head(buf: &BytesMut) -> Result<(), HttpError> {
     if buf.len() > MAX_HEAD_BYTES {
