tests: programs of the rig are started under the lock as well

Beside it, Linux lets the parent go on shortly before the child's descriptors close. Evidence, from the log that the rig prints: list sent 17:34:03.420; list read .4207; all 16 attempts cancelled, as their executor drains, and retried at the new one .4214; id 0 written .4219; the disconnects of all 16 clients arrive at .7103 to .7110, together, as the delayed child executes its program. Fix: spawn_command takes the lock, and start_process waits until the child has its own command line.

--- a/crates/controller/tests/rig/mod.rs
+++ b/crates/controller/tests/rig/mod.rs
@@ -182,12 +182,11 @@
             .and_then(|address| address.parse().ok())
             .expect("an address");
         let log = std::fs::File::create(dir.path().join("log")).expect("a file");
-        let child = command
-            .stderr(log)
+        command
             .env("LB_CONFIG", &config_file)
             .stdin(Stdio::null())
-            .spawn()
-            .expect("the program");
+            .stderr(log);
+        let child = start_process(&mut command).expect("the program");
         Program {
             child,
             listen,
--- a/crates/controller/tests/rig/unshared.rs
+++ b/crates/controller/tests/rig/unshared.rs
@@ -17,7 +17,18 @@
     let _starting = PROCESS_START
         .write()
         .unwrap_or_else(PoisonError::into_inner);
-    command.spawn()
+    let mut child = command.spawn()?;
+    // Linux lets this process go on just before it closes the descriptors of the child, which has its own command line after that.
+    let own_command_line = std::fs::read("/proc/self/cmdline")?;
+    let command_line = format!("/proc/{}/cmdline", child.id());
+    while child.try_wait()?.is_none() {
+        let current = std::fs::read(&command_line)?;
+        if !current.is_empty() && current != own_command_line {
+            break;
+        }
+        std::thread::yield_now();
+    }
+    Ok(child)
 }
 
 /// A socket that is closed while no process is being started.
