controller: the time of a request counts from a suspension before a failing accept or read

Cause: the request arrived during a suspension, after which accepts failed for 0.3 s. Times of waiting behind failing accepts and reads began with the first failure, although the backlog may be as old as the suspension. Fix: both times begin with the earliest arrival of the iteration, which knows of the suspension. Elsewhere: reads paused for a full buffer keep the earlier of both times already; SIGTERM counts from the earliest arrival.

--- a/crates/controller/src/event_loop/acceptor.rs
+++ b/crates/controller/src/event_loop/acceptor.rs
@@ -103,10 +103,10 @@
                     return Remaining::Nothing;
                 }
                 Err(error) if affects_single_connection(error.kind()) => {
-                    self.record_failure(&error, io.now);
+                    self.record_failure(&error, io.earliest_arrival);
                 }
                 Err(error) => {
-                    self.retry_later(&error, io.now);
+                    self.retry_later(&error, io);
                     return Remaining::Possibly;
                 }
             }
@@ -146,9 +146,9 @@
     }
 
     /// Leaves the connections in the backlog and schedules a later accept, because the system is out of descriptors or memory.
-    fn retry_later(&mut self, error: &io::Error, now: i64) {
-        self.record_failure(error, now);
-        self.accept_at = Some(now + self.retry_delay());
+    fn retry_later(&mut self, error: &io::Error, io: &IoContext<'_>) {
+        self.record_failure(error, io.earliest_arrival);
+        self.accept_at = Some(io.now + self.retry_delay());
     }
 
     fn retry_delay(&self) -> i64 {
@@ -158,10 +158,11 @@
         }
     }
 
-    fn record_failure(&mut self, error: &io::Error, now: i64) {
+    /// Records a failure. The connections in the backlog arrived at `earliest_arrival` at the earliest.
+    fn record_failure(&mut self, error: &io::Error, earliest_arrival: i64) {
         if self.failing_since.is_none() {
             warn!(%error, listener = ?self.listener, "accept failed; retrying");
-            self.failing_since = Some(now);
+            self.failing_since = Some(earliest_arrival);
         }
     }
 }
--- a/crates/controller/src/event_loop/connections.rs
+++ b/crates/controller/src/event_loop/connections.rs
@@ -146,7 +146,8 @@
                     });
                 }
                 Err(error) if is_transient(&error) => {
-                    connection.read_failing_since.get_or_insert(io.now);
+                    let since = io.earliest_arrival;
+                    connection.read_failing_since.get_or_insert(since);
                     self.schedule_retry(id, io.now);
                     io.protocol.handle_read_delay(io.now, id);
                     self.read_buffer = buffer;
--- a/crates/controller/tests/suspended_process.rs
+++ b/crates/controller/tests/suspended_process.rs
@@ -114,6 +114,45 @@
     }
 }
 
+/// The request arrives during a suspension, after which it can't be accepted or read for a while. Its time counted from the end of the
+/// suspension only.
+#[test]
+fn the_deadline_of_an_attempt_counts_a_suspension_before_its_request_could_not_be_read() {
+    const FAILING_MS: u64 = 400;
+    for (call, errno) in [
+        (Call::Accept, Errno::FileTableOverflow),
+        (Call::Accept, Errno::ConnectionAborted),
+        (Call::ReadAccepted, Errno::NoMemory),
+    ] {
+        let executor = Executor::new();
+        let name_service = AutomaticNameService::new(1, &[ready("e1", executor.address)]);
+        let faults = FaultControl::new().expect("a control file");
+        let config = config(
+            unused_address(),
+            &[("e1", executor.address)],
+            name_service.address,
+        );
+        let program = Program::start_with_faults(&config, &faults);
+        program.suspend();
+        faults.fail(call, errno, ALWAYS).expect("set");
+        let mut client = Client::connect(program.listen);
+        client.send(&query_request_with_timeout("load", 1, TIMEOUT_MS));
+        std::thread::sleep(Duration::from_millis(SUSPENDED_MS));
+        program.resume();
+        std::thread::sleep(Duration::from_millis(FAILING_MS));
+        faults.succeed(call).expect("set");
+        let mut conn = executor.accept();
+        let request = conn.expect_request();
+        let limit = limit_of(&request);
+        assert!(
+            limit <= TIMEOUT_MS - SUSPENDED_MS - FAILING_MS + TOLERANCE_MS,
+            "limit {limit} ms: {call:?} {errno:?}"
+        );
+        conn.send(&hit_response(&request.id, "e1"));
+        assert_eq!(client.read_status(), 200);
+    }
+}
+
 /// The request is assigned to an executor at once and stays in the output buffer until its connection can be written.
 #[test]
 fn the_deadline_of_an_attempt_counts_the_time_for_which_it_could_not_be_written() {
