platform: page numbers of executors must be whole and not negative

Cause: numbers were parsed as fractions and cut off. Fix: counts are whole numbers, anything else is an invalid response, which closes its connection.

--- a/crates/platform/src/executor_protocol.rs
+++ b/crates/platform/src/executor_protocol.rs
@@ -110,6 +110,12 @@
             .ok()
             .filter(|x: &f64| x.is_finite())
     }
+
+    /// Returns the value of a field as a whole number; `None` if it is negative or has a fraction.
+    pub fn count_field(&self, name: &str) -> Option<usize> {
+        let value = self.numeric_field(name)?;
+        (value >= 0.0 && value.fract() == 0.0).then_some(value as usize)
+    }
 }
 
 /// The reason why received bytes are not a valid response. The bytes that follow can't be decoded either.
--- a/crates/platform/src/executors/responses.rs
+++ b/crates/platform/src/executors/responses.rs
@@ -183,13 +183,15 @@
         response: Response,
         now: i64,
     ) -> Result<ResponseEffect, ProtocolError> {
-        let pages = response.numeric_field("pages").unwrap_or(1.0);
-        if !(1.0..=MAX_PAGES as f64).contains(&pages)
-            || !result_pages::is_valid_page(&response.body)
-        {
+        let pages = match response.field("pages") {
+            None => 1,
+            Some(_) => response
+                .count_field("pages")
+                .ok_or(ProtocolError::InvalidLine)?,
+        };
+        if !(1..=MAX_PAGES).contains(&pages) || !result_pages::is_valid_page(&response.body) {
             return Err(ProtocolError::InvalidLine);
         }
-        let pages = pages as usize;
         let billed_work = response.numeric_field("cost").map(|ms| ms / 1e3);
         let report = parse_load_report(&response);
         if pages == 1 {
@@ -221,13 +223,9 @@
             return Ok(ResponseEffect::Unmatched);
         };
         let number = response
-            .numeric_field("page")
+            .count_field("page")
             .ok_or(ProtocolError::InvalidLine)?;
-        let Some(page) = result
-            .pages
-            .get_mut(number as usize)
-            .filter(|page| page.is_none())
-        else {
+        let Some(page) = result.pages.get_mut(number).filter(|page| page.is_none()) else {
             // A page that has already arrived, or whose number is out of range.
             return Ok(ResponseEffect::Unmatched);
         };
