--- a/crates/pg/src/client.rs
+++ b/crates/pg/src/client.rs
@@ -520,7 +520,7 @@
             backend_messages::put_data_row(row.iter().map(|v| Some(v.as_bytes())), out);
         }
         backend_messages::put_command_complete(&reply.tag, out);
-        if let Some((name, value)) = &reply.reported {
+        for (name, value) in &reply.reported {
             backend_messages::put_parameter_status(name, value, out);
         }
         Ok(())
--- a/crates/pg/tests/client_session.rs
+++ b/crates/pg/tests/client_session.rs
@@ -370,6 +370,23 @@
     assert!(session.is_closed());
 }
 
+/// A statement that replaced the unnamed one counted as one more, so that the limit was reached one too early.
+#[test]
+fn a_statement_that_replaces_another_does_not_count_against_the_limit() {
+    let limits = Limits { message_bytes: 1000, statements: 2, stored_bytes: 2000 };
+    let mut session = Session::new(limits, 1, 1);
+    let (mut input, mut out) = (BytesMut::new(), BytesMut::new());
+    frontend_messages::put_startup(&[("user", "u")], &mut input);
+    session.feed(&mut input, &mut out).expect("started");
+    out.clear();
+    for name in ["a", "", ""] {
+        put_parse(name, "select 1", &mut input);
+    }
+    put_sync(&mut input);
+    session.feed(&mut input, &mut out).expect("well-formed");
+    assert_eq!(tags(&out), "111Z");
+}
+
 fn answer_locally(session: &mut Session, input: &mut BytesMut) -> (String, String) {
     let mut out = BytesMut::new();
     let event = session.feed(input, &mut out).expect("well-formed");
