pg: a setting that returns to its default is reported, and SET x = DEFAULT resets it

Seen, by a new test: after RESET, RESET ALL or DISCARD ALL of a reported setting the client got no ParameterStatus, so that a driver went on by the old value; SET DateStyle = DEFAULT stored the word 'default'. Cause: only SET reported; DEFAULT without quotes was read as a value. Fix: a reset returns what changed for its reply; DEFAULT without quotes is a reset. Measured: all tests of pg pass. application_name still keeps the value of the last SET at RESET ALL, not that of the startup.

--- a/crates/pg/src/client.rs
+++ b/crates/pg/src/client.rs
@@ -548,7 +548,7 @@
         let size = parse_message.len() + text.len();
         let replaced = self.statements.get(&name).map_or(0, |s| s.parse_message.len() + s.text.len());
         if self.statement_bytes - replaced + size > self.limits.stored_bytes
-            || self.statements.len() >= self.limits.statements
+            || (self.statements.len() >= self.limits.statements && !self.statements.contains_key(&name))
         {
             let Limits { statements, stored_bytes, .. } = self.limits;
             let message = format!(
--- a/crates/pg/src/local_statements.rs
+++ b/crates/pg/src/local_statements.rs
@@ -56,8 +56,8 @@
     pub tag: String,
     /// Notices and warnings to send before the result.
     pub notices: Vec<Diagnostic>,
-    /// The name and the new value of a setting whose change is reported to the client.
-    pub reported: Option<(String, String)>,
+    /// The names and the new values of settings whose change is reported to the client.
+    pub reported: Vec<(String, String)>,
 }
 
 /// The settings of a session.
@@ -159,18 +159,14 @@
         match first {
             "set" => self.set(statement, rest),
             "reset" => {
-                if matches!(rest, "all" | "") {
-                    self.reset_all();
-                } else {
-                    self.values.remove(rest);
-                }
-                Ok(completed("RESET"))
+                let reported = match rest {
+                    "all" | "" => self.reset_all(),
+                    name => self.reset(name),
+                };
+                Ok(Reply { reported, ..completed("RESET") })
             }
             "discard" => match rest {
-                "all" => {
-                    self.reset_all();
-                    Ok(completed("DISCARD ALL"))
-                }
+                "all" => Ok(Reply { reported: self.reset_all(), ..completed("DISCARD ALL") }),
                 // The controller stores no plans, sequences or temporary tables.
                 "plans" => Ok(completed("DISCARD PLANS")),
                 "sequences" => Ok(completed("DISCARD SEQUENCES")),
@@ -223,9 +219,21 @@
         }
     }
 
-    /// Removes all settings except `application_name`.
-    fn reset_all(&mut self) {
-        self.values.retain(|name, _| name == "application_name");
+    /// Removes all settings except `application_name`. Returns the reported settings that changed.
+    fn reset_all(&mut self) -> Vec<(String, String)> {
+        let names: Vec<String> =
+            self.values.keys().filter(|name| *name != "application_name").cloned().collect();
+        names.iter().flat_map(|name| self.reset(name)).collect()
+    }
+
+    /// Removes a setting, so that its default applies. Returns its name and default if it is reported to the client and changed.
+    fn reset(&mut self, name: &str) -> Vec<(String, String)> {
+        let Some(previous) = self.values.remove(name) else {
+            return Vec::new();
+        };
+        let value = self.current_value(name);
+        let reported = reported_name(name).filter(|_| previous != value);
+        reported.map(|reported| (reported.to_string(), value)).into_iter().collect()
     }
 
     fn show_all(&self) -> Reply {
@@ -267,6 +275,9 @@
             }
             // The value is case-sensitive, so it is read from the original statement after the first = or TO.
             let raw_value = value_as_written(statement).unwrap_or_default();
+            if raw_value.eq_ignore_ascii_case("default") {
+                return Ok(Reply { reported: self.reset(name), ..completed });
+            }
             (name.to_string(), unquote(&raw_value))
         };
         let is_unsupported_encoding = name == "client_encoding"
@@ -300,8 +311,7 @@
             return Err(Diagnostic::error("53400", format!("over {MAX_SETTINGS} settings in one session"))
                 .hint("RESET some of them"));
         }
-        let reported = REPORTED_PARAMETERS.iter().map(|(n, _)| *n).chain(["application_name"]);
-        let reported = reported.into_iter().find(|n| n.eq_ignore_ascii_case(&name));
+        let reported = reported_name(&name);
         let default =
             REPORTED_PARAMETERS.iter().find(|(n, _)| n.eq_ignore_ascii_case(&name)).map(|(_, v)| *v);
         let is_default = default.is_some_and(|default| {
@@ -319,12 +329,18 @@
                 format!("\"{name}\" is kept by the controller; engines do not see it"),
             ));
         }
-        let reported = reported.map(|n| (n.to_string(), value.clone()));
+        let reported = reported.map(|n| (n.to_string(), value.clone())).into_iter().collect();
         self.values.insert(name, value);
         Ok(Reply { notices, reported, ..completed })
     }
 }
 
+/// The name under which a setting is reported to the client, if it is.
+fn reported_name(setting: &str) -> Option<&'static str> {
+    let mut names = REPORTED_PARAMETERS.iter().map(|(name, _)| *name).chain(["application_name"]);
+    names.find(|name| name.eq_ignore_ascii_case(setting))
+}
+
 /// The value of a SET statement with its case preserved: the text after the first = or TO.
 fn value_as_written(statement: &str) -> Option<String> {
     let lower = statement.to_ascii_lowercase();
--- a/crates/pg/tests/client_session.rs
+++ b/crates/pg/tests/client_session.rs
@@ -429,6 +429,32 @@
     assert_eq!(answer_locally(&mut session, &mut input).0, "EZ");
 }
 
+/// A driver kept the value from before a RESET, as nothing told it of the change, and SET ... = DEFAULT stored the word.
+#[test]
+fn a_setting_that_returns_to_its_default_is_reported() {
+    for reset in
+        ["RESET DateStyle", "SET DateStyle = DEFAULT", "SET datestyle TO default", "RESET ALL", "DISCARD ALL"]
+    {
+        let mut session = started_session();
+        let mut answer = |text: &str| {
+            let mut input = BytesMut::new();
+            frontend_messages::put_query(text, &mut input);
+            answer_locally(&mut session, &mut input)
+        };
+        answer("SET DateStyle = 'German'");
+        answer("SET wheelfield.class = 'fast'");
+        let (tags, output) = answer(reset);
+        assert!(tags == "CSZ" && output.contains("DateStyle\0ISO, MDY\0"), "{reset}: {tags} {output:?}");
+        let (_, output) = answer("SHOW DateStyle");
+        assert!(output.contains("ISO, MDY"), "{reset}: {output:?}");
+    }
+    let mut session = started_session();
+    let mut input = BytesMut::new();
+    frontend_messages::put_query("SET application_name = 'default'", &mut input);
+    let (_, output) = answer_locally(&mut session, &mut input);
+    assert!(output.contains("application_name\0default\0"), "a value in quotes: {output:?}");
+}
+
 #[test]
 fn deallocate_removes_only_the_named_statement() {
     let mut session = started_session();
