config: the default of hold is checked against a long period

Seen, by a new test: period = "400s" without hold was accepted, though a member could then be evicted (600 s) before its failure is detected. Cause: the check ran only if hold was given. Fix: without hold, the error points to period.

--- a/crates/config/src/validate/gossip.rs
+++ b/crates/config/src/validate/gossip.rs
@@ -106,9 +106,10 @@
             "write a time from 100ms to 10s",
         ));
     }
-    if let Some(spanned) = section
-        .evict_after
-        .as_ref()
+    // Without `hold`, its default must be long enough for `period`.
+    let eviction = section.evict_after.as_ref();
+    if let Some(spanned) = eviction
+        .or(section.probe_interval.as_ref())
         .filter(|_| gossip.evict_after < gossip.probe_interval + gossip.probe_interval)
     {
         let problem = "a member could be evicted before its failure is detected";
--- a/crates/config/tests/validation.rs
+++ b/crates/config/tests/validation.rs
@@ -352,3 +352,17 @@
         );
     }
 }
+
+/// The default of `hold` was not checked against a long `period`.
+#[test]
+fn a_period_that_is_too_long_for_the_default_hold_is_an_error() {
+    let parse_with = |times: &str| {
+        let gossip = format!("[gossip]\nlisten = \"127.0.0.1:0\"\nkeys = \"keys\"\n{times}\n");
+        parse("test.toml", &format!("{VALID}\n{gossip}"))
+    };
+    assert!(parse_with("period = \"5s\"").is_ok());
+    let error = parse_with("period = \"400s\"").expect_err("half of the default is 300s");
+    assert!(error.to_string().contains("evicted before"), "{error}");
+    assert!(parse_with("period = \"400s\"\nhold = \"1000s\"").is_ok());
+    assert!(parse_with("period = \"400s\"\nhold = \"700s\"").is_err());
+}
