testbed, soak: each run has an IP address on loopback of its own

Cause: ports were found by binding and releasing them, and given to another process before the controller bound them. Fix: they are asked for on an address that only this run of this process uses (loopback_address), as the tests of the controller do. Controllers of a soak take theirs from the process id too. Beside it: the file that controllers watch is EndpointFile in place of Lists, its topology has its name, and the crate's page is in the field's terms.

--- a/crates/soak/src/controller.rs
+++ b/crates/soak/src/controller.rs
@@ -111,13 +111,20 @@
     pub dir: PathBuf,
 }
 
+/// Number of values of one octet of an IP address that are used.
+const OCTET_VALUES: usize = 250;
+
 /// A free address for the controller with this number. Each controller has its own IP address, so
-/// that the name service can tell from a datagram's source which controller sent it.
+/// that the name service can tell from a datagram's source which controller sent it, and that no
+/// run beside this one is given its port before the controller has bound it.
 ///
 /// # Errors
 /// If no port is free there.
 pub fn free_address(index: usize) -> Result<SocketAddr> {
-    let ip = Ipv4Addr::new(127, 20, (index / 250) as u8, (index % 250 + 1) as u8);
+    let process = std::process::id() as usize;
+    let octet = |n: usize| 1 + (n % OCTET_VALUES) as u8;
+    let third = process / OCTET_VALUES + index / OCTET_VALUES;
+    let ip = Ipv4Addr::new(127, octet(process), octet(third), octet(index));
     Ok(TcpListener::bind((ip, 0))?.local_addr()?)
 }
 
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -1,22 +1,23 @@
-//! The laboratory: a day of traffic and troubles is drawn from a script and a seed, played on real processes (controllers,
-//! stand-in engines, clients), and judged from what crossed their sockets.
+//! The test bed: a scenario of traffic and faults, called a day, is drawn from a script and a seed, run on real processes
+//! (controllers, emulated engines, clients), and checked against the rules from what crossed their sockets.
 //!
 //! - [`day`]: the script, as TOML.
-//! - [`plan`]: the day drawn from it, by seed; no I/O.
-//! - [`experiment`]: many days by seeds and variants, resumable; what they come to.
-//! - [`series`], [`stats`]: a day's course; whether two things differ; no I/O.
-//! - [`explore`]: thousands of drawn days; a failing one made small.
-//! - [`fleet`]: controllers with faults on the roads between them; a relay between processes; who believed what.
+//! - [`plan`]: the traffic and faults that are drawn from it, by seed; no I/O.
+//! - [`experiment`]: many runs by seeds and variants, resumable, and their results.
+//! - [`series`], [`stats`]: figures over the time of a run; statistical tests of differences; no I/O.
+//! - [`explore`]: thousands of drawn scenarios; failing ones are shrunk.
+//! - [`fleet`]: controllers with network faults between them, a relay between processes, and a check of what they believed.
 //! - [`report`]: a page with plots, and a summary.
-//! - [`stage`]: the processes.
-//! - [`clients`]: what clients do by habit; no I/O.
-//! - [`virtual_time`]: a day in one process and in virtual time; no I/O.
-//! - [`people`]: the clients without sockets, in an open loop; no I/O.
+//! - [`stage`]: the processes of a run.
+//! - [`loopback_address`]: IP addresses for their sockets.
+//! - [`clients`]: how clients behave; no I/O.
+//! - [`virtual_time`]: a run in one process and in virtual time; no I/O.
+//! - [`people`]: open-loop clients without sockets; no I/O.
 //! - [`crowd`]: their sockets.
-//! - [`evidence`]: a day as the judge of the rules reads it; no I/O.
-//! - [`lists`]: its engines as a file that controllers watch.
-//! - [`measure`]: what a controller costs.
-//! - [`play`]: all of it together, and the report.
+//! - [`evidence`]: the history of a run in the form that the rule checker reads; no I/O.
+//! - [`lists`]: the engines as a file that controllers watch.
+//! - [`measure`]: the cost of a query in a controller.
+//! - [`play`]: a whole run with its checks and report.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
@@ -28,6 +29,7 @@
 pub mod explore;
 pub mod fleet;
 pub mod lists;
+pub mod loopback_address;
 pub mod measure;
 pub mod people;
 pub mod plan;
--- a/crates/testbed/src/lists.rs
+++ b/crates/testbed/src/lists.rs
@@ -1,4 +1,4 @@
-//! The engines of a day as a file that controllers watch, in place of a registry.
+//! The engines of a run as an endpoint file that controllers watch, in place of a registry.
 
 use anyhow::{Context, Result};
 use serde_json::{json, Value};
@@ -10,31 +10,32 @@
 use wheelfield_endpoints::{EngineRecord, EngineSet};
 use wheelfield_endpoints_cli::disk;
 
-/// The file, and what it says.
+/// The endpoint file and its content.
 #[derive(Debug)]
-pub struct Lists {
+pub struct EndpointFile {
     path: PathBuf,
+    /// The log of what controllers count as told.
     log: PathBuf,
     set: EngineSet,
-    places: Topology,
+    topology: Topology,
     controllers: usize,
 }
 
-impl Lists {
-    /// Writes the first file: all that the stand-ins told of themselves, up.
+impl EndpointFile {
+    /// Writes the first version, in which all emulated engines are up.
     ///
     /// # Errors
-    /// If it can't be written, or they told something else.
-    pub fn begin(
+    /// If the file can't be written, or the emulated engines did not report their addresses.
+    pub fn create(
         dir: &Path,
-        told: &Value,
+        reported: &Value,
         engines: &[(String, String, i64)],
         controllers: usize,
-    ) -> Result<Lists> {
-        let mut places =
+    ) -> Result<EndpointFile> {
+        let mut topology =
             Topology { accept_unknown_names: true, names: Names::default(), ..Topology::default() };
         let mut set = EngineSet { version: 0, ..EngineSet::default() };
-        let addresses = told.as_array().context("no engines were told")?;
+        let addresses = reported.as_array().context("no engines were reported")?;
         let position = |all: &mut Vec<String>, name: &String| {
             all.iter().position(|n| n == name).unwrap_or_else(|| {
                 all.push(name.clone());
@@ -46,36 +47,36 @@
             let address = engine["address"].as_str().context("an engine without an address")?.parse()?;
             let entry = EngineEntry {
                 engine: engine_id(&name),
-                zone: if zone.is_empty() { usize::MAX } else { position(&mut places.names.zones, zone) },
-                kind: position(&mut places.names.kinds, kind),
+                zone: if zone.is_empty() { usize::MAX } else { position(&mut topology.names.zones, zone) },
+                kind: position(&mut topology.names.kinds, kind),
                 cell: *cell,
                 status: Status::Up,
                 started_at: None,
             };
             set.engines.insert(entry.engine, EngineRecord { name, address, entry });
         }
-        // In a directory of its own: each line that a process logs beside it would wake all that watch.
+        // In its own directory, as each line that a process logs in the same one would wake all watchers.
         let own = dir.join("members");
         std::fs::create_dir_all(&own)?;
         let (path, log) = (own.join("engines.toml"), dir.join("lists.jsonl"));
-        // Of a day played here before.
+        // An earlier run may have left one.
         let _ = std::fs::remove_file(&log);
-        let mut lists = Lists { path, log, set, places, controllers };
-        lists.put(0)?;
-        Ok(lists)
+        let mut file = EndpointFile { path, log, set, topology, controllers };
+        file.publish(0)?;
+        Ok(file)
     }
 
-    /// Where it is.
+    /// The path of the file.
     pub fn path(&self) -> &Path {
         &self.path
     }
 
-    /// Where it is noted who was told what.
+    /// The path of the log of what controllers count as told.
     pub fn log(&self) -> &Path {
         &self.log
     }
 
-    /// An engine drains, or is up again from a time on.
+    /// Changes the status of an engine, and its start time if one is given.
     ///
     /// # Errors
     /// If the file can't be written.
@@ -85,15 +86,15 @@
             k.entry.status = status;
             k.entry.started_at = started.map(Micros).or(k.entry.started_at);
         }
-        self.put(now)
+        self.publish(now)
     }
 
-    /// Puts the file in place, and notes that all are told from now on, although they hear of it a little later: the
-    /// judge is to be the stricter for it.
-    fn put(&mut self, now: i64) -> Result<()> {
+    /// Writes the file, and logs that all controllers count as told from now on. They read it a little later, which makes
+    /// the check stricter.
+    fn publish(&mut self, now: i64) -> Result<()> {
         self.set.version += 1;
-        let found = EngineFile { set: self.set.clone(), confirmed: true, saved_at: None };
-        disk::write_durably(&self.path, serialize(&found, &self.places).as_bytes())
+        let file = EngineFile { set: self.set.clone(), confirmed: true, saved_at: None };
+        disk::write_durably(&self.path, serialize(&file, &self.topology).as_bytes())
             .with_context(|| format!("cannot write {}", self.path.display()))?;
         let not_up: Vec<Value> = self
             .set
--- a/crates/testbed/src/stage.rs
+++ b/crates/testbed/src/stage.rs
@@ -2,7 +2,8 @@
 
 use crate::day::Day;
 use crate::fleet::relay::{Relay, RelayCounters};
-use crate::lists::Lists;
+use crate::lists::EndpointFile;
+use crate::loopback_address;
 use crate::plan::{Plan, StageAction};
 use anyhow::{bail, ensure, Context, Result};
 use rustix::process::{kill_process, Pid, Signal};
@@ -159,7 +160,7 @@
     /// Ports that were taken for controllers that have not started yet.
     held: BTreeMap<usize, Vec<UdpSocket>>,
     /// The engines as a file, if they are kept so.
-    pub lists: Option<Lists>,
+    pub lists: Option<EndpointFile>,
     /// The lives of all controllers.
     pub lives: Vec<ProcessLifetime>,
     /// Processor seconds of controllers that are gone.
@@ -227,8 +228,9 @@
         let (control, registry) = (engines.address("control")?, engines.address("registry")?);
         // Ports for messages are the system's too: taken once, so that a restarted controller keeps its own.
         let messages = day.means.get("messages").and_then(toml::Value::as_bool) == Some(true);
+        let ip = loopback_address::unused();
         let sockets: Vec<_> = (0..if messages { day.controllers } else { 0 })
-            .map(|_| UdpSocket::bind("127.0.0.1:0"))
+            .map(|_| UdpSocket::bind((ip, 0)))
             .collect::<std::io::Result<_>>()?;
         let peers =
             sockets.iter().map(|s| Ok(s.local_addr()?.to_string())).collect::<Result<Vec<String>>>()?;
@@ -237,7 +239,7 @@
         let relay = relayed.then(|| Relay::start(day.controllers, seed, clock)).transpose()?;
         let own = day.registry.gossip && !relayed;
         let gossips: Vec<_> = (0..if own { day.controllers } else { 0 })
-            .map(|_| UdpSocket::bind("127.0.0.1:0"))
+            .map(|_| UdpSocket::bind((ip, 0)))
             .collect::<std::io::Result<_>>()?;
         let gossip = match &relay {
             Some(relay) => relay.addresses.iter().map(ToString::to_string).collect(),
@@ -245,7 +247,8 @@
                 gossips.iter().map(|s| Ok(s.local_addr()?.to_string())).collect::<Result<Vec<String>>>()?
             }
         };
-        // Each port is held until its controller starts, as other days may be played beside this one.
+        // Each port is held until its controller starts. Between that and the controller's own bind nobody else can take it, as
+        // no other run uses this IP address.
         let mut held: BTreeMap<usize, Vec<UdpSocket>> = BTreeMap::new();
         for (i, socket) in sockets.into_iter().enumerate().chain(gossips.into_iter().enumerate()) {
             held.entry(i).or_default().push(socket);
@@ -259,7 +262,7 @@
                 (day.zone(i).to_string(), day.fleet.kinds[*kind].name.clone(), cell as i64)
             };
             let places: Vec<_> = plan.engines.iter().enumerate().map(place).collect();
-            Some(Lists::begin(&dir, &engines.told["engines"], &places, day.controllers)?)
+            Some(EndpointFile::create(&dir, &engines.told["engines"], &places, day.controllers)?)
         } else {
             None
         };
