testbed: clients and the history of a run in the field's terms

Change: Door is ControllerAvailability, door choose_controller, again retry_delay; Known is RunContext, judge check, asked query_record. Comments say what the code does. No behaviour changed. Measured: the tests judge (10) and virtual_time (6) pass.

--- a/crates/testbed/src/evidence.rs
+++ b/crates/testbed/src/evidence.rs
@@ -1,4 +1,4 @@
-//! A day as the judge of the rules reads it.
+//! The history of a run in the form that the rule checker reads.
 
 use crate::crowd::Try;
 use crate::day::Day;
@@ -10,45 +10,46 @@
     ProcessLifetime, QueryRecord, Violation,
 };
 
-/// What a day's plan and script say beyond its log.
-pub struct Known<'a> {
+/// What the script and the plan of a run say beyond its log.
+pub struct RunContext<'a> {
     /// The script.
     pub day: &'a Day,
-    /// What its controllers were told of the rules.
+    /// The settings of its controllers.
     pub settings: &'a Settings,
-    /// The day as drawn.
+    /// The traffic and faults that were drawn.
     pub plan: &'a Plan,
-    /// When it began, in microseconds of the wall clock.
+    /// When the run began, in microseconds of the wall clock.
     pub start: i64,
 }
 
-impl Known<'_> {
-    /// Judges the day; and the largest multiple of what it could do that a cold engine was sent.
-    pub fn judge(
+impl RunContext<'_> {
+    /// Checks the rules. Returns the violations, and the largest multiple of its capacity that an engine in slow start
+    /// was sent.
+    pub fn check(
         &self,
         tries: &[Try],
         log: &[HistoryEvent],
         lives: &[ProcessLifetime],
     ) -> (Vec<Violation>, f64) {
-        let asked: Vec<QueryRecord> = tries.iter().map(|t| self.asked(t)).collect();
-        let classes: Vec<ClassInfo> = self.day.classes.iter().map(of_class).collect();
+        let queries: Vec<QueryRecord> = tries.iter().map(|t| self.query_record(t)).collect();
+        let classes: Vec<ClassInfo> = self.day.classes.iter().map(class_info).collect();
         let cores: BTreeMap<String, f64> =
-            self.plan.engines.iter().enumerate().map(|e| self.cores(e)).collect();
-        let evidence = History {
+            self.plan.engines.iter().enumerate().map(|engine| self.engine_cores(engine)).collect();
+        let history = History {
             settings: self.settings,
             drain_grace: self.day.drain_grace.0 .0,
             classes: &classes,
             engine_cores: &cores,
             started_at: self.start,
-            queries: &asked,
+            queries: &queries,
             events: log,
             lifetimes: lives,
             tolerance: ClockTolerance::SEPARATE_CLOCKS,
         };
-        (check_history(&evidence), slow_start_overload_peaks(&evidence).into_values().fold(0.0, f64::max))
+        (check_history(&history), slow_start_overload_peaks(&history).into_values().fold(0.0, f64::max))
     }
 
-    fn asked(&self, t: &Try) -> QueryRecord {
+    fn query_record(&self, t: &Try) -> QueryRecord {
         let arrival = &self.plan.arrivals[t.arrival];
         QueryRecord {
             id: t.id.clone(),
@@ -65,13 +66,13 @@
         }
     }
 
-    fn cores(&self, (n, (kind, speed)): (usize, &(usize, f64))) -> (String, f64) {
+    fn engine_cores(&self, (n, (kind, speed)): (usize, &(usize, f64))) -> (String, f64) {
         let cores = self.day.fleet.kinds.get(*kind).map_or(1.0, |k| k.cores * speed);
         (format!("engine-{n:02}"), cores)
     }
 }
 
-fn of_class(class: &crate::day::Class) -> ClassInfo {
+fn class_info(class: &crate::day::Class) -> ClassInfo {
     ClassInfo {
         name: class.name.clone(),
         zones: class.zones.clone(),
--- a/crates/testbed/src/explore/mod.rs
+++ b/crates/testbed/src/explore/mod.rs
@@ -9,7 +9,7 @@
 pub use shrink::shrink;
 
 use crate::day::Day;
-use crate::evidence::Known;
+use crate::evidence::RunContext;
 use crate::plan::Plan;
 use crate::virtual_time::policy::Policy;
 use crate::virtual_time::{self, SimulationOptions, SimulationResult};
@@ -87,9 +87,9 @@
 ) -> Result<ScenarioOutcome, ConfigError> {
     let (day, plan, result) = simulate(scenario, injected_fault)?;
     let settings = day.settings()?;
-    let known =
-        Known { day: &day, settings: &settings, plan: &plan, start: virtual_time::first_arrival_time() };
-    let (violations, cold_peak) = known.judge(&result.tries, &result.log, &result.lifetimes);
+    let context =
+        RunContext { day: &day, settings: &settings, plan: &plan, start: virtual_time::first_arrival_time() };
+    let (violations, cold_peak) = context.check(&result.tries, &result.log, &result.lifetimes);
     let mut failures: Vec<(String, String)> =
         violations.iter().take(20).map(|b| (b.rule.to_string(), b.description.clone())).collect();
     if result.leaked_connections > 0 {
--- a/crates/testbed/src/people.rs
+++ b/crates/testbed/src/people.rs
@@ -1,7 +1,7 @@
 //! The clients of a day without sockets: what they send and when, what they make of what comes back. In an open loop: what is
 //! to be sent is sent at its time, whatever has become of the rest. Every row is looked at: whose answer it is.
 
-use crate::clients::{again, door, Door};
+use crate::clients::{choose_controller, retry_delay, ControllerAvailability};
 use crate::crowd::{text, Manners, Tally, Try};
 use crate::plan::{Arrival, Plan};
 use bytes::{Buf, Bytes, BytesMut};
@@ -67,7 +67,7 @@
     plan: &'a Plan,
     manners: Manners,
     start: i64,
-    doors: Vec<Door>,
+    controllers: Vec<ControllerAvailability>,
     connections: ConnectionTable<Connection>,
     /// Ready and unused, by controller and customer.
     idle: BTreeMap<(usize, usize), Vec<ConnId>>,
@@ -99,7 +99,7 @@
         People {
             plan,
             start,
-            doors: vec![Door::default(); controllers],
+            controllers: vec![ControllerAvailability::default(); controllers],
             connections: ConnectionTable::new(1),
             idle: BTreeMap::new(),
             waiting: BTreeMap::new(),
@@ -148,12 +148,14 @@
 
     /// A controller is there.
     pub fn up(&mut self, controller: usize) {
-        self.doors[controller] = Door { known: true, ..Door::default() };
+        self.controllers[controller] =
+            ControllerAvailability { is_known: true, ..ControllerAvailability::default() };
     }
 
     /// A controller is gone.
     pub fn down(&mut self, controller: usize, now: i64) {
-        (self.doors[controller].down, self.doors[controller].since) = (true, now);
+        self.controllers[controller].is_down = true;
+        self.controllers[controller].down_since = now;
     }
 
     /// Lets the time pass.
@@ -182,7 +184,7 @@
             Wake::Visit => {
                 if self.coming > 0 {
                     self.timers.set(now + self.visits, Wake::Visit);
-                    let controller = self.chance.random_range(0..self.doors.len());
+                    let controller = self.chance.random_range(0..self.controllers.len());
                     let bytes = visitor(&mut self.chance);
                     self.wishes.push(Wish::Cancel(controller, bytes));
                 }
@@ -208,7 +210,7 @@
     fn send(&mut self, a: usize, number: u32, now: i64) {
         let arrival = &self.plan.arrivals[a];
         self.coming -= 1;
-        let controller = door(&self.doors, &self.manners.habits, arrival, number, now);
+        let controller = choose_controller(&self.controllers, &self.manners.habits, arrival, number, now);
         let t = self.tries.len();
         let due = now + arrival.timeout_us;
         let late_us = if number == 0 { now - (self.start + arrival.at) } else { 0 };
@@ -500,7 +502,7 @@
         let a: &Arrival = &self.plan.arrivals[tried.arrival];
         let class = &self.manners.classes[a.class];
         let left = self.start + a.at + class.deadline.0 .0 - now;
-        let wait = again(class, &self.manners.habits, a, tried, end, left, &mut self.chance);
+        let wait = retry_delay(class, &self.manners.habits, a, tried, end, left, &mut self.chance);
         if let Some(wait) = wait {
             self.coming += 1;
             self.timers.set(now + wait, Wake::Again(tried.arrival, tried.number + 1));
--- a/crates/testbed/src/play.rs
+++ b/crates/testbed/src/play.rs
@@ -2,7 +2,7 @@
 
 use crate::crowd::{Crowd, Manners, Try};
 use crate::day::Day;
-use crate::evidence::Known;
+use crate::evidence::RunContext;
 use crate::fleet::judge::{self, MembershipHistory, Verdict};
 use crate::plan::Plan;
 use crate::series::Series;
@@ -242,8 +242,8 @@
         log.sort_by_key(|l| l.at);
     }
     let settings = day.settings()?;
-    let known = Known { day, settings: &settings, plan: &plan, start };
-    let (breaches, cold_peak) = known.judge(&tries, &log, &stage.lives);
+    let context = RunContext { day, settings: &settings, plan: &plan, start };
+    let (breaches, cold_peak) = context.check(&tries, &log, &stage.lives);
     let mut report = sum_up(day, &plan, start, &tries, breaches);
     (report.seed, report.cold_peak, report.controller_cpu_s) = (options.seed, cold_peak, stage.spent);
     if let (Some((reached, healed, agreed, [suspicions, words @ ..], until)), Some(carried)) =
@@ -338,8 +338,8 @@
 pub fn report_virtual(day: &Day, plan: &Plan, seed: u64, played: &SimulationResult) -> Result<Report> {
     let settings = day.settings()?;
     let start = virtual_time::first_arrival_time();
-    let known = Known { day, settings: &settings, plan, start };
-    let (breaches, cold_peak) = known.judge(&played.tries, &played.log, &played.lifetimes);
+    let context = RunContext { day, settings: &settings, plan, start };
+    let (breaches, cold_peak) = context.check(&played.tries, &played.log, &played.lifetimes);
     let mut report = sum_up(day, plan, start, &played.tries, breaches);
     (report.seed, report.cold_peak) = (seed, cold_peak);
     Ok(report)
--- a/crates/testbed/tests/judge.rs
+++ b/crates/testbed/tests/judge.rs
@@ -4,7 +4,7 @@
 use wheelfield_invariants::{parse_event_log, ClientOutcome, HistoryEvent, ProcessLifetime, Violation};
 use wheelfield_testbed::crowd::Try;
 use wheelfield_testbed::day::Day;
-use wheelfield_testbed::evidence::Known;
+use wheelfield_testbed::evidence::RunContext;
 use wheelfield_testbed::plan::{Arrival, Plan};
 
 const DAY: &str = r#"
@@ -155,7 +155,7 @@
         let mut log: Vec<HistoryEvent> = parse_event_log(&self.log.join("\n")).expect("lines");
         log.sort_by_key(|l| l.at);
         let Scene { day, settings, plan, tries, lives, .. } = self;
-        Known { day, settings, plan, start: 0 }.judge(tries, &log, lives).0
+        RunContext { day, settings, plan, start: 0 }.check(tries, &log, lives).0
     }
 
     fn rules(&mut self) -> Vec<&'static str> {
