soak: a request counts from its arrival at the executor, not from when it was read

By the controller's log the three attempts of the request were written within 25 ms of its arrival, with limits of 20, 9 and 9 ms and 58 ms left. Executors 9 and 2 of the test recorded them 0.27 and 0.34 s after they had been written; executor 7 recorded its attempt after 10 ms.

Cause: an executor's thread recorded a request when it came to read it. On a busy machine that is late, and the judge took it for a late request of the controller.

Change: the executor takes the time at which the operating system received the bytes (SO_TIMESTAMPNS), which counts for drains, disconnects, limits and slow starts alike. The bounds and checks are unchanged; a request that arrived late is judged as before.

--- a/crates/soak/src/executor.rs
+++ b/crates/soak/src/executor.rs
@@ -1,10 +1,11 @@
 //! An emulated executor: it answers the requests of controllers, and misbehaves when told to.
 
+use crate::arrival::{enable_timestamps, read_with_wait};
 use crate::ledger::{Ledger, Receipt, RequestId};
 use crate::settings::{IDLE_TIMEOUT_US, WORK_MS};
 use socket2::SockRef;
 use std::collections::BTreeMap;
-use std::io::{self, Read as _, Write as _};
+use std::io::{self, Write as _};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
@@ -179,6 +180,7 @@
     stream.set_nonblocking(false)?;
     stream.set_nodelay(true)?;
     stream.set_read_timeout(Some(POLL_INTERVAL))?;
+    enable_timestamps(&stream)?;
     let writer = Arc::new(Mutex::new(stream.try_clone()?));
     let (jobs, queue) = channel();
     let (for_worker, worker_shared) = (writer.clone(), shared.clone());
@@ -190,6 +192,7 @@
         stream,
         writer,
         input: Vec::new(),
+        arrived_at: 0,
         jobs,
         shared: shared.clone(),
     };
@@ -232,6 +235,8 @@
     stream: TcpStream,
     writer: Arc<Mutex<TcpStream>>,
     input: Vec<u8>,
+    /// When the last bytes of the input arrived, in microseconds since the start of the run.
+    arrived_at: i64,
     jobs: Sender<Job>,
     shared: Arc<Shared>,
 }
@@ -269,9 +274,10 @@
     fn read_more(&mut self) -> io::Result<bool> {
         use io::ErrorKind::{Interrupted, TimedOut, WouldBlock};
         let mut buffer = [0; READ_BYTES];
-        match self.stream.read(&mut buffer) {
-            Ok(0) => Err(io::ErrorKind::UnexpectedEof.into()),
-            Ok(length) => {
+        match read_with_wait(&self.stream, &mut buffer) {
+            Ok((0, _)) => Err(io::ErrorKind::UnexpectedEof.into()),
+            Ok((length, waited)) => {
+                self.arrived_at = self.shared.ledger.now() - waited.as_micros() as i64;
                 self.input.extend_from_slice(&buffer[..length]);
                 Ok(true)
             }
@@ -318,7 +324,6 @@
 
     /// Runs and answers a request, unless it is dropped or rejected.
     fn run(&mut self, id: &str, fields: &str) -> io::Result<()> {
-        let at = self.shared.ledger.now();
         let limit = fields
             .split(',')
             .find_map(|field| field.strip_prefix("limit="));
@@ -332,7 +337,7 @@
         self.shared.ledger.records().receipts.push(Receipt {
             id: request,
             executor: self.shared.number,
-            at,
+            at: self.arrived_at,
             limit_us: limit_ms * 1_000,
             ran: !is_full && !is_dropped,
         });
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -89,7 +89,7 @@
     pub id: RequestId,
     /// The executor.
     pub executor: usize,
-    /// When it had been read completely.
+    /// When it had arrived completely at the executor.
     pub at: i64,
     /// The time limit given to the executor.
     pub limit_us: i64,
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -4,6 +4,7 @@
 //!
 //! - [`plan`]: the faults of a run, drawn from its seed.
 //! - [`cluster`]: the processes and threads of a run, and the faults as they begin and end.
+//! - [`executor`]: an emulated executor, which records when requests arrived.
 //! - [`ledger`]: the events recorded at both ends of each connection.
 //! - [`judge`]: the invariants, and the bounds within which faults excuse their effects.
 //! - [`timeline`]: the events that led to a violation.
@@ -13,10 +14,11 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod arrival;
 mod client;
 pub mod cluster;
 mod controller;
-mod executor;
+pub mod executor;
 mod http;
 mod idle_clients;
 pub mod judge;
--- a/crates/soak/src/timeline.rs
+++ b/crates/soak/src/timeline.rs
@@ -51,7 +51,8 @@
     let receipts = records.receipts.iter();
     for receipt in receipts.filter(|r| Some(r.id) == violation.request) {
         let (executor, limit_us, ran) = (receipt.executor, receipt.limit_us, receipt.ran);
-        let description = format!("executor {executor} read it, limit {limit_us} us, ran: {ran}");
+        let description =
+            format!("request arrived at executor {executor}, limit {limit_us} us, ran: {ran}");
         events.push((receipt.at, description));
     }
     let is_near = |at: i64| at >= violation.at - CONTEXT_US && at <= violation.at + CONTEXT_US / 4;
