soak: bytes that the proxy of the test holds up are told from those that a fault delays

Cause: the judge knows delays of one thread of the test only. Each connection has threads of its own, which may run late by themselves.

The limit, the due time and the arrival after SIGTERM of the requests on this connection are judged less exactly by just this time; disconnects are not. Timelines show it.

Test: bytes_held_up_by_the_proxy_excuse_their_own_request_by_that_time.

--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -91,6 +91,8 @@
     timeout_us: i64,
     is_pipelined: bool,
     is_first: bool,
+    /// For how long the proxy had held up bytes of the connection before it was sent.
+    held_up_before: Duration,
 }
 
 impl Client {
@@ -189,6 +191,7 @@
                 return;
             };
             let was_reused = connection.is_reused;
+            let held_up_before = self.setup.ledger.held_up_total(connection.local);
             let began_at = self.setup.ledger.now();
             let sent = connection.send(&self.setup.ledger, id, class, timeout_us, mode);
             let end = match (&sent, mode) {
@@ -208,6 +211,7 @@
                 timeout_us,
                 is_pipelined: false,
                 is_first: !was_reused,
+                held_up_before,
             });
             let is_lost = matches!(end, RequestEnd::Lost | RequestEnd::NotSent);
             let raced_close = is_lost && was_reused && now - sent.sent_at < CLOSE_RACE_US;
@@ -251,7 +255,7 @@
         }
         let stream = TcpStream::connect_timeout(&self.setup.address, CONNECT_TIMEOUT).ok()?;
         let local = stream.local_addr().ok()?;
-        self.setup.ledger.forget_broken_connection(local);
+        self.setup.ledger.forget_connection(local);
         stream.set_nodelay(true).ok()?;
         Some(Connection {
             reader: BufReader::new(stream),
@@ -265,10 +269,13 @@
     /// Records how a request ended, and drops the connection unless it can be reused.
     fn finish(&mut self, sent: &SentRequest, end: RequestEnd) {
         let ended_at = self.setup.ledger.now();
-        let is_broken_by_proxy = self
-            .connection
-            .as_ref()
-            .is_some_and(|connection| self.setup.ledger.is_broken_by_proxy(connection.local));
+        let (ledger, connection) = (&self.setup.ledger, self.connection.as_ref());
+        let is_broken_by_proxy = connection.is_some_and(|c| ledger.is_broken_by_proxy(c.local));
+        let held_up = connection.map_or(Duration::ZERO, |c| {
+            ledger
+                .held_up_total(c.local)
+                .saturating_sub(sent.held_up_before)
+        });
         let is_broken = matches!(
             end,
             RequestEnd::Lost | RequestEnd::Unreadable | RequestEnd::Silent
@@ -294,6 +301,7 @@
             ended_at,
             is_pipelined: sent.is_pipelined,
             is_first: sent.is_first,
+            held_up_us: held_up.as_micros() as i64,
         };
         self.setup.ledger.records().requests.push(record);
     }
@@ -318,6 +326,7 @@
         mode: SendMode,
     ) -> io::Result<SentRequest> {
         let request = http::query_request(id, class, timeout_us, WORK_MS);
+        let held_up_before = ledger.held_up_total(self.local);
         let began_at = ledger.now();
         let mut stream = self.reader.get_ref();
         match mode {
@@ -344,6 +353,7 @@
             timeout_us,
             is_pipelined: false,
             is_first: !self.is_reused,
+            held_up_before,
         })
     }
 
--- a/crates/soak/src/judge/bounds.rs
+++ b/crates/soak/src/judge/bounds.rs
@@ -54,7 +54,8 @@
     /// to end only after the grace period for requests.
     pub(super) fn arrived_after_grace(&self, request: &RequestRecord) -> bool {
         let controller = request.id.controller();
-        let delay_us = self.client_delay_us(controller, request.began_at, request.ended_at);
+        let delay_us = self.client_delay_us(controller, request.began_at, request.ended_at)
+            + request.held_up_us;
         let latest_arrival = request.sent_at + delay_us + FORWARDING_SLACK_US;
         self.records.controller_events.iter().any(|event| {
             event.controller == controller
--- a/crates/soak/src/judge/mod.rs
+++ b/crates/soak/src/judge/mod.rs
@@ -274,7 +274,7 @@
             RequestEnd::Silent => violation(None, "no answer".into()),
             RequestEnd::Answered(200 | 500 | 503 | 409) => {
                 let latest_at = self.answer_due_at(request) + ANSWER_SLACK_US + SOCKET_SLACK_US;
-                let late = request.ended_at - latest_at - TIMING_SLACK_US;
+                let late = request.ended_at - latest_at - TIMING_SLACK_US - request.held_up_us;
                 (late > 0).then(|| violation(Some(late), format!("answered {late} us too late")))?
             }
             RequestEnd::Answered(408) if self.was_overdue(request) => None,
@@ -362,7 +362,7 @@
                 ));
             }
             let left = request.sent_at + request.timeout_us - receipt.at;
-            let slack_us = LIMIT_SLACK_US + SOCKET_SLACK_US + delay_us;
+            let slack_us = LIMIT_SLACK_US + SOCKET_SLACK_US + delay_us + request.held_up_us;
             let excess = receipt.limit_us - left - slack_us;
             if excess > 0 && !has_left {
                 let (limit, pipelined) = (receipt.limit_us, request.is_pipelined);
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// The id of a request, made of the number of its controller and its own number.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -80,6 +80,9 @@
     pub is_pipelined: bool,
     /// Whether no request was answered on its connection before it.
     pub is_first: bool,
+    /// For how long threads of the proxy held up bytes of its connection while it was in progress,
+    /// beyond what faults asked for, in microseconds.
+    pub held_up_us: i64,
 }
 
 /// A request as recorded by an executor.
@@ -228,6 +231,8 @@
     records: Arc<Mutex<Records>>,
     /// Client addresses of connections that the proxy broke, or could not forward.
     broken: Arc<Mutex<BTreeSet<SocketAddr>>>,
+    /// For how long the proxy has held up bytes, by the client address of the connection.
+    held_up: Arc<Mutex<BTreeMap<SocketAddr, Duration>>>,
 }
 
 impl Ledger {
@@ -241,6 +246,7 @@
             started: Instant::now(),
             records: Arc::new(Mutex::new(records)),
             broken: Arc::default(),
+            held_up: Arc::default(),
         }
     }
 
@@ -259,9 +265,21 @@
         self.broken_connections().insert(client);
     }
 
-    /// Removes a client address, as a new connection may reuse it.
-    pub fn forget_broken_connection(&self, client: SocketAddr) {
+    /// Forgets what was recorded of a client address, as a new connection may reuse it.
+    pub fn forget_connection(&self, client: SocketAddr) {
         self.broken_connections().remove(&client);
+        self.held_up().remove(&client);
+    }
+
+    /// Records that the proxy held up bytes of the connection from this client address.
+    pub fn record_held_up(&self, client: SocketAddr, held_up: Duration) {
+        *self.held_up().entry(client).or_default() += held_up;
+    }
+
+    /// For how long in total the proxy has held up bytes of the connection from this client
+    /// address.
+    pub fn held_up_total(&self, client: SocketAddr) -> Duration {
+        self.held_up().get(&client).copied().unwrap_or_default()
     }
 
     /// Whether the proxy broke the connection from this client address.
@@ -279,6 +297,10 @@
         });
     }
 
+    fn held_up(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, Duration>> {
+        self.held_up.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn broken_connections(&self) -> MutexGuard<'_, BTreeSet<SocketAddr>> {
         self.broken.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/soak/src/timeline.rs
+++ b/crates/soak/src/timeline.rs
@@ -47,6 +47,10 @@
         );
         events.push((request.sent_at, sent));
         events.push((request.ended_at, format!("client: {:?}", request.end)));
+        if request.held_up_us > 0 {
+            let held_up = format!("held up by the proxy for {} us", request.held_up_us);
+            events.push((request.ended_at, held_up));
+        }
     }
     let receipts = records.receipts.iter();
     for receipt in receipts.filter(|r| Some(r.id) == violation.request) {
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -23,6 +23,7 @@
         ended_at: 10 * SECOND + 50_000,
         is_pipelined: false,
         is_first: false,
+        held_up_us: 0,
     }
 }
 
@@ -400,6 +401,41 @@
     assert_eq!(violated(&longer), [Invariant::Limit]);
 }
 
+/// Bytes that a thread of the test held up excuse no more than that time, and only at their own
+/// request.
+#[test]
+fn bytes_held_up_by_the_proxy_excuse_their_own_request_by_that_time() {
+    let held_up = |records: &mut Records, held_up_us| records.requests[0].held_up_us = held_up_us;
+    let mut longer = records();
+    let answered = request(1, Class::Repeatable, RequestEnd::Answered(200));
+    longer.requests.push(answered);
+    longer.receipts.push(Receipt {
+        limit_us: 1_200_000,
+        ..receipt(1, 0, 10 * SECOND + 40_000)
+    });
+    assert_eq!(violated(&longer), [Invariant::Limit]);
+    held_up(&mut longer, 30_000);
+    assert_eq!(violated(&longer), [Invariant::Limit]);
+    held_up(&mut longer, 40_000);
+    assert_eq!(violated(&longer), []);
+    longer.requests.push(RequestRecord {
+        held_up_us: 40_000,
+        ..request(2, Class::Repeatable, RequestEnd::Answered(200))
+    });
+    held_up(&mut longer, 0);
+    assert_eq!(violated(&longer), [Invariant::Limit]);
+
+    let mut late = records();
+    late.requests.push(RequestRecord {
+        ended_at: 12 * SECOND,
+        ..answered
+    });
+    held_up(&mut late, 340_000);
+    assert_eq!(violated(&late), [Invariant::Answer]);
+    held_up(&mut late, 350_000);
+    assert_eq!(violated(&late), []);
+}
+
 #[test]
 fn an_executor_in_slow_start_gets_no_more_than_its_limit_within_the_window() {
     // 2.5 x 0.3 x 8 cores x 1 s / 0.2 s = 30 requests, plus a margin of 2 x sqrt(30) + 2. The limit
