soak: a kill right after a suspension excuses what was not yet due

Cause: the judge gives a process half a second after a suspension to answer what came meanwhile, but counted a kill within this half second as a loss.

Change: such a request is excused only if a suspension overlapped it and the kill came less than half a second after that suspension's end. A kill later than that, without a suspension, or of a request that came after it is a loss as before.

Test: a_kill_less_than_half_a_second_after_a_suspension_excuses_the_requests_that_waited_meanwhile; on the judge before it found the first case a loss.

--- a/crates/soak/src/judge/bounds.rs
+++ b/crates/soak/src/judge/bounds.rs
@@ -5,7 +5,7 @@
 //! failed, gets no more time than others to learn of drains and of clients that disconnected,
 //! because it can check for them before it acts.
 
-use super::Judge;
+use super::{Judge, ANSWER_SLACK_US};
 use crate::ledger::{ControllerChange, FaultRecord, RequestRecord};
 
 /// Time in which clients may still send requests after a process was asked to end, in microseconds.
@@ -50,6 +50,22 @@
         })
     }
 
+    /// Whether the controller was killed, because it had not ended in time, so soon after a
+    /// suspension that the answer to this request was not yet due.
+    pub(super) fn was_killed_soon_after_suspension(&self, request: &RequestRecord) -> bool {
+        let controller = request.id.controller();
+        let (from, until) = (request.sent_at, request.ended_at);
+        let Some(resumed_at) = self.suspended_until(controller, from, until) else {
+            return false;
+        };
+        let mut kills = self.overdue_kills[controller].iter();
+        kills.any(|at| {
+            *at <= request.ended_at + FORWARDING_SLACK_US
+                && *at >= resumed_at
+                && *at < resumed_at + ANSWER_SLACK_US
+        })
+    }
+
     /// Whether a request may have been delayed so much that it reached a controller that was asked
     /// to end only after the grace period for requests.
     pub(super) fn arrived_after_grace(&self, request: &RequestRecord) -> bool {
--- a/crates/soak/src/judge/mod.rs
+++ b/crates/soak/src/judge/mod.rs
@@ -17,7 +17,8 @@
 use std::collections::BTreeMap;
 use std::fmt;
 
-/// By how much an answer may exceed its due time before it counts as lost, in microseconds.
+/// By how much an answer may exceed its due time, or the end of a suspension, before it counts as
+/// lost, in microseconds.
 const ANSWER_SLACK_US: i64 = 500_000;
 /// How long after a client disconnected an attempt for it may begin, in microseconds.
 const DISCONNECT_SLACK_US: i64 = 100_000;
@@ -166,12 +167,15 @@
     /// For each controller, when it was killed by a fault or while it was suspended, and when the
     /// process had ended.
     kills: Vec<Vec<(i64, i64)>>,
+    /// For each controller, when it was killed because it had not ended in time.
+    overdue_kills: Vec<Vec<i64>>,
 }
 
 impl<'a> Judge<'a> {
     fn new(records: &'a Records) -> Judge<'a> {
         let mut suspensions = vec![Vec::new(); records.controllers];
         let mut kills: Vec<Vec<(i64, i64)>> = vec![Vec::new(); records.controllers];
+        let mut overdue_kills: Vec<Vec<i64>> = vec![Vec::new(); records.controllers];
         for event in &records.controller_events {
             let spans: &mut Vec<(i64, i64)> = &mut suspensions[event.controller];
             match event.change {
@@ -184,6 +188,7 @@
                 ControllerChange::Killed | ControllerChange::KilledSuspended => {
                     kills[event.controller].push((event.at, i64::MAX))
                 }
+                ControllerChange::Overdue => overdue_kills[event.controller].push(event.at),
                 ControllerChange::Exited(_) => {
                     let open = kills[event.controller].last_mut();
                     if let Some(last) = open.filter(|last| last.1 == i64::MAX) {
@@ -198,6 +203,7 @@
             requests: records.requests.iter().map(|r| (r.id, r)).collect(),
             suspensions,
             kills,
+            overdue_kills,
         }
     }
 
@@ -266,6 +272,7 @@
             RequestEnd::CrossedClose => None,
             RequestEnd::Lost if self.arrived_after_grace(request) => None,
             RequestEnd::Lost if self.may_be_shut_out(request) => None,
+            RequestEnd::Lost if self.was_killed_soon_after_suspension(request) => None,
             RequestEnd::Lost => violation(None, "its connection ended without an answer".into()),
             RequestEnd::Unreadable => violation(
                 None,
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -136,6 +136,42 @@
     assert_eq!(violated(&late), [Invariant::Answer]);
 }
 
+/// SIGKILL comes at a fixed time after SIGTERM. A process that is resumed just before has as long to
+/// answer as after any suspension.
+#[test]
+fn a_kill_less_than_half_a_second_after_a_suspension_excuses_the_requests_that_waited_meanwhile() {
+    let killed = |resumed_at: Option<i64>| {
+        let mut records = records();
+        records.requests.push(RequestRecord {
+            ended_at: 13 * SECOND,
+            ..request(1, Class::Repeatable, RequestEnd::Lost)
+        });
+        push_controller_event(
+            &mut records,
+            ControllerChange::Terminated,
+            10 * SECOND - 100_000,
+        );
+        if let Some(resumed_at) = resumed_at {
+            let suspended_at = 10 * SECOND - 200_000;
+            push_controller_event(&mut records, ControllerChange::Suspended, suspended_at);
+            push_controller_event(&mut records, ControllerChange::Resumed, resumed_at);
+        }
+        push_controller_event(&mut records, ControllerChange::Overdue, 13 * SECOND - 1_000);
+        push_controller_event(&mut records, ControllerChange::Exited(None), 13 * SECOND);
+        records
+    };
+    assert_eq!(violated(&killed(Some(13 * SECOND - 9_000))), []);
+    let long_before = killed(Some(12 * SECOND + 400_000));
+    assert_eq!(violated(&long_before), [Invariant::Answer]);
+    let mut sent_afterwards = killed(Some(13 * SECOND - 9_000));
+    let sent_at = 13 * SECOND - 5_000;
+    sent_afterwards.requests[0].began_at = sent_at;
+    sent_afterwards.requests[0].sent_at = sent_at;
+    assert_eq!(violated(&sent_afterwards), [Invariant::Answer]);
+    let without_suspension = killed(None);
+    assert!(violated(&without_suspension).contains(&Invariant::Answer));
+}
+
 /// A controller that cannot accept connections cannot answer. An answer that comes more than half a
 /// second after the fault ended is late again.
 #[test]
