pg-gateway: a continued unit counts as written from its first byte

What callers could see: an open unit of class 'once' run twice. A client that sends Flush and more of its unit before anything of it was written made the output longer than it was when the attempt was queued; until it had shrunk below that, the attempt counted as not received by the engine. If the connection then failed on a write, it ended as a failed connect and was retried, though the engine could have run the first statements.

Cause: 'nothing was written' was derived from the length of the output, which continuations change.

Change: the session keeps the number of bytes that precede the attempt, less what is written.

Found by reading for attempts that are taken back; the same count is used in no other place.

--- a/crates/pg-gateway/src/engine_sessions.rs
+++ b/crates/pg-gateway/src/engine_sessions.rs
@@ -40,9 +40,8 @@
     /// A cancel request is in progress: the session must not be reused before that has finished, since it
     /// could end the next query.
     pub cancelling: bool,
-    /// Size of the output buffer when the attempt was written to it. As long as the buffer has not shrunk
-    /// below this, the engine has received nothing of the attempt.
-    pub unsent: Option<usize>,
+    /// Number of bytes in the output that precede the attempt, as long as the engine has received nothing of it.
+    unwritten_after: Option<usize>,
     /// When part of an answer was last processed.
     pub last_progress_at: i64,
     pub idle_since: i64,
@@ -69,6 +68,11 @@
         }
     }
 
+    /// Whether the engine has received nothing of the attempt.
+    pub fn has_unwritten_attempt(&self) -> bool {
+        self.unwritten_after.is_some()
+    }
+
     /// Whether the session can run another query. `ignore_cancel` is an injected fault that disregards a
     /// cancel request in progress.
     pub fn is_free(&self, ignore_cancel: bool) -> bool {
@@ -151,7 +155,7 @@
             options: AttemptOptions::default(),
             timer: None,
             cancelling: false,
-            unsent: None,
+            unwritten_after: None,
             last_progress_at: out.now,
             idle_since: out.now,
             paused: false,
@@ -199,6 +203,7 @@
             let AttemptOptions { grant_mb, priority } = query.options;
             format!("SET wheelfield.priority = {priority}; SET wheelfield.grant_mb = {grant_mb:.0}")
         });
+        session.unwritten_after = Some(session.buffer.output.len());
         session.options = if options_differ { query.options } else { session.options };
         let unit = &query.unit;
         let output = &mut session.buffer.output;
@@ -207,13 +212,20 @@
             let is_last = query.is_complete && i + 1 == query.continuations.len();
             session.backend.append(frames, suppress_acks, is_last, output);
         }
-        session.unsent = Some(output.len());
         session.last_progress_at = out.now;
         session.job = Some(Job::Attempt { id: attempt, client: Some(query.client) });
         session.buffer.flush(id, out);
         self.by_attempt.insert(attempt, id);
     }
 
+    /// Removes bytes that were written from the output.
+    pub fn bytes_written(&mut self, id: ConnId, count: usize) {
+        let Some(session) = self.sessions.get_mut(id) else { return };
+        session.buffer.advance_written(count);
+        let preceding = session.unwritten_after.take();
+        session.unwritten_after = preceding.and_then(|preceding| preceding.checked_sub(count));
+    }
+
     /// Writes a statement of the gateway itself to an idle session.
     pub fn write_statement(&mut self, id: ConnId, job: Job, statement: &str, out: &mut EffectQueue) {
         let Some(session) = self.sessions.get_mut(id) else { return };
--- a/crates/pg-gateway/src/engines.rs
+++ b/crates/pg-gateway/src/engines.rs
@@ -312,7 +312,7 @@
             Some((sqlstate, _)) if outcome == Outcome::Reset && sqlstate != QUERY_CANCELED => Outcome::Error,
             _ => outcome,
         };
-        let (is_mid_row, unsent) = (session.backend.is_mid_row(), session.unsent.is_some());
+        let (is_mid_row, unsent) = (session.backend.is_mid_row(), session.has_unwritten_attempt());
         out.record(match job {
             _ if starting => Coverage::SessionLostStarting,
             None => Coverage::SessionLostIdle,
@@ -344,16 +344,12 @@
     /// Handles a broken connection.
     pub fn handle_broken(&mut self, id: ConnId, writing: bool, reason: &str, out: &mut EffectQueue) {
         let Some(session) = self.sessions.get(id) else { return };
-        let unsent = session.backend.is_starting() || (writing && session.unsent.is_some());
+        let unsent = session.backend.is_starting() || (writing && session.has_unwritten_attempt());
         self.fail_session(id, if unsent { Outcome::ConnectFailed } else { Outcome::Reset }, reason, out);
     }
 
     pub fn bytes_written(&mut self, id: ConnId, count: usize) {
-        let Some(session) = self.sessions.get_mut(id) else { return };
-        session.buffer.advance_written(count);
-        if session.unsent.is_some_and(|unsent| session.buffer.output.len() < unsent) {
-            session.unsent = None;
-        }
+        self.sessions.bytes_written(id, count);
     }
 
     /// Closes a session without reporting the outcome of its job.
@@ -404,7 +400,7 @@
             .is_some_and(|session| is_attempt(session.job) && !session.buffer.output.is_empty())
         {
             out.record(Coverage::AttemptPartlyWritten);
-            let unsent = self.sessions.get(id).is_some_and(|session| session.unsent.is_some());
+            let unsent = self.sessions.get(id).is_some_and(|session| session.has_unwritten_attempt());
             let outcome = if unsent { Outcome::ConnectFailed } else { Outcome::Cancelled };
             return self.fail_session(id, outcome, "discarded before it was completely written", out);
         }
--- a/crates/pg-gateway/tests/common/mod.rs
+++ b/crates/pg-gateway/tests/common/mod.rs
@@ -25,6 +25,11 @@
 aim = "2s"
 deadline = "15s"
 effect = "repeatable"
+[[classes]]
+name = "once"
+aim = "2s"
+deadline = "15s"
+effect = "once"
 [signals]
 reports = "answers"
 [means]
@@ -40,6 +45,23 @@
 zone = "a"
 "#;
 
+/// Where the registry listens, if the configuration has one.
+pub const REGISTRY: &str = "127.0.0.1:8";
+
+/// The configuration with a polled registry in place of the list of engines.
+pub fn config_with_registry() -> String {
+    let (common, _) = CONFIG.split_once("[[engines]]").expect("engines at the end");
+    format!("{common}[registry]\naddress = {REGISTRY:?}\nmode = \"poll\"\n")
+}
+
+/// A list of the registry with one engine.
+pub fn registry_list(version: u64, status: &str) -> String {
+    let entry = format!(
+        r#"{{"id":"engine-00","address":"127.0.0.1:9","status":{status:?},"kind":"std","zone":"a"}}"#
+    );
+    format!(r#"{{"version":{version},"engines":[{entry}]}}"#)
+}
+
 /// A recorded call to the gateway, which can be replayed.
 #[derive(Clone, Debug)]
 pub enum Step {
@@ -74,12 +96,19 @@
     /// connections.
     pub backlog: usize,
     pub accepted_late: Vec<ConnId>,
+    /// The connection with an unanswered request to the registry.
+    pub registry_request: Option<ConnId>,
+    registry_connection: Option<ConnId>,
     engine_connections: HashMap<ConnId, ConnId>,
     gateway_connections: HashMap<ConnId, ConnId>,
 }
 
 pub fn new_gateway(now: i64) -> PgGateway {
-    let config = wheelfield_config::parse("test", CONFIG).unwrap_or_else(|fault| panic!("{fault}"));
+    gateway_with_config(now, CONFIG)
+}
+
+fn gateway_with_config(now: i64, config: &str) -> PgGateway {
+    let config = wheelfield_config::parse("test", config).unwrap_or_else(|fault| panic!("{fault}"));
     let driver = Box::new(Driver::new(config.settings.clone(), 1, DriverLimits::default()));
     let options = PgGatewayOptions {
         now,
@@ -96,10 +125,14 @@
 
 impl Harness {
     pub fn new(chunk_size: usize) -> Harness {
+        Harness::with_config(chunk_size, CONFIG)
+    }
+
+    pub fn with_config(chunk_size: usize, config: &str) -> Harness {
         let now = 1_000_000;
         let hosted_engine = Setup::with_default_engines(1).engines.remove(0);
         let mut harness = Harness {
-            gateway: new_gateway(now),
+            gateway: gateway_with_config(now, config),
             engine: EmulatedEngine::new(hosted_engine, now, 1),
             now,
             chunk_size,
@@ -110,6 +143,8 @@
             stopped: false,
             backlog: 0,
             accepted_late: Vec::new(),
+            registry_request: None,
+            registry_connection: None,
             engine_connections: HashMap::new(),
             gateway_connections: HashMap::new(),
         };
@@ -151,6 +186,35 @@
         }
     }
 
+    /// Answers the request to the registry.
+    pub fn answer_registry(&mut self, list: &str) {
+        let id = self.registry_request.take().expect("a request to the registry");
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", list.len());
+        self.apply_step(Step::Received(id, [head.as_bytes(), list.as_bytes()].concat()));
+        self.run_until_idle();
+    }
+
+    /// Sends a query, and returns the engine session to which the gateway is about to write it.
+    pub fn decide(&mut self, client: ConnId, query: &[u8]) -> ConnId {
+        self.apply_step(Step::Received(client, query.to_vec()));
+        let [session] = self.take_engine_writes()[..] else { panic!("one write to an engine session") };
+        session
+    }
+
+    /// Takes the effects of the gateway, and returns the engine sessions that it is about to write to.
+    pub fn take_engine_writes(&mut self) -> Vec<ConnId> {
+        let (mut effects, mut sessions) = (Vec::new(), Vec::new());
+        self.gateway.take_effects(&mut effects);
+        for effect in effects {
+            match effect {
+                Effect::Write(id) if self.engine_connections.contains_key(&id) => sessions.push(id),
+                Effect::Write(id) => self.write(id),
+                effect => panic!("an unexpected effect: {effect:?}"),
+            }
+        }
+        sessions
+    }
+
     pub fn received(&self, id: ConnId) -> Vec<u8> {
         self.written.get(&id).cloned().unwrap_or_default()
     }
@@ -172,13 +236,22 @@
                     continue;
                 }
                 match effect {
+                    Effect::Connect(id, address) if address.to_string() == REGISTRY => {
+                        self.registry_connection = Some(id);
+                        self.apply_step(Step::Connected(id));
+                    }
                     Effect::Connect(id, _) => {
                         let engine_connection = self.engine.accept();
                         self.engine_connections.insert(id, engine_connection);
                         self.gateway_connections.insert(engine_connection, id);
                         self.apply_step(Step::Connected(id));
                     }
-                    Effect::Write(id) => self.write(id),
+                    Effect::Write(id) => {
+                        self.write(id);
+                        if self.registry_connection == Some(id) {
+                            self.registry_request = Some(id);
+                        }
+                    }
                     Effect::Close(id) => {
                         self.closed.push(id);
                         if let Some(engine_connection) = self.engine_connections.remove(&id) {
