pg-gateway: an attempt decided before a suspension is checked again before it is written

What callers saw: after a suspension the gateway wrote attempts that it had decided on before, to engines that had drained meanwhile and for clients that had left.

Cause: the event loop offers output that has become old to be withdrawn; the PostgreSQL side did not take part, and an attempt counted as written once it was in the output.

Change: an attempt of which nothing was written goes back and waits, with its session, until pending input is handled and, where the list is awaited, until that is current; then the driver is asked again. The driver learns of an attempt at its first written byte, as its interface says.

--- a/crates/pg-gateway/src/dispatcher/attempts.rs
+++ b/crates/pg-gateway/src/dispatcher/attempts.rs
@@ -3,7 +3,7 @@
 
 use super::Dispatcher;
 use crate::coverage::Coverage;
-use crate::engine_events::{load_report, EngineEvent, ReadProgress};
+use crate::engine_events::{load_report, EngineEvent, ReadProgress, ReadyAttempt};
 use crate::fault_injection::FaultInjection;
 use tracing::{info, warn};
 use wheelfield::interface::{EngineId, LoadReport, Micros, Outcome};
@@ -34,7 +34,7 @@
     pub(super) fn handle_engine_event(&mut self, event: EngineEvent) {
         let now = self.out.now;
         match event {
-            EngineEvent::SessionReady(session, attempt) => self.write_attempt(session, attempt),
+            EngineEvent::SessionReady(ready) => self.queue_attempt(ready),
             EngineEvent::AnswerReady(session, attempt, client) => self.begin_answer(session, attempt, client),
             EngineEvent::AttemptUpdated(attempt, update) => {
                 self.driver.handle_input(now, Input::AttemptUpdated(attempt, update))
@@ -114,8 +114,13 @@
         self.engines.finish_unit(session, reusable, &mut self.out);
     }
 
-    /// Writes an attempt to its engine session, if the driver still permits it.
-    fn write_attempt(&mut self, session: ConnId, attempt: AttemptId) {
+    /// Queues an attempt on its engine session, if the driver still permits it. While the engine list is
+    /// awaited, the attempt waits with its session.
+    fn queue_attempt(&mut self, ready: ReadyAttempt) {
+        let ReadyAttempt { attempt, session, .. } = ready;
+        if self.is_engine_list_awaited() {
+            return self.withheld_attempts.push_back(ready);
+        }
         let may_send_to_draining = self.fault == Some(FaultInjection::SendToDraining);
         if !self.driver.decision_engine().may_write(Micros(self.out.now), attempt) && !may_send_to_draining
             || self.queries.get(attempt.query).is_none()
@@ -131,10 +136,9 @@
             }
             return self.engines.release_session(session, &mut self.out);
         }
-        self.driver.handle_input(self.out.now, Input::Dispatched(attempt));
         let sent_query = self.swapped_query(attempt.query).unwrap_or(attempt.query);
         if let Some(in_flight) = self.queries.get(sent_query) {
-            self.engines.write_attempt(session, attempt, in_flight, &mut self.out);
+            self.engines.queue_attempt(ready, in_flight, &mut self.out);
         }
     }
 
--- a/crates/pg-gateway/src/dispatcher/endpoints.rs
+++ b/crates/pg-gateway/src/dispatcher/endpoints.rs
@@ -2,6 +2,7 @@
 
 use super::Dispatcher;
 use crate::coverage::Coverage;
+use crate::engine_events::ReadyAttempt;
 use crate::registry::RegistryUpdate;
 use crate::timer_event::TimerEvent;
 use tracing::{info, warn};
@@ -19,13 +20,28 @@
         if self.list_age.polls_registry() {
             self.registry.restart_request(self.endpoint_sets.registry_version(), &mut self.out);
         }
+        let withdrawn = self.engines.withdraw_all_unwritten();
+        self.withheld_attempts.extend(withdrawn);
         self.out.set_timer_at(wait_until, TimerEvent::EngineListWaitTimeout);
     }
 
+    /// Whether new queries and attempts wait for the engine list.
+    pub(super) fn is_engine_list_awaited(&self) -> bool {
+        self.list_age.is_awaited(self.out.now, self.registry.is_awaiting_response())
+    }
+
+    /// The next attempt that was withdrawn or has waited, once the engine list is not awaited.
+    pub(super) fn next_withheld_attempt(&mut self) -> Option<ReadyAttempt> {
+        match self.is_engine_list_awaited() {
+            true => None,
+            false => self.withheld_attempts.pop_front(),
+        }
+    }
+
     /// The next client with input to process. While the engine list is awaited, only clients that are
     /// leaving are returned.
     pub(super) fn next_ready_client(&mut self) -> Option<ConnId> {
-        if !self.list_age.is_awaited(self.out.now, self.registry.is_awaiting_response()) {
+        if !self.is_engine_list_awaited() {
             return self.ready_clients.pop_front();
         }
         let leaving = self.ready_clients.iter().position(|id| self.clients.is_leaving(*id))?;
--- a/crates/pg-gateway/src/dispatcher/mod.rs
+++ b/crates/pg-gateway/src/dispatcher/mod.rs
@@ -10,6 +10,7 @@
 use crate::coverage::Coverage;
 use crate::effect_queue::EffectQueue;
 use crate::endpoint_sets::EndpointSets;
+use crate::engine_events::ReadyAttempt;
 use crate::engines::Engines;
 use crate::fault_injection::FaultInjection;
 use crate::gossip::Gossip;
@@ -49,6 +50,9 @@
     /// Clients with input to process, and engine sessions to read.
     pub ready_clients: VecDeque<ConnId>,
     pub readable_sessions: VecDeque<ConnId>,
+    /// Attempts that were withdrawn before they were written, or wait for the engine list. The driver limits the
+    /// number of attempts.
+    pub withheld_attempts: VecDeque<ReadyAttempt>,
     cancel_requests_received: u64,
     hints_ignored: u64,
     probe_counts: (u64, u64),
@@ -85,6 +89,7 @@
             shutdown: Shutdown::default(),
             ready_clients: VecDeque::new(),
             readable_sessions: VecDeque::new(),
+            withheld_attempts: VecDeque::new(),
             cancel_requests_received: 0,
             hints_ignored: 0,
             probe_counts: (0, 0),
@@ -169,6 +174,8 @@
                 self.handle_engine_event(event);
             } else if let Some(id) = self.next_ready_client() {
                 self.read_client(id);
+            } else if let Some(ready) = self.next_withheld_attempt() {
+                self.engines.push_ready(ready);
             } else if let Some(instruction) = self.driver.next_instruction() {
                 self.execute_instruction(instruction);
             } else if let Some(id) = self.readable_sessions.pop_front() {
--- a/crates/pg-gateway/src/engine_events.rs
+++ b/crates/pg-gateway/src/engine_events.rs
@@ -5,11 +5,19 @@
 use wheelfield_pg::backend;
 use wheelfield_sans_io::ConnId;
 
+/// An attempt and the session that is reserved for it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ReadyAttempt {
+    pub attempt: AttemptId,
+    pub engine: EngineId,
+    pub session: ConnId,
+}
+
 /// An event of an engine session.
 #[derive(Debug)]
 pub(crate) enum EngineEvent {
     /// A session is ready for an attempt.
-    SessionReady(ConnId, AttemptId),
+    SessionReady(ReadyAttempt),
     /// The answer of an attempt has reached its first row, for this client. Call `begin_answer` or
     /// `discard_answer`, and then read on.
     AnswerReady(ConnId, AttemptId, ConnId),
--- a/crates/pg-gateway/src/engine_sessions.rs
+++ b/crates/pg-gateway/src/engine_sessions.rs
@@ -28,6 +28,15 @@
     Discarded,
 }
 
+/// An attempt in the output of a session of which nothing was written yet.
+#[derive(Clone, Copy, Debug)]
+struct UnwrittenAttempt {
+    /// Number of bytes in the output that precede it.
+    preceding_bytes: usize,
+    /// The options of the session before it.
+    former_options: AttemptOptions,
+}
+
 /// A session with an engine.
 #[derive(Debug)]
 pub(crate) struct Session {
@@ -40,8 +49,8 @@
     /// A cancel request is in progress: the session must not be reused before that has finished, since it
     /// could end the next query.
     pub cancelling: bool,
-    /// Number of bytes in the output that precede the attempt, as long as the engine has received nothing of it.
-    unwritten_after: Option<usize>,
+    /// The attempt, as long as the engine has received nothing of it.
+    unwritten: Option<UnwrittenAttempt>,
     /// When part of an answer was last processed.
     pub last_progress_at: i64,
     pub idle_since: i64,
@@ -70,7 +79,12 @@
 
     /// Whether the engine has received nothing of the attempt.
     pub fn has_unwritten_attempt(&self) -> bool {
-        self.unwritten_after.is_some()
+        self.unwritten.is_some()
+    }
+
+    /// Whether the engine has closed the session, or is about to.
+    pub fn is_closing(&self) -> bool {
+        self.buffer.peer_closing || self.buffer.read_closed
     }
 
     /// Whether the session can run another query. `ignore_cancel` is an injected fault that disregards a
@@ -155,7 +169,7 @@
             options: AttemptOptions::default(),
             timer: None,
             cancelling: false,
-            unwritten_after: None,
+            unwritten: None,
             last_progress_at: out.now,
             idle_since: out.now,
             paused: false,
@@ -188,8 +202,8 @@
         self.by_attempt.remove(&attempt);
     }
 
-    /// Writes an attempt to an idle session.
-    pub fn write_attempt(
+    /// Adds an attempt to the output of an idle session.
+    pub fn queue_attempt(
         &mut self,
         id: ConnId,
         attempt: AttemptId,
@@ -203,7 +217,10 @@
             let AttemptOptions { grant_mb, priority } = query.options;
             format!("SET wheelfield.priority = {priority}; SET wheelfield.grant_mb = {grant_mb:.0}")
         });
-        session.unwritten_after = Some(session.buffer.output.len());
+        session.unwritten = Some(UnwrittenAttempt {
+            preceding_bytes: session.buffer.output.len(),
+            former_options: session.options,
+        });
         session.options = if options_differ { query.options } else { session.options };
         let unit = &query.unit;
         let output = &mut session.buffer.output;
@@ -218,12 +235,41 @@
         self.by_attempt.insert(attempt, id);
     }
 
-    /// Removes bytes that were written from the output.
-    pub fn bytes_written(&mut self, id: ConnId, count: usize) {
-        let Some(session) = self.sessions.get_mut(id) else { return };
+    /// Removes bytes that were written from the output. Returns the attempt whose first byte is among them.
+    pub fn bytes_written(&mut self, id: ConnId, count: usize) -> Option<AttemptId> {
+        let session = self.sessions.get_mut(id)?;
         session.buffer.advance_written(count);
-        let preceding = session.unwritten_after.take();
-        session.unwritten_after = preceding.and_then(|preceding| preceding.checked_sub(count));
+        let unwritten = session.unwritten.as_mut()?;
+        if count <= unwritten.preceding_bytes {
+            unwritten.preceding_bytes -= count;
+            return None;
+        }
+        session.unwritten = None;
+        match session.job {
+            Some(Job::Attempt { id: attempt, .. }) => Some(attempt),
+            _ => None,
+        }
+    }
+
+    /// The sessions with attempts of which nothing was written yet.
+    pub fn with_unwritten_attempts(&self) -> Vec<ConnId> {
+        let sessions = self.by_attempt.values().copied();
+        sessions.filter(|id| self.get(*id).is_some_and(Session::has_unwritten_attempt)).collect()
+    }
+
+    /// Takes an attempt of which nothing was written back from its session, which is idle then. An attempt
+    /// that is being cancelled stays.
+    pub fn withdraw_unwritten(&mut self, id: ConnId) -> Option<AttemptId> {
+        let session = self.sessions.get_mut(id).filter(|session| !session.cancelling)?;
+        let Some(Job::Attempt { id: attempt, client: Some(_) }) = session.job else { return None };
+        let unwritten = session.unwritten.take()?;
+        let end = session.buffer.output.len();
+        session.buffer.remove_output(unwritten.preceding_bytes..end);
+        session.options = unwritten.former_options;
+        session.backend.withdraw();
+        session.job = None;
+        self.by_attempt.remove(&attempt);
+        Some(attempt)
     }
 
     /// Writes a statement of the gateway itself to an idle session.
--- a/crates/pg-gateway/src/engines.rs
+++ b/crates/pg-gateway/src/engines/mod.rs
@@ -1,22 +1,26 @@
 //! The engine side: opens, reuses and closes sessions, runs attempts and probes on them, and cancels
 //! attempts. Reports to the dispatcher by [`EngineEvent`]s; clients are known only by connection ID.
 
+mod attempt_queue;
+mod cancellation;
+mod probes;
+mod timeouts;
+
 use crate::cancels::CancelRequests;
 use crate::coverage::Coverage;
 use crate::effect_queue::{Effect, EffectQueue};
-use crate::engine_events::{load_report, EngineEvent, ReadProgress};
+use crate::engine_events::{load_report, EngineEvent, ReadProgress, ReadyAttempt};
 use crate::engine_sessions::{Job, ReadOutcome, Sessions};
 use crate::fault_injection::FaultInjection;
-use crate::in_flight::InFlightQuery;
 use crate::pools::Pools;
 use crate::timer_event::TimerEvent;
 use bytes::BytesMut;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use tracing::debug;
-use wheelfield::interface::{AttemptUpdate, EngineId, LoadReport, Outcome, QueryId};
+use wheelfield::interface::{AttemptUpdate, EngineId, LoadReport, Outcome};
 use wheelfield_config::Config;
-use wheelfield_driver::{AttemptId, AttemptOptions};
+use wheelfield_driver::AttemptId;
 use wheelfield_pg::backend::{self, BackendEvent, QUERY_CANCELED};
 use wheelfield_sans_io::ConnId;
 
@@ -72,13 +76,9 @@
             return self.push_ended(attempt, engine, Outcome::ConnectFailed);
         };
         while let Some(id) = pool.idle.pop() {
-            if self
-                .sessions
-                .get(id)
-                .is_some_and(|session| !session.buffer.peer_closing && !session.buffer.read_closed)
-            {
+            if self.sessions.get(id).is_some_and(|session| !session.is_closing()) {
                 out.record(Coverage::SessionReused);
-                return self.events.push_back(EngineEvent::SessionReady(id, attempt));
+                return self.push_ready(ReadyAttempt { attempt, engine, session: id });
             }
         }
         if pool.sessions >= self.max_sessions {
@@ -90,6 +90,11 @@
         self.open_session(engine, out);
     }
 
+    /// Reports that the session of an attempt is ready. The session is reserved until the attempt is queued.
+    pub fn push_ready(&mut self, ready: ReadyAttempt) {
+        self.events.push_back(EngineEvent::SessionReady(ready));
+    }
+
     fn push_ended(&mut self, attempt: AttemptId, engine: EngineId, outcome: Outcome) {
         let report = LoadReport::default();
         self.events.push_back(EngineEvent::Ended { attempt, engine, outcome, report, reason: None });
@@ -124,16 +129,6 @@
         }
     }
 
-    pub fn write_attempt(
-        &mut self,
-        id: ConnId,
-        attempt: AttemptId,
-        query: &InFlightQuery,
-        out: &mut EffectQueue,
-    ) {
-        self.sessions.write_attempt(id, attempt, query, out);
-    }
-
     /// Gives an idle session to the next waiting probe or attempt, or returns it to the pool.
     pub fn release_session(&mut self, id: ConnId, out: &mut EffectQueue) {
         let ignore_cancel = self.fault == Some(FaultInjection::ReuseDuringCancel);
@@ -148,7 +143,7 @@
             return self.write_probe(id, out);
         }
         if let Some(attempt) = pool.waiting.pop_front() {
-            return self.events.push_back(EngineEvent::SessionReady(id, attempt));
+            return self.push_ready(ReadyAttempt { attempt, engine, session: id });
         }
         if pool.is_up || self.fault == Some(FaultInjection::SendToDraining) {
             pool.idle.push(id);
@@ -348,8 +343,9 @@
         self.fail_session(id, if unsent { Outcome::ConnectFailed } else { Outcome::Reset }, reason, out);
     }
 
-    pub fn bytes_written(&mut self, id: ConnId, count: usize) {
-        self.sessions.bytes_written(id, count);
+    /// Handles that bytes were written. Returns the attempt whose first byte is among them.
+    pub fn bytes_written(&mut self, id: ConnId, count: usize) -> Option<AttemptId> {
+        self.sessions.bytes_written(id, count)
     }
 
     /// Closes a session without reporting the outcome of its job.
@@ -358,198 +354,4 @@
             self.pools.remove_session(session.engine, id, session.backend.is_starting());
         }
     }
-
-    // --- cancellation ---
-
-    /// Cancels an attempt. If its answer is `wanted`, one that arrives before the cancellation still
-    /// counts.
-    pub fn cancel_attempt(&mut self, attempt: AttemptId, wanted: bool, out: &mut EffectQueue) {
-        let Some(id) = self.sessions.session_of(attempt) else {
-            out.record(Coverage::WaitingAttemptCancelled);
-            return self.pools.remove_waiting(attempt);
-        };
-        out.record(Coverage::AttemptCancelled);
-        if let Some(session) = self.sessions.get_mut(id) {
-            session.backend.mark_cancelled();
-        }
-        if !wanted {
-            self.discard_answer(id, out);
-        }
-        if self.cancellation {
-            self.send_cancel(id, out);
-        }
-    }
-
-    /// Discards all further answers to a query that has its final answer.
-    pub fn detach_query(&mut self, query: QueryId, out: &mut EffectQueue) {
-        for id in self.sessions.sessions_of(query) {
-            self.discard_answer(id, out);
-        }
-    }
-
-    /// Discards the rest of an answer.
-    pub fn discard_answer(&mut self, id: ConnId, out: &mut EffectQueue) {
-        let timeout =
-            if self.cancellation { self.timing.cancel_timeout.0 } else { DISCARD_TIMEOUT_UNCANCELLED_US };
-        // An attempt that is not completely written need not be sent: the engine sees the connection close
-        // and does not run the query.
-        let is_attempt = |job: Option<Job>| matches!(job, Some(Job::Attempt { .. }));
-        if self
-            .sessions
-            .get(id)
-            .is_some_and(|session| is_attempt(session.job) && !session.buffer.output.is_empty())
-        {
-            out.record(Coverage::AttemptPartlyWritten);
-            let unsent = self.sessions.get(id).is_some_and(|session| session.has_unwritten_attempt());
-            let outcome = if unsent { Outcome::ConnectFailed } else { Outcome::Cancelled };
-            return self.fail_session(id, outcome, "discarded before it was completely written", out);
-        }
-        let client = self.sessions.discard(id, timeout, out);
-        // Input that was left unread while the client was slow is read now.
-        self.events.push_back(EngineEvent::SessionReadable(id, client));
-    }
-
-    fn send_cancel(&mut self, id: ConnId, out: &mut EffectQueue) {
-        let Some(session) = self.sessions.get_mut(id).filter(|session| !session.cancelling) else { return };
-        let Some(key) = session.backend.key() else { return };
-        let Some(address) = self.pools.get(session.engine).map(|pool| pool.address) else { return };
-        if self.cancel_requests.start(id, address, key, 2 * self.timing.connect_timeout.0, out) {
-            session.cancelling = true;
-            out.record(Coverage::CancelRequestSent);
-        } else {
-            out.record(Coverage::CancelRequestLimitReached);
-            self.fail_session(id, Outcome::Cancelled, "too many cancel requests in progress", out);
-        }
-    }
-
-    pub fn connection_count(&self) -> usize {
-        self.sessions.len() + self.cancel_requests.len()
-    }
-
-    pub fn cancel_requests(&mut self) -> &mut CancelRequests {
-        &mut self.cancel_requests
-    }
-
-    /// Handles a cancel request that could not be delivered. Closing the session ends the query instead.
-    pub fn handle_cancel_failed(&mut self, id: ConnId, out: &mut EffectQueue) {
-        if let Some(session_id) = self.cancel_requests.finish(id, false, out) {
-            out.record(Coverage::CancelRequestFailed);
-            self.fail_session(
-                session_id,
-                Outcome::Cancelled,
-                "the cancel request could not be delivered",
-                out,
-            );
-        }
-    }
-
-    /// Handles a cancel request that the engine has finished by closing its connection.
-    pub fn handle_cancel_closed(&mut self, id: ConnId, out: &mut EffectQueue) {
-        let leak_connection = self.fault == Some(FaultInjection::LeakCancelConnections);
-        let Some(session_id) = self.cancel_requests.finish(id, leak_connection, out) else { return };
-        if let Some(session) = self.sessions.get_mut(session_id) {
-            session.cancelling = false;
-            self.release_session(session_id, out);
-        }
-    }
-
-    /// Handles a cancel request that timed out. It could still be processed and end another query, so the
-    /// session is closed.
-    pub fn handle_cancel_timeout(&mut self, id: ConnId, out: &mut EffectQueue) {
-        if let Some(session_id) = self.cancel_requests.finish(id, false, out) {
-            out.record(Coverage::CancelRequestTimeout);
-            self.fail_session(session_id, Outcome::Cancelled, "the cancel request timed out", out);
-        }
-    }
-
-    // --- timeouts ---
-
-    pub fn handle_connect_timeout(&mut self, id: ConnId, out: &mut EffectQueue) {
-        if self.sessions.get(id).is_some_and(|session| session.backend.is_starting()) {
-            out.record(Coverage::EngineConnectTimeout);
-            self.fail_session(id, Outcome::ConnectFailed, "engine session start timed out", out);
-        }
-    }
-
-    /// Checks whether an engine continues the answer that it has begun. `paused` means that the client's
-    /// output buffer is full.
-    pub fn check_stall(&mut self, id: ConnId, paused: bool, out: &mut EffectQueue) {
-        let stall = self.timing.answer_stall_timeout.0;
-        let Some(session) = self.sessions.get_mut(id) else { return };
-        session.timer = None;
-        if session.client().is_none() {
-            return;
-        }
-        if paused {
-            session.last_progress_at = out.now;
-        }
-        if out.now - session.last_progress_at >= stall {
-            out.record(Coverage::AnswerStalled);
-            return self.fail_session(id, Outcome::TimedOut, "the engine stalled in its answer", out);
-        }
-        session.timer =
-            Some(out.set_timer_at(session.last_progress_at + stall, TimerEvent::AnswerStallCheck(id)));
-    }
-
-    pub fn handle_discard_timeout(&mut self, id: ConnId, out: &mut EffectQueue) {
-        out.record(Coverage::DiscardTimeout);
-        self.fail_session(id, Outcome::Cancelled, "the discarded answer did not end", out);
-    }
-
-    pub fn close_idle_sessions(&mut self, out: &mut EffectQueue) {
-        let cutoff = out.now - self.timing.session_idle_timeout.0;
-        let idle = self.pools.iter().flat_map(|(_, pool)| &pool.idle).copied();
-        let expired: Vec<ConnId> = idle
-            .filter(|id| self.sessions.get(*id).is_some_and(|session| session.idle_since < cutoff))
-            .collect();
-        for id in expired {
-            out.record(Coverage::IdleSessionClosed);
-            self.close_session(id, out);
-        }
-    }
-
-    // --- probes and priorities ---
-
-    /// Queries an engine's load.
-    pub fn probe(&mut self, engine: EngineId, out: &mut EffectQueue) {
-        let max_sessions = self.max_sessions;
-        let Some(pool) = self.pools.get_mut(engine) else { return };
-        if let Some(id) = pool.idle.pop() {
-            return self.write_probe(id, out);
-        }
-        if pool.is_probe_waiting || pool.sessions >= max_sessions {
-            return self.events.push_back(EngineEvent::ProbeEnded(
-                engine,
-                Outcome::NeverSent,
-                LoadReport::default(),
-            ));
-        }
-        pool.is_probe_waiting = true;
-        self.open_session(engine, out);
-    }
-
-    fn write_probe(&mut self, id: ConnId, out: &mut EffectQueue) {
-        if let Some(session) = self.sessions.get_mut(id) {
-            out.reset_timer(&mut session.timer, self.timing.probe_timeout.0, TimerEvent::ProbeTimeout(id));
-        }
-        self.sessions.write_statement(id, Job::Probe, "SHOW wheelfield.load", out);
-    }
-
-    pub fn handle_probe_timeout(&mut self, id: ConnId, out: &mut EffectQueue) {
-        if self.sessions.get(id).is_some_and(|session| matches!(session.job, Some(Job::Probe))) {
-            self.fail_session(id, Outcome::TimedOut, "probe timed out", out);
-        }
-    }
-
-    /// Changes the priority of a running attempt, by a statement on a second session.
-    pub fn set_priority(&mut self, attempt: AttemptId, options: AttemptOptions, out: &mut EffectQueue) {
-        let Some(session) = self.sessions.session_of(attempt).and_then(|id| self.sessions.get(id)) else {
-            return;
-        };
-        let Some((pid, _)) = session.backend.key() else { return };
-        let statement = format!("SELECT wheelfield.set_priority({pid}, {})", options.priority);
-        let Some(id) = self.pools.get_mut(session.engine).and_then(|pool| pool.idle.pop()) else { return };
-        out.record(Coverage::PriorityChanged);
-        self.sessions.write_statement(id, Job::Discarded, &statement, out);
-    }
 }
--- a/crates/pg-gateway/src/gateway.rs
+++ b/crates/pg-gateway/src/gateway.rs
@@ -86,7 +86,11 @@
                     self.dispatcher.disconnect_client(id);
                 }
             }
-            engine_sessions::CONNECTION_OWNER => self.dispatcher.engines.bytes_written(id, count),
+            engine_sessions::CONNECTION_OWNER => {
+                if let Some(attempt) = self.dispatcher.engines.bytes_written(id, count) {
+                    self.dispatcher.driver.handle_input(now, Input::Dispatched(attempt));
+                }
+            }
             cancels::CONNECTION_OWNER => {
                 self.dispatcher
                     .engines
@@ -332,6 +336,14 @@
         self.dispatcher.out.now = now;
         self.dispatcher.out.mark_listening_stopped();
     }
+    fn withdraw_stale_output(&mut self, now: i64, id: ConnId) {
+        self.dispatcher.out.now = now;
+        self.dispatcher.note_activity();
+        if id.owner() == engine_sessions::CONNECTION_OWNER {
+            let withdrawn = self.dispatcher.engines.withdraw_unwritten(id);
+            self.dispatcher.withheld_attempts.extend(withdrawn);
+        }
+    }
     fn read_capacity(&mut self, id: ConnId) -> usize {
         PgGateway::read_capacity(self, id)
     }
--- a/crates/pg-gateway/tests/common/mod.rs
+++ b/crates/pg-gateway/tests/common/mod.rs
@@ -235,40 +235,7 @@
                 if self.stopped {
                     continue;
                 }
-                match effect {
-                    Effect::Connect(id, address) if address.to_string() == REGISTRY => {
-                        self.registry_connection = Some(id);
-                        self.apply_step(Step::Connected(id));
-                    }
-                    Effect::Connect(id, _) => {
-                        let engine_connection = self.engine.accept();
-                        self.engine_connections.insert(id, engine_connection);
-                        self.gateway_connections.insert(engine_connection, id);
-                        self.apply_step(Step::Connected(id));
-                    }
-                    Effect::Write(id) => {
-                        self.write(id);
-                        if self.registry_connection == Some(id) {
-                            self.registry_request = Some(id);
-                        }
-                    }
-                    Effect::Close(id) => {
-                        self.closed.push(id);
-                        if let Some(engine_connection) = self.engine_connections.remove(&id) {
-                            self.gateway_connections.remove(&engine_connection);
-                            self.engine.peer_closed(engine_connection, self.now);
-                        }
-                    }
-                    Effect::StopListening => {
-                        for _ in 0..std::mem::take(&mut self.backlog) {
-                            let id = self.apply_step(Step::Accept).expect("accepted");
-                            self.accepted_late.push(id);
-                        }
-                        self.gateway.handle_listening_stopped(self.now);
-                    }
-                    Effect::Stopped => self.stopped = true,
-                    _ => {}
-                }
+                self.execute(effect);
             }
             for action in actions.drain(..) {
                 match action {
@@ -286,6 +253,43 @@
         panic!("the gateway and the engine do not become idle");
     }
 
+    fn execute(&mut self, effect: Effect) {
+        match effect {
+            Effect::Connect(id, address) if address.to_string() == REGISTRY => {
+                self.registry_connection = Some(id);
+                self.apply_step(Step::Connected(id));
+            }
+            Effect::Connect(id, _) => {
+                let engine_connection = self.engine.accept();
+                self.engine_connections.insert(id, engine_connection);
+                self.gateway_connections.insert(engine_connection, id);
+                self.apply_step(Step::Connected(id));
+            }
+            Effect::Write(id) => {
+                self.write(id);
+                if self.registry_connection == Some(id) {
+                    self.registry_request = Some(id);
+                }
+            }
+            Effect::Close(id) => {
+                self.closed.push(id);
+                if let Some(engine_connection) = self.engine_connections.remove(&id) {
+                    self.gateway_connections.remove(&engine_connection);
+                    self.engine.peer_closed(engine_connection, self.now);
+                }
+            }
+            Effect::StopListening => {
+                for _ in 0..std::mem::take(&mut self.backlog) {
+                    let id = self.apply_step(Step::Accept).expect("accepted");
+                    self.accepted_late.push(id);
+                }
+                self.gateway.handle_listening_stopped(self.now);
+            }
+            Effect::Stopped => self.stopped = true,
+            _ => {}
+        }
+    }
+
     fn write(&mut self, id: ConnId) {
         loop {
             let count = self.gateway.output(id).len().min(self.chunk_size);
--- a/crates/pg/src/backend.rs
+++ b/crates/pg/src/backend.rs
@@ -225,6 +225,14 @@
         self.withheld_completion = Bytes::new();
     }
 
+    /// Takes back the unit started last, of which nothing was sent. The session is idle again.
+    pub fn withdraw(&mut self) {
+        debug_assert!(matches!(self.phase, Phase::Running | Phase::ApplyingSettings));
+        self.phase = Phase::Idle;
+        self.suppress_acks.clear();
+        self.all_sent = true;
+    }
+
     /// Sends more of an open unit. `is_last` tells whether the unit is complete with it.
     pub fn append(&mut self, frames: &[u8], suppress_acks: &[bool], is_last: bool, out: &mut BytesMut) {
         out.extend_from_slice(frames);
