pg-gateway: suspensions from 0.3 s are noticed

What callers saw: after a suspension of under 1.3 s queries that had arrived meanwhile went by the old list, to engines that had begun to drain.

Cause: the gateway may have had nothing to do for a second, so only longer inactivity counted as a suspension.

Change: a gateway whose list can become old is active every 0.1 s; 0.3 s without activity count. For a registry that did not answer the last request new queries wait only after more than 1.3 s, as before, so that a process short of CPU time doesn't delay all queries while the registry is down.

--- a/crates/controller/tests/suspended_postgres.rs
+++ b/crates/controller/tests/suspended_postgres.rs
@@ -17,6 +17,8 @@
 const ENGINES: usize = 4;
 /// Longer than the polling interval of the registry, and than the permitted age of the list.
 const SUSPENSION: Duration = Duration::from_millis(2_500);
+/// Shorter than the polling interval of the registry.
+const SHORT_SUSPENSION: Duration = Duration::from_millis(500);
 const QUERY: &str = "select 1 /*class='fast'*/";
 
 /// The program under test. It is killed when this is dropped.
@@ -109,6 +111,7 @@
 fn queries_received_by_drained_engine(
     engines: &Engines,
     endpoints: &str,
+    suspension: Duration,
     drain: impl FnOnce(),
 ) -> usize {
     let program = Program::start(&format!("{LISTEN_CONFIG}{BASE_CONFIG}{endpoints}"));
@@ -138,7 +141,7 @@
     program.suspend();
     drain();
     clients.iter_mut().for_each(|client| client.query(QUERY));
-    std::thread::sleep(SUSPENSION);
+    std::thread::sleep(suspension);
     program.signal(Signal::CONT);
     for client in &mut clients {
         let (tags, state) = client.read_answer();
@@ -149,11 +152,11 @@
 }
 
 /// The same with a registry that is queried in this mode.
-fn received_with_registry_mode(mode: &str) -> usize {
+fn received_with_registry_mode(mode: &str, suspension: Duration) -> usize {
     let engines = Engines::start(ENGINES);
     let registry = engines.address("registry");
     let endpoints = format!("[registry]\naddress = {registry:?}\nmode = {mode:?}\n");
-    queries_received_by_drained_engine(&engines, &endpoints, || {
+    queries_received_by_drained_engine(&engines, &endpoints, suspension, || {
         engines.inject_fault(1, "drain", 1.0)
     })
 }
@@ -173,13 +176,19 @@
 /// afterwards. About four of sixteen queries were sent to an engine that had been draining for 2.5 s.
 #[test]
 fn queries_after_a_suspension_wait_for_a_polled_registry() {
-    assert_eq!(received_with_registry_mode("poll"), 0);
+    assert_eq!(received_with_registry_mode("poll", SUSPENSION), 0);
+}
+
+/// Regression test: suspensions of less than 1.3 s were not noticed.
+#[test]
+fn queries_after_a_short_suspension_wait_for_a_polled_registry() {
+    assert_eq!(received_with_registry_mode("poll", SHORT_SUSPENSION), 0);
 }
 
 /// The update from the registry has already arrived when the program resumes.
 #[test]
 fn an_update_of_a_watched_registry_is_processed_before_queries_after_a_suspension() {
-    assert_eq!(received_with_registry_mode("watch"), 0);
+    assert_eq!(received_with_registry_mode("watch", SUSPENSION), 0);
 }
 
 /// Regression test: queries that arrived during a suspension were dispatched by the old engine files, because changed files are applied
@@ -191,7 +200,7 @@
     let file = folder.path().join("engines.toml");
     std::fs::write(&file, engine_file(&engines, 1, "up")).expect("written");
     let endpoints = format!("[members]\nfiles = [{file:?}]\n");
-    let received = queries_received_by_drained_engine(&engines, &endpoints, || {
+    let received = queries_received_by_drained_engine(&engines, &endpoints, SUSPENSION, || {
         let new = file.with_extension("new");
         std::fs::write(&new, engine_file(&engines, 2, "draining")).expect("written");
         std::fs::rename(&new, &file).expect("renamed");
--- a/crates/pg-gateway/src/dispatcher/endpoints.rs
+++ b/crates/pg-gateway/src/dispatcher/endpoints.rs
@@ -15,9 +15,10 @@
     /// Notes that the process is running. After a longer inactivity, requests the engine list and the
     /// endpoint files anew before further queries are accepted.
     pub fn note_activity(&mut self) {
-        let Some(wait_until) = self.list_age.note_activity(self.out.now) else { return };
+        let is_unavailable = self.registry.is_unavailable;
+        let Some(wait_until) = self.list_age.note_activity(self.out.now, is_unavailable) else { return };
         warn!("the process was suspended; new queries wait for the list of engines");
-        if self.list_age.polls_registry() {
+        if self.list_age.awaits_registry() {
             self.registry.restart_request(self.endpoint_sets.registry_version(), &mut self.out);
         }
         let withdrawn = self.engines.withdraw_all_unwritten();
--- a/crates/pg-gateway/src/dispatcher/mod.rs
+++ b/crates/pg-gateway/src/dispatcher/mod.rs
@@ -15,7 +15,7 @@
 use crate::fault_injection::FaultInjection;
 use crate::gossip::Gossip;
 use crate::in_flight::InFlightQueries;
-use crate::list_age::ListAge;
+use crate::list_age::{ListAge, ACTIVITY_INTERVAL_US};
 use crate::metrics::MetricsSnapshot;
 use crate::peering::Peering;
 use crate::registry::RegistryClient;
@@ -113,6 +113,9 @@
             gossip.tick(&mut self.out);
         }
         self.out.set_timer_after(MAINTENANCE_INTERVAL_US, TimerEvent::Maintenance);
+        if self.list_age.can_be_old() {
+            self.out.set_timer_after(ACTIVITY_INTERVAL_US, TimerEvent::Activity);
+        }
     }
 
     pub fn handle_timer(&mut self, timer: TimerEvent) {
@@ -136,6 +139,9 @@
             TimerEvent::RegistryRequest => {
                 self.registry.request_list(self.endpoint_sets.registry_version(), out)
             }
+            TimerEvent::Activity => {
+                out.set_timer_after(ACTIVITY_INTERVAL_US, TimerEvent::Activity);
+            }
             // Processing the pending clients afterwards resumes the delayed queries.
             TimerEvent::EngineListWaitTimeout => {}
             TimerEvent::Gossip => {
--- a/crates/pg-gateway/src/list_age.rs
+++ b/crates/pg-gateway/src/list_age.rs
@@ -3,15 +3,19 @@
 //! Normally a polled registry list is at most one polling interval old, and endpoint files are read soon
 //! after they change. After the process was suspended, both may be older by the length of the suspension.
 //! New queries then wait, for a limited time, until a new registry request has completed and the files were
-//! read again. A watched registry sends changes on its own, and these are read before the queries that
+//! read again. A registry that did not answer before is waited for only after a long suspension, so that a
+//! process that is short of CPU time doesn't delay queries for it over and over. A watched registry sends changes on its own, and these are read before the queries that
 //! arrived during the suspension.
 
 use wheelfield_config::{Config, Refresh};
 
-/// A running process completes a turn of its event loop at least once in this many microseconds.
-const TURN_INTERVAL_US: i64 = 1_000_000;
-/// A process that is later than this, in microseconds, was suspended or starved.
-const MAX_LATENESS_US: i64 = 300_000;
+/// How often the process is active at least, in microseconds, if it depends on a list that may be out of date.
+pub(crate) const ACTIVITY_INTERVAL_US: i64 = 100_000;
+/// Time without activity, in microseconds, after which the process was suspended or starved.
+const MAX_INACTIVITY_US: i64 = 300_000;
+/// Time without activity, in microseconds, after which queries wait also for a registry that did not answer the
+/// last request.
+const LONG_INACTIVITY_US: i64 = 1_300_000;
 /// Maximum time that new queries wait, in microseconds. After that they use the last list.
 const MAX_WAIT_US: i64 = 1_000_000;
 
@@ -23,6 +27,8 @@
     has_files: bool,
     last_active_at: i64,
     wait_until: i64,
+    /// A registry request is waited for.
+    awaits_registry: bool,
     /// The number of the last request to read the files.
     files_request: u64,
     /// The request has not been passed on yet.
@@ -32,6 +38,11 @@
 }
 
 impl ListAge {
+    /// Whether the engine list can become out of date while this process is inactive.
+    pub fn can_be_old(&self) -> bool {
+        self.polls_registry || self.has_files
+    }
+
     /// The state of a process that has just started.
     pub fn new(config: &Config, now: i64) -> ListAge {
         let registry = config.registry.as_ref();
@@ -40,26 +51,29 @@
             has_files: config.endpoint_files.is_some(),
             last_active_at: now,
             wait_until: now,
+            awaits_registry: false,
             files_request: 0,
             is_files_request_new: false,
             awaits_files: false,
         }
     }
 
-    /// Whether a polled registry is configured.
-    pub fn polls_registry(&self) -> bool {
-        self.polls_registry
+    /// Whether the registry must be queried after the last inactivity.
+    pub fn awaits_registry(&self) -> bool {
+        self.awaits_registry
     }
 
     /// Notes that the process is active. After a longer inactivity, returns the time until which new
     /// queries wait at most; the registry must then be queried and the files read.
-    pub fn note_activity(&mut self, now: i64) -> Option<i64> {
+    pub fn note_activity(&mut self, now: i64, is_registry_unavailable: bool) -> Option<i64> {
         let inactive_us = now - self.last_active_at;
         self.last_active_at = now;
-        let is_list_old = self.polls_registry || self.has_files;
-        if !is_list_old || inactive_us <= TURN_INTERVAL_US + MAX_LATENESS_US {
+        let may_registry_answer = !is_registry_unavailable || inactive_us > LONG_INACTIVITY_US;
+        let awaits_registry = self.polls_registry && may_registry_answer;
+        if inactive_us <= MAX_INACTIVITY_US || !(awaits_registry || self.has_files) {
             return None;
         }
+        self.awaits_registry = awaits_registry;
         self.files_request += u64::from(self.has_files);
         (self.is_files_request_new, self.awaits_files) = (self.has_files, self.has_files);
         self.wait_until = now + MAX_WAIT_US;
@@ -79,6 +93,6 @@
 
     /// Whether new queries wait. `is_called` tells whether a registry request is in progress.
     pub fn is_awaited(&self, now: i64, is_called: bool) -> bool {
-        now < self.wait_until && (self.awaits_files || (self.polls_registry && is_called))
+        now < self.wait_until && (self.awaits_files || (self.awaits_registry && is_called))
     }
 }
--- a/crates/pg-gateway/src/timer_event.rs
+++ b/crates/pg-gateway/src/timer_event.rs
@@ -23,6 +23,8 @@
     ProbeTimeout(ConnId),
     /// The next registry request is due.
     RegistryRequest,
+    /// The process is active, so that a suspension is noticed.
+    Activity,
     /// New queries no longer wait for the engine list.
     EngineListWaitTimeout,
     /// Periodic closing of idle sessions, check of the registry age, and capture maintenance.
