pg-gateway: after a suspension new queries wait until changed files have settled

What callers saw: with files that must be unchanged for more than 1 s ('settle'), queries that came during a suspension went by the old files, to engines that drained by the new ones.

Cause: queries waited for 1 s at most, though the reader reports only once the files have settled.

Change: the wait for files is longer by the settle time; that for the registry stays.

Test: queries_after_a_suspension_wait_until_changed_engine_files_have_settled (1.5 s); it failed before: 6 of 16 queries went to the engine that drained.

--- a/crates/controller/tests/suspended_postgres.rs
+++ b/crates/controller/tests/suspended_postgres.rs
@@ -195,17 +195,27 @@
 /// only after they have been stable for a while.
 #[test]
 fn queries_after_a_suspension_wait_for_changed_engine_files() {
+    assert_eq!(received_with_changed_file(""), 0);
+}
+
+/// Regression test: files that must be unchanged for longer than queries wait otherwise were not waited for.
+#[test]
+fn queries_after_a_suspension_wait_until_changed_engine_files_have_settled() {
+    assert_eq!(received_with_changed_file("settle = \"1500ms\"\n"), 0);
+}
+
+/// The same with an engine file that is changed, and these settings of the watcher.
+fn received_with_changed_file(settings: &str) -> usize {
     let engines = Engines::start(ENGINES);
     let folder = tempfile::tempdir().expect("a folder");
     let file = folder.path().join("engines.toml");
     std::fs::write(&file, engine_file(&engines, 1, "up")).expect("written");
-    let endpoints = format!("[members]\nfiles = [{file:?}]\n");
-    let received = queries_received_by_drained_engine(&engines, &endpoints, SUSPENSION, || {
+    let endpoints = format!("[members]\nfiles = [{file:?}]\n{settings}");
+    queries_received_by_drained_engine(&engines, &endpoints, SUSPENSION, || {
         let new = file.with_extension("new");
         std::fs::write(&new, engine_file(&engines, 2, "draining")).expect("written");
         std::fs::rename(&new, &file).expect("renamed");
-    });
-    assert_eq!(received, 0);
+    })
 }
 
 /// The registry may be unavailable for a long time. The query of a client that has disconnected is not sent.
--- a/crates/pg-gateway/src/dispatcher/endpoints.rs
+++ b/crates/pg-gateway/src/dispatcher/endpoints.rs
@@ -16,14 +16,16 @@
     /// endpoint files anew before further queries are accepted.
     pub fn note_activity(&mut self) {
         let is_unavailable = self.registry.is_unavailable;
-        let Some(wait_until) = self.list_age.note_activity(self.out.now, is_unavailable) else { return };
+        let Some(waits_until) = self.list_age.note_activity(self.out.now, is_unavailable) else { return };
         warn!("the process was suspended; new queries wait for the list of engines");
         if self.list_age.awaits_registry() {
             self.registry.restart_request(self.endpoint_sets.registry_version(), &mut self.out);
         }
         let withdrawn = self.engines.withdraw_all_unwritten();
         self.withheld_attempts.extend(withdrawn);
-        self.out.set_timer_at(wait_until, TimerEvent::EngineListWaitTimeout);
+        for wait_until in waits_until {
+            self.out.set_timer_at(wait_until, TimerEvent::EngineListWaitTimeout);
+        }
     }
 
     /// Whether new queries and attempts wait for the engine list.
--- a/crates/pg-gateway/src/list_age.rs
+++ b/crates/pg-gateway/src/list_age.rs
@@ -16,7 +16,8 @@
 /// Time without activity, in microseconds, after which queries wait also for a registry that did not answer the
 /// last request.
 const LONG_INACTIVITY_US: i64 = 1_300_000;
-/// Maximum time that new queries wait, in microseconds. After that they use the last list.
+/// Maximum time that new queries wait for an answer of the registry or the reading of the files, in microseconds.
+/// After that they use the last list.
 const MAX_WAIT_US: i64 = 1_000_000;
 
 /// Tracks whether the engine list may be out of date because this process was inactive. Times are in
@@ -24,9 +25,11 @@
 #[derive(Debug)]
 pub(crate) struct ListAge {
     polls_registry: bool,
-    has_files: bool,
+    /// How long files must be unchanged before they are used; `None` if there are no files.
+    settle_us: Option<i64>,
     last_active_at: i64,
-    wait_until: i64,
+    registry_wait_until: i64,
+    files_wait_until: i64,
     /// A registry request is waited for.
     awaits_registry: bool,
     /// The number of the last request to read the files.
@@ -40,7 +43,7 @@
 impl ListAge {
     /// Whether the engine list can become out of date while this process is inactive.
     pub fn can_be_old(&self) -> bool {
-        self.polls_registry || self.has_files
+        self.polls_registry || self.settle_us.is_some()
     }
 
     /// The state of a process that has just started.
@@ -48,9 +51,10 @@
         let registry = config.registry.as_ref();
         ListAge {
             polls_registry: registry.is_some_and(|registry| registry.refresh == Refresh::Poll),
-            has_files: config.endpoint_files.is_some(),
+            settle_us: config.endpoint_files.as_ref().map(|files| files.settle_time.0),
             last_active_at: now,
-            wait_until: now,
+            registry_wait_until: now,
+            files_wait_until: now,
             awaits_registry: false,
             files_request: 0,
             is_files_request_new: false,
@@ -63,21 +67,23 @@
         self.awaits_registry
     }
 
-    /// Notes that the process is active. After a longer inactivity, returns the time until which new
-    /// queries wait at most; the registry must then be queried and the files read.
-    pub fn note_activity(&mut self, now: i64, is_registry_unavailable: bool) -> Option<i64> {
+    /// Notes that the process is active. After a longer inactivity, returns the times until which new queries
+    /// wait at most for the registry and for the files; these must then be queried and read.
+    pub fn note_activity(&mut self, now: i64, is_registry_unavailable: bool) -> Option<[i64; 2]> {
         let inactive_us = now - self.last_active_at;
         self.last_active_at = now;
         let may_registry_answer = !is_registry_unavailable || inactive_us > LONG_INACTIVITY_US;
         let awaits_registry = self.polls_registry && may_registry_answer;
-        if inactive_us <= MAX_INACTIVITY_US || !(awaits_registry || self.has_files) {
+        let has_files = self.settle_us.is_some();
+        if inactive_us <= MAX_INACTIVITY_US || !(awaits_registry || has_files) {
             return None;
         }
         self.awaits_registry = awaits_registry;
-        self.files_request += u64::from(self.has_files);
-        (self.is_files_request_new, self.awaits_files) = (self.has_files, self.has_files);
-        self.wait_until = now + MAX_WAIT_US;
-        Some(self.wait_until)
+        self.files_request += u64::from(has_files);
+        (self.is_files_request_new, self.awaits_files) = (has_files, has_files);
+        self.registry_wait_until = now + MAX_WAIT_US;
+        self.files_wait_until = now + MAX_WAIT_US + self.settle_us.unwrap_or(0);
+        Some([self.registry_wait_until, self.files_wait_until])
     }
 
     /// The number of a new request to read the files. Each request is returned once.
@@ -93,6 +99,8 @@
 
     /// Whether new queries wait. `is_called` tells whether a registry request is in progress.
     pub fn is_awaited(&self, now: i64, is_called: bool) -> bool {
-        now < self.wait_until && (self.awaits_files || (self.awaits_registry && is_called))
+        let awaits_registry = self.awaits_registry && is_called && now < self.registry_wait_until;
+        let awaits_files = self.awaits_files && now < self.files_wait_until;
+        awaits_registry || awaits_files
     }
 }
