pg-gateway: a connect that this host cannot attempt is not the engine's fault

What callers saw: when the host was out of ports or file descriptors, queries failed over at once and ran out of retries, and the engines were counted as failing, so that they got no queries for a while afterwards.

Cause: the gateway did not look at the cause of a failed connect. The platform side does.

Change: as there, the attempts that wait for a session wait on, connections are attempted again every 20 ms, and after 1 s the attempts end as never sent.

Test: a_query_waits_until_its_connection_can_be_attempted; before, the attempt ended at the first connect. a_query_is_answered_if_no_connection_can_be_attempted_for_long bounds it.

--- a/crates/pg-gateway/src/dispatcher/mod.rs
+++ b/crates/pg-gateway/src/dispatcher/mod.rs
@@ -128,6 +128,7 @@
                 }
             }
             TimerEvent::EngineConnectTimeout(id) => self.engines.handle_connect_timeout(id, out),
+            TimerEvent::ConnectRetry(engine) => self.engines.retry_connects(engine, out),
             TimerEvent::AnswerStallCheck(id) => {
                 let client = self.engines.sessions.get(id).and_then(|session| session.client());
                 let is_paused = client.is_some_and(|client| self.clients.is_pausing(client, id));
--- a/crates/pg-gateway/src/engines/mod.rs
+++ b/crates/pg-gateway/src/engines/mod.rs
@@ -2,6 +2,7 @@
 //! attempts. Reports to the dispatcher by [`EngineEvent`]s; clients are known only by connection ID.
 
 mod attempt_queue;
+mod blocked_connects;
 mod cancellation;
 mod probes;
 mod timeouts;
@@ -155,6 +156,9 @@
     pub fn connected(&mut self, id: ConnId, out: &mut EffectQueue) {
         if let Some(session) = self.sessions.get_mut(id) {
             session.buffer.flush(id, out);
+            if let Some(pool) = self.pools.get_mut(session.engine) {
+                pool.connect_blocked_since = None;
+            }
         }
     }
 
--- a/crates/pg-gateway/src/gateway.rs
+++ b/crates/pg-gateway/src/gateway.rs
@@ -15,7 +15,7 @@
 use wheelfield_driver::Input;
 use wheelfield_endpoints::EngineFileEvent;
 use wheelfield_sans_io::ConnectionBuffer;
-use wheelfield_sans_io::{ConnId, DatagramSocket, Effect, IoEvent, Listener, Protocol};
+use wheelfield_sans_io::{ConnId, DatagramSocket, Effect, FailureCause, IoEvent, Listener, Protocol};
 
 /// A gateway for PostgreSQL clients and engines.
 pub struct PgGateway {
@@ -188,6 +188,11 @@
             IoEvent::Received(id, bytes) => self.received(id, bytes, false),
             IoEvent::ReadClosed(id) => self.received(id, &[], true),
             IoEvent::PeerClosing(id) => self.peer_closing(id),
+            IoEvent::ConnectionFailed { id, cause: FailureCause::ConnectNotAttempted, .. }
+                if id.owner() == engine_sessions::CONNECTION_OWNER =>
+            {
+                self.dispatcher.engines.handle_connect_not_attempted(id, &mut self.dispatcher.out);
+            }
             IoEvent::ConnectionFailed { id, writing, reason, .. } => {
                 self.connection_broken(id, writing, reason)
             }
--- a/crates/pg-gateway/src/pools.rs
+++ b/crates/pg-gateway/src/pools.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use wheelfield::interface::EngineId;
 use wheelfield_driver::AttemptId;
-use wheelfield_sans_io::ConnId;
+use wheelfield_sans_io::{ConnId, TimerKey};
 
 /// The sessions with one engine.
 #[derive(Debug)]
@@ -20,6 +20,10 @@
     pub waiting: VecDeque<AttemptId>,
     /// A probe waits for a session.
     pub is_probe_waiting: bool,
+    /// Since when this host could not attempt connections to the engine.
+    pub connect_blocked_since: Option<i64>,
+    /// Ends the delay before the next attempt to connect.
+    pub connect_retry: Option<TimerKey>,
 }
 
 /// The pools of all engines that were ever listed.
@@ -39,6 +43,8 @@
             connecting: 0,
             waiting: VecDeque::new(),
             is_probe_waiting: false,
+            connect_blocked_since: None,
+            connect_retry: None,
         });
         let address_changed = std::mem::replace(&mut pool.address, address) != address;
         pool.is_up = is_up;
--- a/crates/pg-gateway/src/timer_event.rs
+++ b/crates/pg-gateway/src/timer_event.rs
@@ -1,5 +1,6 @@
 //! The purposes of timers.
 
+use wheelfield::interface::EngineId;
 use wheelfield_sans_io::ConnId;
 
 /// The purpose of a timer.
@@ -13,6 +14,8 @@
     ClientReadTimeout(ConnId),
     /// An engine session must have started.
     EngineConnectTimeout(ConnId),
+    /// Connections to an engine may be attempted again.
+    ConnectRetry(EngineId),
     /// An engine must have continued the answer that it has begun.
     AnswerStallCheck(ConnId),
     /// A discarded answer must have ended.
--- a/crates/pg-gateway/tests/common/mod.rs
+++ b/crates/pg-gateway/tests/common/mod.rs
@@ -290,7 +290,8 @@
         }
     }
 
-    fn write(&mut self, id: ConnId) {
+    /// Writes the output of a connection.
+    pub fn write(&mut self, id: ConnId) {
         loop {
             let count = self.gateway.output(id).len().min(self.chunk_size);
             if count == 0 {
