core, driver, endpoints: what is kept of removed engines is bounded

What was known: the records of engines that are gone stayed for good in the policy, the driver, the engine tracker and the pools of the PostgreSQL side; memory grew with each replaced engine.

Change: the policy keeps the state of at most 1024 removed engines, so that an engine that returns soon keeps what was learned of it. Beyond that it drops the one that was used least recently, never one with an attempt in flight; if that returns, it is a new engine in slow start. The driver forgets what the policy forgot. The tracker keeps 1024 names for logs and forgets what left the list first; a pool goes with its last session.

Same fault elsewhere: names, executors and slow-start records of the platform follow its list already; membership has its own bound.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -86,6 +86,16 @@
         }
     }
 
+    /// Whether it keeps state about an engine, which may have been removed.
+    pub fn knows_engine(&self, engine: EngineId) -> bool {
+        self.engines.contains_key(&engine)
+    }
+
+    /// The number of engines about which it keeps state, including removed ones.
+    pub fn engine_count(&self) -> usize {
+        self.engines.len()
+    }
+
     fn start(&mut self, out: &mut Vec<Action>) {
         out.push(Action::SetTimer { token: TICK_TOKEN, after: TICK_INTERVAL });
         if self.settings.subscribe {
--- a/crates/core/src/policy/endpoint_list.rs
+++ b/crates/core/src/policy/endpoint_list.rs
@@ -7,6 +7,10 @@
 
 /// Number of consecutive failed subscriptions after which the backoff stops doubling.
 const MAX_BACKOFF_DOUBLINGS: u32 = 4;
+/// Maximum number of removed engines whose state is kept, so that an engine that returns soon keeps what
+/// was learned about it. Beyond that the state of the engine that was used least recently is dropped; if it
+/// returns, it is a new engine.
+const MAX_REMOVED_ENGINES: usize = 1_024;
 
 impl Gateway {
     pub(crate) fn update_endpoint_list(&mut self, now: Micros, entries: Vec<EngineEntry>) {
@@ -15,6 +19,21 @@
         for entry in entries {
             self.update_endpoint(now, entry, received_before);
         }
+        self.forget_removed_engines();
+    }
+
+    /// Drops the state of removed engines beyond [`MAX_REMOVED_ENGINES`]. Engines with attempts in flight are
+    /// kept.
+    fn forget_removed_engines(&mut self) {
+        let is_removed = |engine: &&Engine| engine.entry.status == Status::Removed && engine.is_idle();
+        let removed = self.engines.values().filter(is_removed);
+        let mut by_last_use: Vec<(Micros, EngineId)> =
+            removed.map(|engine| (engine.last_used_at(), engine.entry.engine)).collect();
+        let excess = by_last_use.len().saturating_sub(MAX_REMOVED_ENGINES);
+        by_last_use.sort_unstable();
+        for (_, engine) in by_last_use.into_iter().take(excess) {
+            self.engines.remove(&engine);
+        }
     }
 
     fn update_endpoint(&mut self, now: Micros, entry: EngineEntry, received_before: bool) {
--- a/crates/core/src/state/engine.rs
+++ b/crates/core/src/state/engine.rs
@@ -169,6 +169,12 @@
         self.in_flight.attempts.is_empty()
     }
 
+    /// When it was last sent a query, heard of or started, as far as this gateway knows.
+    pub fn last_used_at(&self) -> Micros {
+        let connections = self.connections.last_sent_at.max(self.connections.last_heard_at);
+        connections.max(self.slow_start.started_at.unwrap_or(connections))
+    }
+
     /// Mean number of threads of the attempts in flight, at least 1.
     pub fn mean_threads(&self) -> f64 {
         if self.is_idle() {
--- a/crates/driver/src/driver/mod.rs
+++ b/crates/driver/src/driver/mod.rs
@@ -355,11 +355,23 @@
         self.counters
     }
 
-    /// Whether any engine list has named an engine.
+    /// Whether an engine list has named an engine, and it is not forgotten.
     pub fn knows_engine(&self, engine: EngineId) -> bool {
         self.engines.contains_key(&engine)
     }
 
+    /// The number of engines that are known, including removed ones.
+    pub fn engine_count(&self) -> usize {
+        self.engines.len()
+    }
+
+    /// Forgets the removed engines that the policy has forgotten.
+    fn forget_engines(&mut self) {
+        let gateway = &self.gateway;
+        self.engines
+            .retain(|engine, status| *status != Status::Removed || gateway.knows_engine(*engine));
+    }
+
     fn handle_engine_list(
         &mut self,
         now: Micros,
@@ -368,6 +380,7 @@
         out: &mut Vec<Instruction>,
     ) {
         let listed: BTreeSet<EngineId> = entries.iter().map(|entry| entry.engine).collect();
+        self.forget_engines();
         for (engine, status) in &mut self.engines {
             if complete && !listed.contains(engine) {
                 *status = Status::Removed;
--- a/crates/driver/tests/single_cases.rs
+++ b/crates/driver/tests/single_cases.rs
@@ -311,3 +311,34 @@
     harness.now = Micros::from_secs_f64(0.41);
     assert!(!harness.driver.may_write(harness.now, retry));
 }
+
+/// In a week in which an engine is replaced every minute, the number of engines that are kept does not grow
+/// beyond its bound.
+#[test]
+fn removed_engines_are_forgotten_in_a_week_of_turnover() {
+    const ENGINES: u64 = 20;
+    const REPLACEMENTS_PER_DAY: u64 = 1_440;
+    const MAX_REMOVED: usize = 1_024;
+    let mut harness = Harness::new(ExecutionSemantics::Idempotent, ENGINES);
+    let mut known = Vec::new();
+    for n in 1..=7 * REPLACEMENTS_PER_DAY {
+        harness.now = harness.now + Micros::from_secs_f64(60.0);
+        let entries = vec![entry(n, Status::Removed), entry(n + ENGINES, Status::Up)];
+        harness.handle_input(Input::Engines {
+            complete: false,
+            entries,
+        });
+        if n % REPLACEMENTS_PER_DAY == 0 {
+            known.push(harness.driver.engine_count());
+        }
+    }
+    let limit = ENGINES as usize + MAX_REMOVED + 2;
+    assert!(known.iter().all(|count| *count <= limit), "{known:?}");
+    assert_eq!(known.first(), known.last());
+    let newest = EngineId(7 * REPLACEMENTS_PER_DAY + ENGINES);
+    assert!(harness.driver.knows_engine(newest) && !harness.driver.knows_engine(EngineId(1)));
+    let (_, instructions) = harness.submit();
+    assert!(instructions
+        .iter()
+        .any(|instruction| matches!(instruction, Instruction::Start { .. })));
+}
--- a/crates/endpoints/src/tracker.rs
+++ b/crates/endpoints/src/tracker.rs
@@ -57,11 +57,19 @@
     Older(u64, u64),
 }
 
+/// Maximum number of engines that are no longer listed whose names are kept for logs. Beyond that the engine that
+/// left the list first is forgotten.
+const MAX_UNLISTED_ENGINES: usize = 1_024;
+
 /// The engine list that the gateway received last.
 #[derive(Debug, Default)]
 pub struct EngineTracker {
     version: u64,
     records: BTreeMap<EngineId, EngineRecord>,
+    /// The engines with a record that are not listed, and the number of the list that first lacked each.
+    unlisted: BTreeMap<EngineId, u64>,
+    /// Number of lists so far.
+    lists: u64,
     has_list: bool,
 }
 
@@ -80,12 +88,12 @@
         self.version
     }
 
-    /// All engines that were ever listed, including removed ones.
+    /// The engines that are listed, and those that were removed and are not forgotten.
     pub fn records(&self) -> &BTreeMap<EngineId, EngineRecord> {
         &self.records
     }
 
-    /// An engine's name for logs; `?` if it was never listed.
+    /// An engine's name for logs; `?` if it is unknown.
     pub fn name(&self, id: EngineId) -> &str {
         self.records.get(&id).map_or("?", |k| k.name.as_str())
     }
@@ -142,15 +150,33 @@
         let mut entries: Vec<EngineEntry> = changed.map(|k| k.entry.clone()).collect();
         // Engines missing from the new list are marked as removed. Their records stay, so that attempts still running there
         // can be logged with the engine's name.
+        self.lists += 1;
         for (id, old) in &mut self.records {
-            if !listed.contains_key(id) && old.entry.status != Status::Removed {
+            if listed.contains_key(id) {
+                continue;
+            }
+            self.unlisted.entry(*id).or_insert(self.lists);
+            if old.entry.status != Status::Removed {
                 old.entry.status = Status::Removed;
                 entries.push(old.entry.clone());
             }
         }
+        self.unlisted.retain(|id, _| !listed.contains_key(id));
         self.records.extend(listed);
+        self.forget_unlisted();
         EngineListChange { is_complete, entries }
     }
+
+    /// Forgets engines that are no longer listed beyond [`MAX_UNLISTED_ENGINES`].
+    fn forget_unlisted(&mut self) {
+        let excess = self.unlisted.len().saturating_sub(MAX_UNLISTED_ENGINES);
+        let mut oldest: Vec<(u64, EngineId)> = self.unlisted.iter().map(|(id, list)| (*list, *id)).collect();
+        oldest.sort_unstable();
+        for (_, id) in oldest.into_iter().take(excess) {
+            self.unlisted.remove(&id);
+            self.records.remove(&id);
+        }
+    }
 }
 
 /// Parses the JSON list of a registry. `active_version` is the version of the previous list.
--- a/crates/endpoints/tests/sets.rs
+++ b/crates/endpoints/tests/sets.rs
@@ -477,6 +477,30 @@
     assert_eq!((back.entries[0].status, back.entries[0].started_at), (Status::Up, Some(Micros(62 * SECOND))));
 }
 
+/// The record of an engine that returns is kept, and the one of the engine that left first is forgotten first.
+#[test]
+fn records_of_removed_engines_are_bounded() {
+    const MAX_UNLISTED: usize = 1_024;
+    let mut engines = EngineTracker::default();
+    let names = topology().names;
+    let list = |version: usize| {
+        let entry =
+            |n: usize| format!(r#"{{"id":"e{n}","address":"127.0.0.1:{}","status":"up"}}"#, 5_500 + n);
+        format!(r#"{{"version":{version},"engines":[{},{}]}}"#, entry(version), entry(version + 1))
+    };
+    for version in 1..=3 * MAX_UNLISTED {
+        engines.apply_registry_list(list(version).as_bytes(), &names).expect("valid");
+        assert!(engines.records().len() <= 2 + MAX_UNLISTED, "{}", engines.records().len());
+    }
+    let last = 3 * MAX_UNLISTED;
+    assert_eq!(engines.name(engine_id("e1")), "?");
+    assert_eq!(
+        engines.name(engine_id(&format!("e{}", last - MAX_UNLISTED))),
+        format!("e{}", last - MAX_UNLISTED)
+    );
+    assert_eq!(engines.name(engine_id(&format!("e{}", last - MAX_UNLISTED - 1))), "?");
+}
+
 #[test]
 fn a_registry_list_older_than_the_active_one_is_rejected() {
     let mut engines = EngineTracker::default();
--- a/crates/pg-gateway/src/dispatcher/endpoints.rs
+++ b/crates/pg-gateway/src/dispatcher/endpoints.rs
@@ -96,6 +96,10 @@
                 self.engines.set_engine(entry.engine, known.address, is_up, &mut self.out);
             }
         }
+        let engines = self.endpoint_sets.engines();
+        self.engines.pools.forget_unlisted(|engine| {
+            engines.records().get(&engine).is_some_and(|known| known.entry.status != Status::Removed)
+        });
         self.driver.handle_input(now, Input::Engines { complete: is_complete, entries });
     }
 }
--- a/crates/pg-gateway/src/pools.rs
+++ b/crates/pg-gateway/src/pools.rs
@@ -26,7 +26,7 @@
     pub connect_retry: Option<TimerKey>,
 }
 
-/// The pools of all engines that were ever listed.
+/// The pools of all engines that are listed or still have sessions.
 #[derive(Debug, Default)]
 pub(crate) struct Pools {
     by_engine: BTreeMap<EngineId, Pool>,
@@ -55,6 +55,13 @@
         }
     }
 
+    /// Forgets the pools of unlisted engines that have no sessions and for which nothing waits.
+    pub fn forget_unlisted(&mut self, is_listed: impl Fn(EngineId) -> bool) {
+        self.by_engine.retain(|engine, pool| {
+            is_listed(*engine) || pool.sessions > 0 || !pool.waiting.is_empty() || pool.is_probe_waiting
+        });
+    }
+
     pub fn get(&self, engine: EngineId) -> Option<&Pool> {
         self.by_engine.get(&engine)
     }
