capture: a record that cannot be encoded leaves the earlier ones of its block

What could be lost: the records of a block that were there before a long record failed to encode; the block's header still counted them, and they were counted as recorded.

Cause: the buffer was moved into the encoder for records over 512 bytes, and dropped with its error.

Change: a long record is encoded by itself and appended. It is counted as lost, as before.

Test: a_record_that_cannot_be_serialized_leaves_those_before_it; before, 0 of 14 bytes were left.

--- a/crates/capture/src/block_buffer.rs
+++ b/crates/capture/src/block_buffer.rs
@@ -1,8 +1,12 @@
 //! Accumulates serialized records until they are handed to the writer thread as a block.
 
-use crate::format::{BlockHeader, RecordRef, RECORD_HEADER_BYTES};
+use crate::format::{BlockHeader, RECORD_HEADER_BYTES};
+use serde::Serialize;
 use wheelfield::interface::{Micros, QueryId};
 
+#[cfg(test)]
+mod tests;
+
 /// Space reserved for serializing one record; most records are shorter.
 const RECORD_RESERVE_BYTES: usize = 512;
 
@@ -39,8 +43,8 @@
     /// Serializes a record and appends it to the block.
     ///
     /// # Errors
-    /// Returns an error if the record cannot be serialized.
-    pub fn push(&mut self, at: Micros, record: &RecordRef<'_>) -> Result<(), postcard::Error> {
+    /// Returns an error if the record cannot be serialized. The block is unchanged then.
+    pub fn push(&mut self, at: Micros, record: &impl Serialize) -> Result<(), postcard::Error> {
         let start = self.bytes.len();
         let body = start + RECORD_HEADER_BYTES;
         self.bytes.resize(body + RECORD_RESERVE_BYTES, 0);
@@ -49,8 +53,10 @@
             // The record does not fit the reserved space, for example an engine list or a
             // checkpoint.
             Err(_) => {
-                self.bytes.truncate(body);
-                self.bytes = postcard::to_extend(record, std::mem::take(&mut self.bytes))?;
+                self.bytes.truncate(start);
+                let long_record = postcard::to_stdvec(record)?;
+                self.bytes.resize(body, 0);
+                self.bytes.extend_from_slice(&long_record);
             }
         }
         let length = (self.bytes.len() - body) as u32;
