capture: a failed sync of a directory is not told as a file that isn't there

What was told: after the sync of the directory failed, a capture that had been written from memory counted as not written, though the file was there and complete; old files were not removed either.

Change: the file counts, and the capture is reported as failing, since the entry may be gone after a crash of the system.

Test: a_file_counts_as_written_if_only_the_sync_of_its_directory_fails, with a sync that is injected. On the code before, where the sync was part of writing the file, the count was 0 by reading; it had no place to inject one.

--- a/crates/capture/src/recorder.rs
+++ b/crates/capture/src/recorder.rs
@@ -5,7 +5,7 @@
 use crate::disk::{disk_file_factory, FileFactory};
 use crate::file_writer::{FileWriter, Segment};
 use crate::format::{RecordRef, RecordedInput, Start};
-use crate::ring::{Ring, RingLimits, RingWriter};
+use crate::ring::{sync_directory, Ring, RingLimits, RingWriter};
 use crate::triggers::{TriggerDetector, TriggerReason, Triggers};
 use crate::writer_thread::WriterThread;
 use std::io;
@@ -163,6 +163,7 @@
             ring: Ring::new(ring_limits),
             path: path.to_path_buf(),
             max_total_bytes: limits.max_total_bytes,
+            sync_directory,
         };
         let writer = WriterThread::start(limits.max_queued_blocks, move |messages, status| {
             ring_writer.run(messages, status);
--- a/crates/capture/src/ring.rs
+++ b/crates/capture/src/ring.rs
@@ -11,6 +11,9 @@
 use std::sync::mpsc::Receiver;
 use wheelfield::interface::Micros;
 
+#[cfg(test)]
+mod tests;
+
 /// Limits on the in-memory ring.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RingLimits {
@@ -94,7 +97,7 @@
     /// it is complete. Returns the size of the file.
     ///
     /// # Errors
-    /// Returns an error if a file operation fails. No partial file remains then.
+    /// Returns an error if a file operation fails. No file remains then.
     fn write_atomically(&self, path: &Path) -> io::Result<u64> {
         let partial = path.with_extension("partial");
         let written = self
@@ -103,9 +106,7 @@
         if written.is_err() {
             let _ = std::fs::remove_file(&partial);
         }
-        let bytes = written?;
-        File::open(directory_of(path))?.sync_all()?;
-        Ok(bytes)
+        written
     }
 
     fn write_to(&self, path: &Path) -> io::Result<u64> {
@@ -128,6 +129,16 @@
     pub path: PathBuf,
     /// Maximum total size of the files written from the ring.
     pub max_total_bytes: u64,
+    /// Makes the entries of a directory durable.
+    pub sync_directory: fn(&Path) -> io::Result<()>,
+}
+
+/// Flushes the entries of a directory to stable storage.
+///
+/// # Errors
+/// Returns an error if the directory cannot be opened or flushed.
+pub(crate) fn sync_directory(directory: &Path) -> io::Result<()> {
+    File::open(directory)?.sync_all()
 }
 
 impl RingWriter {
@@ -165,7 +176,9 @@
             Ok(bytes) => {
                 status.written_bytes.fetch_add(bytes, Ordering::Relaxed);
                 status.ring_files.fetch_add(1, Ordering::Relaxed);
-                status.is_failing.store(false, Ordering::Relaxed);
+                // The file is there and complete, but may be gone after a crash of the system.
+                let synced = (self.sync_directory)(directory_of(file));
+                status.is_failing.store(synced.is_err(), Ordering::Relaxed);
                 remove_oldest_files(&self.path, file, self.max_total_bytes);
             }
             Err(_) => status.is_failing.store(true, Ordering::Relaxed),
