capture: a failed flush to stable storage is reported

What was lost without a word: with a disk that takes writes and fails flushes, a capture was reported as fine.

Cause: the result of the flush was dropped.

Change: the capture is reported as failing (capture_failing) until a later flush succeeds.

Test: a_failed_flush_is_reported_until_one_succeeds; without the change no failure was reported.

--- a/crates/capture/src/file_writer.rs
+++ b/crates/capture/src/file_writer.rs
@@ -11,6 +11,9 @@
 use std::sync::mpsc::Receiver;
 use std::time::{Duration, Instant};
 
+#[cfg(test)]
+mod tests;
+
 /// The file that is currently being written.
 pub(crate) struct Segment {
     path: PathBuf,
@@ -69,6 +72,8 @@
     /// All existing files, with the current one last.
     files: Vec<WrittenFile>,
     last_sync_at: Instant,
+    /// Whether the last flush to stable storage failed.
+    has_sync_failed: bool,
 }
 
 impl FileWriter {
@@ -85,6 +90,7 @@
             segment: Some(first),
             segment_number: 0,
             last_sync_at: Instant::now(),
+            has_sync_failed: false,
         }
     }
 
@@ -94,14 +100,14 @@
             match message {
                 Message::Block(header, records) => {
                     self.write_block(header, &records, status);
-                    self.sync_if_due();
+                    self.sync_if_due(status);
                 }
                 Message::BeginSegment => self.begin_segment(status),
                 // There is no in-memory ring to write when the capture goes directly to files.
                 Message::WriteRing(_) => {}
             }
         }
-        self.sync();
+        self.sync(status);
     }
 
     fn write_block(&mut self, mut header: BlockHeader, records: &[u8], status: &WriterStatus) {
@@ -111,7 +117,9 @@
                 status
                     .written_bytes
                     .fetch_add(u64::from(header.compressed_bytes), Ordering::Relaxed);
-                status.is_failing.store(false, Ordering::Relaxed);
+                status
+                    .is_failing
+                    .store(self.has_sync_failed, Ordering::Relaxed);
             }
             Err(_) => {
                 status
@@ -132,15 +140,14 @@
 
     fn begin_segment(&mut self, status: &WriterStatus) {
         self.segment_number += 1;
-        self.sync();
+        self.sync(status);
         if let (Some(complete), Some(file)) = (self.segment.take(), self.files.last_mut()) {
             file.bytes = complete.length;
         }
         let path = numbered_path(&self.first_path, self.segment_number);
         self.segment = Segment::create(path, &mut self.file_factory).ok();
-        status
-            .is_failing
-            .store(self.segment.is_none(), Ordering::Relaxed);
+        let is_failing = self.segment.is_none() || self.has_sync_failed;
+        status.is_failing.store(is_failing, Ordering::Relaxed);
         status.segment_bytes.store(0, Ordering::Relaxed);
         status
             .segments_begun
@@ -163,17 +170,22 @@
         }
     }
 
-    fn sync_if_due(&mut self) {
+    fn sync_if_due(&mut self, status: &WriterStatus) {
         let interval = Duration::from_micros(self.limits.sync_interval.0.max(1) as u64);
         if self.last_sync_at.elapsed() >= interval {
-            self.sync();
+            self.sync(status);
             self.last_sync_at = Instant::now();
         }
     }
 
-    fn sync(&mut self) {
+    /// Flushes the current file to stable storage. A failure is reported until a later flush
+    /// succeeds.
+    fn sync(&mut self, status: &WriterStatus) {
         if let Some(segment) = &mut self.segment {
-            let _ = segment.file.sync();
+            self.has_sync_failed = segment.file.sync().is_err();
+            if self.has_sync_failed {
+                status.is_failing.store(true, Ordering::Relaxed);
+            }
         }
     }
 }
