load: at the connection limit a busy pipelined connection stays in use, and a wait counts once

What the figures showed: 'starved' too high, and queries that waited although their connection had room in its pipeline.

Cause: the first available connection of any pool was taken out to be closed, and dropped from the available ones also if it turned out to be busy. A query that waited again after a retry counted again.

Change: only an idle connection is taken; the count belongs to the query.

Tests: a_busy_pipelined_connection_stays_in_use_at_the_connection_limit and a_query_that_waits_for_a_connection_is_counted_once; both failed before (no write in place of one; 3 in place of 2).

--- a/crates/load/src/client_pool.rs
+++ b/crates/load/src/client_pool.rs
@@ -67,6 +67,8 @@
     /// When the client abandons the query.
     deadline: i64,
     retries_done: u32,
+    /// The query is counted as delayed by the connection limit. Retries keep this.
+    is_wait_counted: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -245,6 +247,7 @@
                 scheduled_at,
                 deadline: scheduled_at + client_timeout,
                 retries_done: 0,
+                is_wait_counted: false,
             };
             self.open_queries += 1;
             self.stream_stats(attempt.schedule_index).scheduled += 1;
@@ -300,7 +303,7 @@
     fn pop_waiting(&mut self, pool_key: (u32, usize)) -> Option<Attempt> {
         let (order, waiting) = (self.wait_order.get_mut(&pool_key)?, self.waiting.get_mut(&pool_key)?);
         while let Some(attempt) = order.pop_front() {
-            if waiting.remove(&attempt.number).is_some() {
+            if let Some(attempt) = waiting.remove(&attempt.number) {
                 return Some(attempt);
             }
         }
@@ -312,8 +315,10 @@
     fn open_connection(&mut self, pool_key: (u32, usize), now: i64) {
         if self.connections.len() >= self.max_connections {
             // At the limit, closes an idle connection of any pool to make room.
-            let idle = self.available.values_mut().find_map(BTreeSet::pop_first);
-            let idle = idle.filter(|c| self.connections.get(*c).is_some_and(|c| c.in_flight.is_empty()));
+            let is_idle = |id: &usize| {
+                self.connections.get(*id).is_some_and(|connection| connection.in_flight.is_empty())
+            };
+            let idle = self.available.values().flatten().copied().find(is_idle);
             let Some(conn_id) = idle else {
                 self.count_connection_wait(pool_key);
                 return;
@@ -331,11 +336,13 @@
         self.actions.push(Action::Open { conn_id, stream: pool_key.0, tenant: pool_key.1 });
     }
 
-    /// Counts the newest waiting attempt as delayed by the connection limit.
+    /// Counts the query of the newest waiting attempt as delayed by the connection limit, once.
     fn count_connection_wait(&mut self, pool_key: (u32, usize)) {
-        if let Some(attempt) = self.wait_order.get(&pool_key).and_then(|order| order.back()).copied() {
-            self.stream_stats(attempt.schedule_index).waited_for_connection += 1;
-        }
+        let newest = self.waiting.get_mut(&pool_key).and_then(BTreeMap::last_entry);
+        let Some(mut newest) = newest.filter(|newest| !newest.get().is_wait_counted) else { return };
+        newest.get_mut().is_wait_counted = true;
+        let schedule_index = newest.get().schedule_index;
+        self.stream_stats(schedule_index).waited_for_connection += 1;
     }
 
     fn write_query(&mut self, conn_id: usize, attempt: Attempt, now: i64) {
--- a/crates/load/tests/client_pool.rs
+++ b/crates/load/tests/client_pool.rs
@@ -259,6 +259,65 @@
     );
 }
 
+/// A schedule of queries of these streams, one a millisecond.
+fn queries_of(streams: &[u32]) -> Vec<ScheduledQuery> {
+    let query = |(n, stream): (usize, &u32)| ScheduledQuery {
+        at_us: n as i64 * 1_000,
+        stream: *stream,
+        tenant: 0,
+        work_us: 0,
+        key: 0,
+        client_random: 0.5,
+    };
+    streams.iter().enumerate().map(query).collect()
+}
+
+/// The queries that are to be written, by their index in the schedule, with their connections.
+fn writes(pool: &mut ClientPool<'_>) -> Vec<(usize, usize)> {
+    let write = |action| match action {
+        Action::Write { schedule_index, conn_id, .. } => Some((schedule_index, conn_id)),
+        _ => None,
+    };
+    pool.take_actions().into_iter().filter_map(write).collect()
+}
+
+#[test]
+fn a_busy_pipelined_connection_stays_in_use_at_the_connection_limit() {
+    let script = parse_script(
+        "name = \"t\"\nlength = \"1s\"\nconnections = 1\n[[streams]]\nname = \"a\"\nrate = 1\npatience = \"30s\"\n\
+         pipeline = 2\nstatement = \"select 1\"\n[[streams]]\nname = \"b\"\nrate = 1\npatience = \"30s\"\n\
+         statement = \"select 2\"\n",
+    );
+    let schedule = queries_of(&[0, 1, 0]);
+    let mut pool = ClientPool::new(&script, &schedule, (0, 1), 1, 0, 1);
+    pool.tick(0);
+    pool.on_connected(0, 0);
+    assert_eq!(writes(&mut pool), [(0, 0)]);
+    pool.tick(1_000);
+    assert_eq!(writes(&mut pool), [], "the query of the other stream waits");
+    pool.tick(2_000);
+    assert_eq!(writes(&mut pool), [(2, 0)], "the pipeline has room for a second query");
+}
+
+#[test]
+fn a_query_that_waits_for_a_connection_is_counted_once() {
+    let script = parse_script(
+        "name = \"t\"\nlength = \"1s\"\nconnections = 1\n[[streams]]\nname = \"a\"\nrate = 1\npatience = \"30s\"\n\
+         retries = 3\nbackoff = \"10ms\"\nstatement = \"select 1\"\n",
+    );
+    let schedule = queries_of(&[0, 0, 0]);
+    let mut pool = ClientPool::new(&script, &schedule, (0, 1), 1, 0, 1);
+    pool.tick(0);
+    pool.on_connected(0, 0);
+    pool.tick(2_000);
+    // The second query is rejected, and waits for the connection again while the third is in flight.
+    pool.on_answer(0, Answer::Served, 3_000);
+    pool.on_answer(0, Answer::Error("53300", None), 4_000);
+    pool.tick(1_000_000);
+    let counted: u64 = pool.stats().streams.values().map(|stream| stream.waited_for_connection).sum();
+    assert_eq!(counted, 2, "the second and the third query");
+}
+
 #[test]
 fn rejected_queries_are_retried_and_counted_once() {
     let script = parse_script(
