engine-emulator: an engine that is down answers 57P02 and not 53300

What it told: a query at an engine that had crashed under it was refused as one too many, which a controller takes for a full engine that may be asked again soon.

Change: the model tells why it does not accept a query; a crashed engine answers 57P02.

Test: a_query_at_an_engine_that_is_down_is_told_from_one_over_the_session_limit; before, the two had one error without a reason.

--- a/crates/engine-emulator/src/engine.rs
+++ b/crates/engine-emulator/src/engine.rs
@@ -412,14 +412,18 @@
         }
         if error.is_none() {
             let job_id = job.id;
-            if self.model.submit(now, job, &mut self.model_events).is_ok() {
-                self.connection_by_job.insert(job_id, id);
-                if let Some(c) = self.connections.get_mut(id) {
-                    c.running_query =
-                        Some(RunningQuery { job: job_id, query: query.clone(), class: hints.class });
+            match self.model.submit(now, job, &mut self.model_events) {
+                Ok(()) => {
+                    self.connection_by_job.insert(job_id, id);
+                    if let Some(c) = self.connections.get_mut(id) {
+                        c.running_query =
+                            Some(RunningQuery { job: job_id, query: query.clone(), class: hints.class });
+                    }
+                }
+                Err(submit_error) => {
+                    let (sqlstate, message) = submit_error.sqlstate_and_message();
+                    error = Some(Diagnostic::error(sqlstate, message));
                 }
-            } else {
-                error = Some(Diagnostic::error("53300", "too many sessions"));
             }
         }
         if let Some(error) = error {
--- a/crates/engine-emulator/src/model.rs
+++ b/crates/engine-emulator/src/model.rs
@@ -197,9 +197,24 @@
     pub disks: f64,
 }
 
-/// Error: the query was not accepted, because the session limit is reached or the engine is down.
+/// Why a query was not accepted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct SessionLimitReached;
+pub enum SubmitError {
+    /// The session limit is reached.
+    SessionLimitReached,
+    /// The engine is down.
+    Down,
+}
+
+impl SubmitError {
+    /// The SQLSTATE and the message that a client gets.
+    pub fn sqlstate_and_message(self) -> (&'static str, &'static str) {
+        match self {
+            SubmitError::SessionLimitReached => ("53300", "too many sessions"),
+            SubmitError::Down => ("57P02", "the engine has crashed"),
+        }
+    }
+}
 
 #[derive(Debug)]
 struct RunningJob {
@@ -357,21 +372,19 @@
     /// Submits a query.
     ///
     /// # Errors
-    /// [`SessionLimitReached`] when the session limit is reached or the engine is down.
-    pub fn submit(
-        &mut self,
-        now: i64,
-        job: Job,
-        out: &mut Vec<ModelEvent>,
-    ) -> Result<(), SessionLimitReached> {
+    /// [`SubmitError`] if the query is not accepted. One whose work crashes the engine finds it down.
+    pub fn submit(&mut self, now: i64, job: Job, out: &mut Vec<ModelEvent>) -> Result<(), SubmitError> {
         self.advance(now, out);
-        if self.down || self.in_flight_count() >= self.spec.max_sessions {
-            return Err(SessionLimitReached);
+        if self.down {
+            return Err(SubmitError::Down);
+        }
+        if self.in_flight_count() >= self.spec.max_sessions {
+            return Err(SubmitError::SessionLimitReached);
         }
         self.recent_submissions.push_back((now, job.nominal_work));
         self.check_cold_overload(now, out);
         if self.overloaded {
-            return Err(SessionLimitReached);
+            return Err(SubmitError::Down);
         }
         self.memory_queue.push((job, now));
         self.admit_queued(out);
--- a/crates/engine-emulator/tests/model.rs
+++ b/crates/engine-emulator/tests/model.rs
@@ -217,3 +217,14 @@
         prop_assert_eq!(model.in_flight_count(), 0);
     }
 }
+
+#[test]
+fn a_query_at_an_engine_that_is_down_is_told_from_one_over_the_session_limit() {
+    let mut model = Model::new(EngineSpec { max_sessions: 1, ..base_spec() }, 0);
+    submit(&mut model, 0, job(1, 1.0));
+    let full = model.submit(0, job(2, 1.0), &mut Vec::new()).expect_err("over the limit");
+    assert_eq!(full.sqlstate_and_message().0, "53300");
+    model.kill(0);
+    let down = model.submit(0, job(3, 1.0), &mut Vec::new()).expect_err("down");
+    assert_eq!(down.sqlstate_and_message().0, "57P02");
+}
