endpoints-cli: apply weighs a change as controllers do

What operators saw: 'apply' accepted a file that replaces most engines by new ones, and each controller then held it back, as it would lose most of its capacity at once.

Cause: 'apply' compared the capacities of both files; controllers count only engines that are up in both, as new ones are cold.

Change: one function for both.

Test: new_engines_do_not_count_as_remaining_capacity; before, a file with four of five engines replaced was accepted. A check of two_operators_cannot_overwrite_each_other expected 80% where engine 9 alone replaces engines 1 to 5; no engine remains there, so it expects 100% now.

--- a/crates/endpoints-cli/src/main.rs
+++ b/crates/endpoints-cli/src/main.rs
@@ -275,8 +275,7 @@
         } else {
             topology.cores.clone()
         };
-        let (active_capacity, new_capacity) = (old.set.capacity(&cores), new.set.capacity(&cores));
-        let lost_fraction = if active_capacity > 0.0 { 1.0 - new_capacity / active_capacity } else { 0.0 };
+        let lost_fraction = old.set.lost_fraction(&new.set, &cores);
         if lost_fraction > ActivationPolicy::default().max_lost_fraction && !confirm && !new.confirmed {
             bail!(
                 "{:.0}% of the capacity would be removed at once; pass --confirm if this is intended",
--- a/crates/endpoints-cli/tests/program.rs
+++ b/crates/endpoints-cli/tests/program.rs
@@ -98,12 +98,29 @@
     let fewer_4 = fs::read_to_string(&fewer).expect("there").replace("version = 3", "version = 4");
     let fewer = write_file(dir.path(), "fewer", &fewer_4);
     let (code, output_text) = run_program(&["apply", &fewer, &target, "--expect", "3"]);
-    assert!(code == Some(1) && output_text.contains("80% of the capacity"), "{output_text}");
+    assert!(code == Some(1) && output_text.contains("100% of the capacity"), "{output_text}");
     assert_eq!(run_program(&["apply", &fewer, &target, "--expect", "3", "--confirm"]).0, Some(0));
     assert!(fs::read_to_string(&target).expect("there").contains("confirmed = true"));
     assert_eq!(run_program(&["check", &target]).0, Some(0));
 }
 
+/// New engines are cold. Controllers would hold such a file, and do not count them either.
+#[test]
+fn new_engines_do_not_count_as_remaining_capacity() {
+    let dir = tempfile::tempdir().expect("a directory");
+    let target = dir.path().join("engines.toml").to_string_lossy().into_owned();
+    let first = write_file(dir.path(), "first", &file(1, &[1, 2, 3, 4, 5]));
+    assert_eq!(run_program(&["apply", &first, &target, "--expect", "0"]).0, Some(0));
+    for (engines, lost) in [(&[1, 6, 7, 8, 9][..], "80%"), (&[6, 7, 8, 9, 10], "100%"), (&[1], "80%")] {
+        let replaced = write_file(dir.path(), "replaced", &file(2, engines));
+        let (code, output_text) = run_program(&["apply", &replaced, &target, "--expect", "1"]);
+        let expected = format!("{lost} of the capacity");
+        assert!(code == Some(1) && output_text.contains(&expected), "{engines:?}: {output_text}");
+    }
+    let half = write_file(dir.path(), "half", &file(2, &[1, 2, 3, 6, 7]));
+    assert_eq!(run_program(&["apply", &half, &target, "--expect", "1"]).0, Some(0));
+}
+
 /// Serves one status page once, and returns the admin address.
 fn serve_status(version: u64, fault: &str) -> (String, std::thread::JoinHandle<()>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
--- a/crates/endpoints/src/activation.rs
+++ b/crates/endpoints/src/activation.rs
@@ -7,7 +7,7 @@
 use crate::{EngineSet, MAX_ENGINES, MAX_LIST_BYTES};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use wheelfield::interface::{EngineId, Micros, Status};
+use wheelfield::interface::{EngineId, Micros};
 use wheelfield_config::ConfigError;
 
 /// The conditions under which a candidate set becomes active.
@@ -297,21 +297,7 @@
         candidate: &EngineSet,
         confirmed: bool,
     ) -> Option<Verdict> {
-        let active_capacity = self.current.as_ref()?.capacity(&self.topology.cores);
-        let cores = &self.topology.cores;
-        // Only engines that were up before count as remaining capacity. New engines are cold and do not replace it yet.
-        let remains = |k: &&crate::EngineRecord| {
-            let old = self.current.as_ref().and_then(|c| c.engines.get(&k.entry.engine));
-            k.entry.status == Status::Up && old.is_some_and(|o| o.entry.status == Status::Up)
-        };
-        let remaining_capacity: f64 = candidate
-            .engines
-            .values()
-            .filter(remains)
-            .map(|k| cores.get(k.entry.kind).copied().unwrap_or(1.0))
-            .sum();
-        let lost_fraction =
-            if active_capacity > 0.0 { 1.0 - remaining_capacity / active_capacity } else { 0.0 };
+        let lost_fraction = self.current.as_ref()?.lost_fraction(candidate, &self.topology.cores);
         if lost_fraction <= self.policy.max_lost_fraction || confirmed {
             return None;
         }
--- a/crates/endpoints/src/lib.rs
+++ b/crates/endpoints/src/lib.rs
@@ -54,8 +54,25 @@
     /// The number of cores of all engines that accept queries. `cores` holds the number of cores by kind; an engine of an
     /// unknown kind counts as one core.
     pub fn capacity(&self, cores: &[f64]) -> f64 {
-        let up = self.engines.values().filter(|k| k.entry.status == Status::Up);
-        up.map(|k| cores.get(k.entry.kind).copied().unwrap_or(1.0)).sum()
+        self.capacity_of(cores, |_| true)
+    }
+
+    /// The fraction of the capacity that a change to another set removes. Only engines that accept queries in both sets
+    /// count as remaining: new engines are cold and do not replace them yet.
+    pub fn lost_fraction(&self, new: &EngineSet, cores: &[f64]) -> f64 {
+        let is_up = |id: &EngineId| self.engines.get(id).is_some_and(|k| k.entry.status == Status::Up);
+        let (active, remaining) = (self.capacity(cores), new.capacity_of(cores, is_up));
+        if active > 0.0 {
+            1.0 - remaining / active
+        } else {
+            0.0
+        }
+    }
+
+    /// The number of cores of the engines that accept queries and match.
+    fn capacity_of(&self, cores: &[f64], matches: impl Fn(&EngineId) -> bool) -> f64 {
+        let up = self.engines.iter().filter(|(id, k)| k.entry.status == Status::Up && matches(id));
+        up.map(|(_, k)| cores.get(k.entry.kind).copied().unwrap_or(1.0)).sum()
     }
 
     /// Describes how another set differs, one line for each engine; empty if the sets differ only in order or version.
