capture: the names of engines that are kept for later segments are bounded

What was known: the recorder kept the name of each engine that it had ever seen, and compared each name of a list with all of them.

Change: the 16384 newest names are kept, more than a list can hold, and found by id. Segments that begin later lack the names of older engines; the fault class is that of the records of removed engines.

Test: the_names_of_the_newest_engines_are_kept_up_to_a_bound; before, nothing was ever forgotten.

--- a/crates/capture/src/recorder.rs
+++ b/crates/capture/src/recorder.rs
@@ -8,6 +8,7 @@
 use crate::ring::{sync_directory, Ring, RingLimits, RingWriter};
 use crate::triggers::{TriggerDetector, TriggerReason, Triggers};
 use crate::writer_thread::WriterThread;
+use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::Ordering;
@@ -15,6 +16,12 @@
 use wheelfield::interface::{EngineId, Micros, QueryId};
 use wheelfield_driver::{Driver, Instruction};
 
+#[cfg(test)]
+mod tests;
+
+/// Maximum number of engine names that are kept for later segments, more than a list can hold. A segment lacks the
+/// names of engines that were new before that.
+const MAX_ENGINE_NAMES: usize = 16_384;
 /// An in-memory segment is limited to `1 / SEGMENTS_IN_RING` of the ring's capacity, so that dropping
 /// the oldest segment keeps most of the recorded data.
 const SEGMENTS_IN_RING: u64 = 4;
@@ -88,8 +95,10 @@
     writer: WriterThread,
     buffer: BlockBuffer,
     counts: RecordCounts,
-    /// Engine names recorded so far.
-    engine_names: Vec<(EngineId, String)>,
+    /// Engine names recorded so far; the oldest beyond [`MAX_ENGINE_NAMES`] are forgotten.
+    engine_names: BTreeMap<EngineId, String>,
+    /// The engines of `engine_names` in the order in which they were recorded.
+    engine_order: VecDeque<EngineId>,
     /// Number of segments requested from the writer thread after the first. A segment is a file, or
     /// a part of the in-memory ring.
     segments_requested: u64,
@@ -189,7 +198,8 @@
             writer,
             buffer: BlockBuffer::new(limits.block_bytes),
             counts: RecordCounts::default(),
-            engine_names: Vec::new(),
+            engine_names: BTreeMap::new(),
+            engine_order: VecDeque::new(),
             segments_requested: 0,
             last_checkpoint_at: now,
             last_flush_at: now,
@@ -230,11 +240,19 @@
     /// Records the names of engines that were not recorded before.
     pub fn record_engines(&mut self, at: Micros, names: impl Iterator<Item = (EngineId, String)>) {
         let new: Vec<(EngineId, String)> = names
-            .filter(|name| !self.engine_names.contains(name))
+            .filter(|(engine, name)| self.engine_names.get(engine) != Some(name))
             .collect();
         if !new.is_empty() {
             self.push_record(at, &RecordRef::Engines(&new));
-            self.engine_names.extend(new);
+            for (engine, name) in new {
+                if self.engine_names.insert(engine, name).is_none() {
+                    self.engine_order.push_back(engine);
+                }
+            }
+            let excess = self.engine_order.len().saturating_sub(MAX_ENGINE_NAMES);
+            for engine in self.engine_order.drain(..excess) {
+                self.engine_names.remove(&engine);
+            }
         }
     }
 
@@ -305,7 +323,10 @@
             let lost = std::mem::take(&mut self.counts.unreported);
             self.push_record(now, &RecordRef::Gap { at: now, lost });
         }
-        let engine_names = self.engine_names.clone();
+        let names = self.engine_names.iter();
+        let engine_names: Vec<(EngineId, String)> = names
+            .map(|(engine, name)| (*engine, name.clone()))
+            .collect();
         self.push_record(now, &RecordRef::Engines(&engine_names));
         self.push_checkpoint(driver, now);
     }
