platform: a slow name service that loses its answers is queried at the full rate

Evidence: the name service took 1.45 s until 14.85 s and lost 14 answers in a row from 15.06 s on; the executor drained at 15.29 s. Controller 13 logs 11 queries in the 2552 ms for which its list was unconfirmed: one every 232 ms in place of 125.

Cause: the delay between repetitions is at least twice the shortest of the last four round trips, up to 0.25 s, so that a slow name service is not asked more often than a quick one. All four were slow, and stay so for as long as nothing is answered.

Change: once no answer has arrived for 1 s, answers are being lost, and the delay is the shortest again. A name service that answers, however late, is asked as before.

Test: queries_are_repeated_sooner_once_a_slow_name_service_loses_its_answers; it failed before with 10 queries in 2.5 s, where the fifteenth has to be answered by then.

--- a/crates/platform/src/list_freshness.rs
+++ b/crates/platform/src/list_freshness.rs
@@ -15,6 +15,8 @@
 const ROUND_TRIPS: usize = 4;
 /// Maximum time after which an unanswered query is repeated, in microseconds. The time doubles with each unanswered query.
 const MAX_RETRY_US: i64 = 125_000;
+/// Time without any answer after which answers of a slow name service are taken for lost, in microseconds.
+const MAX_SILENCE_US: i64 = 1_000_000;
 /// Time after which a query is repeated while requests are held, in microseconds, as answers may be lost or slow.
 const RETRY_WHILE_HOLDING_US: i64 = 25_000;
 /// Time without activity after which the process is considered to have been suspended or starved of CPU time, in microseconds. It
@@ -90,6 +92,8 @@
     /// When the process was last active.
     last_active_at: i64,
     last_query_at: i64,
+    /// When the last answer arrived.
+    answered_at: i64,
     /// Number of queries since the last answer.
     unanswered: u32,
     /// Times between the last answers and their queries.
@@ -113,6 +117,7 @@
             confirmed_at: read_at,
             last_active_at: read_at,
             last_query_at: read_at,
+            answered_at: read_at,
             unanswered: 0,
             round_trips_us: [0; ROUND_TRIPS],
             answers: 0,
@@ -181,6 +186,7 @@
     /// Records an answer that confirms or replaces the list, to the query sent at `query_sent_at`. Returns the outcome of the gap
     /// if the answer ends one.
     pub fn record_answer(&mut self, now: i64, query_sent_at: i64) -> Option<GapOutcome> {
+        self.answered_at = now;
         self.unanswered = 0;
         self.unsent = None;
         self.round_trips_us[self.answers % ROUND_TRIPS] = now - query_sent_at;
@@ -213,11 +219,15 @@
 
     /// The delay before the next repetition of an unanswered query. It is at least twice the shortest of the last round-trip times (up
     /// to the usual interval), so that a slow or overloaded name service is not queried more often than usual, and a single slow answer
-    /// delays nothing.
+    /// delays nothing. Where no answer arrives at all for a while, answers are being lost, and the delay is the shortest.
     fn retry_delay_us(&self, retries: u32) -> i64 {
         let doublings = retries.min(i64::BITS / 4);
         let delay_us = (FIRST_RETRY_US << doublings).min(MAX_RETRY_US);
         let round_trip_us = self.round_trips_us.into_iter().min().unwrap_or(0);
-        delay_us.max((2 * round_trip_us).min(POLL_INTERVAL_US))
+        let are_answers_lost = self.last_query_at - self.answered_at > MAX_SILENCE_US;
+        match are_answers_lost {
+            true => delay_us,
+            false => delay_us.max((2 * round_trip_us).min(POLL_INTERVAL_US)),
+        }
     }
 }
--- a/crates/platform/tests/list_age.rs
+++ b/crates/platform/tests/list_age.rs
@@ -3,6 +3,7 @@
 
 mod common;
 use common::*;
+use std::collections::VecDeque;
 use wheelfield_sans_io::{ConnId, DatagramSocket, Protocol as _};
 
 const MILLISECOND: i64 = 1_000;
@@ -329,6 +330,37 @@
     assert!(queries >= 14, "{queries} queries");
 }
 
+/// A name service whose answers took 1.45 s lost 14 of them in a row. Its controllers repeated queries at the interval for a slow name
+/// service all the while, and requests went to an executor past its grace period.
+#[test]
+fn queries_are_repeated_sooner_once_a_slow_name_service_loses_its_answers() {
+    const QUERIES_IN_FLIGHT: usize = 5;
+    let mut harness = Harness::new(1);
+    let mut unanswered = VecDeque::new();
+    let mut most_queries = 0;
+    for n in 0..40 {
+        unanswered.push_back(harness.next_discovery_query());
+        if unanswered.len() <= QUERIES_IN_FLIGHT {
+            continue;
+        }
+        let query = unanswered.pop_front().expect("a query");
+        harness.receive_discovery_answer(&dns_answer(&query, 3, &[("e1", 1, 0)]));
+        if n > 2 * QUERIES_IN_FLIGHT {
+            most_queries = most_queries.max(harness.datagrams.len());
+        }
+    }
+    assert!(
+        most_queries <= 2,
+        "{most_queries} queries in 0.26 s of a slow name service"
+    );
+    // The fifteenth of them is answered before the grace period of a change is over that the last answer did not have.
+    let queries = queries_within(&mut harness, 2_500 * MILLISECOND);
+    assert!(
+        queries >= 15,
+        "{queries} queries in 2.5 s without an answer"
+    );
+}
+
 /// Each of several suspensions in a row began the wait for the name service anew. Requests whose deadline had passed meanwhile stayed
 /// unanswered until the wait was over, 10.9 s after they were sent in one case.
 #[test]
