testbed: the client model and its sockets in the field's terms

people.rs is client_model.rs (ClientModel, ClientAction, timers by purpose), crowd.rs is client_pool.rs (ClientPool, ClientSettings, ClientCounts), and a try is an Attempt; comments say what the code does. No behaviour, key or stored name changes.

--- a/crates/testbed/src/client_pool.rs
+++ b/crates/testbed/src/client_pool.rs
@@ -1,6 +1,6 @@
-//! The clients of a day on their sockets, and what is known of each of their tries.
+//! The sockets of the clients of a run, and the attempts of their queries.
 
-use crate::people::{People, Wish};
+use crate::client_model::{ClientAction, ClientModel};
 use crate::plan::{Arrival, Plan};
 use crate::stage::Change;
 use anyhow::Result;
@@ -15,45 +15,45 @@
 use wheelfield_net::{Clock, Socket};
 use wheelfield_sans_io::ConnId;
 
-/// One try of a query.
+/// One attempt of a query.
 #[derive(Clone, Debug, Serialize)]
-pub struct Try {
-    /// Its name, which the controller and the engines see too.
+pub struct Attempt {
+    /// Its ID, which the controller and the engines log too.
     pub id: String,
-    /// Which arrival it is of.
+    /// Index of its arrival in the plan.
     pub arrival: usize,
-    /// Which try, from 0.
+    /// Number of the attempt, from 0.
     pub number: u32,
-    /// The controller it went to.
+    /// The controller that it was sent to.
     pub controller: usize,
     /// When it was sent, in microseconds of the wall clock.
     pub sent: i64,
-    /// When its client gives up.
+    /// When its client stops waiting.
     pub due: i64,
     /// When it ended.
     pub ended: i64,
-    /// How.
+    /// How it ended.
     pub end: Option<ClientOutcome>,
     /// The SQLSTATE of an error.
     pub state: String,
-    /// Rows that came.
+    /// Number of rows received.
     pub rows: u64,
-    /// Final answers that came: ends of a statement, and errors.
+    /// Number of final answers received: completions of a statement, and errors.
     pub answers: u32,
-    /// What came on the connection after the answer was whole, by its type.
+    /// Type of a message received on the connection after the answer was complete.
     pub after: Option<char>,
-    /// What is wrong with its answer, if it is another query's or not whole.
+    /// What is wrong with its answer, if that belongs to another query or is incomplete.
     pub wrong: Option<&'static str>,
-    /// Advice on when to come back, in milliseconds.
+    /// When the controller suggests a retry, in milliseconds.
     pub advice_ms: Option<u64>,
-    /// So late it was sent, as this process had other things to do, in microseconds.
+    /// By how much this process sent it late, in microseconds.
     pub late_us: i64,
 }
 
-impl Try {
-    /// A try that was just sent.
-    pub fn new(arrival: usize, number: u32, controller: usize, sent: i64, due: i64) -> Try {
-        Try {
+impl Attempt {
+    /// An attempt that was just sent.
+    pub fn new(arrival: usize, number: u32, controller: usize, sent: i64, due: i64) -> Attempt {
+        Attempt {
             id: format!("q{arrival}-{number}"),
             arrival,
             number,
@@ -72,7 +72,7 @@
         }
     }
 
-    /// Notes the first thing that is wrong with its answer.
+    /// Records what is wrong with its answer, unless something was wrong before.
     pub fn is_wrong(&mut self, wrong: bool, what: &'static str) {
         if wrong {
             self.wrong.get_or_insert(what);
@@ -80,14 +80,14 @@
     }
 }
 
-/// What the crowd counts as it goes, for a line on the screen.
+/// Counters of the clients, for the progress display.
 #[derive(Clone, Copy, Debug, Default, Serialize)]
-pub struct Tally {
-    /// Tries sent.
+pub struct ClientCounts {
+    /// Attempts sent.
     pub sent: u64,
     /// Served.
     pub served: u64,
-    /// Refused.
+    /// Rejected.
     pub refused: u64,
     /// Failed.
     pub failed: u64,
@@ -95,23 +95,23 @@
     pub other: u64,
 }
 
-/// How the crowd is set up.
+/// The settings of the clients.
 #[derive(Clone, Debug)]
-pub struct Manners {
-    /// The day's classes, as the hints name them.
+pub struct ClientSettings {
+    /// The classes of queries, as the hints name them.
     pub classes: Vec<crate::day::Class>,
-    /// Logins of the customers.
+    /// User names of the tenants.
     pub tenants: Vec<String>,
-    /// What clients do.
+    /// How clients retry and choose controllers.
     pub habits: crate::day::Habits,
-    /// Connections at most.
+    /// Maximum number of connections.
     pub connections: usize,
-    /// Seed of the crowd's own chance.
+    /// Seed of the clients' random number generator.
     pub seed: u64,
 }
 
-/// The text of a query with all that it tells of itself.
-pub fn text(arrival: &Arrival, class: &crate::day::Class, id: &str, due_ms: i64) -> String {
+/// The text of a query with its hints.
+pub fn query_text(arrival: &Arrival, class: &crate::day::Class, id: &str, due_ms: i64) -> String {
     let mut out = String::new();
     let verb = if class.load { "insert into facts select * from staged" } else { "select * from facts" };
     let _ = write!(
@@ -145,51 +145,51 @@
     out
 }
 
-/// The clients on their sockets.
-pub struct Crowd<'a> {
+/// The clients with their sockets.
+pub struct ClientPool<'a> {
     clock: Clock,
     poll: Poll,
-    people: People<'a>,
+    clients: ClientModel<'a>,
     start: i64,
     addresses: Vec<Option<SocketAddr>>,
     changes: Receiver<Change>,
     sockets: HashMap<ConnId, Socket>,
     scratch: Vec<u8>,
-    wishes: Vec<Wish>,
+    actions: Vec<ClientAction>,
 }
 
-impl<'a> Crowd<'a> {
-    /// A crowd that begins at `start`, in microseconds of the wall clock.
+impl<'a> ClientPool<'a> {
+    /// Clients that begin at `start`, in microseconds of the wall clock.
     ///
     /// # Errors
-    /// As the system tells.
+    /// If no poll instance can be created.
     pub fn new(
         plan: &'a Plan,
-        manners: Manners,
+        settings: ClientSettings,
         controllers: usize,
         changes: Receiver<Change>,
         clock: Clock,
         start: i64,
-    ) -> Result<Crowd<'a>> {
-        Ok(Crowd {
+    ) -> Result<ClientPool<'a>> {
+        Ok(ClientPool {
             clock,
             poll: Poll::new()?,
-            people: People::new(plan, manners, controllers, start),
+            clients: ClientModel::new(plan, settings, controllers, start),
             start,
             addresses: vec![None; controllers],
             changes,
             sockets: HashMap::new(),
             scratch: vec![0; 64 << 10],
-            wishes: Vec::new(),
+            actions: Vec::new(),
         })
     }
 
-    /// Plays until all has been sent and has ended, or until `end`, and gives all tries. `watch` sees the tally once
-    /// a second.
+    /// Runs until all queries have ended, or until `end`, and returns all attempts. `watch` gets the counters once a
+    /// second.
     ///
     /// # Errors
-    /// As the system tells of the poll itself.
-    pub fn play(mut self, end: i64, mut watch: impl FnMut(i64, Tally)) -> Result<Vec<Try>> {
+    /// If polling fails.
+    pub fn run(mut self, end: i64, mut watch: impl FnMut(i64, ClientCounts)) -> Result<Vec<Attempt>> {
         let mut events = Events::with_capacity(4096);
         let mut next_watch = self.start + 1_000_000;
         loop {
@@ -197,22 +197,22 @@
             while let Ok(change) = self.changes.try_recv() {
                 match change {
                     Change::Up(i, address) => {
-                        self.people.up(i);
+                        self.clients.controller_up(i);
                         self.addresses[i] = Some(address);
                     }
-                    Change::Down(i) => self.people.down(i, now),
+                    Change::Down(i) => self.clients.controller_down(i, now),
                 }
             }
-            self.people.pass(now);
-            self.carry_out(now);
+            self.clients.handle_timers(now);
+            self.perform_actions(now);
             if now >= next_watch {
-                watch(now - self.start, self.people.tally);
+                watch(now - self.start, self.clients.counts);
                 next_watch += 1_000_000;
             }
-            if self.people.done() || now >= end {
-                return Ok(self.people.into_tries());
+            if self.clients.is_done() || now >= end {
+                return Ok(self.clients.into_attempts());
             }
-            let next = self.people.next().unwrap_or(now + 50_000).min(next_watch).min(now + 50_000);
+            let next = self.clients.next_timer_at().unwrap_or(now + 50_000).min(next_watch).min(now + 50_000);
             match self.poll.poll(&mut events, Some(self.clock.until(next).max(Duration::from_micros(1)))) {
                 Err(e) if e.kind() != std::io::ErrorKind::Interrupted => return Err(e.into()),
                 _ => {}
@@ -230,26 +230,26 @@
         let connecting = matches!(socket.check_connected(), Ok(false));
         socket.handle_event(event);
         match socket.check_connected() {
-            Ok(true) if connecting => self.people.connected(id),
+            Ok(true) if connecting => self.clients.connected(id),
             Ok(true) => {}
             Ok(false) => return,
-            Err(_) => self.people.broke(id, now),
+            Err(_) => self.clients.handle_broken(id, now),
         }
         if socket.is_peer_closed() {
-            self.people.closing(id);
+            self.clients.peer_closing(id);
         }
         self.write(id, now);
         self.read(id, now);
-        self.carry_out(now);
+        self.perform_actions(now);
     }
 
     fn read(&mut self, id: ConnId, now: i64) {
         while let Some(socket) = self.sockets.get_mut(&id) {
             match socket.read(&mut self.scratch) {
-                Ok(0) if socket.is_read_finished() => return self.people.broke(id, now),
+                Ok(0) if socket.is_read_finished() => return self.clients.handle_broken(id, now),
                 Ok(0) => return,
-                Ok(n) => self.people.receive(id, &self.scratch[..n], now),
-                Err(_) => return self.people.broke(id, now),
+                Ok(n) => self.clients.receive(id, &self.scratch[..n], now),
+                Err(_) => return self.clients.handle_broken(id, now),
             }
         }
     }
@@ -259,41 +259,41 @@
             if !matches!(socket.check_connected(), Ok(true)) {
                 return;
             }
-            match socket.write(self.people.output(id)) {
+            match socket.write(self.clients.output(id)) {
                 Ok(0) => return,
-                Ok(n) => self.people.wrote(id, n),
-                Err(_) => return self.people.broke(id, now),
+                Ok(n) => self.clients.bytes_written(id, n),
+                Err(_) => return self.clients.handle_broken(id, now),
             }
         }
     }
 
-    fn carry_out(&mut self, now: i64) {
+    fn perform_actions(&mut self, now: i64) {
         loop {
-            let mut wishes = std::mem::take(&mut self.wishes);
-            self.people.wishes(&mut wishes);
-            if wishes.is_empty() {
-                self.wishes = wishes;
+            let mut actions = std::mem::take(&mut self.actions);
+            self.clients.take_actions(&mut actions);
+            if actions.is_empty() {
+                self.actions = actions;
                 return;
             }
-            for wish in wishes.drain(..) {
-                match wish {
-                    Wish::Connect(id, controller) => {
+            for action in actions.drain(..) {
+                match action {
+                    ClientAction::Connect(id, controller) => {
                         let token = Token(id.as_u64() as usize);
                         let registry = self.poll.registry();
                         let socket = self.addresses[controller]
                             .and_then(|address| Socket::connect(address, registry, token).ok());
                         match socket {
                             Some(socket) => drop(self.sockets.insert(id, socket)),
-                            None => self.people.broke(id, now),
+                            None => self.clients.handle_broken(id, now),
                         }
                     }
-                    Wish::Write(id) => self.write(id, now),
-                    Wish::Close(id) => {
+                    ClientAction::Write(id) => self.write(id, now),
+                    ClientAction::Close(id) => {
                         if let Some(socket) = self.sockets.remove(&id) {
                             socket.close(self.poll.registry());
                         }
                     }
-                    Wish::Cancel(controller, bytes) => {
+                    ClientAction::Cancel(controller, bytes) => {
                         let Some(at) = self.addresses[controller] else { continue };
                         let patience = Duration::from_millis(200);
                         if let Ok(mut stream) = std::net::TcpStream::connect_timeout(&at, patience) {
@@ -302,7 +302,7 @@
                     }
                 }
             }
-            self.wishes = wishes;
+            self.actions = actions;
         }
     }
 }
--- a/crates/testbed/src/clients.rs
+++ b/crates/testbed/src/clients.rs
@@ -1,6 +1,6 @@
 //! How clients choose a controller and when they retry, on sockets and in virtual time alike. No I/O.
 
-use crate::crowd::Try;
+use crate::client_pool::Attempt;
 use crate::day::{Class, Habits};
 use crate::plan::Arrival;
 use rand::{Rng, RngExt as _};
@@ -41,7 +41,7 @@
     class: &Class,
     habits: &Habits,
     arrival: &Arrival,
-    tried: &Try,
+    tried: &Attempt,
     end: ClientOutcome,
     left: i64,
     rng: &mut impl Rng,
--- a/crates/testbed/src/evidence.rs
+++ b/crates/testbed/src/evidence.rs
@@ -1,6 +1,6 @@
 //! The history of a run in the form that the rule checker reads.
 
-use crate::crowd::Try;
+use crate::client_pool::Attempt;
 use crate::day::Day;
 use crate::plan::Plan;
 use std::collections::BTreeMap;
@@ -27,7 +27,7 @@
     /// was sent.
     pub fn check(
         &self,
-        tries: &[Try],
+        tries: &[Attempt],
         log: &[HistoryEvent],
         lives: &[ProcessLifetime],
     ) -> (Vec<Violation>, f64) {
@@ -49,7 +49,7 @@
         (check_history(&history), slow_start_overload_peaks(&history).into_values().fold(0.0, f64::max))
     }
 
-    fn query_record(&self, t: &Try) -> QueryRecord {
+    fn query_record(&self, t: &Attempt) -> QueryRecord {
         let arrival = &self.plan.arrivals[t.arrival];
         QueryRecord {
             id: t.id.clone(),
--- a/crates/testbed/src/explore/mod.rs
+++ b/crates/testbed/src/explore/mod.rs
@@ -115,7 +115,7 @@
         count("near: a cold engine was sent more than half of its overload limit".into());
     }
     let near_deadline =
-        |t: &&crate::crowd::Try| t.end == Some(ClientOutcome::Served) && t.due - t.ended < 100_000;
+        |t: &&crate::client_pool::Attempt| t.end == Some(ClientOutcome::Served) && t.due - t.ended < 100_000;
     if result.tries.iter().any(|t| near_deadline(&t)) {
         count("near: an answer within 100 ms of its client's deadline".into());
     }
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -12,8 +12,8 @@
 //! - [`loopback_address`]: IP addresses for their sockets.
 //! - [`clients`]: how clients behave; no I/O.
 //! - [`virtual_time`]: a run in one process and in virtual time; no I/O.
-//! - [`people`]: open-loop clients without sockets; no I/O.
-//! - [`crowd`]: their sockets.
+//! - [`client_model`]: open-loop clients without sockets; no I/O.
+//! - [`client_pool`]: their sockets.
 //! - [`evidence`]: the history of a run in the form that the rule checker reads; no I/O.
 //! - [`lists`]: the engines as a file that controllers watch.
 //! - [`measure`]: the cost of a query in a controller.
@@ -21,8 +21,9 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod client_model;
+pub mod client_pool;
 pub mod clients;
-pub mod crowd;
 pub mod day;
 pub mod evidence;
 pub mod experiment;
@@ -31,7 +32,6 @@
 pub mod lists;
 pub mod loopback_address;
 pub mod measure;
-pub mod people;
 pub mod plan;
 pub mod play;
 pub mod report;
--- a/crates/testbed/src/play.rs
+++ b/crates/testbed/src/play.rs
@@ -1,6 +1,6 @@
 //! A day from its script to its verdict.
 
-use crate::crowd::{Crowd, Manners, Try};
+use crate::client_pool::{Attempt, ClientPool, ClientSettings};
 use crate::day::Day;
 use crate::evidence::RunContext;
 use crate::fleet::judge::{self, MembershipHistory, Verdict};
@@ -91,7 +91,7 @@
     pub rules: BTreeMap<&'static str, u64>,
     /// By class.
     pub classes: Vec<OfClass>,
-    /// So late the crowd sent, in milliseconds: ninety-nine in a hundred.
+    /// 99th percentile of how late clients sent their queries, in milliseconds.
     pub sent_late_p99_ms: f64,
     /// The largest multiple of what it could do that a cold engine was sent within the span of rule 4; that rule has a bound.
     pub cold_peak: f64,
@@ -166,20 +166,20 @@
     stage.begin_roads(roads.clone())?;
     let (sender, receiver) = channel();
     for change in stage.doors() {
-        sender.send(change).map_err(|_| anyhow!("no crowd"))?;
+        sender.send(change).map_err(|_| anyhow!("the clients have ended"))?;
     }
-    let manners = Manners {
+    let settings = ClientSettings {
         classes: day.classes.clone(),
         tenants: day.tenants.iter().map(|t| t.name.clone()).collect(),
         habits: day.habits.clone(),
         connections: day.clients,
         seed: options.seed,
     };
-    let crowd = Crowd::new(&plan, manners, day.controllers, receiver, clock, start)?;
+    let clients = ClientPool::new(&plan, settings, day.controllers, receiver, clock, start)?;
     let longest = day.classes.iter().map(|c| c.deadline.0 .0).max().unwrap_or(0);
     let end = start + day.length.0 .0 + 2 * longest + 5_000_000;
     let (length, quiet) = (day.length.0 .0, options.quiet);
-    let progress = move |at: i64, t: crate::crowd::Tally| {
+    let progress = move |at: i64, t: crate::client_pool::ClientCounts| {
         if !quiet {
             eprint!(
                 "\r{:>3} of {} s: {} sent, {} served, {} refused, {} failed, {} other ",
@@ -199,13 +199,13 @@
             for (at, act) in &plan.actions {
                 std::thread::sleep(clock.until(start + at));
                 for change in stage.act(act).with_context(|| format!("{act:?}"))? {
-                    // The crowd may be through already.
+                    // The clients may have finished already.
                     let _ = sender.send(change);
                 }
             }
             Ok(())
         });
-        let tries = crowd.play(end, progress);
+        let tries = clients.run(end, progress);
         let directed = director.join().map_err(|_| anyhow!("the director panicked")).and_then(|r| r);
         (tries, directed)
     });
@@ -346,7 +346,7 @@
 }
 
 #[expect(clippy::too_many_lines, reason = "to be split: docs/ROADMAP.md lists it")]
-fn sum_up(day: &Day, plan: &Plan, start: i64, tries: &[Try], breaches: Vec<Violation>) -> Report {
+fn sum_up(day: &Day, plan: &Plan, start: i64, tries: &[Attempt], breaches: Vec<Violation>) -> Report {
     let mut report = Report { day: day.name.clone(), ..Report::default() };
     let mut latencies: Vec<Histogram<u64>> = day
         .classes
@@ -355,7 +355,7 @@
         .filter_map(Result::ok)
         .collect();
     let mut late = Histogram::<u64>::new_with_bounds(1, 3_600_000_000, 3).ok();
-    let mut last: BTreeMap<usize, &Try> = BTreeMap::new();
+    let mut last: BTreeMap<usize, &Attempt> = BTreeMap::new();
     for t in tries {
         report.queries += 1;
         match t.end {
@@ -444,7 +444,7 @@
     }
     writeln!(
         out,
-        "controllers used {:.2} s of processor; the crowd sent up to {:.1} ms late (p99)",
+        "controllers used {:.2} s of processor; clients sent up to {:.1} ms late (p99)",
         report.controller_cpu_s, report.sent_late_p99_ms
     )?;
     for (i, rule) in RULES.iter().enumerate() {
--- a/crates/testbed/src/series.rs
+++ b/crates/testbed/src/series.rs
@@ -1,6 +1,6 @@
 //! Time series of one played day, from which reports are drawn. No I/O.
 
-use crate::crowd::Try;
+use crate::client_pool::Attempt;
 use crate::day::Day;
 use crate::plan::Plan;
 use hdrhistogram::Histogram;
@@ -52,7 +52,7 @@
     0.999,
 ];
 
-fn failure_reason(t: &Try) -> Option<&'static str> {
+fn failure_reason(t: &Attempt) -> Option<&'static str> {
     Some(match (t.end?, t.state.as_str()) {
         (ClientOutcome::Served, _) => return None,
         (ClientOutcome::Refused, _) if t.advice_ms.is_some() => "refused, with advice",
@@ -70,7 +70,7 @@
 impl Series {
     /// Builds the series of a day that started at `start`.
     #[expect(clippy::too_many_lines, reason = "to be split: docs/ROADMAP.md lists it")]
-    pub fn from_run(day: &Day, plan: &Plan, start: i64, tries: &[Try], log: &[HistoryEvent]) -> Series {
+    pub fn from_run(day: &Day, plan: &Plan, start: i64, tries: &[Attempt], log: &[HistoryEvent]) -> Series {
         let seconds = (day.length.0 .0 as usize).div_ceil(1_000_000).max(1);
         let second = |t: i64| ((t - start).max(0) as usize / 1_000_000).min(seconds - 1);
         let zeros = || vec![0_u32; seconds];
@@ -83,7 +83,7 @@
             ..Series::default()
         };
         let (mut worth, mut delivered) = (vec![0.0; seconds], vec![0.0; seconds]);
-        let mut last_tries: BTreeMap<usize, &Try> = BTreeMap::new();
+        let mut last_tries: BTreeMap<usize, &Attempt> = BTreeMap::new();
         let mut latency = Histogram::<u64>::new_with_bounds(1, 3_600_000_000, 3).ok();
         for t in tries {
             last_tries.insert(t.arrival, t);
--- a/crates/testbed/src/virtual_time/mod.rs
+++ b/crates/testbed/src/virtual_time/mod.rs
@@ -12,9 +12,9 @@
 pub mod policy;
 mod processes;
 
-use crate::crowd::{Manners, Try};
+use crate::client_model::ClientModel;
+use crate::client_pool::{Attempt, ClientSettings};
 use crate::day::Day;
-use crate::people::People;
 use crate::plan::{Plan, StageAction};
 use bytes::Bytes;
 pub use network::BASE_LATENCY;
@@ -81,7 +81,7 @@
 #[derive(Debug, Default)]
 pub struct SimulationResult {
     /// All tries of clients.
-    pub tries: Vec<Try>,
+    pub tries: Vec<Attempt>,
     /// Events that the engines logged, and the engine lists that controllers received.
     pub log: Vec<HistoryEvent>,
     /// When each controller process started and ended.
@@ -116,7 +116,7 @@
     wake_timers: WakeTimers,
     network: Network,
     gossip_links: LinkEmulator,
-    clients: People<'a>,
+    clients: ClientModel<'a>,
     /// Data of cancel requests and stray connections that are not established yet. The owner number
     /// of their ids is 2; that of the other client connections is 1.
     cancel_requests: ConnectionTable<Bytes>,
@@ -215,7 +215,7 @@
             events += 1;
             simulation.dispatch(event);
         }
-        if !done && simulation.clients.done() {
+        if !done && simulation.clients.is_done() {
             done = true;
             end = end.min(simulation.now + FINAL_EVENTS_TIME);
         }
@@ -233,7 +233,7 @@
         }
     }
     let Simulation { clients, log, lifetimes, datagrams_sent, coverage, .. } = simulation;
-    let mut tries = clients.into_tries();
+    let mut tries = clients.into_attempts();
     for t in tries.iter_mut().filter(|t| t.end.is_none()) {
         (t.end, t.ended) = (Some(ClientOutcome::NoAnswer), end);
     }
@@ -279,7 +279,7 @@
         };
         let engines = setup.engines.iter().enumerate().map(emulated_engine).collect();
         let n = day.controllers;
-        let client_config = Manners {
+        let client_config = ClientSettings {
             classes: day.classes.clone(),
             tenants: day.tenants.iter().map(|t| t.name.clone()).collect(),
             habits: day.habits.clone(),
@@ -302,7 +302,7 @@
                 plan.network_faults.clone().shifted_by(CLOCK_START + SETUP_TIME),
                 seed,
             ),
-            clients: People::new(plan, client_config, n, first_arrival_time()),
+            clients: ClientModel::new(plan, client_config, n, first_arrival_time()),
             cancel_requests: ConnectionTable::new(2),
             engines,
             process_by_address,
@@ -319,7 +319,7 @@
             datagrams_sent: 0,
             coverage: BTreeMap::new(),
         };
-        simulation.clients.visited(options.stray_connection_period_us);
+        simulation.clients.set_intruder_interval(options.stray_connection_period_us);
         (0..n).for_each(|c| simulation.start_controller(c));
         for (i, (at, _)) in plan.actions.iter().enumerate() {
             simulation.events.set(first_arrival_time() + at, Event::Action(i));
@@ -352,7 +352,7 @@
                     self.apply_effects(ProcessId::Registry);
                 }
                 Event::ClientsTimer => {
-                    self.clients.pass(self.now);
+                    self.clients.handle_timers(self.now);
                     self.apply_effects(ProcessId::Clients);
                 }
                 Event::ReadEngineFile(c, generation) => self.read_engine_file(c, generation),
@@ -400,7 +400,7 @@
         let mut gateway = PgGateway::new(config, options);
         gateway.handle(self.now, wheelfield_pg_gateway::GatewayEvent::Started);
         self.gateways[c] = Some(gateway);
-        self.clients.up(c);
+        self.clients.controller_up(c);
         self.lifetimes.push(ProcessLifetime {
             controller: c,
             started_at: self.now,
@@ -426,7 +426,7 @@
         self.record_coverage(&gateway);
         self.generations[c] += 1;
         self.withheld_events[c] = None;
-        self.clients.down(c, self.now);
+        self.clients.controller_down(c, self.now);
         if let Some(lifetime) = self.lifetimes.iter_mut().rev().find(|l| l.controller == c) {
             lifetime.ended_at = Some(self.now);
         }
--- a/crates/testbed/src/virtual_time/processes.rs
+++ b/crates/testbed/src/virtual_time/processes.rs
@@ -3,7 +3,7 @@
 
 use super::network::{EndId, NetworkEvent, ProcessId, ReadResult};
 use super::{Event, Simulation, FIRST_GOSSIP_PORT};
-use crate::people::Wish;
+use crate::client_model::ClientAction;
 use bytes::Bytes;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -174,7 +174,7 @@
                         gateway.handle(now, GatewayEvent::Io(IoEvent::PeerClosing(id)));
                     }
                 }
-                ProcessId::Clients if id.owner() == 1 => self.clients.closing(id),
+                ProcessId::Clients if id.owner() == 1 => self.clients.peer_closing(id),
                 _ => {}
             }
         }
@@ -237,7 +237,7 @@
                 self.cancel_requests.remove(id);
                 self.network.close(now, process, id, false);
             }
-            ProcessId::Clients => self.clients.broke(id, now),
+            ProcessId::Clients => self.clients.handle_broken(id, now),
         }
     }
 
@@ -266,7 +266,7 @@
                     }
                     ProcessId::Engine(e) => self.engines[e].bytes_written(id, n, now),
                     ProcessId::Registry => self.registry_server.bytes_written(id, n),
-                    ProcessId::Clients => self.clients.wrote(id, n),
+                    ProcessId::Clients => self.clients.bytes_written(id, n),
                 },
             }
         }
@@ -453,22 +453,24 @@
         let (now, process) = (self.now, ProcessId::Clients);
         let mut requests = Vec::new();
         loop {
-            self.clients.wishes(&mut requests);
+            self.clients.take_actions(&mut requests);
             if requests.is_empty() {
                 break;
             }
             for request in requests.drain(..) {
                 match request {
-                    Wish::Connect(id, c) => self.network.connect(now, process, id, ProcessId::Controller(c)),
-                    Wish::Write(id) => self.write(process, id),
-                    Wish::Close(id) => self.network.close(now, process, id, false),
-                    Wish::Cancel(c, bytes) => {
+                    ClientAction::Connect(id, c) => {
+                        self.network.connect(now, process, id, ProcessId::Controller(c))
+                    }
+                    ClientAction::Write(id) => self.write(process, id),
+                    ClientAction::Close(id) => self.network.close(now, process, id, false),
+                    ClientAction::Cancel(c, bytes) => {
                         let id = self.cancel_requests.insert(bytes);
                         self.network.connect(now, process, id, ProcessId::Controller(c));
                     }
                 }
             }
         }
-        self.clients.next()
+        self.clients.next_timer_at()
     }
 }
--- a/crates/testbed/tests/judge.rs
+++ b/crates/testbed/tests/judge.rs
@@ -2,7 +2,7 @@
 
 use wheelfield::interface::Settings;
 use wheelfield_invariants::{parse_event_log, ClientOutcome, HistoryEvent, ProcessLifetime, Violation};
-use wheelfield_testbed::crowd::Try;
+use wheelfield_testbed::client_pool::Attempt;
 use wheelfield_testbed::day::Day;
 use wheelfield_testbed::evidence::RunContext;
 use wheelfield_testbed::plan::{Arrival, Plan};
@@ -67,7 +67,7 @@
     day: Day,
     settings: Settings,
     plan: Plan,
-    tries: Vec<Try>,
+    tries: Vec<Attempt>,
     log: Vec<String>,
     lives: Vec<ProcessLifetime>,
 }
@@ -113,7 +113,7 @@
         });
         let answers =
             u32::from(matches!(end, ClientOutcome::Served | ClientOutcome::Refused | ClientOutcome::Failed));
-        self.tries.push(Try {
+        self.tries.push(Attempt {
             id: id.clone(),
             arrival: n,
             number: 0,
