platform: answers of a slow name service count as lost after twice their usual gap

Evidence: answers of 1.45 s that were on their way as the losses began kept arriving for 1.2 s, so that the second without any answer began late.

Change: the time without an answer is twice the longest gap between the last four answers, 0.5 s to 1 s: a name service that answers once a second is asked as before.

Test: queries_are_repeated_sooner_once_a_slow_name_service_loses_its_answers, as before.

--- a/crates/platform/src/list_freshness.rs
+++ b/crates/platform/src/list_freshness.rs
@@ -15,7 +15,9 @@
 const ROUND_TRIPS: usize = 4;
 /// Maximum time after which an unanswered query is repeated, in microseconds. The time doubles with each unanswered query.
 const MAX_RETRY_US: i64 = 125_000;
-/// Time without any answer after which answers of a slow name service are taken for lost, in microseconds.
+/// Bounds of the time without any answer after which answers of a slow name service are taken for lost, in microseconds. It is twice
+/// the longest time between the last answers.
+const MIN_SILENCE_US: i64 = 500_000;
 const MAX_SILENCE_US: i64 = 1_000_000;
 /// Time after which a query is repeated while requests are held, in microseconds, as answers may be lost or slow.
 const RETRY_WHILE_HOLDING_US: i64 = 25_000;
@@ -98,6 +100,8 @@
     unanswered: u32,
     /// Times between the last answers and their queries.
     round_trips_us: [i64; ROUND_TRIPS],
+    /// Times between the last answers and the answers before them.
+    answer_gaps_us: [i64; ROUND_TRIPS],
     /// Number of answers so far.
     answers: usize,
     /// The current incident of queries that could not be sent, if any occurred since the last answer.
@@ -120,6 +124,7 @@
             answered_at: read_at,
             unanswered: 0,
             round_trips_us: [0; ROUND_TRIPS],
+            answer_gaps_us: [0; ROUND_TRIPS],
             answers: 0,
             unsent: None,
             gap: None,
@@ -186,6 +191,7 @@
     /// Records an answer that confirms or replaces the list, to the query sent at `query_sent_at`. Returns the outcome of the gap
     /// if the answer ends one.
     pub fn record_answer(&mut self, now: i64, query_sent_at: i64) -> Option<GapOutcome> {
+        self.answer_gaps_us[self.answers % ROUND_TRIPS] = now - self.answered_at;
         self.answered_at = now;
         self.unanswered = 0;
         self.unsent = None;
@@ -224,7 +230,9 @@
         let doublings = retries.min(i64::BITS / 4);
         let delay_us = (FIRST_RETRY_US << doublings).min(MAX_RETRY_US);
         let round_trip_us = self.round_trips_us.into_iter().min().unwrap_or(0);
-        let are_answers_lost = self.last_query_at - self.answered_at > MAX_SILENCE_US;
+        let longest_gap_us = self.answer_gaps_us.into_iter().max().unwrap_or(0);
+        let max_silence_us = (2 * longest_gap_us).clamp(MIN_SILENCE_US, MAX_SILENCE_US);
+        let are_answers_lost = self.last_query_at - self.answered_at > max_silence_us;
         match are_answers_lost {
             true => delay_us,
             false => delay_us.max((2 * round_trip_us).min(POLL_INTERVAL_US)),
