rig: programs under test have a process group of their own

Evidence: stopped by the test at 35.762 s and continued at 38.076, the program ran at 36.914 and handled SIGHUP in the same turn; the shell that had started the test ended then.

Cause: the program shared the group of the test. When that is orphaned while one of its processes is stopped, the system sends SIGHUP and SIGCONT to all of them.

Change: each program has a group of its own.

--- a/crates/controller/tests/rig/unshared.rs
+++ b/crates/controller/tests/rig/unshared.rs
@@ -6,18 +6,22 @@
 
 use std::io;
 use std::ops::{Deref, DerefMut};
+use std::os::unix::process::CommandExt as _;
 use std::process::{Child, Command};
 use std::sync::{PoisonError, RwLock};
 
 /// Locked for writing while a process is started, and for reading while a socket is closed.
 static PROCESS_START: RwLock<()> = RwLock::new(());
 
-/// Starts a process. When this returns, the process has executed its program and shares no socket.
+/// Starts a process in a process group of its own. When this returns, the process has executed its program and shares no socket.
+///
+/// If the group of the test loses its last link to the session, as when the shell that started the test ends, the system continues
+/// all stopped processes of the group, and sends them SIGHUP.
 pub fn start_process(command: &mut Command) -> io::Result<Child> {
     let _starting = PROCESS_START
         .write()
         .unwrap_or_else(PoisonError::into_inner);
-    let mut child = command.spawn()?;
+    let mut child = command.process_group(0).spawn()?;
     // Linux lets this process go on just before it closes the descriptors of the child, which has its own command line after that.
     let own_command_line = std::fs::read("/proc/self/cmdline")?;
     let command_line = format!("/proc/{}/cmdline", child.id());
--- a/crates/controller/tests/suspended_postgres.rs
+++ b/crates/controller/tests/suspended_postgres.rs
@@ -8,6 +8,7 @@
 use serde_json::Value;
 use std::io::{BufRead as _, BufReader, Write as _};
 use std::net::{SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt as _;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -39,6 +40,8 @@
             .arg(&file)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
+            // A stopped process of the test's own group is continued if the shell that started the test ends.
+            .process_group(0)
             .spawn()
             .expect("the program");
         let mut line = String::new();
