testbed: the error of a process that does not start shows the end of its log

The test's folder was gone, and with it the log that would tell why; by reading, the addresses of the run are its own.

Change: the error shows the last 20 lines of the log.

--- a/crates/testbed/src/stage.rs
+++ b/crates/testbed/src/stage.rs
@@ -43,6 +43,16 @@
     found.with_context(|| format!("{name} does not stand beside {}; build all programs first", own.display()))
 }
 
+/// Number of lines of a log that an error shows.
+const SHOWN_LOG_LINES: usize = 20;
+
+/// The last lines of a log.
+fn last_lines(path: &Path) -> String {
+    let log = std::fs::read_to_string(path).unwrap_or_default();
+    let lines: Vec<&str> = log.lines().collect();
+    lines[lines.len().saturating_sub(SHOWN_LOG_LINES)..].join("\n")
+}
+
 /// A child process that is killed when it is dropped.
 #[derive(Debug)]
 pub struct Process {
@@ -79,7 +89,8 @@
         let mut process = Process { child, told: Value::Null };
         let line = line.with_context(|| format!("{} told nothing in time", program.display()))??;
         process.told = serde_json::from_str(&line).with_context(|| {
-            format!("{} told no addresses: {line:?}; its log may say why", program.display())
+            let log = log.map_or_else(String::new, last_lines);
+            format!("{} printed no addresses: {line:?}; the end of its log:\n{log}", program.display())
         })?;
         Ok(process)
     }
