testbed: a port that is released for a controller is not held by other children

Evidence: the socket table, read every 10 ms. Socket 21676, which had that port, was open in the test program and in five of its children that had not executed their programs; at the failure the test program had closed it, and one such child had it.

Cause: the test bed holds the port until just before it starts the controller that binds it. A process that another thread of the same program has forked has a copy of the socket until it executes its program.

Fix: starts of processes and closes of sockets exclude each other, as in the rig of the controller's tests. Its module becomes the crate `child-process`, for the test bed, the soak and the rig; the addresses that the rig and the soak find by binding are closed in this way too. The error of a process that ends early shows its exit status or signal.

--- a/crates/controller/tests/rig/unshared.rs
+++ b/crates/child-process/src/lib.rs
@@ -1,27 +1,28 @@
-//! Sockets that no child process shares when they are closed.
+//! Child processes that hold no copy of their parent's sockets.
 //!
 //! A child process has a copy of each descriptor of its parent until it executes its program, however they are opened. A socket
-//! that one thread closes while another starts a process stays open until then, tens of milliseconds on a busy machine, and its
-//! peer learns of the close only afterwards.
+//! that one thread closes while another starts a process stays open until then, tens of milliseconds on a busy machine: its peer
+//! learns of the close only afterwards, and its port stays in use. [`start`] and [`Unshared`] exclude each other.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
 
 use std::io;
 use std::ops::{Deref, DerefMut};
-use std::os::unix::process::CommandExt as _;
 use std::process::{Child, Command};
 use std::sync::{PoisonError, RwLock};
 
 /// Locked for writing while a process is started, and for reading while a socket is closed.
 static PROCESS_START: RwLock<()> = RwLock::new(());
 
-/// Starts a process in a process group of its own. When this returns, the process has executed its program and shares no socket.
+/// Starts a process. When this returns, the process has executed its program and shares no descriptor that is closed on execution.
 ///
-/// If the group of the test loses its last link to the session, as when the shell that started the test ends, the system continues
-/// all stopped processes of the group, and sends them SIGHUP.
-pub fn start_process(command: &mut Command) -> io::Result<Child> {
+/// # Errors
+/// If the process cannot be started or observed.
+pub fn start(command: &mut Command) -> io::Result<Child> {
     let _starting = PROCESS_START
         .write()
         .unwrap_or_else(PoisonError::into_inner);
-    let mut child = command.process_group(0).spawn()?;
+    let mut child = command.spawn()?;
     // Linux lets this process go on just before it closes the descriptors of the child, which has its own command line after that.
     let own_command_line = std::fs::read("/proc/self/cmdline")?;
     let command_line = format!("/proc/{}/cmdline", child.id());
@@ -35,10 +36,12 @@
     Ok(child)
 }
 
-/// A socket that is closed while no process is being started.
+/// A socket that is closed while no process is being started by [`start`]. Once it is closed, no other process has it open.
+#[derive(Debug)]
 pub struct Unshared<T>(Option<T>);
 
 impl<T> Unshared<T> {
+    /// Wraps a socket.
     pub fn new(socket: T) -> Unshared<T> {
         Unshared(Some(socket))
     }
--- a/crates/controller/tests/rig/mod.rs
+++ b/crates/controller/tests/rig/mod.rs
@@ -6,11 +6,9 @@
 #![allow(dead_code)]
 
 mod serving;
-mod unshared;
 #[allow(unused_imports)]
 pub use serving::*;
-#[allow(unused_imports)]
-pub use unshared::{start_process, Unshared};
+pub use wheelfield_child_process::Unshared;
 
 use hickory_proto::op::{Message, MessageType, OpCode};
 use hickory_proto::rr::rdata::{A, SOA, SRV, TXT};
@@ -20,6 +18,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::os::unix::process::CommandExt as _;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
@@ -65,9 +64,16 @@
         part(id / 250),
         NEXT_HOST.fetch_add(1, Ordering::SeqCst),
     );
-    TcpListener::bind((ip, 0))
-        .and_then(|l| l.local_addr())
-        .expect("a port")
+    let listener = TcpListener::bind((ip, 0)).expect("a port");
+    Unshared::new(listener).local_addr().expect("bound")
+}
+
+/// Starts a process in a process group of its own.
+///
+/// If the group of the test loses its last link to the session, as when the shell that started the test ends, the system continues
+/// all stopped processes of the group, and sends them SIGHUP.
+pub fn start_process(command: &mut Command) -> std::io::Result<Child> {
+    wheelfield_child_process::start(command.process_group(0))
 }
 
 /// A configuration with the classes `look` (idempotent) and `load` (must not run twice), and these executors. The connect timeout
--- a/crates/soak/src/controller.rs
+++ b/crates/soak/src/controller.rs
@@ -15,6 +15,7 @@
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
+use wheelfield_child_process::Unshared;
 use wheelfield_fault_shim::FaultControl;
 
 /// For how long after the process was asked to end clients open connections, and for how long they
@@ -125,7 +126,8 @@
     let octet = |n: usize| 1 + (n % OCTET_VALUES) as u8;
     let third = process / OCTET_VALUES + index / OCTET_VALUES;
     let ip = Ipv4Addr::new(127, octet(process), octet(third), octet(index));
-    Ok(TcpListener::bind((ip, 0))?.local_addr()?)
+    let listener = Unshared::new(TcpListener::bind((ip, 0))?);
+    Ok(listener.local_addr()?)
 }
 
 impl Controller {
@@ -175,12 +177,12 @@
         if let Some(planted_fault) = &self.planted_fault {
             command.args(["--plant", planted_fault]);
         }
-        let child = command
+        command
             .envs(self.faults.environment())
             .stdin(Stdio::null())
             .stdout(Stdio::null())
-            .stderr(log)
-            .spawn()
+            .stderr(log);
+        let child = wheelfield_child_process::start(&mut command)
             .with_context(|| format!("cannot start {}", self.program.display()))?;
         self.child = Some(child);
         self.kill_at = NEVER;
--- a/crates/testbed/src/stage.rs
+++ b/crates/testbed/src/stage.rs
@@ -15,12 +15,15 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 use wheelfield::interface::Status;
+use wheelfield_child_process::Unshared;
 use wheelfield_invariants::ProcessLifetime;
 use wheelfield_net::{http, retry_interrupted, Clock};
 use wheelfield_network_faults::FaultSchedule;
 
 /// A process must tell where it listens within this.
 const STARTS_WITHIN: Duration = Duration::from_secs(20);
+/// Time within which a process that has closed its standard output ends.
+const EXIT_TIMEOUT: Duration = Duration::from_secs(2);
 /// The processes that exist are asked to end, and killed after this.
 const ENDS_WITHIN: Duration = Duration::from_secs(40);
 /// The emulated engines must answer a command within this.
@@ -71,12 +74,9 @@
             Some(path) => Stdio::from(std::fs::OpenOptions::new().create(true).append(true).open(path)?),
             None => Stdio::null(),
         };
-        let mut child = Command::new(program)
-            .args(args)
-            .stdin(Stdio::null())
-            .stdout(Stdio::piped())
-            .stderr(stderr)
-            .spawn()
+        let mut command = Command::new(program);
+        command.args(args).stdin(Stdio::null()).stdout(Stdio::piped()).stderr(stderr);
+        let mut child = wheelfield_child_process::start(&mut command)
             .with_context(|| format!("cannot start {}", program.display()))?;
         let stdout = child.stdout.take().context("no standard output")?;
         let (sender, receiver) = std::sync::mpsc::channel();
@@ -90,11 +90,27 @@
         let line = line.with_context(|| format!("{} told nothing in time", program.display()))??;
         process.told = serde_json::from_str(&line).with_context(|| {
             let log = log.map_or_else(String::new, last_lines);
-            format!("{} printed no addresses: {line:?}; the end of its log:\n{log}", program.display())
+            let state = process.final_state();
+            format!(
+                "{} printed no addresses but {line:?}, {state}; the end of its log:\n{log}",
+                program.display()
+            )
         })?;
         Ok(process)
     }
 
+    /// How the process ended, or that it has not.
+    fn final_state(&mut self) -> String {
+        let until = Instant::now() + EXIT_TIMEOUT;
+        while Instant::now() < until {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return format!("and ended with {status}");
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        "and still runs".to_string()
+    }
+
     fn address(&self, name: &str) -> Result<SocketAddr> {
         let told = self.told[name].as_str().with_context(|| format!("no address `{name}` was told"))?;
         Ok(told.parse()?)
@@ -169,7 +185,7 @@
     /// What carries it, where the script tells of roads.
     relay: Option<Relay>,
     /// Ports that were taken for controllers that have not started yet.
-    held: BTreeMap<usize, Vec<UdpSocket>>,
+    held: BTreeMap<usize, Vec<Unshared<UdpSocket>>>,
     /// The engines as a file, if they are kept so.
     pub lists: Option<EndpointFile>,
     /// The lives of all controllers.
@@ -258,11 +274,11 @@
                 gossips.iter().map(|s| Ok(s.local_addr()?.to_string())).collect::<Result<Vec<String>>>()?
             }
         };
-        // Each port is held until its controller starts. Between that and the controller's own bind nobody else can take it, as
-        // no other run uses this IP address.
-        let mut held: BTreeMap<usize, Vec<UdpSocket>> = BTreeMap::new();
+        // Each port is held until its controller starts. Between that and the controller's own bind nobody else can take it: no
+        // other run uses this IP address, and no process that another thread starts has a copy of the socket.
+        let mut held: BTreeMap<usize, Vec<Unshared<UdpSocket>>> = BTreeMap::new();
         for (i, socket) in sockets.into_iter().enumerate().chain(gossips.into_iter().enumerate()) {
-            held.entry(i).or_default().push(socket);
+            held.entry(i).or_default().push(Unshared::new(socket));
         }
         if day.registry.gossip {
             std::fs::write(dir.join("keys"), format!("1 {seed:064x}\n"))?;
