controller: SIGHUP and other signals no longer end a controller that holds queries

Seen: SIGHUP, which operators send to reload, and which a closing terminal and an orphaned process group send too, ended a controller of PostgreSQL clients at once, without a drain; so did SIGUSR2, SIGALRM and SIGXFSZ, on the platform also SIGUSR1. Until the configuration was read, SIGTERM, SIGINT and SIGUSR1 ended it as well.

Cause: these signals had their default action; the handlers of the PostgreSQL side were installed after the configuration was read.

Change: all handlers are installed first, by one module for both sides. SIGHUP has the PostgreSQL side read its engine files and gossip keys at once; the log says that the rest needs a restart. Signals without a use are logged. SIGQUIT still ends a controller at once, as the way to get a core file.

The program under test of `suspended_postgres` moves to the common module, for both files.

--- a/crates/controller/src/gossip_keys.rs
+++ b/crates/controller/src/gossip_keys.rs
@@ -1,8 +1,11 @@
 //! Watcher of the gossip key file. A separate thread polls the file, because a read from a disk may block.
 
+#[cfg(test)]
+mod tests;
+
 use crate::error::{error_chain, ControllerError};
 use std::path::{Path, PathBuf};
-use std::sync::mpsc::{channel, sync_channel, Receiver, RecvTimeoutError, Sender, SyncSender};
+use std::sync::mpsc::{sync_channel, Receiver, RecvTimeoutError, SyncSender};
 use std::time::Duration;
 use wheelfield_gossip::authentication::Keys;
 
@@ -20,7 +23,8 @@
 pub(crate) struct KeysWatcher {
     /// Receives each change of the file, and each error that differs from the one before.
     pub updates: Receiver<KeysUpdate>,
-    _stop: Sender<()>,
+    /// Requests a read; the thread stops once this is dropped.
+    read_requests: SyncSender<()>,
 }
 
 impl KeysWatcher {
@@ -31,9 +35,9 @@
     pub fn start(path: &Path) -> Result<(Keys, KeysWatcher), ControllerError> {
         let (text, keys) = read_keys(path)?;
         let (sender, updates) = sync_channel(MAX_PENDING_UPDATES);
-        let (stop, stopped) = channel();
+        let (read_requests, requested) = sync_channel(1);
         let path: PathBuf = path.to_path_buf();
-        let watch = move || watch_file(&path, text, &stopped, &sender);
+        let watch = move || watch_file(&path, text, &requested, &sender);
         std::thread::Builder::new()
             .name("keys".into())
             .spawn(watch)?;
@@ -41,10 +45,16 @@
             keys,
             KeysWatcher {
                 updates,
-                _stop: stop,
+                read_requests,
             },
         ))
     }
+
+    /// Requests that the file is read now.
+    pub fn request_read(&self) {
+        // A full channel holds such a request already.
+        let _ = self.read_requests.try_send(());
+    }
 }
 
 fn read_keys(path: &Path) -> Result<(String, Keys), ControllerError> {
@@ -59,15 +69,16 @@
     Ok((text, keys))
 }
 
-/// Polls the file and sends the keys or the error whenever it differs from the last one, until `stopped` is disconnected.
+/// Reads the file at intervals and on request, and sends the keys or the error whenever it differs from the last one, until
+/// `requested` is disconnected.
 fn watch_file(
     path: &Path,
     mut last_text: String,
-    stopped: &Receiver<()>,
+    requested: &Receiver<()>,
     updates: &SyncSender<KeysUpdate>,
 ) {
     let mut last_error = String::new();
-    while let Err(RecvTimeoutError::Timeout) = stopped.recv_timeout(POLL_INTERVAL) {
+    while requested.recv_timeout(POLL_INTERVAL) != Err(RecvTimeoutError::Disconnected) {
         let update = match read_keys(path).map_err(|error| error_chain(&error)) {
             Ok((text, keys)) if text != last_text => {
                 (last_text, last_error) = (text, String::new());
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -14,6 +14,7 @@
 mod gossip_keys;
 pub mod platform;
 pub mod postgres;
+pub mod signals;
 pub mod startup;
 
 pub use error::ControllerError;
--- a/crates/controller/src/main.rs
+++ b/crates/controller/src/main.rs
@@ -3,10 +3,8 @@
 
 use anyhow::{anyhow, Context, Result};
 use clap::{Parser, Subcommand, ValueEnum};
-use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
-use std::io::Write;
+use std::io::Write as _;
 use std::net::SocketAddr;
-use std::os::unix::net::UnixStream;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
@@ -14,6 +12,7 @@
 use wheelfield_config::Config;
 use wheelfield_controller::platform::{self, LoadedConfig, PlatformController};
 use wheelfield_controller::postgres::PostgresController;
+use wheelfield_controller::signals::Signals;
 use wheelfield_controller::startup::Startup;
 use wheelfield_pg_gateway::fault_injection::FaultInjection;
 use wheelfield_platform::InjectedFault;
@@ -26,7 +25,8 @@
 /// Admits queries of PostgreSQL clients and routes them to a pool of engines.
 ///
 /// Prints one line of JSON with its listening addresses to standard output and logs to standard error. On SIGTERM or
-/// SIGINT it accepts no new clients, answers the queries that it has accepted, and exits with 0. Exit codes: 0 success,
+/// SIGINT it accepts no new clients, answers the queries that it has accepted, and exits with 0. On SIGHUP it reads its
+/// engine files and gossip keys at once; other changes of the configuration need a restart. Exit codes: 0 success,
 /// 1 failure while running, 2 invalid arguments or configuration.
 #[derive(Parser)]
 #[command(
@@ -110,15 +110,22 @@
 
 /// Serves PostgreSQL clients, or only checks the configuration if `--check` is given.
 fn postgres_command(args: &Args) -> ExitCode {
+    if args.check {
+        return match load_config(args) {
+            Ok(_) => ExitCode::SUCCESS,
+            Err(error) => exit_invalid_usage(&error),
+        };
+    }
+    let signals = match Signals::install_for_postgres() {
+        Ok(signals) => signals,
+        Err(error) => return exit_code(Err(error.into())),
+    };
     let config = match load_config(args) {
         Ok(config) => config,
         Err(error) => return exit_invalid_usage(&error),
     };
-    if args.check {
-        return ExitCode::SUCCESS;
-    }
     match start_logging(&args.logs) {
-        Ok(_guard) => exit_code(run_postgres(config, args)),
+        Ok(_guard) => exit_code(run_postgres(config, args, signals)),
         Err(error) => exit_invalid_usage(&error),
     }
 }
@@ -142,10 +149,9 @@
             Err(error) => exit_invalid_usage(&error.into()),
         };
     }
-    // Handlers are installed first, because the default action of a signal would kill the process during its start.
-    let signals = match PlatformSignals::install() {
+    let signals = match Signals::install_for_platform() {
         Ok(signals) => signals,
-        Err(error) => return exit_code(Err(error)),
+        Err(error) => return exit_code(Err(error.into())),
     };
     let _guard = match start_logging(logs) {
         Ok(guard) => guard,
@@ -158,28 +164,13 @@
     match startup.retry(|| platform::load_config(&path)) {
         Ok(Some(loaded)) => {
             let opened = open_platform(&loaded, &signals, &mut startup);
-            exit_code(opened.and_then(|controller| run_platform(controller, fault)))
+            exit_code(opened.and_then(|controller| run_platform(controller, signals, fault)))
         }
         Ok(None) => ExitCode::SUCCESS,
         Err(error) => exit_invalid_usage(&error.into()),
     }
 }
 
-/// The signals that a controller on the platform handles. Each signal writes a byte to its stream.
-struct PlatformSignals {
-    shutdown: UnixStream,
-    reload: UnixStream,
-}
-
-impl PlatformSignals {
-    fn install() -> Result<PlatformSignals> {
-        Ok(PlatformSignals {
-            shutdown: signal_stream(&[SIGTERM, SIGINT])?,
-            reload: signal_stream(&[SIGHUP])?,
-        })
-    }
-}
-
 fn load_config(args: &Args) -> Result<Config> {
     let path = args.config.as_ref().context("--config is missing")?;
     let text =
@@ -218,15 +209,10 @@
     Ok(guard)
 }
 
-fn run_postgres(config: Config, args: &Args) -> Result<()> {
+fn run_postgres(config: Config, args: &Args, signals: Signals) -> Result<()> {
     let seed = args.seed.or(config.seed).unwrap_or_else(rand::random);
-    let (shutdown, write_capture) = (
-        signal_stream(&[SIGTERM, SIGINT])?,
-        signal_stream(&[SIGUSR1])?,
-    );
     let mut controller = PostgresController::open(config, seed, args.fault)?;
-    controller.shut_down_on(shutdown)?;
-    controller.write_capture_on(write_capture)?;
+    controller.handle_signals(signals)?;
     println!("{}", controller.addresses());
     std::io::stdout().flush()?;
     tracing::info!(seed, "started");
@@ -238,7 +224,7 @@
 /// Opens the sockets of a controller. Returns `None` if a shutdown was requested meanwhile.
 fn open_platform(
     loaded: &LoadedConfig,
-    signals: &PlatformSignals,
+    signals: &Signals,
     startup: &mut Startup,
 ) -> Result<Option<PlatformController>> {
     Ok(startup.retry(|| {
@@ -254,11 +240,13 @@
 #[cfg_attr(not(feature = "planted"), expect(unused_variables))]
 fn run_platform(
     controller: Option<PlatformController>,
+    signals: Signals,
     injected_fault: Option<InjectedFault>,
 ) -> Result<()> {
     let Some(mut controller) = controller else {
         return Ok(());
     };
+    controller.log_unused_signals(signals.unused);
     #[cfg(feature = "planted")]
     if let Some(fault) = injected_fault {
         controller.inject_fault(fault);
@@ -266,16 +254,6 @@
     Ok(controller.run()?)
 }
 
-/// Returns a stream to which each of these signals writes a byte. Call this before the sockets are opened: another process
-/// that finds them open may send a signal, whose default action would kill this process.
-fn signal_stream(signals: &[i32]) -> Result<UnixStream> {
-    let (receiver, sender) = UnixStream::pair()?;
-    for signal in signals {
-        signal_hook::low_level::pipe::register(*signal, sender.try_clone()?)?;
-    }
-    Ok(receiver)
-}
-
 /// Prints an error in the arguments or the configuration and returns the exit code for it.
 fn exit_invalid_usage(error: &anyhow::Error) -> ExitCode {
     eprintln!("wheelfield-controller: {error:#}");
--- a/crates/controller/src/platform.rs
+++ b/crates/controller/src/platform.rs
@@ -4,6 +4,7 @@
 use crate::bind::{bind_datagram_socket, bind_listener};
 use crate::error::{error_chain, ControllerError};
 use crate::event_loop::EventLoop;
+use crate::signals::UnusedSignals;
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
@@ -126,6 +127,12 @@
         Ok(self.event_loop.add_wakeup(signal, Box::new(request))?)
     }
 
+    /// Logs the signals that have no effect.
+    pub fn log_unused_signals(&mut self, unused: UnusedSignals) {
+        self.event_loop
+            .add_iteration_handler(Box::new(move |_, _| unused.log_received()));
+    }
+
     /// Serves until a shutdown was requested and all accepted queries are answered.
     ///
     /// # Errors
--- a/crates/controller/src/postgres.rs
+++ b/crates/controller/src/postgres.rs
@@ -6,6 +6,7 @@
 use crate::error::ControllerError;
 use crate::event_loop::EventLoop;
 use crate::gossip_keys::KeysWatcher;
+use crate::signals::Signals;
 use mio::net::{TcpListener, UdpSocket};
 use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
@@ -29,6 +30,7 @@
 pub struct PostgresController {
     event_loop: EventLoop<PgGateway>,
     endpoint_files: Option<Rc<EngineFileWatcher>>,
+    gossip_keys: Option<Rc<KeysWatcher>>,
 }
 
 /// The sockets that a configuration names.
@@ -73,7 +75,7 @@
             .map(|g| (g.advertised_address, g.keys.clone()));
         let gateway = start_gateway(config, seed, now, peers, gossip, fault)?;
         let mut event_loop = EventLoop::new(clock, now, gateway)?;
-        sockets.register_with(&mut event_loop)?;
+        let gossip_keys = sockets.register_with(&mut event_loop)?;
         let endpoint_files = match endpoint_files {
             Some((watcher, wakeup)) => {
                 Some(receive_endpoint_files(&mut event_loop, watcher, wakeup)?)
@@ -83,6 +85,7 @@
         Ok(PostgresController {
             event_loop,
             endpoint_files,
+            gossip_keys,
         })
     }
 
@@ -139,6 +142,41 @@
             .add_wakeup(signal, Box::new(write_capture))?)
     }
 
+    /// Reads the engine files and the gossip keys whenever a byte arrives on this stream. Nothing else of the configuration is read
+    /// again.
+    ///
+    /// # Errors
+    /// Returns an error if the stream cannot be registered.
+    pub fn reload_files_on(&mut self, signal: UnixStream) -> Result<(), ControllerError> {
+        let (endpoint_files, gossip_keys) = (self.endpoint_files.clone(), self.gossip_keys.clone());
+        let reload = move |_: &mut PgGateway, _| {
+            info!("reading engine files and gossip keys; other changes of the configuration need a restart");
+            if let Some(watcher) = &endpoint_files {
+                watcher.request_read();
+            }
+            if let Some(watcher) = &gossip_keys {
+                watcher.request_read();
+            }
+        };
+        Ok(self.event_loop.add_wakeup(signal, Box::new(reload))?)
+    }
+
+    /// Handles the signals of the process.
+    ///
+    /// # Errors
+    /// Returns an error if a stream cannot be registered.
+    pub fn handle_signals(&mut self, signals: Signals) -> Result<(), ControllerError> {
+        self.shut_down_on(signals.shutdown)?;
+        self.reload_files_on(signals.reload)?;
+        if let Some(write_capture) = signals.write_capture {
+            self.write_capture_on(write_capture)?;
+        }
+        let unused = signals.unused;
+        self.event_loop
+            .add_iteration_handler(Box::new(move |_, _| unused.log_received()));
+        Ok(())
+    }
+
     /// Serves until a shutdown was requested and all accepted queries are answered.
     ///
     /// # Errors
@@ -200,8 +238,11 @@
         })
     }
 
-    /// Registers the sockets with an event loop.
-    fn register_with(self, event_loop: &mut EventLoop<PgGateway>) -> Result<(), ControllerError> {
+    /// Registers the sockets with an event loop. Returns the watcher of the gossip keys, if the configuration has gossip.
+    fn register_with(
+        self,
+        event_loop: &mut EventLoop<PgGateway>,
+    ) -> Result<Option<Rc<KeysWatcher>>, ControllerError> {
         event_loop.add_listener(Listener::Clients, self.clients)?;
         if let Some(socket) = self.admin {
             event_loop.add_listener(Listener::Admin, socket)?;
@@ -209,20 +250,18 @@
         if let Some(socket) = self.peers {
             event_loop.add_datagram_socket(DatagramSocket::Peers, socket)?;
         }
-        if let Some(GossipSocket {
-            socket,
-            keys_watcher,
-            ..
-        }) = self.gossip
-        {
-            event_loop.add_datagram_socket(DatagramSocket::Gossip, socket)?;
-            event_loop.add_iteration_handler(Box::new(move |gateway, now| {
-                while let Ok(update) = keys_watcher.updates.try_recv() {
-                    gateway.handle(now, GatewayEvent::GossipKeys(update));
-                }
-            }));
-        }
-        Ok(())
+        let Some(gossip) = self.gossip else {
+            return Ok(None);
+        };
+        event_loop.add_datagram_socket(DatagramSocket::Gossip, gossip.socket)?;
+        let keys_watcher = Rc::new(gossip.keys_watcher);
+        let update_watcher = keys_watcher.clone();
+        event_loop.add_iteration_handler(Box::new(move |gateway, now| {
+            while let Ok(update) = update_watcher.updates.try_recv() {
+                gateway.handle(now, GatewayEvent::GossipKeys(update));
+            }
+        }));
+        Ok(Some(keys_watcher))
     }
 }
 
--- a/crates/controller/tests/common/mod.rs
+++ b/crates/controller/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! A controller and emulated engines, each in a thread of the test process, and a raw client of the PostgreSQL protocol.
 #![allow(dead_code)]
 
+pub mod program;
+
 use bytes::{BufMut, BytesMut};
 use serde_json::Value;
 use std::io::{Read, Write};
--- a/crates/controller/tests/suspended_postgres.rs
+++ b/crates/controller/tests/suspended_postgres.rs
@@ -3,13 +3,11 @@
 mod common;
 
 use bytes::BytesMut;
+use common::program::Program;
 use common::{http, wait_until, Engines, RawClient, BASE_CONFIG, LISTEN_CONFIG};
-use rustix::process::{kill_process, Pid, Signal};
-use serde_json::Value;
+use rustix::process::Signal;
 use std::io::{BufRead as _, BufReader, Write as _};
 use std::net::{SocketAddr, TcpListener};
-use std::os::unix::process::CommandExt as _;
-use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -22,68 +20,6 @@
 const SHORT_SUSPENSION: Duration = Duration::from_millis(500);
 const QUERY: &str = "select 1 /*class='fast'*/";
 
-/// The program under test. It is killed when this is dropped.
-struct Program {
-    child: Child,
-    address: SocketAddr,
-    _folder: tempfile::TempDir,
-}
-
-impl Program {
-    /// Starts the program and waits until it has a list of engines.
-    fn start(config: &str) -> Program {
-        let folder = tempfile::tempdir().expect("a folder");
-        let file = folder.path().join("controller.toml");
-        std::fs::write(&file, config).expect("written");
-        let mut child = Command::new(env!("CARGO_BIN_EXE_wheelfield-controller"))
-            .arg("--config")
-            .arg(&file)
-            .stdin(Stdio::null())
-            .stdout(Stdio::piped())
-            // A stopped process of the test's own group is continued if the shell that started the test ends.
-            .process_group(0)
-            .spawn()
-            .expect("the program");
-        let mut line = String::new();
-        let stdout = child.stdout.take().expect("piped");
-        BufReader::new(stdout).read_line(&mut line).expect("a line");
-        let addresses: Value = serde_json::from_str(&line).expect("JSON");
-        let [address, admin] = ["listen", "admin"]
-            .map(|name| addresses[name].as_str().expect("an address in the output"));
-        wait_until("a list of engines", || {
-            let (_, status) = http(admin, "GET", "/status");
-            let status: Value = serde_json::from_str(&status).expect("JSON");
-            status["figures"]["list_version"].as_u64() > Some(0)
-        });
-        Program {
-            child,
-            address: address.parse().expect("an address"),
-            _folder: folder,
-        }
-    }
-
-    fn signal(&self, signal: Signal) {
-        kill_process(Pid::from_child(&self.child), signal).expect("a child");
-    }
-
-    fn suspend(&self) {
-        self.signal(Signal::STOP);
-        let stat = format!("/proc/{}/stat", self.child.id());
-        wait_until("the suspension", || {
-            let stat = std::fs::read_to_string(&stat).expect("Linux");
-            let state = stat.rsplit(") ").next();
-            state.is_some_and(|state| state.starts_with('T'))
-        });
-    }
-}
-
-impl Drop for Program {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
 /// A registry that always answers with the same list, until it stops answering.
 fn registry_with(list: String, is_unresponsive: Arc<AtomicBool>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
