child-process: children have process groups of their own and end with their parent

Cause: the test bed and the soak shared their process group with children that they stop.

Fix: every started process has a group of its own. A terminal no longer reaches it there, so the test bed kills its children by id on SIGINT, SIGTERM and SIGHUP, and exits with 128 plus the signal; `up` ends them itself as before.

--- a/crates/controller/tests/common/program.rs
+++ b/crates/controller/tests/common/program.rs
@@ -5,7 +5,6 @@
 use serde_json::Value;
 use std::io::{BufRead as _, BufReader};
 use std::net::SocketAddr;
-use std::os::unix::process::CommandExt as _;
 use std::path::Path;
 use std::process::{Child, ChildStdout, Command, ExitStatus, Stdio};
 
@@ -38,9 +37,7 @@
             .arg(file)
             .stdin(Stdio::null())
             .stdout(stdout)
-            .stderr(log)
-            // A stopped process of the test's own group is continued if the shell that started the test ends.
-            .process_group(0);
+            .stderr(log);
         let mut child = wheelfield_child_process::start(&mut command).expect("the program");
         Program {
             stdout: child.stdout.take(),
--- a/crates/controller/tests/rig/mod.rs
+++ b/crates/controller/tests/rig/mod.rs
@@ -8,7 +8,7 @@
 mod serving;
 #[allow(unused_imports)]
 pub use serving::*;
-pub use wheelfield_child_process::Unshared;
+pub use wheelfield_child_process::{start as start_process, Unshared};
 
 use hickory_proto::op::{Message, MessageType, OpCode};
 use hickory_proto::rr::rdata::{A, SOA, SRV, TXT};
@@ -18,7 +18,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
-use std::os::unix::process::CommandExt as _;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
@@ -68,14 +67,6 @@
     Unshared::new(listener).local_addr().expect("bound")
 }
 
-/// Starts a process in a process group of its own.
-///
-/// If the group of the test loses its last link to the session, as when the shell that started the test ends, the system continues
-/// all stopped processes of the group, and sends them SIGHUP.
-pub fn start_process(command: &mut Command) -> std::io::Result<Child> {
-    wheelfield_child_process::start(command.process_group(0))
-}
-
 /// A configuration with the classes `look` (idempotent) and `load` (must not run twice), and these executors. The connect timeout
 /// is long because connects are slow on a busy machine, and no test should fail for that.
 pub fn config(
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -327,6 +327,13 @@
 #[expect(clippy::too_many_lines, reason = "to be split: docs/ROADMAP.md lists it")]
 fn main() -> ExitCode {
     let cli = Cli::parse();
+    // That command ends its processes itself.
+    if !matches!(cli.command, Command::Up(_)) {
+        if let Err(error) = wheelfield_child_process::kill_children_on_signals() {
+            eprintln!("wheelfield-testbed: cannot handle signals: {error}");
+            return ExitCode::FAILURE;
+        }
+    }
     let result = match cli.command {
         Command::List { what } => {
             let scripts: &[(&str, &str)] = if what == "fleets" { &FLEETS } else { &DAYS };
