platform: once the answers of a slow name service stop, a short burst of queries follows

Cause: while late answers arrive, nothing shows that the newer ones are lost. When they stop, a whole round trip of queries may be lost already, and the controller went on at the usual interval for another half a second.

Fix: when the next answer of a slow name service is 125 ms late, it is queried every 25 ms for half a second, once in ten seconds. Nobody waits for that, and a name service that is merely slow is asked no more often.

A hold of requests was not tried.

--- a/crates/platform/src/list_freshness.rs
+++ b/crates/platform/src/list_freshness.rs
@@ -19,6 +19,15 @@
 /// the longest time between the last answers.
 const MIN_SILENCE_US: i64 = 500_000;
 const MAX_SILENCE_US: i64 = 1_000_000;
+/// Time by which the answers of a slow name service must be late, beyond the longest time between the last ones, before they are taken
+/// for lost, in microseconds.
+const LATE_ANSWER_US: i64 = 125_000;
+/// Interval between the queries of a burst, in microseconds, and the duration of a burst. A burst follows when the answers of a slow
+/// name service stop: by then, all queries of the last round-trip time may be lost, and the list is that old.
+const BURST_INTERVAL_US: i64 = 25_000;
+const BURST_DURATION_US: i64 = 500_000;
+/// Minimum time between the beginnings of two bursts, in microseconds, as the name service may be overloaded.
+const BURST_SPACING_US: i64 = 10_000_000;
 /// Time after which a query is repeated while requests are held, in microseconds, as answers may be lost or slow.
 const RETRY_WHILE_HOLDING_US: i64 = 25_000;
 /// Time without activity after which the process is considered to have been suspended or starved of CPU time, in microseconds. It
@@ -104,6 +113,8 @@
     answer_gaps_us: [i64; ROUND_TRIPS],
     /// Number of answers so far.
     answers: usize,
+    /// When the last burst of queries began, if there was one.
+    burst_began_at: Option<i64>,
     /// The current incident of queries that could not be sent, if any occurred since the last answer.
     unsent: Option<UnsentQueries>,
     /// The gap after which requests are being held, if any.
@@ -126,6 +137,7 @@
             round_trips_us: [0; ROUND_TRIPS],
             answer_gaps_us: [0; ROUND_TRIPS],
             answers: 0,
+            burst_began_at: None,
             unsent: None,
             gap: None,
             max_list_age_us: drain_grace_us,
@@ -186,6 +198,9 @@
     pub fn record_query(&mut self, now: i64) {
         self.last_query_at = now;
         self.unanswered = self.unanswered.saturating_add(1);
+        if self.burst_at().is_some_and(|at| at <= now) && !self.is_burst_recent(now) {
+            self.burst_began_at = Some(now);
+        }
     }
 
     /// Records an answer that confirms or replaces the list, to the query sent at `query_sent_at`. Returns the outcome of the gap
@@ -220,7 +235,44 @@
             None => POLL_INTERVAL_US,
             Some(retries) => self.retry_delay_us(retries),
         };
-        self.last_query_at + delay_us
+        let regular_at = self.last_query_at + delay_us;
+        self.next_burst_query_at()
+            .map_or(regular_at, |at| at.min(regular_at))
+    }
+
+    /// Time at which the next query of a burst is due; `None` if there is to be none.
+    fn next_burst_query_at(&self) -> Option<i64> {
+        let next_at = self.burst_at()?.max(self.last_query_at + BURST_INTERVAL_US);
+        let is_allowed = match self.burst_began_at {
+            Some(began_at) if next_at < began_at + BURST_SPACING_US => {
+                next_at < began_at + BURST_DURATION_US
+            }
+            _ => true,
+        };
+        is_allowed.then_some(next_at)
+    }
+
+    /// Whether the last burst began so recently that none may begin now.
+    fn is_burst_recent(&self, now: i64) -> bool {
+        self.burst_began_at
+            .is_some_and(|began_at| now < began_at + BURST_SPACING_US)
+    }
+
+    /// Time at which the answers of a slow name service are late, if none arrives before; `None` if the name service is not slow.
+    fn burst_at(&self) -> Option<i64> {
+        let is_slow = 2 * self.shortest_round_trip_us() > MAX_RETRY_US;
+        let usual_gap_us = self
+            .longest_answer_gap_us()
+            .clamp(POLL_INTERVAL_US, MAX_SILENCE_US);
+        is_slow.then_some(self.answered_at + usual_gap_us + LATE_ANSWER_US)
+    }
+
+    fn shortest_round_trip_us(&self) -> i64 {
+        self.round_trips_us.into_iter().min().unwrap_or(0)
+    }
+
+    fn longest_answer_gap_us(&self) -> i64 {
+        self.answer_gaps_us.into_iter().max().unwrap_or(0)
     }
 
     /// The delay before the next repetition of an unanswered query. It is at least twice the shortest of the last round-trip times (up
@@ -229,9 +281,9 @@
     fn retry_delay_us(&self, retries: u32) -> i64 {
         let doublings = retries.min(i64::BITS / 4);
         let delay_us = (FIRST_RETRY_US << doublings).min(MAX_RETRY_US);
-        let round_trip_us = self.round_trips_us.into_iter().min().unwrap_or(0);
-        let longest_gap_us = self.answer_gaps_us.into_iter().max().unwrap_or(0);
-        let max_silence_us = (2 * longest_gap_us).clamp(MIN_SILENCE_US, MAX_SILENCE_US);
+        let round_trip_us = self.shortest_round_trip_us();
+        let max_silence_us =
+            (2 * self.longest_answer_gap_us()).clamp(MIN_SILENCE_US, MAX_SILENCE_US);
         let are_answers_lost = self.last_query_at - self.answered_at > max_silence_us;
         match are_answers_lost {
             true => delay_us,
--- a/crates/platform/tests/list_age.rs
+++ b/crates/platform/tests/list_age.rs
@@ -361,6 +361,98 @@
     );
 }
 
+/// A name service whose answers take `answer_us`, until a time from which it loses every answer.
+struct SlowNameService {
+    answer_us: i64,
+    /// Time at which each query is answered, oldest first.
+    due: VecDeque<(i64, Vec<u8>)>,
+    /// Time of the last query that is answered.
+    last_answered_query_at: i64,
+    /// Times of the queries whose answers are lost.
+    lost: Vec<i64>,
+    is_losing: bool,
+}
+
+impl SlowNameService {
+    const STEP: i64 = 5 * MILLISECOND;
+
+    fn new(answer_us: i64) -> SlowNameService {
+        SlowNameService {
+            answer_us,
+            due: VecDeque::new(),
+            last_answered_query_at: 0,
+            lost: Vec::new(),
+            is_losing: false,
+        }
+    }
+
+    /// Runs the controller and this name service for a time. Returns the number of queries.
+    fn run(&mut self, harness: &mut Harness, span: i64) -> usize {
+        let until = harness.now + span;
+        let mut queries = 0;
+        while harness.now < until {
+            harness.datagrams.clear();
+            harness.advance(Self::STEP);
+            for (.., query) in std::mem::take(&mut harness.datagrams) {
+                queries += 1;
+                if self.is_losing {
+                    self.lost.push(harness.now);
+                } else {
+                    self.last_answered_query_at = harness.now;
+                    self.due.push_back((harness.now + self.answer_us, query));
+                }
+            }
+            while self.due.front().is_some_and(|(at, _)| *at <= harness.now) {
+                let (_, query) = self.due.pop_front().expect("an answer");
+                harness.receive_discovery_answer(&dns_answer(&query, 3, &[("e1", 1, 0)]));
+            }
+        }
+        queries
+    }
+}
+
+/// Regression test: answers that took 2.42 s still arrived while the newer ones were lost. The interval for a slow name service stayed
+/// in force, fourteen lost answers took 3.5 s of queries, and requests went to an executor past its grace period.
+#[test]
+fn once_answers_of_a_slow_name_service_stop_fourteen_lost_ones_cost_little_more_time() {
+    const LOST: usize = 14;
+    for answer_ms in [1_000, 1_450, 2_000, 2_420, 3_000] {
+        let mut harness = Harness::new(1);
+        let mut service = SlowNameService::new(answer_ms * MILLISECOND);
+        service.run(&mut harness, 10 * SECOND);
+        let queries = service.run(&mut harness, 5 * SECOND);
+        assert!(queries <= 20, "{queries} queries in 5 s of {answer_ms} ms");
+        service.is_losing = true;
+        service.run(&mut harness, 10 * SECOND);
+        let last_answer_at = service.last_answered_query_at + service.answer_us;
+        // A change may be announced 1.5 s after it happened, and requests may be sent for 1 s after that. Where the last answer
+        // arrives only about then, no controller can know sooner that the next ones are lost.
+        let limit =
+            (service.last_answered_query_at + 2_500 * MILLISECOND).max(last_answer_at + SECOND / 2);
+        let excess = service.lost[LOST] - limit;
+        assert!(excess <= 0, "{excess} us, answers took {answer_ms} ms");
+        let late = service.lost.iter().filter(|at| **at > last_answer_at);
+        assert!(late.count() <= 8 * 10 + 20, "more than a burst");
+    }
+}
+
+/// Answers to the queries of a burst must not count as the usual rate of answers, after which each pause of theirs would be a loss.
+#[test]
+fn an_unreliable_slow_name_service_gets_at_most_one_burst_of_queries_in_ten_seconds() {
+    let mut harness = Harness::new(1);
+    let mut service = SlowNameService::new(1_500 * MILLISECOND);
+    service.run(&mut harness, 10 * SECOND);
+    let mut queries = 0;
+    for _ in 0..20 {
+        service.is_losing = true;
+        queries += service.run(&mut harness, SECOND);
+        service.is_losing = false;
+        queries += service.run(&mut harness, 2 * SECOND);
+    }
+    // Eight a second at most where no answer arrives, and twenty for each of six bursts.
+    assert!(queries <= 8 * 60 + 20 * 6, "{queries} queries in a minute");
+}
+
 /// Each of several suspensions in a row began the wait for the name service anew. Requests whose deadline had passed meanwhile stayed
 /// unanswered until the wait was over, 10.9 s after they were sent in one case.
 #[test]
