console: a program whose standard output can't be written does not panic

Seen: a controller whose one line on standard output could not be written (`| true`, `> /dev/full`) ended with 101 and a backtrace, as did the tools; `wheelfield-endpoints` could end so between two steps of a roll-out.

Cause: `println!` and `eprintln!` panic if they cannot write.

Change: the controller serves without the line and logs the addresses: they usually stand in its configuration, and a full disk must not keep it from serving. The tools go on with their work, write nothing more, and end with 1 and "cannot write to standard output: ...". A reader that has closed its end, as `head` does, changes nothing. Logs, captures and reports already handled such errors.

--- a/crates/controller/src/main.rs
+++ b/crates/controller/src/main.rs
@@ -213,14 +213,28 @@
     let seed = args.seed.or(config.seed).unwrap_or_else(rand::random);
     let mut controller = PostgresController::open(config, seed, args.fault)?;
     controller.handle_signals(signals)?;
-    println!("{}", controller.addresses());
-    std::io::stdout().flush()?;
+    print_addresses(&controller);
     tracing::info!(seed, "started");
     controller.run()?;
     tracing::info!("stopped");
     Ok(())
 }
 
+/// Prints the addresses of a controller. If that fails, it serves all the same: its addresses usually stand in its configuration, and
+/// clients do not depend on whoever started it.
+fn print_addresses(controller: &PostgresController) {
+    let addresses = controller.addresses();
+    let mut stdout = std::io::stdout().lock();
+    if let Err(error) = writeln!(stdout, "{addresses}").and_then(|()| stdout.flush()) {
+        tracing::warn!(%error, %addresses, "cannot print the addresses on standard output; serving all the same");
+    }
+}
+
+/// Prints an error to standard error, if that can be written.
+fn print_error(error: &anyhow::Error) {
+    let _ = writeln!(std::io::stderr(), "wheelfield-controller: {error:#}");
+}
+
 /// Opens the sockets of a controller. Returns `None` if a shutdown was requested meanwhile.
 fn open_platform(
     loaded: &LoadedConfig,
@@ -256,7 +270,7 @@
 
 /// Prints an error in the arguments or the configuration and returns the exit code for it.
 fn exit_invalid_usage(error: &anyhow::Error) -> ExitCode {
-    eprintln!("wheelfield-controller: {error:#}");
+    print_error(error);
     ExitCode::from(EXIT_INVALID_USAGE)
 }
 
@@ -265,7 +279,7 @@
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("wheelfield-controller: {error:#}");
+            print_error(&error);
             ExitCode::FAILURE
         }
     }
--- a/crates/endpoints-cli/src/main.rs
+++ b/crates/endpoints-cli/src/main.rs
@@ -11,6 +11,7 @@
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 use wheelfield_config::units::Time;
+use wheelfield_console::{errln, outln};
 use wheelfield_endpoints::activation::ActivationPolicy;
 use wheelfield_endpoints::file::{parse, serialize, EngineFile, Topology};
 use wheelfield_endpoints::rollout::{self, ControllerStatus, RegressionGuard, StatusSnapshot};
@@ -160,11 +161,15 @@
 }
 
 fn main() -> ExitCode {
+    wheelfield_console::exit_code(run_program())
+}
+
+fn run_program() -> ExitCode {
     match run(Cli::parse().command) {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
         Err(fault) => {
-            eprintln!("wheelfield-endpoints: {fault:#}");
+            errln!("wheelfield-endpoints: {fault:#}");
             ExitCode::FAILURE
         }
     }
@@ -214,7 +219,7 @@
     for file in files {
         let parsed = load_file(file, &mut topology)?;
         let engines = parsed.set.engines.len();
-        println!("{}: version {}, {engines} engines, valid", file.display(), parsed.set.version);
+        outln!("{}: version {}, {engines} engines, valid", file.display(), parsed.set.version);
     }
     Ok(true)
 }
@@ -223,7 +228,7 @@
     let mut topology = load_topology(None)?;
     let (a, b) = (load_file(old, &mut topology)?, load_file(new, &mut topology)?);
     let lines = a.set.difference(&b.set);
-    lines.iter().for_each(|line| println!("{line}"));
+    lines.iter().for_each(|line| outln!("{line}"));
     Ok(lines.is_empty())
 }
 
@@ -282,7 +287,7 @@
                 lost_fraction * 100.0
             );
         }
-        old.set.difference(&new.set).iter().for_each(|line| println!("{line}"));
+        old.set.difference(&new.set).iter().for_each(|line| outln!("{line}"));
     }
     let mut bytes = read_text(file)?;
     if confirm && !new.confirmed {
@@ -291,7 +296,7 @@
     }
     disk::write_durably(target, bytes.as_bytes())
         .with_context(|| format!("cannot write {}", target.display()))?;
-    println!("{}: version {} replaces version {active_version}", target.display(), new.set.version);
+    outln!("{}: version {} replaces version {active_version}", target.display(), new.set.version);
     Ok(true)
 }
 
@@ -419,8 +424,8 @@
     if args.plan_only {
         let mut before = &from.set;
         for (n, set) in sets.iter().enumerate() {
-            println!("step {} of {all}, version {}", n + 1, set.version);
-            before.difference(set).iter().for_each(|line| println!("  {line}"));
+            outln!("step {} of {all}, version {}", n + 1, set.version);
+            before.difference(set).iter().for_each(|line| outln!("  {line}"));
             before = set;
         }
         return Ok(true);
@@ -438,31 +443,31 @@
     let first = query_snapshot(&args.controllers);
     std::thread::sleep(to_duration(args.pause));
     let before = rollout::answers_between(&first, &query_snapshot(&args.controllers));
-    println!(
+    outln!(
         "before the first step: {} answers, {} of them rejections or failures",
-        before.total, before.unsuccessful
+        before.total,
+        before.unsuccessful
     );
     let mut active_version = args.expect;
     for (n, set) in sets.iter().enumerate() {
         write_set(&args.target, active_version, set, goal.confirmed, &mut topology)?;
         active_version = set.version;
         let Some(why) = run_step(args, active_version, before) else {
-            println!("step {} of {all}: all controllers run version {active_version}, no regression", n + 1);
+            outln!("step {} of {all}: all controllers run version {active_version}, no regression", n + 1);
             continue;
         };
-        println!("step {} of {all}: STOPPED, {why}", n + 1);
+        outln!("step {} of {all}: STOPPED, {why}", n + 1);
         if args.restore {
             let previous = EngineSet { version: active_version + 1, ..from.set.clone() };
             // Restoring is confirmed however much capacity it removes, as these engines were active before the rollout.
             write_set(&args.target, active_version, &previous, true, &mut topology)?;
-            println!(
+            outln!(
                 "the engines of version {} are active again, as version {}",
-                args.expect, previous.version
+                args.expect,
+                previous.version
             );
         } else {
-            println!(
-                "version {active_version} stays active; --back would have restored the previous engines"
-            );
+            outln!("version {active_version} stays active; --back would have restored the previous engines");
         }
         return Ok(false);
     }
@@ -480,17 +485,17 @@
                 let is_behind = *version != expected;
                 behind += usize::from(is_behind);
                 let mark = if is_behind { "  BEHIND" } else { "" };
-                println!(
+                outln!(
                     "{controller}  version {version}{mark}{}",
                     if fault.is_empty() { String::new() } else { format!("  {fault}") }
                 );
             }
             Err(fault) => {
                 behind += 1;
-                println!("{controller}  no answer: {fault:#}");
+                outln!("{controller}  no answer: {fault:#}");
             }
         }
     }
-    println!("{} of {} run version {expected}", controllers.len() - behind, controllers.len());
+    outln!("{} of {} run version {expected}", controllers.len() - behind, controllers.len());
     Ok(behind == 0)
 }
--- a/crates/endpoints-cli/src/membership.rs
+++ b/crates/endpoints-cli/src/membership.rs
@@ -7,6 +7,7 @@
 use std::net::{SocketAddr, UdpSocket};
 use std::path::Path;
 use std::time::{Duration, Instant};
+use wheelfield_console::{out, outln};
 use wheelfield_endpoints_cli::peers::{GossipStatus, ReachabilityMatrix};
 use wheelfield_gossip::authentication::{Authenticator, Keys};
 use wheelfield_gossip::{eviction_packet, MemberRecord, MemberState};
@@ -42,8 +43,8 @@
         std::thread::sleep(POLL_INTERVAL.min(deadline.saturating_duration_since(Instant::now())));
     };
     match json {
-        true => println!("{}", serde_json::to_string_pretty(&matrix)?),
-        false => print!("{}", matrix.text()),
+        true => outln!("{}", serde_json::to_string_pretty(&matrix)?),
+        false => out!("{}", matrix.text()),
     }
     Ok(matrix.agrees())
 }
@@ -99,7 +100,7 @@
             socket.send(&datagram).with_context(|| format!("cannot send to {}", status.address))?;
         }
         if !is_pending {
-            println!("{member} is forgotten");
+            outln!("{member} is forgotten");
             return Ok(true);
         }
         if Instant::now() >= deadline {
--- a/crates/engine-emulator/src/main.rs
+++ b/crates/engine-emulator/src/main.rs
@@ -2,11 +2,11 @@
 
 use anyhow::{Context, Result};
 use clap::Parser;
-use std::io::Write;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
+use wheelfield_console::{errln, outln};
 use wheelfield_engine_emulator::host::Host;
 use wheelfield_engine_emulator::setup::Setup;
 
@@ -39,6 +39,10 @@
 }
 
 fn main() -> ExitCode {
+    wheelfield_console::exit_code(run_program())
+}
+
+fn run_program() -> ExitCode {
     let args = Args::parse();
     let setup = match &args.config {
         None => Ok(Setup::with_default_engines(usize::from(args.engines))),
@@ -49,7 +53,7 @@
     let setup = match setup {
         Ok(setup) => setup,
         Err(error) => {
-            eprintln!("wheelfield-engine: {error:#}");
+            errln!("wheelfield-engine: {error:#}");
             return ExitCode::from(2);
         }
     };
@@ -59,7 +63,7 @@
     match run(setup, &args) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("wheelfield-engine: {error:#}");
+            errln!("wheelfield-engine: {error:#}");
             ExitCode::FAILURE
         }
     }
@@ -71,7 +75,6 @@
         signal_hook::flag::register(signal, stop.clone())?;
     }
     let mut host = Host::open(setup, args.log.as_deref(), args.seed)?;
-    println!("{}", host.addresses());
-    std::io::stdout().flush()?;
+    outln!("{}", host.addresses());
     host.serve(&stop)
 }
--- a/crates/invariant-check/src/main.rs
+++ b/crates/invariant-check/src/main.rs
@@ -7,6 +7,7 @@
 use std::io::Write;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use wheelfield_console::errln;
 use wheelfield_invariant_check::{check, CheckReport};
 use wheelfield_invariants::{Violation, RULES};
 
@@ -51,6 +52,10 @@
 }
 
 fn main() -> ExitCode {
+    wheelfield_console::exit_code(run_program())
+}
+
+fn run_program() -> ExitCode {
     let cli = Cli::parse();
     match run(&cli) {
         Ok(true) => ExitCode::SUCCESS,
@@ -61,7 +66,7 @@
             if io_error.is_some_and(|e| e.kind() == std::io::ErrorKind::BrokenPipe) {
                 return ExitCode::SUCCESS;
             }
-            eprintln!("wheelfield-check: {error:#}");
+            errln!("wheelfield-check: {error:#}");
             ExitCode::FAILURE
         }
     }
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use wheelfield_config::units::{parse_time, Time};
+use wheelfield_console::{err, errln, outln};
 use wheelfield_load::runner::{self, RunOptions};
 use wheelfield_load::schedule;
 use wheelfield_load::script::Script;
@@ -94,6 +95,10 @@
 }
 
 fn main() -> ExitCode {
+    wheelfield_console::exit_code(run_program())
+}
+
+fn run_program() -> ExitCode {
     let outcome = match Cli::parse().command {
         Command::Run(args) => match read_script(&args.script).and_then(|s| check_args(&s, &args).map(|()| s))
         {
@@ -110,14 +115,14 @@
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
         Err(error) => {
-            eprintln!("wheelfield-load: {error:#}");
+            errln!("wheelfield-load: {error:#}");
             ExitCode::FAILURE
         }
     }
 }
 
 fn usage_error(error: &anyhow::Error) -> ExitCode {
-    eprintln!("wheelfield-load: {error:#}");
+    errln!("wheelfield-load: {error:#}");
     ExitCode::from(2)
 }
 
@@ -140,11 +145,11 @@
 fn plan(script: &Script, seed: u64) -> Result<bool> {
     let schedule = generate_schedule(script, seed)?;
     let seconds = (script.duration.0 .0 as usize).div_ceil(1_000_000);
-    println!("second {}", script.streams.iter().map(|s| s.name.as_str()).collect::<Vec<_>>().join(" "));
+    outln!("second {}", script.streams.iter().map(|s| s.name.as_str()).collect::<Vec<_>>().join(" "));
     let mut counts = vec![vec![0_u32; script.streams.len()]; seconds];
     schedule.iter().for_each(|q| counts[(q.at_us / 1_000_000) as usize][q.stream as usize] += 1);
     for (second, row) in counts.iter().enumerate() {
-        println!("{second} {}", row.iter().map(u32::to_string).collect::<Vec<_>>().join(" "));
+        outln!("{second} {}", row.iter().map(u32::to_string).collect::<Vec<_>>().join(" "));
     }
     Ok(true)
 }
@@ -200,9 +205,11 @@
                 let _ = writeln!(out, "{line}");
             }
             if progress {
-                eprint!(
+                err!(
                     "\r{elapsed_s:.0} of {duration_s:.0} s: {} wanted, {} sent, {:?}   ",
-                    all.scheduled, all.sent, all.outcomes
+                    all.scheduled,
+                    all.sent,
+                    all.outcomes
                 );
             }
             if let (Some(s), Some(admin)) = (&mut screen, args.admin) {
@@ -225,7 +232,7 @@
     let (total, elapsed) = runner::run(script, &schedule, &options, on_progress)?;
     drop(screen);
     if progress {
-        eprintln!();
+        err!("\n");
     }
     if let Some(error) = view_error {
         return Err(error.context("cannot show the live view"));
--- a/crates/replay/src/commands/diff.rs
+++ b/crates/replay/src/commands/diff.rs
@@ -7,6 +7,7 @@
 use std::path::Path;
 use std::process::{Child, ChildStdout, Command, Stdio};
 use wheelfield::interface::QueryId;
+use wheelfield_console::outln;
 use wheelfield_driver::Instruction;
 use wheelfield_replay::describe::{describe_input, describe_instruction, Names};
 use wheelfield_replay::ReplayedStep;
@@ -91,19 +92,19 @@
 }
 
 fn print_difference(step: &ReplayedStep, other_answer: &[Instruction], names: &Names) {
-    println!(
+    outln!(
         "step {}: {}",
         step.recorded.number,
         describe_input(&step.recorded, names)
     );
     for instruction in &step.answer {
-        println!(
+        outln!(
             "  this build:  {}",
             describe_instruction(instruction, names)
         );
     }
     for instruction in other_answer {
-        println!(
+        outln!(
             "  other build: {}",
             describe_instruction(instruction, names)
         );
@@ -208,16 +209,21 @@
     }
 
     fn print(&self) {
-        println!(
+        outln!(
             "{} of {} steps have a different answer",
-            self.different_steps, self.steps
+            self.different_steps,
+            self.steps
         );
         if self.different_steps == 0 {
             return;
         }
-        println!(
+        outln!(
             "{:<12} {:<16} {:<14} {:>9} {:>10}",
-            "kind", "class", "engine", "this only", "other only"
+            "kind",
+            "class",
+            "engine",
+            "this only",
+            "other only"
         );
         for (
             GroupKey {
@@ -231,7 +237,7 @@
             },
         ) in &self.counts
         {
-            println!("{kind:<12} {class:<16} {engine:<14} {this_only:>9} {other_only:>10}");
+            outln!("{kind:<12} {class:<16} {engine:<14} {this_only:>9} {other_only:>10}");
         }
     }
 }
--- a/crates/replay/src/commands/explain.rs
+++ b/crates/replay/src/commands/explain.rs
@@ -8,6 +8,7 @@
     EngineEntry, EngineId, LoadReport, Micros, Outcome as AttemptOutcome, QueryId, Status,
 };
 use wheelfield_capture::RecordedInput;
+use wheelfield_console::outln;
 use wheelfield_driver::{Input, Instruction};
 use wheelfield_replay::describe::{describe_load_report, Names};
 use wheelfield_replay::{feed, Player, Snapshots, Step};
@@ -53,7 +54,7 @@
         if has_decision || query.is_some_and(|query| concerns(&step, query)) {
             if with_heading && !found {
                 let index = player.start.as_ref().map_or(0, |start| start.index);
-                println!("== {} (controller {index})", file.display());
+                outln!("== {} (controller {index})", file.display());
             }
             found = true;
             print_step(&step, start, &names, "");
@@ -142,12 +143,12 @@
 
 impl ControllerView {
     fn print(&self, now: Micros, start: Micros, names: &Names) {
-        println!("engines as known before this step:");
+        outln!("engines as known before this step:");
         for (id, engine) in &self.engines {
-            println!("  {:<12} {}", names.engine_name(*id), engine.describe(now));
+            outln!("  {:<12} {}", names.engine_name(*id), engine.describe(now));
         }
         for (at, text) in &self.log {
-            println!(
+            outln!(
                 "  the driver had logged at {:.3} s: {text}",
                 (*at - start).as_secs_f64()
             );
@@ -245,7 +246,7 @@
         return;
     };
     let Some(first_choice) = chosen_engine(&step.answer) else {
-        println!("  the driver chose no engine; draining any single engine would not change this");
+        outln!("  the driver chose no engine; draining any single engine would not change this");
         return;
     };
     let mut candidates = vec![first_choice];
@@ -272,7 +273,7 @@
         .iter()
         .map(|engine| names.engine_name(*engine))
         .collect();
-    println!(
+    outln!(
         "  engines that could take the query, each chosen after draining the ones before it: {}",
         shown.join(", ")
     );
--- a/crates/replay/src/commands/mod.rs
+++ b/crates/replay/src/commands/mod.rs
@@ -12,6 +12,7 @@
 use std::path::Path;
 use wheelfield::interface::Micros;
 use wheelfield_capture::Reader;
+use wheelfield_console::outln;
 use wheelfield_replay::describe::{describe_input, describe_instruction, Names};
 use wheelfield_replay::{Options, Player, Step};
 
@@ -66,13 +67,13 @@
 
 /// Prints a step and its recorded answer. The time is printed relative to `start`.
 fn print_step(step: &Step, start: Micros, names: &Names, indent: &str) {
-    println!(
+    outln!(
         "{indent}{:>9.3} s  {}",
         (step.at - start).as_secs_f64(),
         describe_input(step, names)
     );
     for instruction in &step.answer {
-        println!(
+        outln!(
             "{indent}             -> {}",
             describe_instruction(instruction, names)
         );
--- a/crates/replay/src/commands/rewrite.rs
+++ b/crates/replay/src/commands/rewrite.rs
@@ -4,6 +4,7 @@
 use anyhow::{bail, Context, Result};
 use std::path::Path;
 use wheelfield::interface::Micros;
+use wheelfield_console::outln;
 use wheelfield_replay::rewrite;
 
 /// Writes the part of a capture between two times, in seconds after its start, to a new capture.
@@ -14,13 +15,13 @@
         start + Micros::from_secs_f64(to),
     );
     let steps = rewrite::cut(file, from, to, out)?;
-    println!("wrote {steps} steps to {}", out.display());
+    outln!("wrote {steps} steps to {}", out.display());
     Ok(Outcome::Done)
 }
 
 /// Writes a copy of a capture in which names are replaced by pseudonyms.
 pub fn scrub_capture(file: &Path, out: &Path) -> Result<Outcome> {
-    println!(
+    outln!(
         "wrote {} steps to {}; all decisions are unchanged",
         rewrite::scrub(file, out)?,
         out.display()
@@ -40,13 +41,13 @@
     let test = out.join(format!("{name}.rs"));
     std::fs::write(&test, rewrite::test_source(name))
         .with_context(|| format!("cannot write {}", test.display()))?;
-    println!("wrote {} and its capture", test.display());
+    outln!("wrote {} and its capture", test.display());
     Ok(Outcome::Done)
 }
 
 /// Removes an incomplete block from the end of a capture.
 pub fn repair_capture(file: &Path) -> Result<Outcome> {
     let removed_bytes = wheelfield_capture::repair(file)?;
-    println!("removed {removed_bytes} bytes of an incomplete block");
+    outln!("removed {removed_bytes} bytes of an incomplete block");
     Ok(Outcome::Done)
 }
--- a/crates/replay/src/commands/run.rs
+++ b/crates/replay/src/commands/run.rs
@@ -5,6 +5,7 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 use wheelfield::interface::Micros;
+use wheelfield_console::outln;
 use wheelfield_driver::Instruction;
 use wheelfield_replay::describe::{describe_input, describe_instruction, Names};
 use wheelfield_replay::{run, Difference, Options, Verdict};
@@ -27,7 +28,7 @@
     if let Some(difference) = &verdict.difference {
         print_difference(difference, start, &read_names(file)?);
     } else if let Some(step) = verdict.state_differs {
-        println!(
+        outln!(
             "all decisions up to step {step} are equal, but the state at the checkpoint after it differs"
         );
     } else {
@@ -35,36 +36,36 @@
     }
     for span in &verdict.unverified {
         let (after, to) = (span.after_step, span.to_step);
-        println!("records are missing: steps after {after} up to {to} could not be verified");
+        outln!("records are missing: steps after {after} up to {to} could not be verified");
     }
     if let Some(after) = verdict.truncated_after {
-        println!("the file ends with an incomplete block after step {after}; `repair` removes it");
+        outln!("the file ends with an incomplete block after step {after}; `repair` removes it");
     }
     Ok(Outcome::from_all_equal(verdict.equal()))
 }
 
 fn print_difference(difference: &Difference, start: Micros, names: &Names) {
     let recorded = &difference.recorded;
-    println!(
+    outln!(
         "difference at step {}, {:.3} s into the capture",
         recorded.number,
         (recorded.at - start).as_secs_f64()
     );
-    println!("preceding steps:");
+    outln!("preceding steps:");
     difference
         .context
         .iter()
         .for_each(|step| print_step(step, start, names, "  "));
-    println!("input: {}", describe_input(recorded, names));
+    outln!("input: {}", describe_input(recorded, names));
     print_answer("recorded", &recorded.answer, names);
     print_answer("replayed", &difference.replayed, names);
 }
 
 fn print_answer(title: &str, answer: &[Instruction], names: &Names) {
-    println!("{title}:");
+    outln!("{title}:");
     answer
         .iter()
-        .for_each(|instruction| println!("  {}", describe_instruction(instruction, names)));
+        .for_each(|instruction| outln!("  {}", describe_instruction(instruction, names)));
 }
 
 fn print_equal(verdict: &Verdict, times: u32, elapsed: Duration) {
@@ -72,7 +73,7 @@
         .time_range
         .map_or(0.0, |(first, last)| (last - first).as_secs_f64());
     let elapsed = elapsed.as_secs_f64();
-    println!(
+    outln!(
         "equal: {} steps, {} instructions and {} checkpoints over {span:.1} s, replayed {times} times in {elapsed:.2} s ({:.0} times real time)",
         verdict.steps,
         verdict.instructions,
--- a/crates/replay/src/commands/stats.rs
+++ b/crates/replay/src/commands/stats.rs
@@ -6,6 +6,7 @@
 use std::path::Path;
 use wheelfield::interface::Micros;
 use wheelfield_capture::{BlockInfo, Reader, RecordedInput, Start};
+use wheelfield_console::outln;
 use wheelfield_driver::{Input, Instruction};
 use wheelfield_replay::Step;
 
@@ -53,19 +54,19 @@
             ..
         }) = start
         {
-            println!(
+            outln!(
                 "{build}, controller {index} of {}, seed {seed}",
                 settings.gateway_count
             );
         }
         let (steps, blocks) = (self.steps, headers.len());
-        println!(
+        outln!(
             "{steps} steps over {span:.1} s in {blocks} blocks: {compressed} bytes, {raw} uncompressed"
         );
         let arrivals = self.inputs.get("arrivals").copied().unwrap_or(0).max(1);
-        println!("{:.0} bytes per query", compressed as f64 / arrivals as f64);
-        println!("inputs:       {:?}", self.inputs);
-        println!("instructions: {:?}", self.instructions);
+        outln!("{:.0} bytes per query", compressed as f64 / arrivals as f64);
+        outln!("inputs:       {:?}", self.inputs);
+        outln!("instructions: {:?}", self.instructions);
     }
 }
 
--- a/crates/replay/src/commands/what_if.rs
+++ b/crates/replay/src/commands/what_if.rs
@@ -4,6 +4,7 @@
 use anyhow::{Context, Result};
 use std::path::Path;
 use wheelfield::interface::Settings;
+use wheelfield_console::outln;
 use wheelfield_replay::{shadow, Options, Player};
 
 /// Compares the decisions of a capture with those under settings altered by `KEY=VALUE` pairs.
@@ -30,24 +31,27 @@
 pub fn compare_settings(file: &Path, settings: &Settings, max_shown: usize) -> Result<Outcome> {
     let names = read_names(file)?;
     let comparison = shadow::compare(file, |_| settings.clone())?;
-    println!(
+    outln!(
         "{} of {} arriving queries have a different decision",
         comparison.changed.len(),
         comparison.arrivals
     );
-    println!(
+    outln!(
         "{:<16} {:<20} {:<20} {:>8}",
-        "class", "recorded", "altered", "count"
+        "class",
+        "recorded",
+        "altered",
+        "count"
     );
     for ((class, recorded, altered), count) in &comparison.counts {
         let (recorded, altered) = (format!("{recorded:?}"), format!("{altered:?}"));
-        println!(
+        outln!(
             "{:<16} {recorded:<20} {altered:<20} {count:>8}",
             names.class_name(*class)
         );
     }
     for changed in comparison.changed.iter().take(max_shown) {
-        println!(
+        outln!(
             "step {}: query {} `{}` of class {}: recorded {:?}, altered {:?}",
             changed.step,
             changed
--- a/crates/replay/src/main.rs
+++ b/crates/replay/src/main.rs
@@ -7,6 +7,7 @@
 use commands::Outcome;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use wheelfield_console::errln;
 
 /// Replays captures of a controller and compares the decisions with the recorded ones.
 ///
@@ -154,11 +155,15 @@
 }
 
 fn main() -> ExitCode {
+    wheelfield_console::exit_code(run_program())
+}
+
+fn run_program() -> ExitCode {
     match Cli::parse().command.execute() {
         Ok(Outcome::Done) => ExitCode::SUCCESS,
         Ok(Outcome::Different) => ExitCode::FAILURE,
         Err(error) => {
-            eprintln!("wheelfield-replay: {error:#}");
+            errln!("wheelfield-replay: {error:#}");
             ExitCode::FAILURE
         }
     }
--- a/crates/sim-adapter/src/main.rs
+++ b/crates/sim-adapter/src/main.rs
@@ -34,7 +34,7 @@
     match run(Cli::parse().capture) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("wheelfield-sim-adapter: {error}");
+            let _ = writeln!(std::io::stderr(), "wheelfield-sim-adapter: {error}");
             ExitCode::FAILURE
         }
     }
@@ -85,7 +85,7 @@
     let path = dir.join(format!("adapter-{}.txt", std::process::id()));
     std::fs::write(&path, format!("{totals}\n{}\n", differences.join("\n")))
         .map_err(|error| AdapterError::WriteSummary { path, error })?;
-    eprintln!("{totals}");
+    let _ = writeln!(std::io::stderr(), "{totals}");
     match differences.first() {
         None => Ok(()),
         Some(first) => Err(AdapterError::Difference {
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use wheelfield_config::units::Time;
+use wheelfield_console::{err, errln, out, outln};
 use wheelfield_pg_gateway::fault_injection::FaultInjection;
 use wheelfield_soak::SoakOptions;
 use wheelfield_testbed::day::{Day, KINDS};
@@ -248,18 +249,18 @@
         planted_fault: args.plant,
     };
     let verdict = wheelfield_soak::run(&options)?;
-    println!("seed {}: {} faults, {:?}", args.seed, verdict.faults, verdict.totals);
+    outln!("seed {}: {} faults, {:?}", args.seed, verdict.faults, verdict.totals);
     for violation in &verdict.violations {
         let at = violation.at as f64 / 1e6;
         let (invariant, controller) = (violation.invariant, violation.controller);
         let request = violation.request.map(|id| id.to_string()).unwrap_or_default();
-        println!(
+        outln!(
             "{at:.3} s  {invariant} violated at controller {controller:?} {request}: {}",
             violation.description
         );
-        violation.timeline.iter().for_each(|line| println!("    {line}"));
+        violation.timeline.iter().for_each(|line| outln!("    {line}"));
     }
-    println!("{} violations", verdict.violations.len());
+    outln!("{} violations", verdict.violations.len());
     Ok(verdict.violations.is_empty())
 }
 
@@ -324,69 +325,63 @@
     Ok(Day::parse(&name, &script::with_default_tables(&text))?)
 }
 
-#[expect(clippy::too_many_lines, reason = "to be split: docs/ROADMAP.md lists it")]
+/// Maximum number of engines and of controllers of a day on processes, and in virtual time.
+const MAX_PROCESSES: usize = 1_000;
+const MAX_VIRTUAL_PROCESSES: usize = 10_000;
+/// Maximum number of clients of a day.
+const MAX_CLIENTS: usize = 18_000;
+/// Maximum length of a day, in microseconds.
+const MAX_LENGTH_US: i64 = 3_600_000_000;
+/// Exit code for invalid arguments or scripts.
+const EXIT_INVALID_USE: u8 = 2;
+
+/// Why a command failed.
+enum CommandError {
+    /// Its arguments or its script are invalid.
+    InvalidUse(anyhow::Error),
+    /// It failed while it ran.
+    Failed(anyhow::Error),
+}
+
+impl From<anyhow::Error> for CommandError {
+    fn from(error: anyhow::Error) -> CommandError {
+        CommandError::Failed(error)
+    }
+}
+
 fn main() -> ExitCode {
-    let cli = Cli::parse();
-    // That command ends its processes itself.
-    if !matches!(cli.command, Command::Up(_)) {
-        if let Err(error) = wheelfield_child_process::kill_children_on_signals() {
-            eprintln!("wheelfield-testbed: cannot handle signals: {error}");
-            return ExitCode::FAILURE;
+    let code = match run_command(Cli::parse().command) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(CommandError::InvalidUse(error)) => {
+            errln!("wheelfield-testbed: {error:#}");
+            ExitCode::from(EXIT_INVALID_USE)
+        }
+        Err(CommandError::Failed(error)) => {
+            errln!("wheelfield-testbed: {error:#}");
+            ExitCode::FAILURE
         }
+    };
+    wheelfield_console::exit_code(code)
+}
+
+/// Runs a command. Returns whether it found nothing wrong.
+fn run_command(command: Command) -> Result<bool, CommandError> {
+    // That command ends its processes itself.
+    if !matches!(command, Command::Up(_)) {
+        wheelfield_child_process::kill_children_on_signals().context("cannot handle signals")?;
     }
-    let result = match cli.command {
+    let result = match command {
         Command::List { what } => {
-            let scripts: &[(&str, &str)] = if what == "fleets" { &FLEETS } else { &DAYS };
-            if what != "troubles" {
-                scripts.iter().for_each(|(name, text)| {
-                    println!("{name:<12} {}", text.lines().next().unwrap_or("").trim_start_matches("# "))
-                });
-            } else {
-                KINDS.iter().for_each(|(kind, what)| println!("{kind:<16} {what}"));
-            }
-            return ExitCode::SUCCESS;
-        }
-        Command::Day(ref args) | Command::Fleet(ref args) => {
-            let fleet = matches!(cli.command, Command::Fleet(_));
-            let read_script = if fleet { read_fleet } else { read_day };
-            let mut day = match read_script(args.file.as_ref()) {
-                Ok(day) => day,
-                Err(error) => return report_invalid_use(&error),
-            };
-            day.engines = args.engines.unwrap_or(day.engines);
-            day.controllers = args.controllers.unwrap_or(day.controllers);
-            day.clients = args.clients.unwrap_or(day.clients);
-            day.rate = args.rate.unwrap_or(day.rate);
-            day.length = args.length.unwrap_or(day.length);
-            let max_processes = if args.virtual_time { 10_000 } else { 1000 };
-            let is_positive = day.engines > 0 && day.controllers > 0 && day.clients > 0 && day.rate > 0.0;
-            let is_length_invalid = !(1..=3_600_000_000).contains(&day.length.0 .0);
-            if !is_positive
-                || is_length_invalid
-                || day.engines > max_processes
-                || day.controllers > max_processes
-                || day.clients > 18_000
-            {
-                return report_invalid_use(&anyhow::anyhow!(
-                    "engines and controllers must be 1 to {max_processes}, clients 1 to 18000, the rate above 0 and the length at most an hour"
-                ));
-            }
-            if let Err(error) = day.timetable(args.seed) {
-                return report_invalid_use(&anyhow::anyhow!(error));
-            }
-            if args.check {
-                return ExitCode::SUCCESS;
-            }
-            if args.virtual_time {
-                play_in_virtual_time(&day, args)
-            } else {
-                play_on_processes(&day, args)
-            }
+            print_list(&what);
+            Ok(true)
         }
+        Command::Day(args) => return run_day(read_day(args.file.as_ref()), &args),
+        Command::Fleet(args) => return run_day(read_fleet(args.file.as_ref()), &args),
         Command::Experiment(args) => match read_experiment(&args.file) {
             Ok(_) if args.check => Ok(true),
             Ok((experiment, text)) => run_experiment(&experiment, &text, &args),
-            Err(error) => return report_invalid_use(&error),
+            Err(error) => return Err(CommandError::InvalidUse(error)),
         },
         Command::Report { dir } => write_report(&dir),
         Command::Explore(args) => match &args.file {
@@ -398,19 +393,55 @@
         Command::Soak(args) => soak(args),
         Command::Measure(args) => run_measurement(&args),
     };
-    match result {
-        Ok(true) => ExitCode::SUCCESS,
-        Ok(false) => ExitCode::FAILURE,
-        Err(error) => {
-            eprintln!("wheelfield-testbed: {error:#}");
-            ExitCode::FAILURE
-        }
+    Ok(result?)
+}
+
+/// Prints the names of the built-in days or fleets, or the kinds of troubles.
+fn print_list(what: &str) {
+    if what == "troubles" {
+        KINDS.iter().for_each(|(kind, what)| outln!("{kind:<16} {what}"));
+        return;
+    }
+    let scripts: &[(&str, &str)] = if what == "fleets" { &FLEETS } else { &DAYS };
+    for (name, text) in scripts {
+        let title = text.lines().next().unwrap_or("").trim_start_matches("# ");
+        outln!("{name:<12} {title}");
     }
 }
 
-fn report_invalid_use(error: &anyhow::Error) -> ExitCode {
-    eprintln!("wheelfield-testbed: {error:#}");
-    ExitCode::from(2)
+/// Plays a day, or only checks its script, with what the arguments override.
+fn run_day(script: Result<Day>, args: &DayArgs) -> Result<bool, CommandError> {
+    let mut day = script.map_err(CommandError::InvalidUse)?;
+    day.engines = args.engines.unwrap_or(day.engines);
+    day.controllers = args.controllers.unwrap_or(day.controllers);
+    day.clients = args.clients.unwrap_or(day.clients);
+    day.rate = args.rate.unwrap_or(day.rate);
+    day.length = args.length.unwrap_or(day.length);
+    check_size(&day, args.virtual_time).map_err(CommandError::InvalidUse)?;
+    let timetable = day.timetable(args.seed);
+    timetable.map_err(|error| CommandError::InvalidUse(anyhow::anyhow!(error)))?;
+    if args.check {
+        return Ok(true);
+    }
+    let result = match args.virtual_time {
+        true => play_in_virtual_time(&day, args),
+        false => play_on_processes(&day, args),
+    };
+    Ok(result?)
+}
+
+fn check_size(day: &Day, is_virtual: bool) -> Result<()> {
+    let max_processes = if is_virtual { MAX_VIRTUAL_PROCESSES } else { MAX_PROCESSES };
+    let is_valid = (1..=max_processes).contains(&day.engines)
+        && (1..=max_processes).contains(&day.controllers)
+        && (1..=MAX_CLIENTS).contains(&day.clients)
+        && day.rate > 0.0
+        && (1..=MAX_LENGTH_US).contains(&day.length.0 .0);
+    anyhow::ensure!(
+        is_valid,
+        "engines and controllers must be 1 to {max_processes}, clients 1 to {MAX_CLIENTS}, the rate above 0 and the length at most an hour"
+    );
+    Ok(())
 }
 
 fn print_report(report: &play::Report, json: bool) -> Result<()> {
@@ -437,9 +468,10 @@
     }
     print_report(&report, args.json)?;
     let length = day.length.0 .0 as f64 / 1e6;
-    eprintln!(
+    errln!(
         "simulated {length:.0} s in {took:.2} s: {} events, {} messages",
-        played.events, played.datagrams_sent
+        played.events,
+        played.datagrams_sent
     );
     Ok(report.kept())
 }
@@ -485,10 +517,10 @@
     let jobs = resolve_jobs(args.jobs);
     let read_day_text = |name: &str| day_text(name, &args.file);
     let mut progress = |done: usize, all: usize, key: &experiment::Key| {
-        eprint!("\r{done} of {all}: {} {} {} seed {}    ", key.day, key.size, key.variant, key.seed);
+        err!("\r{done} of {all}: {} {} {} seed {}    ", key.day, key.size, key.variant, key.seed);
     };
     experiment::run(experiment, &args.out, jobs, &read_day_text, &mut progress)?;
-    eprintln!();
+    err!("\n");
     std::fs::write(args.out.join("experiment.toml"), text)?;
     write_report(&args.out)
 }
@@ -507,7 +539,7 @@
     let summary = report::markdown(&experiment.name, &summaries);
     std::fs::write(dir.join("report.html"), report::html(&experiment.name, &runs, &summaries)?)?;
     std::fs::write(dir.join("report.md"), &summary)?;
-    print!("{summary}");
+    out!("{summary}");
     Ok(true)
 }
 
@@ -519,7 +551,7 @@
         !summaries.is_empty(),
         "the experiments have no run in common: day, size, variant and seed must be equal"
     );
-    print!("{}", report::markdown("comparison", &summaries));
+    out!("{}", report::markdown("comparison", &summaries));
     let worse = |c: &experiment::MetricSummary| c.compared.is_some_and(|c| c.verdict == Verdict::Worse);
     Ok(!summaries.iter().any(worse))
 }
@@ -563,7 +595,7 @@
     }
     lines.sort_by_key(|(t, _)| *t);
     for (t, line) in lines {
-        println!("{:>10.3} {}", ms(t), line.trim_end());
+        outln!("{:>10.3} {}", ms(t), line.trim_end());
     }
     Ok(())
 }
@@ -576,9 +608,9 @@
         print_timeline(&scenario, plant)?;
     }
     let outcome = explore::run(&scenario, plant)?;
-    println!("{} tries, {} events", outcome.tries, outcome.events);
+    outln!("{} tries, {} events", outcome.tries, outcome.events);
     for (rule, what) in &outcome.failures {
-        println!("{rule}: {what}");
+        outln!("{rule}: {what}");
     }
     Ok(outcome.passed())
 }
@@ -590,15 +622,15 @@
     let should_stop = |all: &explore::ExplorationSummary| {
         let s = began.elapsed().as_secs();
         if last_printed_second.swap(s, std::sync::atomic::Ordering::Relaxed) != s {
-            eprint!("\r{} days, {} failed   ", all.days, all.failed.len());
+            err!("\r{} days, {} failed   ", all.days, all.failed.len());
         }
         began.elapsed() >= limit || (args.first && !all.failed.is_empty())
     };
     let numbers = args.from..args.from.saturating_add(args.days);
     let all = explore::explore(numbers, resolve_jobs(args.jobs), args.plant, should_stop);
     let took = began.elapsed().as_secs_f64();
-    eprintln!();
-    println!(
+    err!("\n");
+    outln!(
         "{} days in {took:.1} s ({:.0} per second): {} tries, {} events, {} days failed",
         all.days,
         all.days as f64 / took.max(1e-9),
@@ -608,20 +640,17 @@
     );
     if args.seen {
         for (what, (days, times)) in &all.coverage {
-            println!(
-                "{what:<60} {days:>8} days {times:>10} times{}",
-                if *times == 0 { "  NEVER" } else { "" }
-            );
+            outln!("{what:<60} {days:>8} days {times:>10} times{}", if *times == 0 { "  NEVER" } else { "" });
         }
     }
     for (scenario, rule, what) in &all.failed {
-        println!("seed {}: {rule}: {what}", scenario.seed);
+        outln!("seed {}: {rule}: {what}", scenario.seed);
         let Some(dir) = &args.out else { continue };
         std::fs::create_dir_all(dir)?;
         let (shrunk, played) = explore::shrink(scenario, rule, args.plant);
         let path = dir.join(format!("{}-{rule}.toml", scenario.seed));
         std::fs::write(&path, toml::to_string(&shrunk)?)?;
-        println!("  shrunk in {played} runs: {}", path.display());
+        outln!("  shrunk in {played} runs: {}", path.display());
     }
     Ok(all.failed.is_empty())
 }
--- a/crates/testbed/src/play.rs
+++ b/crates/testbed/src/play.rs
@@ -16,6 +16,7 @@
 use std::path::PathBuf;
 use std::sync::mpsc::channel;
 use std::time::Duration;
+use wheelfield_console::{err, outln};
 use wheelfield_invariants::{parse_event_log, ClientOutcome, Violation, RULES};
 use wheelfield_net::Clock;
 
@@ -181,7 +182,7 @@
     let (length, quiet) = (day.length.0 .0, options.quiet);
     let progress = move |at: i64, t: crate::client_pool::ClientCounts| {
         if !quiet {
-            eprint!(
+            err!(
                 "\r{:>3} of {} s: {} sent, {} served, {} refused, {} failed, {} other ",
                 at / 1_000_000,
                 length / 1_000_000,
@@ -210,7 +211,7 @@
         (tries, directed)
     });
     if !options.quiet {
-        eprintln!();
+        err!("\n");
     }
     let tries = tries?;
     directed?;
@@ -528,15 +529,15 @@
     let mut stage = Stage::set_at(day, &plan, setting, Clock::start(), Some(listen))?;
     for change in stage.doors() {
         if let crate::stage::Change::Up(_, address) = change {
-            println!(
+            outln!(
                 "a controller listens on {address}; try: psql 'host={} port={} user=me dbname=lab'",
                 address.ip(),
                 address.port()
             );
         }
     }
-    println!("stand-in engines: {}", stage.engine_addresses().join(", "));
-    println!(
+    outln!("stand-in engines: {}", stage.engine_addresses().join(", "));
+    outln!(
         "hints ask for rows and work: select 1 /*rows='5',run_ms='200'*/; ^C ends it; logs in {}",
         options.dir.display()
     );
--- a/crates/testbed/tests/processes.rs
+++ b/crates/testbed/tests/processes.rs
@@ -53,8 +53,10 @@
 
 impl Drop for Soak {
     fn drop(&mut self) {
-        let _ = kill_process(Pid::from_child(&self.0), Signal::TERM);
-        let _ = self.0.wait();
+        if let Ok(None) = self.0.try_wait() {
+            let _ = kill_process(Pid::from_child(&self.0), Signal::TERM);
+            let _ = self.0.wait();
+        }
     }
 }
 
