platform: a request that is given up before it is written is not charged to slow start

Seen, by a new test: two bursts to an executor in slow start were put into the output, and their clients left before a byte of them was written; of a third burst two requests were written in place of four.

Cause: the work of a request is charged to the executor's budget when it is added to an output buffer. The charge was released when the request was queued again, but not when its attempt ended before it was written, so it counted for a whole window.

Fix: attempts in an output buffer are known by their id until their first byte is written, and their charge is released when they end. All ends of an attempt release it: cancelled, ended by its executor's connection, or not written.

The policy's own budget, which counts attempts from their admission, keeps such a charge for its window as before.

Test: `a_request_that_is_given_up_before_it_is_written_does_not_count_against_slow_start`, which failed before (2 in place of 4).

--- a/crates/platform/src/dispatcher/attempts.rs
+++ b/crates/platform/src/dispatcher/attempts.rs
@@ -81,6 +81,7 @@
 
     /// Reports to the driver that an attempt ended without a response, unless the driver already considers it ended.
     fn end_attempt(&mut self, attempt: AttemptId, outcome: Outcome) {
+        self.written_work.forget_unwritten(attempt);
         self.in_flight.mark_attempt_ended(attempt.query, outcome);
         if self.driver.decision_engine().is_in_flight(attempt) {
             let report = LoadReport::default();
@@ -185,7 +186,7 @@
         else {
             return true;
         };
-        self.written_work.forget(engine, attempt);
+        self.written_work.forget_unwritten(attempt);
         self.written_work.fits(engine, share, self.out.now)
     }
 
@@ -222,6 +223,7 @@
                 if let Err(violation) = check_dispatch(executor) {
                     self.violations.record(request, violation.into());
                 }
+                self.written_work.record_dispatch(attempt);
                 self.check_slow_start(attempt, request);
                 self.abandonments
                     .record_dispatch(attempt.query, self.out.now);
@@ -245,6 +247,7 @@
             report,
             pages,
         } = ended;
+        self.written_work.forget_unwritten(attempt);
         self.in_flight.mark_attempt_ended(attempt.query, outcome);
         let is_answer =
             outcome == Outcome::Served && self.driver.decision_engine().may_answer(attempt);
--- a/crates/platform/src/written_work.rs
+++ b/crates/platform/src/written_work.rs
@@ -29,6 +29,8 @@
     /// Length of the window over which work is summed, in microseconds.
     window_us: i64,
     requests_by_engine: BTreeMap<EngineId, VecDeque<WrittenRequest>>,
+    /// The requests that are in an output buffer, and of which no byte has been written.
+    buffered: BTreeMap<AttemptId, EngineId>,
 }
 
 impl WrittenWork {
@@ -37,6 +39,7 @@
         WrittenWork {
             window_us,
             requests_by_engine: BTreeMap::new(),
+            buffered: BTreeMap::new(),
         }
     }
 
@@ -53,7 +56,7 @@
         !is_full && written + share.work <= share.budget * (1.0 + ROUNDING_TOLERANCE)
     }
 
-    /// Records the request of an attempt as written.
+    /// Records the request of an attempt, which was added to an output buffer.
     pub fn record(
         &mut self,
         engine: EngineId,
@@ -70,10 +73,19 @@
             .entry(engine)
             .or_default()
             .push_back(request);
+        self.buffered.insert(attempt, engine);
     }
 
-    /// Forgets the request of an attempt, which was taken back before any byte of it was written.
-    pub fn forget(&mut self, engine: EngineId, attempt: AttemptId) {
+    /// Records that the first byte of an attempt's request was written.
+    pub fn record_dispatch(&mut self, attempt: AttemptId) {
+        self.buffered.remove(&attempt);
+    }
+
+    /// Forgets the request of an attempt that was taken back or has ended, unless a byte of it was written.
+    pub fn forget_unwritten(&mut self, attempt: AttemptId) {
+        let Some(engine) = self.buffered.remove(&attempt) else {
+            return;
+        };
         if let Some(requests) = self.requests_by_engine.get_mut(&engine) {
             requests.retain(|request| request.attempt != attempt);
         }
--- a/crates/platform/tests/crossings.rs
+++ b/crates/platform/tests/crossings.rs
@@ -252,14 +252,16 @@
     Harness::with_config(&text.to_string())
 }
 
-fn send_burst(harness: &mut Harness, first_id: u64) {
-    for n in first_id..first_id + 12 {
+fn send_burst(harness: &mut Harness, first_id: u64) -> Vec<ConnId> {
+    let send = |n| {
         let client = harness.connect_client();
         let request = query_request("look", &request_id(n), "")
             .replace("Cost-Ms: 100.0", "Cost-Ms: 250.0")
             .replace("Timeout-Ms: 2000", "Timeout-Ms: 9000");
         harness.receive(client, &request);
-    }
+        client
+    };
+    (first_id..first_id + 12).map(send).collect()
 }
 
 /// Answers the requests that were written to the executor and returns their number.
@@ -340,6 +342,43 @@
     assert_eq!(written_after_withdrawals(4), written);
 }
 
+/// Sends a burst to an executor, whose clients leave after the requests are in the output and before any byte of them is written.
+fn abandon_burst(harness: &mut Harness, first_id: u64, connect_time: i64) {
+    harness.write_limit = Some(0);
+    let clients = send_burst(harness, first_id);
+    harness.advance(connect_time);
+    harness.complete_connects();
+    for client in clients {
+        harness.handle_io(IoEvent::ReadClosed(client));
+    }
+    harness.write_limit = None;
+}
+
+/// Sends a burst to an executor in slow start and returns how many requests are written to it. Two earlier bursts may have been
+/// abandoned. Only the second of them counts in the window of the policy, as the first waited for its connections.
+fn written_after_abandoned_bursts(has_abandoned_bursts: bool) -> usize {
+    let mut harness = controller_with_cold_executor(0, 20);
+    harness.advance(2 * SECOND);
+    if has_abandoned_bursts {
+        abandon_burst(&mut harness, 100, SECOND * 14 / 10);
+        harness.advance(SECOND / 5);
+        abandon_burst(&mut harness, 200, 0);
+    }
+    send_burst(&mut harness, 1);
+    harness.complete_connects();
+    harness.advance(SECOND / 100);
+    serve_requests(&mut harness)
+}
+
+/// Regression test: a request that was given up before any byte of it was written stayed charged to the budget of its executor for a
+/// whole window.
+#[test]
+fn a_request_that_is_given_up_before_it_is_written_does_not_count_against_slow_start() {
+    let written = written_after_abandoned_bursts(false);
+    assert!(written > 0);
+    assert_eq!(written_after_abandoned_bursts(true), written);
+}
+
 /// A harness with a new client and an idle connection to the executor, on which writes accept no bytes until `write_limit` is reset.
 fn harness_with_blocked_writes() -> (Harness, ConnId, ConnId) {
     let mut harness = Harness::new(1);
