controller: a PostgreSQL controller starts although sockets fail for a moment

Cause: the platform side repeats the steps of its startup while their errors are transient (`startup.rs`); this side did not.

Fix: it reads its configuration and opens its sockets in the same way, for 25 s at most, and a request to shut down ends that.

--- a/crates/controller/src/main.rs
+++ b/crates/controller/src/main.rs
@@ -5,7 +5,7 @@
 use clap::{Parser, Subcommand, ValueEnum};
 use std::io::Write as _;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
@@ -14,6 +14,7 @@
 use wheelfield_controller::postgres::PostgresController;
 use wheelfield_controller::signals::Signals;
 use wheelfield_controller::startup::Startup;
+use wheelfield_controller::ControllerError;
 use wheelfield_pg_gateway::fault_injection::FaultInjection;
 use wheelfield_platform::InjectedFault;
 
@@ -111,7 +112,10 @@
 /// Serves PostgreSQL clients, or only checks the configuration if `--check` is given.
 fn postgres_command(args: &Args) -> ExitCode {
     if args.check {
-        return match load_config(args) {
+        return match read_config_file(args)
+            .map_err(anyhow::Error::from)
+            .and_then(|text| parse_config(args, &text))
+        {
             Ok(_) => ExitCode::SUCCESS,
             Err(error) => exit_invalid_usage(&error),
         };
@@ -120,12 +124,21 @@
         Ok(signals) => signals,
         Err(error) => return exit_code(Err(error.into())),
     };
-    let config = match load_config(args) {
-        Ok(config) => config,
+    let _guard = match start_logging(&args.logs) {
+        Ok(guard) => guard,
         Err(error) => return exit_invalid_usage(&error),
     };
-    match start_logging(&args.logs) {
-        Ok(_guard) => exit_code(run_postgres(config, args, signals)),
+    let mut startup = match Startup::new(&signals.shutdown) {
+        Ok(startup) => startup,
+        Err(error) => return exit_code(Err(error.into())),
+    };
+    let config = match startup.retry(|| read_config_file(args)) {
+        Ok(Some(text)) => parse_config(args, &text),
+        Ok(None) => return ExitCode::SUCCESS,
+        Err(error) => Err(error.into()),
+    };
+    match config {
+        Ok(config) => exit_code(run_postgres(&config, args, signals, &mut startup)),
         Err(error) => exit_invalid_usage(&error),
     }
 }
@@ -171,11 +184,17 @@
     }
 }
 
-fn load_config(args: &Args) -> Result<Config> {
+fn read_config_file(args: &Args) -> Result<String, ControllerError> {
+    let path = args.config.as_deref().unwrap_or(Path::new(""));
+    std::fs::read_to_string(path).map_err(|source| ControllerError::ReadFile {
+        path: path.to_path_buf(),
+        source,
+    })
+}
+
+fn parse_config(args: &Args, text: &str) -> Result<Config> {
     let path = args.config.as_ref().context("--config is missing")?;
-    let text =
-        std::fs::read_to_string(path).with_context(|| format!("cannot read {}", path.display()))?;
-    let mut config = wheelfield_config::parse(&path.display().to_string(), &text)?;
+    let mut config = wheelfield_config::parse(&path.display().to_string(), text)?;
     if let Some(listen) = args.listen {
         anyhow::ensure!(
             listen.ip().is_loopback(),
@@ -209,9 +228,17 @@
     Ok(guard)
 }
 
-fn run_postgres(config: Config, args: &Args, signals: Signals) -> Result<()> {
+fn run_postgres(
+    config: &Config,
+    args: &Args,
+    signals: Signals,
+    startup: &mut Startup,
+) -> Result<()> {
     let seed = args.seed.or(config.seed).unwrap_or_else(rand::random);
-    let mut controller = PostgresController::open(config, seed, args.fault)?;
+    let opened = startup.retry(|| PostgresController::open(config.clone(), seed, args.fault))?;
+    let Some(mut controller) = opened else {
+        return Ok(());
+    };
     controller.handle_signals(signals)?;
     print_addresses(&controller);
     tracing::info!(seed, "started");
--- a/crates/controller/tests/common/program.rs
+++ b/crates/controller/tests/common/program.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::{Child, ChildStdout, Command, ExitStatus, Stdio};
+use wheelfield_fault_shim::FaultControl;
 
 /// The program under test. It is killed when this is dropped.
 pub struct Program {
@@ -30,8 +31,27 @@
 
     /// Starts the program with a configuration file that `folder` contains or not, without waiting until it serves.
     pub fn spawn(folder: tempfile::TempDir, file: &Path, stdout: Stdio) -> Program {
-        let log = std::fs::File::create(folder.path().join("log")).expect("a file");
+        let command = Command::new(env!("CARGO_BIN_EXE_wheelfield-controller"));
+        Program::spawn_command(command, folder, file, stdout)
+    }
+
+    /// Starts the program with faults of the operating system, without waiting until it serves.
+    pub fn spawn_with_faults(config: &str, faults: &FaultControl) -> Program {
+        let folder = tempfile::tempdir().expect("a folder");
+        let file = folder.path().join("controller.toml");
+        std::fs::write(&file, config).expect("written");
         let mut command = Command::new(env!("CARGO_BIN_EXE_wheelfield-controller"));
+        command.envs(faults.environment());
+        Program::spawn_command(command, folder, &file, Stdio::piped())
+    }
+
+    fn spawn_command(
+        mut command: Command,
+        folder: tempfile::TempDir,
+        file: &Path,
+        stdout: Stdio,
+    ) -> Program {
+        let log = std::fs::File::create(folder.path().join("log")).expect("a file");
         command
             .arg("--config")
             .arg(file)
