engine-emulator: all sockets can have an IP address of the run's own

The port of an emulated engine is free from its kill until it starts again, and on 127.0.0.1 every other run asks for ports.

Class: a port that one process holds or finds for another, as with the ports of controllers.

Fix: `--ip` sets the address, 127.0.0.1 by default; the test bed will pass the one that it reserves for a run.

--- a/crates/engine-emulator/src/host.rs
+++ b/crates/engine-emulator/src/host.rs
@@ -101,9 +101,9 @@
     pub fn open(setup: Setup, log: Option<&std::path::Path>, seed: u64) -> Result<Host> {
         let clock = Clock::start();
         let poll = Poll::new()?;
-        let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
+        let any_port = SocketAddr::from((setup.ip, 0));
         let bind = |token: Token| -> Result<TcpListener> {
-            let mut listener = listen(loopback, 4096)?;
+            let mut listener = listen(any_port, 4096)?;
             poll.registry().register(&mut listener, token, Interest::READABLE)?;
             Ok(listener)
         };
--- a/crates/engine-emulator/src/main.rs
+++ b/crates/engine-emulator/src/main.rs
@@ -2,6 +2,7 @@
 
 use anyhow::{Context, Result};
 use clap::Parser;
+use std::net::Ipv4Addr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::atomic::AtomicBool;
@@ -30,6 +31,10 @@
     /// Only check the file.
     #[arg(long, requires = "config")]
     check: bool,
+    /// IP address of all sockets, in 127.0.0.0/8. The ports of killed engines are free until these start again, so an address that
+    /// nobody else uses keeps others from taking them.
+    #[arg(long, value_name = "IP", default_value_t = Ipv4Addr::LOCALHOST)]
+    ip: Ipv4Addr,
     /// Writes what each engine received, started, finished or dropped, as JSON lines.
     #[arg(long, value_name = "FILE")]
     log: Option<PathBuf>,
@@ -51,7 +56,11 @@
             .and_then(|text| Ok(Setup::parse(&path.display().to_string(), &text)?)),
     };
     let setup = match setup {
-        Ok(setup) => setup,
+        Ok(setup) if args.ip.is_loopback() => Setup { ip: args.ip, ..setup },
+        Ok(_) => {
+            errln!("wheelfield-engine: --ip {} is not a loopback address; use one of 127.0.0.0/8", args.ip);
+            return ExitCode::from(2);
+        }
         Err(error) => {
             errln!("wheelfield-engine: {error:#}");
             return ExitCode::from(2);
--- a/crates/engine-emulator/src/setup.rs
+++ b/crates/engine-emulator/src/setup.rs
@@ -3,6 +3,7 @@
 use crate::model::{EngineSpec, MemoryShortage};
 use serde::Deserialize;
 use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
 use wheelfield_config::units::{Size, Time};
 use wheelfield_config::ConfigError;
 
@@ -30,6 +31,8 @@
     pub removal_delay: i64,
     /// Delay from the start of a process until the registry lists it as up, in microseconds.
     pub listing_delay: i64,
+    /// IP address of all sockets. An engine that is killed leaves its port to whoever asks for one on this address until it starts again.
+    pub ip: Ipv4Addr,
 }
 
 #[derive(Deserialize)]
@@ -119,7 +122,12 @@
             cell: i as i64 / 4,
             spec: EngineSpec::default(),
         };
-        Setup { engines: (1..=n).map(engine).collect(), removal_delay: 1_000_000, listing_delay: 200_000 }
+        Setup {
+            engines: (1..=n).map(engine).collect(),
+            removal_delay: 1_000_000,
+            listing_delay: 200_000,
+            ip: Ipv4Addr::LOCALHOST,
+        }
     }
 
     /// Parses a TOML file.
@@ -228,7 +236,7 @@
         }
         let removal_delay = file.registry.removal_delay.map_or(1_000_000, |t| t.0 .0);
         let listing_delay = file.registry.listing_delay.map_or(200_000, |t| t.0 .0);
-        Ok(Setup { engines, removal_delay, listing_delay })
+        Ok(Setup { engines, removal_delay, listing_delay, ip: Ipv4Addr::LOCALHOST })
     }
 }
 
