--- a/crates/fault-shim/src/lib.rs
+++ b/crates/fault-shim/src/lib.rs
@@ -7,6 +7,10 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod call_faults;
+
+pub use call_faults::{CallFault, CALL_FAULTS};
+
 use std::ffi::OsString;
 use std::fs::File;
 use std::io;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -9,7 +9,7 @@
 use rand::{Rng, RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
 use std::time::Duration;
-use wheelfield_fault_shim::{Call, Errno};
+use wheelfield_fault_shim::{Call, Errno, CALL_FAULTS};
 
 /// Time without faults before the first episode and after the last one, in microseconds.
 const INITIAL_CALM_US: i64 = 3_000_000;
@@ -295,81 +295,12 @@
     )
 }
 
-/// System calls with errors that Linux documents for them, and how many in a thousand calls fail.
-const CALL_FAULTS: [(Call, &[Errno], u32); 13] = [
-    (
-        Call::Accept,
-        &[
-            Errno::FileTableOverflow,
-            Errno::TooManyFiles,
-            Errno::ConnectionAborted,
-            Errno::NoBufferSpace,
-            Errno::Interrupted,
-        ],
-        1_000,
-    ),
-    (Call::Register, &[Errno::NoMemory], 1_000),
-    (
-        Call::Connect,
-        &[
-            Errno::AddressNotAvailable,
-            Errno::NetworkUnreachable,
-            Errno::NoBufferSpace,
-            Errno::TimedOut,
-            Errno::HostUnreachable,
-        ],
-        700,
-    ),
-    (
-        Call::Socket,
-        &[Errno::FileTableOverflow, Errno::NoBufferSpace],
-        700,
-    ),
-    (Call::Bind, &[Errno::AddressInUse], 1_000),
-    (Call::Wait, &[Errno::Interrupted], 500),
-    (
-        Call::ReadAccepted,
-        &[Errno::Interrupted, Errno::NoMemory],
-        300,
-    ),
-    (
-        Call::WriteAccepted,
-        &[Errno::Interrupted, Errno::NoBufferSpace, Errno::NoMemory],
-        500,
-    ),
-    (
-        Call::ReadConnected,
-        &[Errno::Interrupted, Errno::NoMemory],
-        300,
-    ),
-    (
-        Call::ReadConnected,
-        &[Errno::TimedOut, Errno::HostUnreachable],
-        20,
-    ),
-    (
-        Call::WriteConnected,
-        &[Errno::Interrupted, Errno::NoBufferSpace],
-        500,
-    ),
-    (
-        Call::SendDatagram,
-        &[Errno::NoBufferSpace, Errno::NetworkUnreachable],
-        1_000,
-    ),
-    (
-        Call::ReceiveDatagram,
-        &[Errno::NoMemory, Errno::Interrupted],
-        500,
-    ),
-];
-
 fn draw_call(rng: &mut impl Rng) -> Fault {
-    let (call, errors, per_mille) = *pick(&CALL_FAULTS, rng);
+    let fault = pick(&CALL_FAULTS, rng);
     Fault::Call {
-        call,
-        errno: *pick(errors, rng),
-        per_mille,
+        call: fault.call,
+        errno: *pick(fault.errors, rng),
+        per_mille: fault.per_mille,
     }
 }
 
--- a/crates/testbed/src/day.rs
+++ b/crates/testbed/src/day.rs
@@ -352,7 +352,7 @@
 }
 
 /// The kinds of trouble, and what their figures are.
-pub const KINDS: [(&str, &str); 24] = [
+pub const KINDS: [(&str, &str); 25] = [
     ("crash", "part of the engines die and come back cold after the time"),
     ("hang", "part of the engines take queries and answer none"),
     ("slow", "part of the engines are `size` times slower"),
@@ -373,6 +373,10 @@
         "part of the controllers are killed, one after the other, each down for `size` seconds",
     ),
     ("balancer_stall", "part of the controllers stand still for `size` seconds, every `extra`"),
+    (
+        "system_faults",
+        "in part of the controllers system calls fail, transfers are short or the wall clock is wrong, for up to `size` seconds, every `extra`",
+    ),
     ("burst", "the rate is `size` times as high"),
     ("tenant_burst", "one customer's rate is `size` times as high"),
     ("hot_key", "`extra` groups of tables draw a share `size` of the queries"),
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -16,6 +16,7 @@
 //! - [`client_pool`]: their sockets.
 //! - [`evidence`]: the history of a run in the form that the rule checker reads; no I/O.
 //! - [`lists`]: the engines as a file that controllers watch.
+//! - [`system_faults`]: faults of the operating system in controllers.
 //! - [`measure`]: the cost of a query in a controller.
 //! - [`play`]: a whole run with its checks and report.
 #![forbid(unsafe_code)]
@@ -38,4 +39,5 @@
 pub mod series;
 pub mod stage;
 pub mod stats;
+pub mod system_faults;
 pub mod virtual_time;
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -265,7 +265,7 @@
 }
 
 /// Built-in days by name.
-const DAYS: [(&str, &str); 14] = [
+const DAYS: [(&str, &str); 15] = [
     ("bad", include_str!("../days/bad.toml")),
     ("crashes", include_str!("../days/crashes.toml")),
     ("hangs", include_str!("../days/hangs.toml")),
@@ -277,6 +277,7 @@
     ("everything", include_str!("../days/everything.toml")),
     ("grown", include_str!("../days/grown.toml")),
     ("rolling", include_str!("../days/rolling.toml")),
+    ("system_faults", include_str!("../days/system_faults.toml")),
     ("newcomer", include_str!("../days/newcomer.toml")),
     ("compared", include_str!("../days/compared.toml")),
     ("short", include_str!("../days/short.toml")),
--- a/crates/testbed/src/plan.rs
+++ b/crates/testbed/src/plan.rs
@@ -2,6 +2,7 @@
 //! No I/O.
 
 use crate::day::{Day, Shape, Trouble};
+use crate::system_faults::SystemFault;
 use rand::{RngExt as _, SeedableRng as _};
 use rand_distr::{Distribution as _, Exp1, LogNormal, Zipf};
 use rand_pcg::Pcg64Mcg;
@@ -60,6 +61,10 @@
     StallController(usize),
     /// Resumes a suspended controller.
     ResumeController(usize),
+    /// Begins a fault of the operating system in a controller.
+    BeginSystemFault(usize, SystemFault),
+    /// Ends a fault of the operating system in a controller.
+    EndSystemFault(usize, SystemFault),
 }
 
 /// A trouble of the script with all parameters drawn.
@@ -113,6 +118,7 @@
         "discovery_stale" => ([2.0, 5.0], [0.0; 2], [1.0; 2]),
         "balancer_roll" => ([0.3, 1.0], [0.0; 2], [0.5, 1.0]),
         "balancer_stall" => ([0.3, 0.8], [2.0, 3.0], [0.5, 1.0]),
+        "system_faults" => ([0.5, 2.0], [0.2, 0.5], [0.5, 1.0]),
         "burst" => ([1.5, 2.2], [0.0; 2], [1.0; 2]),
         "tenant_burst" => ([2.0, 5.0], [0.0; 2], [1.0; 2]),
         "hot_key" => ([0.1, 0.25], [1.0, 3.0], [1.0; 2]),
@@ -155,6 +161,20 @@
         self.actions.push((at, StageAction::Fault { engine, kind, value }));
     }
 
+    /// Draws faults of the operating system in a controller, each up to `longest` seconds long, one about every `interval`.
+    fn push_system_faults(&mut self, controller: usize, from: i64, to: i64, longest: f64, interval: f64) {
+        let micros = |seconds: f64| (seconds * 1e6) as i64;
+        let interval = interval.max(0.1);
+        let mut at = from + self.rng.random_range(0..micros(interval));
+        while at < to {
+            let fault = SystemFault::draw(&mut self.rng);
+            let until = (at + micros(self.rng.random_range(0.1..1.0) * longest)).min(to);
+            self.actions.push((at, StageAction::BeginSystemFault(controller, fault)));
+            self.actions.push((until, StageAction::EndSystemFault(controller, fault)));
+            at += micros(interval * self.rng.random_range(0.5..1.5));
+        }
+    }
+
     /// Draws the parameters that the script omits, and schedules the trouble's actions.
     #[expect(clippy::too_many_lines, reason = "to be split: docs/ROADMAP.md lists it")]
     fn draw(&mut self, trouble: &Trouble) -> DrawnTrouble {
@@ -171,7 +191,7 @@
         let (engines, controllers) = (self.day.engines, self.day.controllers);
         let micros = |s: f64| (s * 1e6) as i64;
         let targets = match trouble.kind.as_str() {
-            "balancer_roll" | "balancer_stall" => self.sample_indices(controllers, part),
+            "balancer_roll" | "balancer_stall" | "system_faults" => self.sample_indices(controllers, part),
             "zone_loss" => {
                 let zone = self.rng.random_range(0..self.day.fleet.zones.len().max(1));
                 (0..engines).filter(|e| e % self.day.fleet.zones.len().max(1) == zone).collect()
@@ -249,6 +269,9 @@
                     }
                 }
             }
+            "system_faults" => {
+                targets.iter().for_each(|c| self.push_system_faults(*c, from, to, size, extra))
+            }
             _ => {}
         }
         DrawnTrouble { kind: trouble.kind.clone(), from, to, size, extra, targets }
--- a/crates/testbed/src/play.rs
+++ b/crates/testbed/src/play.rs
@@ -6,7 +6,7 @@
 use crate::fleet::judge::{self, MembershipHistory, Verdict};
 use crate::plan::Plan;
 use crate::series::Series;
-use crate::stage::{Setting, Stage};
+use crate::stage::{act_on_system, Setting, Stage};
 use crate::virtual_time::policy::Policy;
 use crate::virtual_time::{self, SimulationResult};
 use anyhow::{anyhow, Context, Result};
@@ -98,6 +98,8 @@
     pub cold_peak: f64,
     /// Processor seconds of all controllers.
     pub controller_cpu_s: f64,
+    /// System calls of controllers that failed by a fault of the script.
+    pub failed_calls: u64,
     /// The first breaches.
     pub breaches: Vec<Violation>,
     /// What the controllers believed of each other, where the script tells of roads between them.
@@ -195,7 +197,15 @@
         }
     };
     // The blows fall from a thread of their own, as a process that starts must not hold up the clients.
+    let system_faults = stage.system_faults();
     let (tries, directed) = std::thread::scope(|scope| {
+        let system_director = scope.spawn(|| -> Result<()> {
+            for (at, action) in &plan.actions {
+                std::thread::sleep(clock.until(start + at));
+                act_on_system(action, &system_faults)?;
+            }
+            Ok(())
+        });
         let director = scope.spawn(|| -> Result<()> {
             for (at, act) in &plan.actions {
                 std::thread::sleep(clock.until(start + at));
@@ -207,7 +217,9 @@
             Ok(())
         });
         let tries = clients.run(end, progress);
-        let directed = director.join().map_err(|_| anyhow!("the director panicked")).and_then(|r| r);
+        let directed = [director.join(), system_director.join()]
+            .into_iter()
+            .try_for_each(|result| result.map_err(|_| anyhow!("a director panicked"))?);
         (tries, directed)
     });
     if !options.quiet {
@@ -247,6 +259,7 @@
     let (breaches, cold_peak) = context.check(&tries, &log, &stage.lives);
     let mut report = sum_up(day, &plan, start, &tries, breaches);
     (report.seed, report.cold_peak, report.controller_cpu_s) = (options.seed, cold_peak, stage.spent);
+    report.failed_calls = stage.failed_calls()?;
     if let (Some((reached, healed, agreed, [suspicions, words @ ..], until)), Some(carried)) =
         (fleet, carried)
     {
@@ -448,6 +461,9 @@
         "controllers used {:.2} s of processor; clients sent up to {:.1} ms late (p99)",
         report.controller_cpu_s, report.sent_late_p99_ms
     )?;
+    if report.failed_calls > 0 {
+        writeln!(out, "{} system calls of controllers failed by a fault of the script", report.failed_calls)?;
+    }
     for (i, rule) in RULES.iter().enumerate() {
         let n = report.rules.get(rule).copied().unwrap_or(0);
         writeln!(
--- a/crates/testbed/src/stage.rs
+++ b/crates/testbed/src/stage.rs
@@ -13,9 +13,11 @@
 use std::net::{SocketAddr, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use wheelfield::interface::Status;
 use wheelfield_child_process::Unshared;
+use wheelfield_fault_shim::{Call, FaultControl, CALL_FAULTS};
 use wheelfield_invariants::ProcessLifetime;
 use wheelfield_net::{http, retry_interrupted, Clock};
 use wheelfield_network_faults::FaultSchedule;
@@ -31,6 +33,9 @@
 /// Bytes of a controller's status at most.
 const LONGEST_STATUS: usize = 8 << 20;
 
+/// Builds all programs as tests need them, with fault injection. A build of some packages leaves it out.
+const BUILD_COMMAND: &str = "cargo test --workspace --no-run";
+
 /// A program that stands beside this one.
 ///
 /// # Errors
@@ -43,7 +48,7 @@
     let own = std::env::current_exe()?;
     // Tests run from a folder below that of the programs.
     let found = own.ancestors().skip(1).take(2).map(|dir| dir.join(name)).find(|path| path.is_file());
-    found.with_context(|| format!("{name} does not stand beside {}; build all programs first", own.display()))
+    found.with_context(|| format!("{name} does not stand beside {}; run `{BUILD_COMMAND}`", own.display()))
 }
 
 /// Number of lines of a log that an error shows.
@@ -70,12 +75,26 @@
     /// # Errors
     /// If it does not start, or tells nothing in time.
     pub fn start(program: &Path, args: &[String], log: Option<&Path>) -> Result<Process> {
+        Process::start_with_faults(program, args, log, None)
+    }
+
+    /// The same, with faults of the operating system.
+    ///
+    /// # Errors
+    /// As [`Process::start`].
+    pub fn start_with_faults(
+        program: &Path,
+        args: &[String],
+        log: Option<&Path>,
+        faults: Option<&FaultControl>,
+    ) -> Result<Process> {
         let stderr = match log {
             Some(path) => Stdio::from(std::fs::OpenOptions::new().create(true).append(true).open(path)?),
             None => Stdio::null(),
         };
         let mut command = Command::new(program);
         command.args(args).stdin(Stdio::null()).stdout(Stdio::piped()).stderr(stderr);
+        command.envs(faults.into_iter().flat_map(FaultControl::environment));
         let mut child = wheelfield_child_process::start(&mut command)
             .with_context(|| format!("cannot start {}", program.display()))?;
         let stdout = child.stdout.take().context("no standard output")?;
@@ -184,6 +203,8 @@
     gossip: Vec<String>,
     /// What carries it, where the script tells of roads.
     relay: Option<Relay>,
+    /// Faults of the operating system in the controllers, if the plan has any.
+    system_faults: Arc<Vec<FaultControl>>,
     /// Ports that were taken for controllers that have not started yet.
     held: BTreeMap<usize, Vec<Unshared<UdpSocket>>>,
     /// The engines as a file, if they are kept so.
@@ -194,6 +215,20 @@
     pub spent: f64,
 }
 
+/// Begins or ends a fault of the operating system. Other actions are not carried out. This does not wait for a controller that starts,
+/// as its start may wait for the end of such a fault.
+///
+/// # Errors
+/// If a control file cannot be written.
+pub fn act_on_system(action: &StageAction, faults: &[FaultControl]) -> Result<()> {
+    match action {
+        StageAction::BeginSystemFault(controller, fault) => fault.begin(&faults[*controller])?,
+        StageAction::EndSystemFault(controller, fault) => fault.end(&faults[*controller])?,
+        _ => {}
+    }
+    Ok(())
+}
+
 /// How a stage is set.
 #[derive(Clone, Debug, Default)]
 pub struct Setting {
@@ -236,6 +271,7 @@
     ) -> Result<Stage> {
         let settings = day.settings()?;
         let Setting { dir, seed, plant, log_level, capture, programs, beside } = setting;
+        let ip = loopback_address::unused();
         let config = dir.join("engines.toml");
         std::fs::write(&config, day.stand_ins(&settings, &plan.engines))?;
         let args = [
@@ -245,6 +281,8 @@
             &path(&dir.join("engines.jsonl")),
             "--seed",
             &seed.to_string(),
+            "--ip",
+            &ip.to_string(),
         ]
         .map(str::to_string);
         let engines = Process::start(
@@ -255,7 +293,6 @@
         let (control, registry) = (engines.address("control")?, engines.address("registry")?);
         // Ports for messages are the system's too: taken once, so that a restarted controller keeps its own.
         let messages = day.means.get("messages").and_then(toml::Value::as_bool) == Some(true);
-        let ip = loopback_address::unused();
         let sockets: Vec<_> = (0..if messages { day.controllers } else { 0 })
             .map(|_| UdpSocket::bind((ip, 0)))
             .collect::<std::io::Result<_>>()?;
@@ -280,6 +317,11 @@
         for (i, socket) in sockets.into_iter().enumerate().chain(gossips.into_iter().enumerate()) {
             held.entry(i).or_default().push(Unshared::new(socket));
         }
+        let has_system_faults =
+            plan.actions.iter().any(|(_, action)| matches!(action, StageAction::BeginSystemFault(..)));
+        let system_faults = (0..if has_system_faults { day.controllers } else { 0 })
+            .map(|_| FaultControl::new())
+            .collect::<std::io::Result<Vec<_>>>()?;
         if day.registry.gossip {
             std::fs::write(dir.join("keys"), format!("1 {seed:064x}\n"))?;
         }
@@ -311,6 +353,7 @@
             peers,
             gossip,
             relay,
+            system_faults: Arc::new(system_faults),
             held,
             lists,
             lives: Vec::new(),
@@ -380,7 +423,16 @@
         }
         let log = self.dir.join(format!("controller-{i}.jsonl"));
         let programs = self.beside.as_deref().filter(|_| i % 2 == 1).or(self.programs.as_deref());
-        let process = Process::start(&program("wheelfield-controller", programs)?, &args, Some(&log))?;
+        let faults = self.system_faults.get(i);
+        let program = program("wheelfield-controller", programs)?;
+        let process = Process::start_with_faults(&program, &args, Some(&log), faults).with_context(|| {
+            match self.plant {
+                Some(_) => {
+                    format!("{} must be built with fault injection: {BUILD_COMMAND}", program.display())
+                }
+                None => format!("cannot start controller {i}"),
+            }
+        })?;
         if let Some(relay) = &self.relay {
             relay.set_listen_address(i, process.address("gossip")?)?;
         }
@@ -438,6 +490,27 @@
         self.controllers.get(controller)?.as_ref()?.usage()
     }
 
+    /// The controls of the faults of the operating system, one for each controller if the plan has any.
+    pub fn system_faults(&self) -> Arc<Vec<FaultControl>> {
+        self.system_faults.clone()
+    }
+
+    /// The number of system calls of all controllers that failed by a fault of the plan.
+    ///
+    /// # Errors
+    /// If a control file cannot be read.
+    pub fn failed_calls(&self) -> Result<u64> {
+        let mut calls: Vec<Call> = CALL_FAULTS.iter().map(|fault| fault.call).collect();
+        calls.dedup();
+        let mut failed = 0;
+        for control in self.system_faults.iter() {
+            for call in &calls {
+                failed += control.injected_count(*call)?;
+            }
+        }
+        Ok(failed)
+    }
+
     /// What a controller says of itself to operators.
     pub fn status(&self, controller: usize) -> Option<serde_json::Value> {
         let admin = self.controllers.get(controller)?.as_ref()?.address("admin").ok()?;
@@ -491,6 +564,8 @@
                         .collect());
                 }
             }
+            // Carried out apart, by `act_on_system`.
+            StageAction::BeginSystemFault(..) | StageAction::EndSystemFault(..) => {}
             StageAction::StallController(i) | StageAction::ResumeController(i) => {
                 let stall = matches!(act, StageAction::StallController(_));
                 if let Some(process) = &self.controllers[*i] {
--- a/crates/testbed/src/virtual_time/mod.rs
+++ b/crates/testbed/src/virtual_time/mod.rs
@@ -464,6 +464,8 @@
                 self.registry_server.registry.set_unavailable_until(self.now + ms * 1000)
             }
             StageAction::RegistryStale(ms) => self.registry_delay = ms * 1000,
+            // No operating system is simulated.
+            StageAction::BeginSystemFault(..) | StageAction::EndSystemFault(..) => {}
             StageAction::KillController(c) => self.kill_controller(*c),
             StageAction::StartController(c) => {
                 self.events.set(self.now + CONTROLLER_START_TIME, Event::StartController(*c));
--- a/crates/testbed/tests/days.rs
+++ b/crates/testbed/tests/days.rs
@@ -2,13 +2,19 @@
 //!
 //! The programs are those that `cargo test` builds for the whole workspace.
 
+use wheelfield::interface::Micros;
+use wheelfield_config::units::Time;
 use wheelfield_testbed::day::Day;
 use wheelfield_testbed::play::{play, Options, Report};
 
 const SHORT: &str = include_str!("../days/short.toml");
+const SYSTEM_FAULTS: &str = include_str!("../days/system_faults.toml");
 
 fn played(seed: u64, plant: Option<&str>) -> Report {
-    let day = Day::parse("short", SHORT).expect("sound");
+    played_day(&Day::parse("short", SHORT).expect("sound"), seed, plant)
+}
+
+fn played_day(day: &Day, seed: u64, plant: Option<&str>) -> Report {
     let dir = tempfile::tempdir().expect("a folder");
     let options = Options {
         seed,
@@ -20,7 +26,7 @@
         beside: None,
         capture: false,
     };
-    play(&day, &options).unwrap_or_else(|fault| panic!("{fault:#}"))
+    play(day, &options).unwrap_or_else(|fault| panic!("{fault:#}"))
 }
 
 fn breaches(report: &Report, rule: &str) -> u64 {
@@ -34,6 +40,18 @@
     assert!(report.queries > 250 && report.served > 200, "{report:?}");
 }
 
+/// System calls of controllers fail, their transfers are short, and their wall clocks step, also as they are killed and suspended.
+#[test]
+fn a_day_with_faults_of_the_operating_system_keeps_the_rules_and_finds_a_planted_fault() {
+    let mut day = Day::parse("system_faults", SYSTEM_FAULTS).expect("sound");
+    day.length = Time(Micros(8_000_000));
+    let report = played_day(&day, 1, None);
+    assert!(report.kept(), "{:?}", report.breaches);
+    assert!(report.failed_calls > 100 && report.served > 500, "{report:?}");
+    let report = played_day(&day, 1, Some("lose"));
+    assert!(breaches(&report, "lost") > 0, "{report:?}");
+}
+
 #[test]
 fn the_captures_of_a_day_replay_to_the_same_decisions() {
     let day = Day::parse("short", SHORT).expect("sound");
