pg-gateway: a failed request to the registry is repeated after 50 ms, then less often

Evidence: the registry sent the list with the drain at 15.007 s. The controller's log at 15.152: "the engine list is unavailable; keeping the previous list", reason "No route to host", so its connection broke with that list unread. It asked again half a second later, in vain as connects failed too, and got the list at 16.153; the query had gone out at 16.136.

Cause: a failed request was repeated only after the polling interval (0.5 s here, 1 s by default).

Fix: after 50 ms, doubled with each failure up to the polling interval, so a long outage costs a registry five requests more. Where the policy module subscribes to lists, it decides on the repetition as before.

Test: `a_failed_request_to_the_registry_is_repeated_soon_and_less_often_in_an_outage`, which failed before.

--- a/crates/pg-gateway/src/registry.rs
+++ b/crates/pg-gateway/src/registry.rs
@@ -15,6 +15,12 @@
 /// Time limit for a response, in addition to the waiting time of a long-polling request.
 const RESPONSE_TIMEOUT_US: i64 = 2_000_000;
 
+/// Time after which the first of several failed requests is repeated. It doubles with each failure, up to the polling interval. A list
+/// may have been on its way over a connection that broke, and queries must not be sent to engines that drain by it.
+const FIRST_RETRY_US: i64 = 50_000;
+/// Polling interval without a configured registry, in microseconds.
+const DEFAULT_POLL_INTERVAL_US: i64 = 1_000_000;
+
 /// The result of a request.
 pub(crate) enum RegistryUpdate {
     /// The body of an engine list.
@@ -37,6 +43,8 @@
     timer: Option<TimerKey>,
     /// The last request failed, which has been logged.
     pub is_unavailable: bool,
+    /// Number of requests that have failed since the last response.
+    failed_requests: u32,
     /// The driver requests the lists, so failed requests are not repeated here.
     driver_requests_lists: bool,
 }
@@ -52,6 +60,7 @@
             awaiting_response: false,
             timer: None,
             is_unavailable: false,
+            failed_requests: 0,
             driver_requests_lists: config.settings.subscribe,
         }
     }
@@ -135,6 +144,7 @@
                 .handle_failure(&format!("the registry responded with status {}", response.status), out);
         }
         (self.is_unavailable, self.awaiting_response) = (false, false);
+        self.failed_requests = 0;
         // A long-polling request is repeated after this delay, which limits the rate if the registry
         // responds at once.
         let delay = match self.registry.map(|registry| (registry.refresh, registry.poll_interval.0)) {
@@ -161,8 +171,16 @@
             out.cancel_timer(&mut self.timer);
             return Some(RegistryUpdate::Unavailable);
         }
-        let poll_interval = self.registry.map_or(1_000_000, |registry| registry.poll_interval.0);
-        out.reset_timer(&mut self.timer, poll_interval, TimerEvent::RegistryRequest);
+        let delay = self.retry_delay_us();
+        self.failed_requests = self.failed_requests.saturating_add(1);
+        out.reset_timer(&mut self.timer, delay, TimerEvent::RegistryRequest);
         None
     }
+
+    fn retry_delay_us(&self) -> i64 {
+        let poll_interval =
+            self.registry.map_or(DEFAULT_POLL_INTERVAL_US, |registry| registry.poll_interval.0);
+        let doublings = self.failed_requests.min(i64::BITS / 4);
+        (FIRST_RETRY_US << doublings).min(poll_interval)
+    }
 }
--- a/crates/pg-gateway/tests/list_age.rs
+++ b/crates/pg-gateway/tests/list_age.rs
@@ -53,3 +53,30 @@
     harness.advance(MAX_WAIT_US);
     assert_eq!(message_types(&harness.received(client)[before..]), "TDCZ");
 }
+
+/// Regression test: a connection to the registry broke with a list on its way, and the next request followed only after the polling
+/// interval. With connects that failed as well, a query was sent to an engine 1.13 s after the registry had told of its drain.
+#[test]
+fn a_failed_request_to_the_registry_is_repeated_soon_and_less_often_in_an_outage() {
+    const POLL_INTERVAL_US: i64 = 1_000_000;
+    let (mut harness, _) = harness_with_client();
+    harness.advance(POLL_INTERVAL_US + 100_000);
+    for outage_us in [0, 10 * POLL_INTERVAL_US] {
+        let ends_at = harness.now + outage_us;
+        let request = harness.registry_request.take().expect("a polled registry");
+        harness.apply_step(Step::ConnectionBroken(request));
+        harness.run_until_idle();
+        harness.advance(60_000);
+        let mut requests = 0;
+        while let Some(request) = harness.registry_request.take_if(|_| harness.now < ends_at) {
+            requests += 1;
+            harness.apply_step(Step::ConnectionBroken(request));
+            harness.run_until_idle();
+            harness.advance(POLL_INTERVAL_US);
+        }
+        assert!(requests <= 16, "{requests} requests in {outage_us} us");
+        assert!(harness.registry_request.is_some(), "no request within 60 ms of the failure");
+        harness.answer_registry(&registry_list(1, "up"));
+        harness.advance(POLL_INTERVAL_US + 100_000);
+    }
+}
