soak: the judge counts what it passes over, and says when a run is not conclusive

Need: an excuse in the judge hides a fault as well as it explains one, and nobody saw how many there were.

Change: each violation that is passed over is counted by invariant and reason, with the longest time that was granted beyond the terms of the platform: kills, blocked or suspended processes, late or delayed bytes, late lists, and delays of the test. The report prints them. With more than 1 in 100 requests it says "not conclusive" in place of a clean result.

Tests: `each_violation_that_is_passed_over_is_counted_with_the_time_that_was_granted`, `a_run_in_which_more_than_one_request_in_a_hundred_is_excused_is_not_conclusive`.

--- a/crates/soak/src/judge/mod.rs
+++ b/crates/soak/src/judge/mod.rs
@@ -2,10 +2,11 @@
 //!
 //! The limits include slack for what the test cannot time more precisely. What a fault of the plan
 //! excuses is bounded: `bounds` holds the bounds for delayed bytes and processes, `list_updates`
-//! those for the executor lists of the name service. Violations that a delay of the test itself can
-//! explain are counted separately.
+//! those for the executor lists of the name service. Each violation that is passed over for that, or
+//! for a delay of the test itself, is counted (`excuses`).
 
 mod bounds;
+mod excuses;
 mod list_updates;
 mod processes;
 mod slow_start;
@@ -14,6 +15,9 @@
     ControllerChange, ExecutorChange, Receipt, Records, RequestEnd, RequestId, RequestRecord,
 };
 use crate::settings::{Class, DRAIN_GRACE_US};
+pub use excuses::{Excuse, ExcuseCount, ExcuseReason, Excuses};
+use list_updates::SendLimit;
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::fmt;
 
@@ -110,10 +114,24 @@
     pub violations: Vec<Violation>,
     /// Numbers of requests by outcome.
     pub totals: Totals,
+    /// The violations that were passed over.
+    pub excuses: Excuses,
     /// The number of faults that were in force.
     pub faults: usize,
 }
 
+impl Verdict {
+    /// Whether no invariant was violated, and so few violations were passed over that this says something about the controllers.
+    pub fn is_clean(&self) -> bool {
+        self.violations.is_empty() && self.is_conclusive()
+    }
+
+    /// Whether few violations were passed over.
+    pub fn is_conclusive(&self) -> bool {
+        self.excuses.are_few(self.totals.requests)
+    }
+}
+
 /// Checks the records of a run against all invariants.
 pub fn judge(records: &Records) -> Verdict {
     let judge = Judge::new(records);
@@ -129,6 +147,10 @@
         .into_iter()
         .partition(|violation| judge.is_explained_by_test_delay(violation));
     violations.sort_by_key(|violation| violation.at);
+    for violation in &excused {
+        let granted_us = violation.excess_us.unwrap_or(0);
+        judge.excuse(violation.invariant, ExcuseReason::TestDelay, granted_us);
+    }
     let totals = Totals {
         not_judged: excused.len(),
         ..totals(records)
@@ -136,6 +158,7 @@
     Verdict {
         violations,
         totals,
+        excuses: judge.excuses.into_inner(),
         faults: records.faults.len(),
     }
 }
@@ -169,6 +192,7 @@
     kills: Vec<Vec<(i64, i64)>>,
     /// For each controller, when it was killed because it had not ended in time.
     overdue_kills: Vec<Vec<i64>>,
+    excuses: RefCell<Excuses>,
 }
 
 impl<'a> Judge<'a> {
@@ -204,9 +228,23 @@
             suspensions,
             kills,
             overdue_kills,
+            excuses: RefCell::default(),
         }
     }
 
+    /// Records that a violation was passed over, and the time that was granted for it.
+    fn excuse(&self, invariant: Invariant, reason: ExcuseReason, granted_us: i64) {
+        self.excuses
+            .borrow_mut()
+            .push(invariant, reason, granted_us);
+    }
+
+    /// Records an excuse of the answer to a request that is no span of time. Returns that there is no violation.
+    fn excuse_answer(&self, reason: ExcuseReason) -> Option<Violation> {
+        self.excuse(Invariant::Answer, reason, 0);
+        None
+    }
+
     /// Whether a violation can come from a delay of the test itself.
     fn is_explained_by_test_delay(&self, violation: &Violation) -> bool {
         let is_timed = !matches!(violation.invariant, Invariant::Repeat | Invariant::Guard);
@@ -240,8 +278,14 @@
     /// Each request has one complete answer, no later than half a second after it is due.
     fn answers(&self, found: &mut Vec<Violation>) {
         for request in &self.records.requests {
-            let violation = self.answer_violation(request);
-            found.extend(violation.filter(|_| !self.was_killed(request)));
+            let Some(violation) = self.answer_violation(request) else {
+                continue;
+            };
+            if self.was_killed(request) {
+                self.excuse(Invariant::Answer, ExcuseReason::Killed, 0);
+            } else {
+                found.push(violation);
+            }
         }
         for (id, at) in &self.records.unsolicited_answers {
             let description = "more than one answer".to_string();
@@ -270,9 +314,15 @@
         match request.end {
             RequestEnd::Abandoned | RequestEnd::CutByProxy | RequestEnd::NotSent => None,
             RequestEnd::CrossedClose => None,
-            RequestEnd::Lost if self.arrived_after_grace(request) => None,
-            RequestEnd::Lost if self.may_be_shut_out(request) => None,
-            RequestEnd::Lost if self.was_killed_soon_after_suspension(request) => None,
+            RequestEnd::Lost if self.arrived_after_grace(request) => {
+                self.excuse_answer(ExcuseReason::ArrivedAfterGrace)
+            }
+            RequestEnd::Lost if self.may_be_shut_out(request) => {
+                self.excuse_answer(ExcuseReason::ShutOut)
+            }
+            RequestEnd::Lost if self.was_killed_soon_after_suspension(request) => {
+                self.excuse_answer(ExcuseReason::KilledAfterSuspension)
+            }
             RequestEnd::Lost => violation(None, "its connection ended without an answer".into()),
             RequestEnd::Unreadable => violation(
                 None,
@@ -280,11 +330,19 @@
             ),
             RequestEnd::Silent => violation(None, "no answer".into()),
             RequestEnd::Answered(200 | 500 | 503 | 409) => {
-                let latest_at = self.answer_due_at(request) + ANSWER_SLACK_US + SOCKET_SLACK_US;
-                let late = request.ended_at - latest_at - TIMING_SLACK_US - request.held_up_us;
+                let slack_us = ANSWER_SLACK_US + SOCKET_SLACK_US + TIMING_SLACK_US;
+                let late =
+                    request.ended_at - self.answer_due_at(request) - slack_us - request.held_up_us;
+                let deadline = request.sent_at + request.timeout_us;
+                let granted_us = request.ended_at - deadline - slack_us;
+                if late <= 0 && granted_us > 0 {
+                    self.excuse(Invariant::Answer, ExcuseReason::Blocked, granted_us);
+                }
                 (late > 0).then(|| violation(Some(late), format!("answered {late} us too late")))?
             }
-            RequestEnd::Answered(408) if self.was_overdue(request) => None,
+            RequestEnd::Answered(408) if self.was_overdue(request) => {
+                self.excuse_answer(ExcuseReason::SlowArrival)
+            }
             RequestEnd::Answered(status) => violation(None, format!("answered with {status}")),
         }
     }
@@ -322,12 +380,17 @@
             if event.change == ExecutorChange::Started {
                 continue;
             }
-            let may_send_until: Vec<i64> = (0..self.records.controllers)
+            let may_send_until: Vec<SendLimit> = (0..self.records.controllers)
                 .map(|controller| self.may_send_until(controller, event))
                 .collect();
             let receipts = self.records.receipts.iter();
             for receipt in receipts.filter(|r| r.executor == event.executor) {
-                let past = receipt.at - may_send_until[receipt.id.controller()];
+                let limit = may_send_until[receipt.id.controller()];
+                let past = receipt.at - limit.granted;
+                if past <= 0 && receipt.at > limit.stated {
+                    let granted_us = receipt.at - limit.stated;
+                    self.excuse(Invariant::Drain, ExcuseReason::DelayedList, granted_us);
+                }
                 if past > 0 {
                     let (executor, change) = (event.executor, event.change);
                     let description = format!(
@@ -357,6 +420,10 @@
             let has_left = request.end == RequestEnd::Abandoned;
             let known_at = request.ended_at + delay_us;
             let after = receipt.at - known_at - DISCONNECT_SLACK_US - TIMING_SLACK_US;
+            if has_left && after <= 0 && after + delay_us > 0 {
+                let granted_us = after + delay_us;
+                self.excuse(Invariant::Departure, ExcuseReason::DelayedBytes, granted_us);
+            }
             if has_left && after > 0 {
                 let description =
                     format!("attempt began {after} us too long after its client disconnected");
@@ -369,8 +436,12 @@
                 ));
             }
             let left = request.sent_at + request.timeout_us - receipt.at;
-            let slack_us = LIMIT_SLACK_US + SOCKET_SLACK_US + delay_us + request.held_up_us;
-            let excess = receipt.limit_us - left - slack_us;
+            let delayed_us = delay_us + request.held_up_us;
+            let excess = receipt.limit_us - left - LIMIT_SLACK_US - SOCKET_SLACK_US - delayed_us;
+            if !has_left && excess <= 0 && excess + delayed_us > 0 {
+                let granted_us = excess + delayed_us;
+                self.excuse(Invariant::Limit, ExcuseReason::DelayedBytes, granted_us);
+            }
             if excess > 0 && !has_left {
                 let (limit, pipelined) = (receipt.limit_us, request.is_pipelined);
                 let description = format!(
--- a/crates/soak/src/judge/processes.rs
+++ b/crates/soak/src/judge/processes.rs
@@ -1,7 +1,7 @@
 //! Controller processes end when they are asked to and become ready soon, and their own invariant
 //! checks report nothing.
 
-use super::{Invariant, Judge, Violation};
+use super::{ExcuseReason, Invariant, Judge, Violation};
 use crate::ledger::{ControllerChange, RequestId};
 use std::collections::BTreeSet;
 
@@ -51,7 +51,9 @@
                     ControllerChange::Overdue => {
                         was_overdue = true;
                         let asked_at = terminated_at.unwrap_or(event.at);
-                        if !self.may_be_overdue(controller, asked_at, event.at) {
+                        if self.may_be_overdue(controller, asked_at, event.at) {
+                            self.excuse(Invariant::Process, ExcuseReason::Overdue, 0);
+                        } else {
                             violate(event.at, "had not ended in time and was killed".into());
                         }
                     }
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -2,7 +2,7 @@
 //! violate it are reported.
 
 use std::time::Duration;
-use wheelfield_soak::judge::{judge, Invariant};
+use wheelfield_soak::judge::{judge, ExcuseCount, ExcuseReason, Invariant};
 use wheelfield_soak::ledger::{
     ControllerChange, ControllerEvent, ExecutorChange, ExecutorEvent, FaultRecord,
     NameServiceFault, Receipt, Records, RequestEnd, RequestId, RequestRecord,
@@ -584,3 +584,82 @@
         .filter(|pair| pair[1].from < pair[0].until);
     assert!(overlapping.count() * 2 > faults.len());
 }
+
+/// The number and longest span of the excuses of one kind.
+fn excused(records: &Records, invariant: Invariant, reason: ExcuseReason) -> ExcuseCount {
+    let kinds = judge(records).excuses.by_kind();
+    kinds.get(&(invariant, reason)).copied().unwrap_or_default()
+}
+
+#[test]
+fn each_violation_that_is_passed_over_is_counted_with_the_time_that_was_granted() {
+    let mut blocked = records();
+    blocked.requests.push(RequestRecord {
+        ended_at: 13 * SECOND,
+        ..request(1, Class::Repeatable, RequestEnd::Answered(200))
+    });
+    blocked.faults.push(FaultRecord {
+        blocks_answers: true,
+        ..fault(10 * SECOND, 12 * SECOND + 900_000)
+    });
+    let count = excused(&blocked, Invariant::Answer, ExcuseReason::Blocked);
+    // The deadline is at 11 s, and answers have 0.65 s of slack.
+    let expected = ExcuseCount {
+        count: 1,
+        longest_us: 1_350_000,
+    };
+    assert_eq!(count, expected);
+
+    let mut killed = records();
+    killed
+        .requests
+        .push(request(1, Class::Repeatable, RequestEnd::Lost));
+    push_controller_event(&mut killed, ControllerChange::Killed, 10 * SECOND);
+    let count = excused(&killed, Invariant::Answer, ExcuseReason::Killed);
+    assert_eq!(count.count, 1);
+
+    let mut slow = records();
+    slow.executors.push(ExecutorEvent {
+        executor: 3,
+        change: ExecutorChange::Gone,
+        serial: 7,
+        at: 5 * SECOND,
+    });
+    slow.requests
+        .push(request(1, Class::Repeatable, RequestEnd::Answered(200)));
+    slow.receipts.push(receipt(1, 3, 10 * SECOND + 40_000));
+    slow.faults.push(FaultRecord {
+        name_service_fault: Some(NameServiceFault::Slow(4 * SECOND)),
+        ..fault(5 * SECOND, 11 * SECOND)
+    });
+    let count = excused(&slow, Invariant::Drain, ExcuseReason::DelayedList);
+    // Told after 1.5 s by the platform's terms, and 1.15 s of grace and slack.
+    let expected = ExcuseCount {
+        count: 1,
+        longest_us: 2_390_000,
+    };
+    assert_eq!(count, expected);
+}
+
+#[test]
+fn a_run_in_which_more_than_one_request_in_a_hundred_is_excused_is_not_conclusive() {
+    let with = |requests: u64| {
+        let mut records = records();
+        for n in 1..=requests {
+            let end = match n {
+                1 => RequestEnd::Lost,
+                _ => RequestEnd::Answered(200),
+            };
+            records.requests.push(request(n, Class::Repeatable, end));
+        }
+        records
+            .test_delay_spans
+            .push((10 * SECOND, 10 * SECOND + 100_000));
+        judge(&records)
+    };
+    assert!(with(100).is_clean());
+    let verdict = with(99);
+    assert!(verdict.violations.is_empty());
+    assert!(!verdict.is_clean());
+    assert!(!verdict.is_conclusive());
+}
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -235,7 +235,7 @@
     json: bool,
 }
 
-/// Runs a soak test and prints its result. Returns whether no invariant was violated.
+/// Runs a soak test and prints its result. Returns whether no invariant was violated, also if the run is not conclusive.
 fn soak(args: SoakArgs) -> Result<bool> {
     let temporary = tempfile::tempdir()?;
     let options = SoakOptions {
@@ -260,7 +260,13 @@
         );
         violation.timeline.iter().for_each(|line| outln!("    {line}"));
     }
-    outln!("{} violations", verdict.violations.len());
+    outln!("{}", verdict.excuses);
+    let violations = verdict.violations.len();
+    if verdict.is_conclusive() {
+        outln!("{violations} violations");
+    } else {
+        outln!("not conclusive, as more than 1 in 100 requests were excused; {violations} violations");
+    }
     Ok(verdict.violations.is_empty())
 }
 
