--- a/crates/testbed/src/client_pool.rs
+++ b/crates/testbed/src/client_pool.rs
@@ -1,8 +1,8 @@
 //! The sockets of the clients of a run, and the attempts of their queries.
 
 use crate::client_model::{ClientAction, ClientModel};
+use crate::cluster::ControllerChange;
 use crate::plan::{Arrival, Plan};
-use crate::stage::Change;
 use anyhow::Result;
 use mio::{Events, Poll, Token};
 use serde::Serialize;
@@ -152,7 +152,7 @@
     clients: ClientModel<'a>,
     start: i64,
     addresses: Vec<Option<SocketAddr>>,
-    changes: Receiver<Change>,
+    changes: Receiver<ControllerChange>,
     sockets: HashMap<ConnId, Socket>,
     scratch: Vec<u8>,
     actions: Vec<ClientAction>,
@@ -167,7 +167,7 @@
         plan: &'a Plan,
         settings: ClientSettings,
         controllers: usize,
-        changes: Receiver<Change>,
+        changes: Receiver<ControllerChange>,
         clock: Clock,
         start: i64,
     ) -> Result<ClientPool<'a>> {
@@ -196,11 +196,11 @@
             let now = self.clock.now();
             while let Ok(change) = self.changes.try_recv() {
                 match change {
-                    Change::Up(i, address) => {
+                    ControllerChange::Started(i, address) => {
                         self.clients.controller_up(i);
                         self.addresses[i] = Some(address);
                     }
-                    Change::Down(i) => self.clients.controller_down(i, now),
+                    ControllerChange::Ended(i) => self.clients.controller_down(i, now),
                 }
             }
             self.clients.handle_timers(now);
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -8,7 +8,8 @@
 //! - [`explore`]: thousands of drawn scenarios; failing ones are shrunk.
 //! - [`fleet`]: controllers with network faults between them, a relay between processes, and a check of what they believed.
 //! - [`report`]: a page with plots, and a summary.
-//! - [`stage`]: the processes of a run.
+//! - [`cluster`]: the engines and controllers of a run on processes.
+//! - [`processes`]: programs as child processes.
 //! - [`loopback_address`]: IP addresses for their sockets.
 //! - [`clients`]: how clients behave; no I/O.
 //! - [`virtual_time`]: a run in one process and in virtual time; no I/O.
@@ -25,6 +26,7 @@
 pub mod client_model;
 pub mod client_pool;
 pub mod clients;
+pub mod cluster;
 pub mod day;
 pub mod evidence;
 pub mod experiment;
@@ -35,9 +37,9 @@
 pub mod measure;
 pub mod plan;
 pub mod play;
+pub mod processes;
 pub mod report;
 pub mod series;
-pub mod stage;
 pub mod stats;
 pub mod system_faults;
 pub mod virtual_time;
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -17,7 +17,7 @@
 use wheelfield_testbed::explore::{self, Scenario};
 use wheelfield_testbed::fleet::script;
 use wheelfield_testbed::play::{self, Options};
-use wheelfield_testbed::stage;
+use wheelfield_testbed::processes;
 use wheelfield_testbed::stats::Verdict;
 use wheelfield_testbed::virtual_time::policy::Policy;
 use wheelfield_testbed::{measure, report};
@@ -244,7 +244,7 @@
         controllers: args.controllers as usize,
         clients_per_controller: args.clients as usize,
         executors: args.executors as usize,
-        program: stage::program("wheelfield-controller", None)?,
+        program: processes::program("wheelfield-controller", None)?,
         log_dir: args.logs.unwrap_or_else(|| temporary.path().to_path_buf()),
         planted_fault: args.plant,
     };
--- a/crates/testbed/src/measure.rs
+++ b/crates/testbed/src/measure.rs
@@ -1,9 +1,9 @@
 //! Measures the overhead of a controller: added latency, queries per second of one core, and memory of idle clients. Values
 //! that are compared are measured in one run, because different runs on a shared machine are not comparable.
 
+use crate::cluster::{Cluster, ClusterOptions, ControllerChange};
 use crate::day::Day;
 use crate::plan::Plan;
-use crate::stage::{Change, Setting, Stage};
 use anyhow::{ensure, Context, Result};
 use bytes::BytesMut;
 use hdrhistogram::Histogram;
@@ -248,7 +248,7 @@
         day.limits.insert(name.into(), toml::Value::Integer(value));
     }
     let plan = Plan::draw(&day, 1);
-    let setting = Setting {
+    let cluster_options = ClusterOptions {
         dir: dir.to_path_buf(),
         seed: 1,
         plant: None,
@@ -256,22 +256,25 @@
         capture: Some(1),
         programs: None,
         beside: None,
+        listen: None,
     };
-    let mut stage = Stage::set(&day, &plan, setting, Clock::start())?;
-    let controllers = stage.doors();
-    let [Change::Up(_, controller), Change::Up(_, capturing_controller)] = controllers[..] else {
+    let mut cluster = Cluster::start(&day, &plan, cluster_options, Clock::start())?;
+    let controllers = cluster.started_controllers();
+    let [ControllerChange::Started(_, controller), ControllerChange::Started(_, capturing_controller)] =
+        controllers[..]
+    else {
         anyhow::bail!("expected two running controllers")
     };
-    let engine: SocketAddr = stage.engine_addresses().first().context("no engine was started")?.parse()?;
-    let memory = |stage: &Stage| stage.usage(0).map_or(0.0, |(_, bytes)| bytes as f64 / 1_048_576.0);
-    let cpu = |stage: &Stage| stage.usage(0).map_or(0.0, |(cpu, _)| cpu);
-    let mut measurements = Measurements { empty_mb: memory(&stage), ..Measurements::default() };
+    let engine: SocketAddr = cluster.engine_addresses().first().context("no engine was started")?.parse()?;
+    let memory = |cluster: &Cluster| cluster.usage(0).map_or(0.0, |(_, bytes)| bytes as f64 / 1_048_576.0);
+    let cpu = |cluster: &Cluster| cluster.usage(0).map_or(0.0, |(cpu, _)| cpu);
+    let mut measurements = Measurements { empty_mb: memory(&cluster), ..Measurements::default() };
     let workload = simple_workload();
 
     // Idle clients are measured first, before load grows the controller's tables.
     let mut idle = LoadGenerator::new()?;
     idle.open(options.idle, controller, &workload)?;
-    (measurements.idle, measurements.idle_mb) = (options.idle, memory(&stage));
+    (measurements.idle, measurements.idle_mb) = (options.idle, memory(&cluster));
     drop(idle);
 
     // Latency: one query at a time, alternately direct and through the controller.
@@ -305,9 +308,9 @@
     for (workload, is_prepared) in [(simple_workload(), false), (prepared_workload(), true)] {
         let mut generator = LoadGenerator::new()?;
         generator.open(options.connections, controller, &workload)?;
-        let before = cpu(&stage);
+        let before = cpu(&cluster);
         let (done, took) = generator.load(options.seconds, &workload)?;
-        let used = (cpu(&stage) - before).max(0.01);
+        let used = (cpu(&cluster) - before).max(0.01);
         if is_prepared {
             measurements.rate_of_core_prepared = done as f64 / used;
         } else {
@@ -315,9 +318,9 @@
         }
     }
     if options.rounds > 0 {
-        measure_capture(&stage, [controller, capturing_controller], options, &mut measurements)?;
+        measure_capture(&cluster, [controller, capturing_controller], options, &mut measurements)?;
     }
-    stage.end()?;
+    cluster.end()?;
     Ok(measurements)
 }
 
@@ -328,13 +331,13 @@
 
 /// Alternates load between a controller with a capture and one without. Records ratios, because the machine's speed drifts.
 fn measure_capture(
-    stage: &Stage,
+    cluster: &Cluster,
     addresses: [SocketAddr; 2],
     options: MeasureOptions,
     measurements: &mut Measurements,
 ) -> Result<()> {
     let workload = simple_workload();
-    let cpu = |i: usize| stage.usage(i).map_or(0.0, |(cpu, _)| cpu);
+    let cpu = |i: usize| cluster.usage(i).map_or(0.0, |(cpu, _)| cpu);
     let mut generators = Vec::new();
     for address in addresses {
         let mut generator = LoadGenerator::new()?;
@@ -365,7 +368,7 @@
     let latency_ratio =
         |q: f64| histograms[1].value_at_quantile(q) as f64 / histograms[0].value_at_quantile(q).max(1) as f64;
     measurements.capture_latency = [latency_ratio(0.5), latency_ratio(0.99)];
-    let counter = |name: &str| stage.figure(1, name).unwrap_or(0) as f64;
+    let counter = |name: &str| cluster.figure(1, name).unwrap_or(0) as f64;
     let (lost, recorded) = (counter("capture_lost"), counter("capture_recorded"));
     measurements.capture_lost = lost / (lost + recorded).max(1.0);
     measurements.capture_bytes = counter("capture_bytes") / counter("queries_taken").max(1.0);
--- a/crates/testbed/src/plan.rs
+++ b/crates/testbed/src/plan.rs
@@ -39,7 +39,7 @@
 
 /// An action on the emulated engines, the registry or the controllers.
 #[derive(Clone, Debug, PartialEq)]
-pub enum StageAction {
+pub enum ClusterAction {
     /// Sets a fault of an emulated engine through its control port.
     Fault {
         /// Index of the engine.
@@ -90,7 +90,7 @@
     /// Queries, in order of their send times.
     pub arrivals: Vec<Arrival>,
     /// Actions with their times in microseconds from the start of the day, in order.
-    pub actions: Vec<(i64, StageAction)>,
+    pub actions: Vec<(i64, ClusterAction)>,
     /// Index of the kind, and the speed, of each engine.
     pub engines: Vec<(usize, f64)>,
     /// Troubles with their drawn parameters.
@@ -133,7 +133,7 @@
 struct TroubleScheduler<'a> {
     day: &'a Day,
     rng: Pcg64Mcg,
-    actions: Vec<(i64, StageAction)>,
+    actions: Vec<(i64, ClusterAction)>,
 }
 
 impl TroubleScheduler<'_> {
@@ -158,7 +158,7 @@
     }
 
     fn push_fault(&mut self, at: i64, engine: usize, kind: &'static str, value: f64) {
-        self.actions.push((at, StageAction::Fault { engine, kind, value }));
+        self.actions.push((at, ClusterAction::Fault { engine, kind, value }));
     }
 
     /// Draws faults of the operating system in a controller, each up to `longest` seconds long, one about every `interval`.
@@ -169,8 +169,8 @@
         while at < to {
             let fault = SystemFault::draw(&mut self.rng);
             let until = (at + micros(self.rng.random_range(0.1..1.0) * longest)).min(to);
-            self.actions.push((at, StageAction::BeginSystemFault(controller, fault)));
-            self.actions.push((until, StageAction::EndSystemFault(controller, fault)));
+            self.actions.push((at, ClusterAction::BeginSystemFault(controller, fault)));
+            self.actions.push((until, ClusterAction::EndSystemFault(controller, fault)));
             at += micros(interval * self.rng.random_range(0.5..1.5));
         }
     }
@@ -230,7 +230,7 @@
                 }
             }
             "flush" => targets.iter().for_each(|e| {
-                self.actions.push((from, StageAction::Fault { engine: *e, kind: "flush", value: 1.0 }))
+                self.actions.push((from, ClusterAction::Fault { engine: *e, kind: "flush", value: 1.0 }))
             }),
             "preempt" | "deploy" => {
                 let restarts =
@@ -246,25 +246,25 @@
                     self.push_fault(killed_at + micros(extra.max(0.2)), e, "start", 1.0);
                 }
             }
-            "discovery_down" => self.actions.push((from, StageAction::RegistryDown((to - from) / 1000))),
+            "discovery_down" => self.actions.push((from, ClusterAction::RegistryDown((to - from) / 1000))),
             "discovery_stale" => {
-                self.actions.push((from, StageAction::RegistryStale((size * 1e3) as i64)));
-                self.actions.push((to, StageAction::RegistryStale(0)));
+                self.actions.push((from, ClusterAction::RegistryStale((size * 1e3) as i64)));
+                self.actions.push((to, ClusterAction::RegistryStale(0)));
             }
             "balancer_roll" => {
                 let step = duration / targets.len().max(1) as i64;
                 for (i, c) in targets.iter().enumerate() {
                     let at = from + step * i as i64;
-                    self.actions.push((at, StageAction::KillController(*c)));
-                    self.actions.push((at + micros(size), StageAction::StartController(*c)));
+                    self.actions.push((at, ClusterAction::KillController(*c)));
+                    self.actions.push((at + micros(size), ClusterAction::StartController(*c)));
                 }
             }
             "balancer_stall" => {
                 for c in targets.clone() {
                     let mut at = from + self.rng.random_range(0..micros(extra.max(0.1)));
                     while at < to {
-                        self.actions.push((at, StageAction::StallController(c)));
-                        self.actions.push((at + micros(size), StageAction::ResumeController(c)));
+                        self.actions.push((at, ClusterAction::StallController(c)));
+                        self.actions.push((at + micros(size), ClusterAction::ResumeController(c)));
                         at += micros(size + extra.max(0.1));
                     }
                 }
--- a/crates/testbed/src/play.rs
+++ b/crates/testbed/src/play.rs
@@ -1,12 +1,12 @@
-//! A day from its script to its verdict.
+//! Runs a day, on processes or in virtual time, checks the rules and summarizes the result.
 
 use crate::client_pool::{Attempt, ClientPool, ClientSettings};
+use crate::cluster::{apply_system_fault, Cluster, ClusterOptions, ControllerChange};
 use crate::day::Day;
 use crate::evidence::RunContext;
 use crate::fleet::judge::{self, MembershipHistory, Verdict};
 use crate::plan::Plan;
 use crate::series::Series;
-use crate::stage::{act_on_system, Setting, Stage};
 use crate::virtual_time::policy::Policy;
 use crate::virtual_time::{self, SimulationResult};
 use anyhow::{anyhow, Context, Result};
@@ -20,129 +20,129 @@
 use wheelfield_invariants::{parse_event_log, ClientOutcome, Violation, RULES};
 use wheelfield_net::Clock;
 
-/// The stage is set this long before the first query.
-const LEAD: i64 = 500_000;
-/// After the last fault between controllers they must come to one view within this; how soon they do is told.
-const AGREES_WITHIN: i64 = 120_000_000;
+/// Time between the start of the clients and the first query, in microseconds.
+const START_DELAY_US: i64 = 500_000;
+/// Time after the last fault between controllers within which their views must agree, in microseconds. The report has the actual time.
+const AGREEMENT_TIMEOUT_US: i64 = 120_000_000;
 
-/// How a day is to be played.
+/// Options of a run.
 #[derive(Clone, Debug, Default)]
 pub struct Options {
     /// Seed of the day.
     pub seed: u64,
-    /// Where logs go.
+    /// Directory for logs.
     pub dir: PathBuf,
     /// A fault planted in the controllers.
     pub plant: Option<String>,
-    /// What controllers log.
+    /// Log level of the controllers.
     pub log_level: String,
-    /// Controllers record what their drivers are told and answer, in files ending in .wfcap.
+    /// Controllers record the inputs and outputs of their drivers, in files ending in .wfcap.
     pub capture: bool,
-    /// Progress on standard error.
+    /// Shows no progress on standard error.
     pub quiet: bool,
-    /// Where the programs are; beside this one if it is not said.
+    /// Directory of the programs; `None` for that of the running program.
     pub programs: Option<PathBuf>,
-    /// Where the controller of another build is, that every second one runs.
+    /// Directory of a controller of another build, which every second controller runs.
     pub beside: Option<PathBuf>,
 }
 
-/// What became of a class.
+/// The results of a class of queries.
 #[derive(Clone, Debug, Default, Serialize)]
-pub struct OfClass {
+pub struct ClassReport {
     /// Its name.
     pub class: String,
-    /// Queries, further tries not counted.
+    /// Number of queries; retries do not count.
     pub queries: u64,
-    /// Share of its worth that was answered in time.
+    /// Share of the value of its queries that was answered in time.
     pub service: f64,
-    /// Queries whose last try was served,
+    /// Number of queries whose last attempt was served.
     pub served: u64,
-    /// refused,
+    /// Number of queries whose last attempt was rejected.
     pub refused: u64,
-    /// failed.
+    /// Number of queries whose last attempt failed.
     pub failed: u64,
-    /// Latency of served tries, in milliseconds: the half,
+    /// Median latency of served attempts, in milliseconds.
     pub p50_ms: f64,
-    /// ninety-nine in a hundred.
+    /// 99th percentile of the latency of served attempts, in milliseconds.
     pub p99_ms: f64,
 }
 
-/// What became of a day.
+/// The results of a day.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Report {
     /// The day's name.
     pub day: String,
     /// Its seed.
     pub seed: u64,
-    /// Tries sent to controllers.
+    /// Number of attempts that clients sent to controllers.
     pub queries: u64,
-    /// Final answers that came.
+    /// Number of final answers.
     pub answers: u64,
-    /// Of them served,
+    /// Number of answers with a result.
     pub served: u64,
-    /// refused,
+    /// Number of rejections.
     pub refused: u64,
-    /// failed.
+    /// Number of failures.
     pub failed: u64,
-    /// Tries without an answer: their clients left, or their controller was killed or not there.
+    /// Number of attempts without an answer: the client disconnected, or the controller was killed or not running.
     pub unanswered: u64,
-    /// Share of all worth that was answered in time.
+    /// Share of the value of all queries that was answered in time.
     pub service: f64,
-    /// Breaches of each rule.
+    /// Number of violations of each rule.
     pub rules: BTreeMap<&'static str, u64>,
-    /// By class.
-    pub classes: Vec<OfClass>,
+    /// The results by class.
+    pub classes: Vec<ClassReport>,
     /// 99th percentile of how late clients sent their queries, in milliseconds.
     pub sent_late_p99_ms: f64,
-    /// The largest multiple of what it could do that a cold engine was sent within the span of rule 4; that rule has a bound.
+    /// Largest multiple of its capacity that an engine in slow start was sent within the window of rule 4, which bounds it.
     pub cold_peak: f64,
     /// Processor seconds of all controllers.
     pub controller_cpu_s: f64,
     /// System calls of controllers that failed by a fault of the script.
     pub failed_calls: u64,
-    /// The first breaches.
+    /// The first violations.
     pub breaches: Vec<Violation>,
-    /// What the controllers believed of each other, where the script tells of roads between them.
+    /// The membership views of the controllers, if the script has faults of the network between them.
     #[serde(skip_serializing_if = "Option::is_none")]
-    pub fleet: Option<OfFleet>,
+    pub fleet: Option<FleetReport>,
 }
 
-/// What became of a fleet whose roads had faults.
+/// The results of a fleet with faults of the network between controllers.
 #[derive(Clone, Debug, Default, Serialize)]
-pub struct OfFleet {
-    /// What was believed.
+pub struct FleetReport {
+    /// Whether the views were right.
     pub verdict: Verdict,
-    /// After the last fault all processes came to one view, with a number of its own for each.
+    /// After the last fault all processes had the same view, and different indexes.
     pub agreed: bool,
-    /// From the end of the last fault to the last thing that any process learned of another, in milliseconds.
+    /// Time from the end of the last fault to the last change of a view, in milliseconds.
     pub settled_ms: f64,
-    /// Suspicions that the processes which run at the end raised by their own looks, for a member and hour.
+    /// Suspicions that the processes running at the end raised by their own probes, for each member and hour.
     pub suspicions: f64,
-    /// Bytes of gossip sent a second, by a member.
+    /// Bytes of gossip that a member sends per second.
     pub bytes: f64,
-    /// Words that the processes which run at the end heard, did not take, and held back by a ceiling.
+    /// Reports of others that the processes running at the end received, did not accept, and held back at their limit.
     pub words: [u64; 3],
-    /// Datagrams that a road lost, cut off, crowded out, doubled or spoilt.
+    /// Datagrams that faults of the network dropped, delayed beyond a queue, duplicated or corrupted.
     pub hurt: u64,
 }
 
 impl Report {
-    /// All rules were kept.
+    /// Returns whether no rule was violated and the views were right.
     pub fn kept(&self) -> bool {
         let fleet = self.fleet.as_ref().is_none_or(|f| f.agreed && f.verdict.passed());
         fleet && self.rules.values().all(|n| *n == 0)
     }
 }
 
-/// Plays a day.
+/// Runs a day on processes.
 ///
 /// # Errors
-/// If the stage can't be set, or comes down by itself.
+/// If a process does not start, or ends by itself.
 pub fn play(day: &Day, options: &Options) -> Result<Report> {
     Ok(play_with_series(day, options)?.0)
 }
 
-/// The same, with its course.
+/// The same, with the results over time.
 ///
 /// # Errors
 /// As [`play`].
@@ -150,11 +150,11 @@
 pub fn play_with_series(day: &Day, options: &Options) -> Result<(Report, Series)> {
     let plan = Plan::draw(day, options.seed);
     let clock = Clock::start();
-    let setting = Setting {
+    let cluster_options = ClusterOptions {
         dir: options.dir.clone(),
         seed: options.seed,
         plant: options.plant.clone(),
-        // Who suspects whom is the judge's evidence.
+        // The views are checked by the log lines about suspicions.
         log_level: match day.roads.is_empty() {
             true => options.log_level.clone(),
             false => format!("{},wheelfield_pg_gateway::gossip=debug", options.log_level),
@@ -162,13 +162,14 @@
         capture: options.capture.then_some(0),
         programs: options.programs.clone(),
         beside: options.beside.clone(),
+        listen: None,
     };
-    let mut stage = Stage::set(day, &plan, setting, clock)?;
-    let start = clock.now() + LEAD;
+    let mut cluster = Cluster::start(day, &plan, cluster_options, clock)?;
+    let start = clock.now() + START_DELAY_US;
     let roads = plan.network_faults.clone().shifted_by(start);
-    stage.begin_roads(roads.clone())?;
+    cluster.start_network_faults(roads.clone())?;
     let (sender, receiver) = channel();
-    for change in stage.doors() {
+    for change in cluster.started_controllers() {
         sender.send(change).map_err(|_| anyhow!("the clients have ended"))?;
     }
     let settings = ClientSettings {
@@ -196,20 +197,20 @@
             );
         }
     };
-    // The blows fall from a thread of their own, as a process that starts must not hold up the clients.
-    let system_faults = stage.system_faults();
+    // Actions are carried out by threads of their own, as a process that starts must not delay the clients.
+    let system_faults = cluster.system_faults();
     let (tries, directed) = std::thread::scope(|scope| {
         let system_director = scope.spawn(|| -> Result<()> {
             for (at, action) in &plan.actions {
                 std::thread::sleep(clock.until(start + at));
-                act_on_system(action, &system_faults)?;
+                apply_system_fault(action, &system_faults)?;
             }
             Ok(())
         });
         let director = scope.spawn(|| -> Result<()> {
-            for (at, act) in &plan.actions {
+            for (at, action) in &plan.actions {
                 std::thread::sleep(clock.until(start + at));
-                for change in stage.act(act).with_context(|| format!("{act:?}"))? {
+                for change in cluster.apply(action).with_context(|| format!("{action:?}"))? {
                     // The clients may have finished already.
                     let _ = sender.send(change);
                 }
@@ -227,39 +228,42 @@
     }
     let tries = tries?;
     directed?;
-    let fleet = match stage.reached().map(<[_]>::to_vec) {
+    let fleet = match cluster.relay_addresses().map(<[_]>::to_vec) {
         Some(reached) => {
             let acts = plan.actions.iter().map(|(at, _)| start + at).max();
             let healed = roads.ends_at().max(acts).unwrap_or(start);
             std::thread::sleep(clock.until(healed));
-            let agreed = agree(&stage, clock);
+            let agreed = await_agreement(&cluster, clock);
             Some((
                 reached,
                 healed,
                 agreed,
-                summed(&stage, ["gossip_suspected", "words_heard", "words_untaken", "words_unsent"]),
+                sum_status_values(
+                    &cluster,
+                    ["gossip_suspected", "words_heard", "words_untaken", "words_unsent"],
+                ),
                 clock.now(),
             ))
         }
         None => None,
     };
-    stage.end()?;
-    let carried = stage.end_roads()?;
+    cluster.end()?;
+    let carried = cluster.stop_relay()?;
     let log_file = options.dir.join("engines.jsonl");
     let text =
         std::fs::read_to_string(&log_file).with_context(|| format!("cannot read {}", log_file.display()))?;
     let mut log = parse_event_log(&text)?;
-    if let Some(lists) = &stage.lists {
+    if let Some(lists) = &cluster.endpoint_file {
         let text = std::fs::read_to_string(lists.log())?;
         log.extend(parse_event_log(&text)?);
         log.sort_by_key(|l| l.at);
     }
     let settings = day.settings()?;
     let context = RunContext { day, settings: &settings, plan: &plan, start };
-    let (breaches, cold_peak) = context.check(&tries, &log, &stage.lives);
-    let mut report = sum_up(day, &plan, start, &tries, breaches);
-    (report.seed, report.cold_peak, report.controller_cpu_s) = (options.seed, cold_peak, stage.spent);
-    report.failed_calls = stage.failed_calls()?;
+    let (breaches, cold_peak) = context.check(&tries, &log, &cluster.lifetimes);
+    let mut report = summarize(day, &plan, start, &tries, breaches);
+    (report.seed, report.cold_peak, report.controller_cpu_s) = (options.seed, cold_peak, cluster.ended_cpu_s);
+    report.failed_calls = cluster.failed_calls()?;
     if let (Some((reached, healed, agreed, [suspicions, words @ ..], until)), Some(carried)) =
         (fleet, carried)
     {
@@ -270,7 +274,7 @@
         }
         let evidence = MembershipHistory {
             addresses: &reached,
-            lifetimes: &stage.lives,
+            lifetimes: &cluster.lifetimes,
             fault_schedule: &roads,
             starts_at: start,
             ends_at: until,
@@ -284,7 +288,7 @@
             .iter()
             .fold(wheelfield_network_faults::LinkCounters::default(), |sum, c| sum.merge(*c));
         let member_hours = day.controllers as f64 * (until - start) as f64 / 3.6e9;
-        report.fleet = Some(OfFleet {
+        report.fleet = Some(FleetReport {
             verdict: evidence.judge(&lines, day.patience()),
             agreed,
             settled_ms: (last - healed).max(0) as f64 / 1e3,
@@ -301,19 +305,18 @@
     Ok((report, series))
 }
 
-/// Figures of the controllers that run, added up.
-fn summed<const N: usize>(stage: &Stage, names: [&str; N]) -> [u64; N] {
-    let pages: Vec<_> = stage.running().into_iter().filter_map(|c| stage.status(c)).collect();
+/// Returns the sums of these status values over all running controllers.
+fn sum_status_values<const N: usize>(cluster: &Cluster, names: [&str; N]) -> [u64; N] {
+    let pages: Vec<_> = cluster.running_controllers().into_iter().filter_map(|c| cluster.status(c)).collect();
     names.map(|name| pages.iter().filter_map(|p| p["figures"][name].as_u64()).sum())
 }
 
-/// Waits until all controllers that run act on the same count, hear all of each other, and have a number each; false if they
-/// don't come to it in time.
-fn agree(stage: &Stage, clock: Clock) -> bool {
-    let until = clock.now() + AGREES_WITHIN;
-    let running = stage.running();
+/// Waits until all running controllers have the same view and different indexes. Returns whether they have in time.
+fn await_agreement(cluster: &Cluster, clock: Clock) -> bool {
+    let until = clock.now() + AGREEMENT_TIMEOUT_US;
+    let running = cluster.running_controllers();
     while clock.now() < until {
-        let told: Vec<_> = running.iter().filter_map(|c| stage.status(*c)).collect();
+        let told: Vec<_> = running.iter().filter_map(|c| cluster.status(*c)).collect();
         let figure = |t: &serde_json::Value, name: &str| t["figures"][name].as_u64();
         let one = |t: &serde_json::Value| {
             let alive = figure(t, "gossip_alive") == Some(running.len() as u64);
@@ -335,32 +338,32 @@
     false
 }
 
-/// Plays a day in virtual time.
+/// Runs a day in virtual time.
 ///
 /// # Errors
-/// The first fault of its script.
+/// The first error in its script.
 pub fn play_virtual(day: &Day, seed: u64, policy: Policy) -> Result<(Report, SimulationResult)> {
     let plan = Plan::draw(day, seed);
     let played = virtual_time::simulate(day, &plan, seed, policy)?;
     Ok((report_virtual(day, &plan, seed, &played)?, played))
 }
 
-/// What became of a day in virtual time.
+/// Summarizes a run in virtual time.
 ///
 /// # Errors
-/// The first fault of its script.
+/// The first error in its script.
 pub fn report_virtual(day: &Day, plan: &Plan, seed: u64, played: &SimulationResult) -> Result<Report> {
     let settings = day.settings()?;
     let start = virtual_time::first_arrival_time();
     let context = RunContext { day, settings: &settings, plan, start };
     let (breaches, cold_peak) = context.check(&played.tries, &played.log, &played.lifetimes);
-    let mut report = sum_up(day, plan, start, &played.tries, breaches);
+    let mut report = summarize(day, plan, start, &played.tries, breaches);
     (report.seed, report.cold_peak) = (seed, cold_peak);
     Ok(report)
 }
 
 #[expect(clippy::too_many_lines, reason = "to be split: docs/ROADMAP.md lists it")]
-fn sum_up(day: &Day, plan: &Plan, start: i64, tries: &[Attempt], breaches: Vec<Violation>) -> Report {
+fn summarize(day: &Day, plan: &Plan, start: i64, tries: &[Attempt], breaches: Vec<Violation>) -> Report {
     let mut report = Report { day: day.name.clone(), ..Report::default() };
     let mut latencies: Vec<Histogram<u64>> = day
         .classes
@@ -392,8 +395,8 @@
     }
     report.answers = report.served + report.refused + report.failed;
     report.sent_late_p99_ms = late.map_or(0.0, |h| h.value_at_quantile(0.99) as f64 / 1e3);
-    let mut classes: Vec<OfClass> =
-        day.classes.iter().map(|c| OfClass { class: c.name.clone(), ..OfClass::default() }).collect();
+    let mut classes: Vec<ClassReport> =
+        day.classes.iter().map(|c| ClassReport { class: c.name.clone(), ..ClassReport::default() }).collect();
     let (mut worth, mut got) = (vec![0.0; classes.len()], vec![0.0; classes.len()]);
     for (i, a) in plan.arrivals.iter().enumerate() {
         let (c, of) = (&day.classes[a.class], &mut classes[a.class]);
@@ -434,7 +437,7 @@
     report
 }
 
-/// The report for people.
+/// Prints a report as text.
 #[expect(clippy::too_many_lines, reason = "to be split: docs/ROADMAP.md lists it")]
 pub fn print(report: &Report, out: &mut impl std::io::Write) -> std::io::Result<()> {
     writeln!(out, "{} (seed {})", report.day, report.seed)?;
@@ -522,10 +525,10 @@
     Ok(())
 }
 
-/// Stays until a signal comes; gives the addresses of a controller and its stand-ins to whoever asks.
+/// Runs a controller and its engines until `stop` is set, and prints their addresses.
 ///
 /// # Errors
-/// If the stage can't be set.
+/// If a process does not start.
 pub fn stay(
     day: &Day,
     options: &Options,
@@ -533,7 +536,7 @@
     stop: &std::sync::atomic::AtomicBool,
 ) -> Result<()> {
     let plan = Plan::draw(day, options.seed);
-    let setting = Setting {
+    let cluster_options = ClusterOptions {
         dir: options.dir.clone(),
         seed: options.seed,
         plant: None,
@@ -541,10 +544,11 @@
         capture: None,
         programs: None,
         beside: None,
+        listen: Some(listen),
     };
-    let mut stage = Stage::set_at(day, &plan, setting, Clock::start(), Some(listen))?;
-    for change in stage.doors() {
-        if let crate::stage::Change::Up(_, address) = change {
+    let mut cluster = Cluster::start(day, &plan, cluster_options, Clock::start())?;
+    for change in cluster.started_controllers() {
+        if let ControllerChange::Started(_, address) = change {
             outln!(
                 "a controller listens on {address}; try: psql 'host={} port={} user=me dbname=lab'",
                 address.ip(),
@@ -552,7 +556,7 @@
             );
         }
     }
-    outln!("stand-in engines: {}", stage.engine_addresses().join(", "));
+    outln!("stand-in engines: {}", cluster.engine_addresses().join(", "));
     outln!(
         "hints ask for rows and work: select 1 /*rows='5',run_ms='200'*/; ^C ends it; logs in {}",
         options.dir.display()
@@ -560,5 +564,5 @@
     while !stop.load(std::sync::atomic::Ordering::Relaxed) {
         std::thread::sleep(Duration::from_millis(100));
     }
-    stage.end()
+    cluster.end()
 }
--- a/crates/testbed/src/virtual_time/mod.rs
+++ b/crates/testbed/src/virtual_time/mod.rs
@@ -15,7 +15,7 @@
 use crate::client_model::ClientModel;
 use crate::client_pool::{Attempt, ClientSettings};
 use crate::day::Day;
-use crate::plan::{Plan, StageAction};
+use crate::plan::{ClusterAction, Plan};
 use bytes::Bytes;
 pub use network::BASE_LATENCY;
 use network::{EndId, Network, NetworkEvent, NetworkFaults, ProcessId};
@@ -436,7 +436,7 @@
     fn apply_action(&mut self, i: usize) {
         let plan = self.plan;
         match &plan.actions[i].1 {
-            StageAction::Fault { engine, kind, value } => {
+            ClusterAction::Fault { engine, kind, value } => {
                 self.engines[*engine].inject_fault(kind, *value, self.now);
                 let drains = match *kind {
                     "drain" if *value > 0.0 => Some((Status::Draining, EngineStatus::Draining)),
@@ -460,17 +460,17 @@
                 self.apply_effects(ProcessId::Engine(*engine));
                 self.apply_effects(ProcessId::Registry);
             }
-            StageAction::RegistryDown(ms) => {
+            ClusterAction::RegistryDown(ms) => {
                 self.registry_server.registry.set_unavailable_until(self.now + ms * 1000)
             }
-            StageAction::RegistryStale(ms) => self.registry_delay = ms * 1000,
+            ClusterAction::RegistryStale(ms) => self.registry_delay = ms * 1000,
             // No operating system is simulated.
-            StageAction::BeginSystemFault(..) | StageAction::EndSystemFault(..) => {}
-            StageAction::KillController(c) => self.kill_controller(*c),
-            StageAction::StartController(c) => {
+            ClusterAction::BeginSystemFault(..) | ClusterAction::EndSystemFault(..) => {}
+            ClusterAction::KillController(c) => self.kill_controller(*c),
+            ClusterAction::StartController(c) => {
                 self.events.set(self.now + CONTROLLER_START_TIME, Event::StartController(*c));
             }
-            StageAction::StallController(c) => {
+            ClusterAction::StallController(c) => {
                 if self.gateways[*c].is_some() && self.withheld_events[*c].is_none() {
                     self.withheld_events[*c] = Some(Vec::new());
                     if let Some(lifetime) = self.lifetimes.iter_mut().rev().find(|l| l.controller == *c) {
@@ -478,7 +478,7 @@
                     }
                 }
             }
-            StageAction::ResumeController(c) => {
+            ClusterAction::ResumeController(c) => {
                 let Some(withheld) = self.withheld_events[*c].take() else { return };
                 let lifetime = self.lifetimes.iter_mut().rev().find(|l| l.controller == *c);
                 if let Some(last) = lifetime.and_then(|l| l.stalls.last_mut()) {
--- a/crates/testbed/tests/fleet.rs
+++ b/crates/testbed/tests/fleet.rs
@@ -13,7 +13,7 @@
     parse_log_line, MembershipEvent, MembershipHistory, MembershipLogEntry,
 };
 use wheelfield_testbed::fleet::script;
-use wheelfield_testbed::play::{play, play_virtual, OfFleet, Options, Report};
+use wheelfield_testbed::play::{play, play_virtual, FleetReport, Options, Report};
 use wheelfield_testbed::virtual_time::policy::Policy;
 
 fn day(text: &str) -> Day {
@@ -24,7 +24,7 @@
     day(include_str!("../fleets/short.toml"))
 }
 
-fn run_short_fleet(fault: Option<&str>) -> (Report, OfFleet) {
+fn run_short_fleet(fault: Option<&str>) -> (Report, FleetReport) {
     let dir = tempfile::tempdir().expect("a temporary directory");
     let options = Options {
         seed: 1,
--- a/crates/testbed/tests/membership.rs
+++ b/crates/testbed/tests/membership.rs
@@ -7,7 +7,7 @@
 use std::path::Path;
 use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
-use wheelfield_testbed::stage::{program, Process};
+use wheelfield_testbed::processes::{program, Process};
 
 const TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -56,10 +56,10 @@
     std::fs::write(dir.path().join("wrong-keys"), "7 ffffffffffffffffffffffffffffffff\n")
         .expect("a written file");
     let first_controller = start_controller(dir.path(), "c0", "");
-    let seed = format!("{:?}", first_controller.told["gossip"].as_str().expect("reported"));
+    let seed = format!("{:?}", first_controller.addresses["gossip"].as_str().expect("reported"));
     let mut controllers = vec![first_controller];
     controllers.extend((1..4).map(|n| start_controller(dir.path(), &format!("c{n}"), &seed)));
-    let reported = |p: &Process, name: &str| p.told[name].as_str().expect("reported").to_string();
+    let reported = |p: &Process, name: &str| p.addresses[name].as_str().expect("reported").to_string();
     let admins: Vec<String> = controllers.iter().map(|p| reported(p, "admin")).collect();
     let admins: Vec<&str> = admins.iter().map(String::as_str).collect();
     // All hear each other, and the program reports success.
--- a/crates/testbed/tests/processes.rs
+++ b/crates/testbed/tests/processes.rs
@@ -7,7 +7,7 @@
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
-use wheelfield_testbed::stage::Process;
+use wheelfield_testbed::processes::Process;
 
 const TIMEOUT: Duration = Duration::from_secs(30);
 const CONTROLLERS: usize = 2;
--- a/crates/testbed/tests/soak.rs
+++ b/crates/testbed/tests/soak.rs
@@ -7,7 +7,7 @@
 use wheelfield_soak::judge::{Invariant, Verdict};
 use wheelfield_soak::plan::{Deployment, Fault, Plan, PlannedFault, SignalSeries};
 use wheelfield_soak::SoakOptions;
-use wheelfield_testbed::stage;
+use wheelfield_testbed::processes;
 
 const CONTROLLERS: usize = 4;
 const LENGTH: Duration = Duration::from_secs(9);
@@ -38,7 +38,7 @@
         controllers: CONTROLLERS,
         clients_per_controller,
         executors: 6,
-        program: stage::program("wheelfield-controller", None).expect("built"),
+        program: processes::program("wheelfield-controller", None).expect("built"),
         log_dir: logs.path().to_path_buf(),
         planted_fault: plant.map(str::to_string),
     };
--- a/crates/testbed/tests/standard_output.rs
+++ b/crates/testbed/tests/standard_output.rs
@@ -3,7 +3,7 @@
 //! The programs are those that `cargo test` builds for the whole workspace.
 
 use std::process::{Command, Output, Stdio};
-use wheelfield_testbed::stage::program;
+use wheelfield_testbed::processes::program;
 
 const EXAMPLES: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/");
 
