--- a/crates/controller/tests/signals.rs
+++ b/crates/controller/tests/signals.rs
@@ -97,20 +97,25 @@
     file.expect("opened by the program")
 }
 
+/// Sends a signal to a program for PostgreSQL clients while it reads its configuration, and then completes the configuration.
+fn signal_during_startup(engines: &Engines, signal: Signal) -> PostgresProgram {
+    let folder = tempfile::tempdir().expect("a folder");
+    let pipe = folder.path().join("config");
+    create_pipe(&pipe);
+    let program = PostgresProgram::spawn(folder, &pipe, Stdio::piped());
+    let mut writer = open_for_writing(&pipe);
+    program.signal(signal);
+    std::thread::sleep(SIGNAL_DELIVERY);
+    let _ = writer.write_all(postgres_config(engines).as_bytes());
+    program
+}
+
 #[test]
 fn a_harmless_signal_while_the_configuration_of_postgresql_clients_is_read_does_not_end_the_start()
 {
     let engines = Engines::start(2);
     for signal in HARMLESS {
-        let folder = tempfile::tempdir().expect("a folder");
-        let pipe = folder.path().join("config");
-        create_pipe(&pipe);
-        let mut program = PostgresProgram::spawn(folder, &pipe, Stdio::piped());
-        let mut writer = open_for_writing(&pipe);
-        program.signal(signal);
-        std::thread::sleep(SIGNAL_DELIVERY);
-        let _ = writer.write_all(postgres_config(&engines).as_bytes());
-        drop(writer);
+        let mut program = signal_during_startup(&engines, signal);
         assert_eq!(program.exit_status(), None, "{signal:?}");
         program.wait_for_list();
         let mut client = RawClient::connect(program.address);
@@ -124,15 +129,7 @@
 fn a_request_to_shut_down_while_the_configuration_of_postgresql_clients_is_read_ends_with_0() {
     let engines = Engines::start(2);
     for signal in SHUTDOWN {
-        let folder = tempfile::tempdir().expect("a folder");
-        let pipe = folder.path().join("config");
-        create_pipe(&pipe);
-        let mut program = PostgresProgram::spawn(folder, &pipe, Stdio::piped());
-        let mut writer = open_for_writing(&pipe);
-        program.signal(signal);
-        std::thread::sleep(SIGNAL_DELIVERY);
-        let _ = writer.write_all(postgres_config(&engines).as_bytes());
-        drop(writer);
+        let mut program = signal_during_startup(&engines, signal);
         assert_eq!(program.wait_for_exit().code(), Some(0), "{signal:?}");
     }
 }
--- a/crates/testbed/src/cluster.rs
+++ b/crates/testbed/src/cluster.rs
@@ -1,6 +1,7 @@
 //! The processes of a day: emulated engines with their registry, and controllers. They are started, faults are injected into them, and
 //! they are ended by their ids.
 
+use crate::controller_addresses::ControllerAddresses;
 use crate::day::Day;
 use crate::fleet::relay::{Relay, RelayCounters};
 use crate::lists::EndpointFile;
@@ -9,14 +10,12 @@
 use crate::processes::{program, Process, BUILD_COMMAND};
 use anyhow::{bail, ensure, Context, Result};
 use rustix::process::Signal;
-use std::collections::BTreeMap;
 use std::io::{Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpStream, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use wheelfield::interface::Status;
-use wheelfield_child_process::Unshared;
 use wheelfield_fault_shim::{Call, FaultControl, CALL_FAULTS};
 use wheelfield_invariants::ProcessLifetime;
 use wheelfield_net::{http, retry_interrupted, Clock};
@@ -83,48 +82,6 @@
     pub listen: Option<SocketAddr>,
 }
 
-/// Addresses on which controllers receive datagrams from each other. A restarted controller keeps its own.
-#[derive(Debug)]
-struct ControllerAddresses {
-    /// Load reports; empty if the script has none.
-    peers: Vec<String>,
-    /// Gossip; empty if the script has none.
-    gossip: Vec<String>,
-    /// The sockets that hold the ports of controllers that have not started yet. Between the close of such a socket and the bind by the
-    /// controller nobody else can take the port: no other run uses this IP address, and no process that another thread starts has a copy
-    /// of the socket.
-    reserved: BTreeMap<usize, Vec<Unshared<UdpSocket>>>,
-}
-
-impl ControllerAddresses {
-    /// Reserves the ports of all controllers at once, so that none is given out twice.
-    fn reserve(day: &Day, ip: Ipv4Addr, relay: Option<&Relay>) -> Result<ControllerAddresses> {
-        let sends_reports = day.means.get("messages").and_then(toml::Value::as_bool) == Some(true);
-        let peer_sockets = bind_sockets(ip, if sends_reports { day.controllers } else { 0 })?;
-        let has_own_gossip = day.registry.gossip && relay.is_none();
-        let gossip_sockets = bind_sockets(ip, if has_own_gossip { day.controllers } else { 0 })?;
-        let peers = local_addresses(&peer_sockets)?;
-        let gossip = match relay {
-            Some(relay) => relay.addresses.iter().map(ToString::to_string).collect(),
-            None => local_addresses(&gossip_sockets)?,
-        };
-        let mut reserved: BTreeMap<usize, Vec<Unshared<UdpSocket>>> = BTreeMap::new();
-        let sockets = peer_sockets.into_iter().enumerate().chain(gossip_sockets.into_iter().enumerate());
-        for (controller, socket) in sockets {
-            reserved.entry(controller).or_default().push(Unshared::new(socket));
-        }
-        Ok(ControllerAddresses { peers, gossip, reserved })
-    }
-}
-
-fn bind_sockets(ip: Ipv4Addr, count: usize) -> std::io::Result<Vec<UdpSocket>> {
-    (0..count).map(|_| UdpSocket::bind((ip, 0))).collect()
-}
-
-fn local_addresses(sockets: &[UdpSocket]) -> std::io::Result<Vec<String>> {
-    sockets.iter().map(|socket| Ok(socket.local_addr()?.to_string())).collect()
-}
-
 /// Begins or ends a fault of the operating system. Other actions are not carried out. This does not wait for a controller that starts,
 /// as its start may wait for the end of such a fault.
 ///
@@ -183,7 +140,7 @@
         let incarnation = self.lifetimes.iter().filter(|l| l.controller == controller).count() as u64;
         let config = self.options.dir.join(format!("controller-{controller}.toml"));
         std::fs::write(&config, self.controller_config(controller, incarnation))?;
-        self.controller_addresses.reserved.remove(&controller);
+        self.controller_addresses.release(controller);
         let args = self.controller_arguments(controller, incarnation, &config);
         let log = self.options.dir.join(format!("controller-{controller}.jsonl"));
         let other_build = self.options.beside.as_deref().filter(|_| controller % 2 == 1);
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod client_pool;
 pub mod clients;
 pub mod cluster;
+mod controller_addresses;
 pub mod day;
 pub mod evidence;
 pub mod experiment;
