platform: why answers of the name service are ignored, and when the list is overdue, are logged

At debug level: the list, by serial number and age, by which a request was written, and why an attempt was not.

--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -94,11 +94,6 @@
             IgnoredAnswer::Older => "older",
         }
     }
-
-    /// Returns whether answers are ignored for this reason in normal operation.
-    pub fn is_expected(self) -> bool {
-        matches!(self, IgnoredAnswer::Older | IgnoredAnswer::Unsolicited)
-    }
 }
 
 /// A DNS client that polls the executor list from the name service.
@@ -271,6 +266,11 @@
     }
 }
 
+/// Returns the serial number in a datagram; `None` if it is not a DNS message or has none.
+pub fn serial_of(datagram: &[u8]) -> Option<u64> {
+    find_serial(&Message::from_vec(datagram).ok()?)
+}
+
 /// Returns the serial number of the list, which is that of the SOA record.
 fn find_serial(message: &Message) -> Option<u64> {
     message
--- a/crates/platform/src/dispatcher/attempts.rs
+++ b/crates/platform/src/dispatcher/attempts.rs
@@ -113,7 +113,14 @@
         // The client's deadline may pass before the driver's own timer fires.
         let is_writable = |query: &&InFlightQuery| may_write && now < query.client_deadline_at;
         let Some(in_flight) = self.in_flight.get(attempt.id.query).filter(is_writable) else {
-            debug!(id = %attempt.request, attempt = %attempt.id, "attempt not written");
+            debug!(
+                id = %attempt.request,
+                attempt = %attempt.id,
+                may_write,
+                executor = ?self.executors.engine_of_connection(connection),
+                listed = ?self.executors.listed_state_of_connection(connection),
+                "attempt not written"
+            );
             self.end_attempt(attempt.id, Outcome::NeverSent);
             return;
         };
@@ -143,6 +150,13 @@
             statement: &in_flight.statement,
         };
         let id = attempt.id;
+        debug!(
+            id = %attempt.request,
+            attempt = %id,
+            serial = self.discovery.serial(),
+            list_age_ms = self.list_freshness.list_age_us(now) / 1_000,
+            "executor chosen by list"
+        );
         self.executors
             .write_request(connection, attempt, &request, &mut self.out);
         self.record_written_work(connection, id);
--- a/crates/platform/src/dispatcher/lifecycle.rs
+++ b/crates/platform/src/dispatcher/lifecycle.rs
@@ -99,7 +99,7 @@
             clients = ?self.clients.counters,
             executors = ?self.executors.counters,
             abandonments = ?self.abandonments.counts,
-            ignored_answers = ?self.ignored_answers,
+            ignored_answers = %self.ignored_answers.total,
             violations = ?self.violations,
             "counters"
         );
--- a/crates/platform/src/dispatcher/mod.rs
+++ b/crates/platform/src/dispatcher/mod.rs
@@ -14,8 +14,9 @@
 use crate::abandonment::{AbandonmentCounts, Abandonments};
 use crate::bootstrap::{BootstrapConfig, ExecutorEndpoint};
 use crate::clients::Clients;
-use crate::discovery::{DiscoveryClient, IgnoredAnswer};
+use crate::discovery::DiscoveryClient;
 use crate::executors::{ConnectionLimits, Executors};
+use crate::ignored_answers::{IgnoredAnswers, IgnoredCounts};
 use crate::in_flight::InFlightQueries;
 use crate::invariants::{SlowStartGuard, SlowStartSettings, ViolationCounts};
 use crate::list_freshness::ListFreshness;
@@ -99,8 +100,7 @@
     counters_logged_at: i64,
     /// Number of policy log lines that may still be logged before the next log of the counters.
     policy_log_lines_left: u32,
-    /// Number of ignored answers of the name service, indexed by [`IgnoredAnswer`].
-    ignored_answers: [u64; IgnoredAnswer::COUNT],
+    ignored_answers: IgnoredAnswers,
 }
 
 impl Dispatcher {
@@ -164,7 +164,7 @@
             has_stopped: false,
             counters_logged_at: now,
             policy_log_lines_left: MAX_POLICY_LOG_LINES,
-            ignored_answers: [0; IgnoredAnswer::COUNT],
+            ignored_answers: IgnoredAnswers::default(),
         }
     }
 
@@ -240,9 +240,9 @@
         self.abandonments.counts
     }
 
-    /// Number of ignored answers of the name service, indexed by [`IgnoredAnswer`].
-    pub(crate) fn ignored_answers(&self) -> &[u64; IgnoredAnswer::COUNT] {
-        &self.ignored_answers
+    /// Numbers of ignored answers of the name service since the start of the process.
+    pub(crate) fn ignored_answers(&self) -> &IgnoredCounts {
+        &self.ignored_answers.total
     }
 
     /// The client of the name service.
--- a/crates/platform/src/dispatcher/topology.rs
+++ b/crates/platform/src/dispatcher/topology.rs
@@ -2,7 +2,7 @@
 
 use super::Dispatcher;
 use crate::bootstrap::ExecutorEndpoint;
-use crate::discovery::DiscoveryUpdate;
+use crate::discovery::{self, DiscoveryUpdate};
 use crate::executors::{ListChange, ListedExecutor};
 use crate::invariants::ListedState;
 use crate::list_freshness;
@@ -10,7 +10,7 @@
 use crate::timer_event::TimerEvent;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use tracing::{debug, info};
+use tracing::{info, warn};
 use wheelfield::interface::{EngineEntry, EngineId, Micros, PeerLoadReport, Status};
 use wheelfield_driver::Input;
 use wheelfield_sans_io::{DatagramSocket, Effect};
@@ -99,6 +99,7 @@
             gone = ?names(&change.removed),
             unconfirmed_ms = previous.map(|previous| (self.out.now - previous.confirmed_at) / 1_000),
             queries = previous.map(|previous| previous.queries),
+            ignored = %self.ignored_answers.since_accepted,
             "executor list replaced"
         );
     }
@@ -125,10 +126,29 @@
             self.out
                 .push(Effect::Send(DatagramSocket::Discovery, resolver, query));
         }
+        self.log_overdue_list();
         self.list_freshness.record_query(self.out.now);
         self.schedule_discovery();
     }
 
+    /// Logs once that the list has not been confirmed for too long, with what is known of the reason.
+    fn log_overdue_list(&mut self) {
+        let now = self.out.now;
+        if !self.list_freshness.report_overdue(now) {
+            return;
+        }
+        warn!(
+            serial = self.discovery.serial(),
+            service = %self.discovery.resolver(),
+            list_age_ms = self.list_freshness.list_age_us(now) / 1_000,
+            silence_ms = self.list_freshness.silence_us(now) / 1_000,
+            queries = self.discovery.queries_since_confirmed(),
+            unsent_queries = self.hold_counters().unsent_queries,
+            ignored = %self.ignored_answers.since_accepted,
+            "executor list overdue"
+        );
+    }
+
     fn schedule_discovery(&mut self) {
         let at = match self.has_injected(InjectedFault::PollAtFixedRate) {
             true => self.out.now + list_freshness::POLL_INTERVAL_US,
@@ -158,6 +178,7 @@
                     }
                     DiscoveryUpdate::Confirmed => self.log_late_confirmation(previous),
                 }
+                self.ignored_answers.end_series();
                 let end = self
                     .list_freshness
                     .record_answer(self.out.now, answer.query_sent_at);
@@ -165,9 +186,16 @@
                 self.schedule_discovery();
             }
             Err(reason) => {
-                self.ignored_answers[reason as usize] += 1;
-                if !reason.is_expected() {
-                    debug!(%reason, "name service answer ignored");
+                if self.ignored_answers.record(reason) {
+                    info!(
+                        %reason,
+                        service = %from,
+                        serial = self.discovery.serial(),
+                        answer_serial = discovery::serial_of(datagram),
+                        bytes = datagram.len(),
+                        ignored = %self.ignored_answers.since_accepted,
+                        "name service answers ignored"
+                    );
                 }
             }
         }
@@ -182,6 +210,7 @@
                 service = %self.discovery.confirmed_by(),
                 unconfirmed_ms = unconfirmed_us / 1_000,
                 queries = previous.queries,
+                ignored = %self.ignored_answers.since_accepted,
                 "executor list confirmed again"
             );
         }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -21,6 +21,7 @@
 mod executors;
 mod gateway;
 mod http_server;
+mod ignored_answers;
 mod in_flight;
 mod invariants;
 mod list_freshness;
--- a/crates/platform/src/list_freshness.rs
+++ b/crates/platform/src/list_freshness.rs
@@ -119,6 +119,8 @@
     unsent: Option<UnsentQueries>,
     /// The gap after which requests are being held, if any.
     gap: Option<PollingGap>,
+    /// Whether it was reported since the last answer that the list is overdue.
+    is_overdue_reported: bool,
     /// Maximum age at which the list may be used without being confirmed.
     max_list_age_us: i64,
 }
@@ -140,6 +142,7 @@
             burst_began_at: None,
             unsent: None,
             gap: None,
+            is_overdue_reported: false,
             max_list_age_us: drain_grace_us,
         }
     }
@@ -170,18 +173,40 @@
 
     /// If the list is too old, records a gap that ends now and returns it.
     fn record_gap_if_list_too_old(&mut self, now: i64) -> Option<PollingGap> {
-        let list_age_us = now - self.confirmed_at;
-        if list_age_us <= self.max_list_age_us {
+        if !self.is_overdue(now) {
             return None;
         }
         let gap = PollingGap {
-            list_age_us,
+            list_age_us: self.list_age_us(now),
             ended_at: now,
         };
         self.gap = Some(gap);
         Some(gap)
     }
 
+    /// Age of the list: the time since the last query was sent whose answer confirmed or replaced it, in microseconds.
+    pub fn list_age_us(&self, now: i64) -> i64 {
+        now - self.confirmed_at
+    }
+
+    /// Time since the last accepted answer arrived, in microseconds.
+    pub fn silence_us(&self, now: i64) -> i64 {
+        now - self.answered_at
+    }
+
+    /// Whether the list is older than it may be without being confirmed if this process could not refresh it, for the first time since
+    /// the last answer.
+    pub fn report_overdue(&mut self, now: i64) -> bool {
+        let was_reported = self.is_overdue_reported;
+        self.is_overdue_reported |= self.is_overdue(now);
+        self.is_overdue_reported && !was_reported
+    }
+
+    /// Whether the list is older than it may be without being confirmed if this process could not refresh it.
+    fn is_overdue(&self, now: i64) -> bool {
+        self.list_age_us(now) > self.max_list_age_us
+    }
+
     /// Records that a query could not be sent. Returns the gap if this starts one. If there is a gap already, its end is moved to
     /// now.
     pub fn record_unsent_query(&mut self, now: i64) -> Option<PollingGap> {
@@ -210,6 +235,7 @@
         self.answered_at = now;
         self.unanswered = 0;
         self.unsent = None;
+        self.is_overdue_reported = false;
         self.round_trips_us[self.answers % ROUND_TRIPS] = now - query_sent_at;
         self.answers = self.answers.wrapping_add(1);
         self.confirmed_at = self.confirmed_at.max(query_sent_at);
--- a/crates/platform/src/metrics.rs
+++ b/crates/platform/src/metrics.rs
@@ -184,8 +184,7 @@
             "discovery_answers_ignored_total",
             "Answers of the name service that were ignored, by reason.",
             "reason",
-            IgnoredAnswer::ALL
-                .map(|reason| (reason.name(), self.ignored_answers()[reason as usize])),
+            IgnoredAnswer::ALL.map(|reason| (reason.name(), self.ignored_answers().get(reason))),
         );
         let hold_counters = self.hold_counters();
         writer.write_counter(
