--- a/crates/controller/tests/rig/serving.rs
+++ b/crates/controller/tests/rig/serving.rs
@@ -3,6 +3,8 @@
 
 use super::{dns_answer, hit_response, Client, Executor, ExecutorConnection};
 use hickory_proto::op::Message;
+use hickory_proto::rr::RData;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -42,11 +44,41 @@
     }
 }
 
+/// Which part of a list the answers of a name service contain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerForm {
+    /// The whole list.
+    Complete,
+    /// All records, with the flag that says that some are missing.
+    Truncated,
+    /// The whole list without the address of this executor.
+    WithoutAddressOf(&'static str),
+}
+
+impl AnswerForm {
+    fn apply(self, answer: &mut Message) {
+        match self {
+            AnswerForm::Complete => {}
+            AnswerForm::Truncated => answer.metadata.truncation = true,
+            AnswerForm::WithoutAddressOf(name) => answer.additionals.retain(|record| {
+                let host = record.name.to_string();
+                !matches!(record.data, RData::A(_)) || !host.starts_with(&format!("{name}."))
+            }),
+        }
+    }
+}
+
+/// A list of executors and its serial number.
+type NumberedList = (u32, Vec<ListedExecutor>);
+
 /// The list that a name service publishes, and how it answers.
 struct NameServiceState {
     serial: u32,
     executors: Vec<ListedExecutor>,
     delay: Duration,
+    form: AnswerForm,
+    /// Lists that the next answers contain in place of the published one.
+    next_lists: VecDeque<NumberedList>,
     /// Number of the next answers that are dropped.
     answers_to_drop: usize,
     /// The serial number and the time of each answer sent.
@@ -70,6 +102,8 @@
             serial,
             executors: executors.to_vec(),
             delay: Duration::ZERO,
+            form: AnswerForm::Complete,
+            next_lists: VecDeque::new(),
             answers_to_drop: 0,
             sent: Vec::new(),
             queries: 0,
@@ -100,6 +134,22 @@
         self.state().delay = delay;
     }
 
+    /// Answers queries in this form from now on.
+    pub fn set_answer_form(&self, form: AnswerForm) {
+        self.state().form = form;
+    }
+
+    /// Answers the next query with this list, and the ones after it as before.
+    pub fn answer_next_with(&self, serial: u32, executors: &[ListedExecutor]) {
+        let list = (serial, executors.to_vec());
+        self.state().next_lists.push_back(list);
+    }
+
+    /// Whether the lists of [`AutomaticNameService::answer_next_with`] were sent.
+    pub fn has_sent_next_lists(&self) -> bool {
+        self.state().next_lists.is_empty()
+    }
+
     /// Drops the next answers.
     pub fn drop_answers(&self, answers: usize) {
         self.state().answers_to_drop = answers;
@@ -139,14 +189,16 @@
             if state.answers_to_drop > 0 {
                 state.answers_to_drop -= 1;
             } else {
-                let executors: Vec<_> = state
-                    .executors
+                let published = (state.serial, state.executors.clone());
+                let (serial, list) = state.next_lists.pop_front().unwrap_or(published);
+                let executors: Vec<_> = list
                     .iter()
                     .map(|e| (e.name, e.address, e.is_draining))
                     .collect();
-                let bytes = dns_answer(&query, state.serial, &executors).to_vec();
+                let mut answer = dns_answer(&query, serial, &executors);
+                state.form.apply(&mut answer);
                 let due = Instant::now() + state.delay;
-                pending.push((due, from, state.serial, bytes.expect("bytes")));
+                pending.push((due, from, serial, answer.to_vec().expect("bytes")));
             }
         }
         let now = Instant::now();
@@ -187,6 +239,11 @@
         let received = self.received.lock().expect("an executor");
         received.iter().filter(|at| **at > moment).count()
     }
+
+    /// Number of requests that arrived between two moments.
+    pub fn received_between(&self, from: Instant, until: Instant) -> usize {
+        self.received_after(from) - self.received_after(until)
+    }
 }
 
 fn serve(mut conn: ExecutorConnection, name: &str, received: &Mutex<Vec<Instant>>) {
@@ -200,19 +257,32 @@
 pub struct Traffic {
     stop: Arc<AtomicBool>,
     clients: Vec<thread::JoinHandle<()>>,
+    /// Number of responses by status; 0 for requests whose connection ended without a response.
+    statuses: Arc<Mutex<BTreeMap<u16, usize>>>,
 }
 
 impl Traffic {
     pub fn start(to: SocketAddr) -> Traffic {
         let stop = Arc::new(AtomicBool::new(false));
         let last_id = Arc::new(AtomicU64::new(1_000));
+        let statuses: Arc<Mutex<BTreeMap<u16, usize>>> = Arc::default();
         let clients = (0..CLIENTS)
             .map(|_| {
                 let (thread_stop, last_id) = (stop.clone(), last_id.clone());
-                thread::spawn(move || send_queries(to, &last_id, &thread_stop))
+                let statuses = statuses.clone();
+                thread::spawn(move || send_queries(to, &last_id, &statuses, &thread_stop))
             })
             .collect();
-        Traffic { stop, clients }
+        Traffic {
+            stop,
+            clients,
+            statuses,
+        }
+    }
+
+    /// Number of responses so far by status; 0 for requests whose connection ended without a response.
+    pub fn statuses(&self) -> BTreeMap<u16, usize> {
+        self.statuses.lock().expect("clients").clone()
     }
 }
 
@@ -225,13 +295,23 @@
     }
 }
 
-fn send_queries(to: SocketAddr, last_id: &AtomicU64, stop: &AtomicBool) {
-    let mut client = Client::connect(to);
+/// Sends one request after another, on a new connection if the previous one has ended.
+fn send_queries(
+    to: SocketAddr,
+    last_id: &AtomicU64,
+    statuses: &Mutex<BTreeMap<u16, usize>>,
+    stop: &AtomicBool,
+) {
+    let mut connection = None;
     while !stop.load(Ordering::SeqCst) {
+        let Some(mut client) = connection.take().or_else(|| Client::try_connect(to).ok()) else {
+            thread::sleep(REQUEST_INTERVAL);
+            continue;
+        };
         client.send_query("look", last_id.fetch_add(1, Ordering::SeqCst) + 1);
-        if client.read_status() == 0 {
-            return;
-        }
+        let status = client.read_status();
+        *statuses.lock().expect("clients").entry(status).or_default() += 1;
+        connection = (status != 0).then_some(client);
         thread::sleep(REQUEST_INTERVAL);
     }
 }
