platform: a list of executors is not judged by its serial number alone

Cause: a name service numbers its events from 1 for each start of a controller, and an outdated answer can carry a number of the start before. A controller that had just started took it as the newest list; its number then hid every right list as older, and when the right numbers reached it, an equal number counted as an equal list, unread (discovery.rs, handle_answer: serial == self.serial).

Now discovery/list_tracker.rs confirms a list by a second answer with the same number and executors. One that was not confirmed gives way to two answers with one lower number; equal numbers with other executors are a contradiction, settled by the second such answer. Below a confirmed list the lag of 4.5 s that the platform allows is waited for: 5 s, 10 s before. Whatever list is in force, what any answer has as draining gets nothing new until a later one confirms the list; an executor that drained is used again after two answers. Answers equal to the last one byte for byte are not parsed.

--- a/crates/platform/src/dispatcher/mod.rs
+++ b/crates/platform/src/dispatcher/mod.rs
@@ -14,7 +14,7 @@
 use crate::abandonment::{AbandonmentCounts, Abandonments};
 use crate::bootstrap::{BootstrapConfig, ExecutorEndpoint};
 use crate::clients::Clients;
-use crate::discovery::DiscoveryClient;
+use crate::discovery::{DiscoveryClient, NumberedList};
 use crate::executors::{ConnectionLimits, Executors};
 use crate::ignored_answers::{IgnoredAnswers, IgnoredCounts};
 use crate::in_flight::InFlightQueries;
@@ -113,16 +113,13 @@
             .max(MIN_CONNECTION_DESCRIPTORS);
         let max_clients = descriptors * CLIENT_SHARE_TENTHS / 10;
         let limits = config.protocol_limits;
+        let initial_list = NumberedList::initial(&config);
         let driver_limits = DriverLimits {
             max_queries: limits.max_queries.max(1),
             ..DriverLimits::default()
         };
         let classes = &config.settings.classes;
-        let longest_deadline_us = classes
-            .iter()
-            .map(|class| class.deadline.0)
-            .max()
-            .unwrap_or(0);
+        let longest_deadline = classes.iter().map(|class| class.deadline.0).max();
         let class_rules = classes.iter().map(ClassRules::of).collect();
         let cores_by_kind = config.settings.cores.clone();
         let slow_start = SlowStartSettings::of(&config.settings);
@@ -130,6 +127,7 @@
         let slow_start_guard = SlowStartGuard::new(slow_start);
         let own_index = config.settings.gateway_index as usize;
         let driver = Driver::new(config.settings, config.seed, driver_limits);
+        let discovery = DiscoveryClient::new(config.resolver, initial_list, now);
         Dispatcher {
             out: EffectQueue::new(now),
             earliest_arrival_at: None,
@@ -152,13 +150,13 @@
             injected_fault: None,
             in_flight: InFlightQueries::default(),
             abandonments: Abandonments::default(),
-            discovery: DiscoveryClient::new(config.resolver, config.serial, now),
+            discovery,
             discovery_timer: None,
             list_freshness: ListFreshness::new(now, limits.drain_grace_us),
             suspensions: SuspensionSeries::new(now),
             held_requests: HeldRequests::default(),
             peers: Peers::new(&config.peers, own_index, config.peers_all),
-            shutdown: Shutdown::new(longest_deadline_us),
+            shutdown: Shutdown::new(longest_deadline.unwrap_or(0)),
             initial_executors: config.executors,
             rng: fastrand::Rng::with_seed(!config.seed),
             has_stopped: false,
--- a/crates/platform/src/dispatcher/topology.rs
+++ b/crates/platform/src/dispatcher/topology.rs
@@ -2,7 +2,7 @@
 
 use super::Dispatcher;
 use crate::bootstrap::ExecutorEndpoint;
-use crate::discovery::{self, DiscoveryUpdate};
+use crate::discovery::{self, IgnoredAnswer};
 use crate::executors::{ListChange, ListedExecutor};
 use crate::invariants::ListedState;
 use crate::list_freshness;
@@ -170,34 +170,38 @@
             confirmed_at: self.discovery.confirmed_at(),
             queries: self.discovery.queries_since_confirmed(),
         };
-        match self.discovery.handle_answer(self.out.now, from, datagram) {
-            Ok(answer) => {
-                match answer.update {
-                    DiscoveryUpdate::Replaced(executors) => {
-                        self.replace_executors(&executors, Some(previous));
-                    }
-                    DiscoveryUpdate::Confirmed => self.log_late_confirmation(previous),
+        let answer = self.discovery.handle_answer(self.out.now, from, datagram);
+        let is_changed = answer.changed_list.is_some();
+        if let Some(executors) = answer.changed_list {
+            self.replace_executors(&executors, Some(previous));
+        }
+        match answer.confirmed {
+            Ok(query_sent_at) => {
+                if !is_changed {
+                    self.log_late_confirmation(previous);
                 }
                 self.ignored_answers.end_series();
                 let end = self
                     .list_freshness
-                    .record_answer(self.out.now, answer.query_sent_at);
+                    .record_answer(self.out.now, query_sent_at);
                 self.end_hold(end);
                 self.schedule_discovery();
             }
-            Err(reason) => {
-                if self.ignored_answers.record(reason) {
-                    info!(
-                        %reason,
-                        service = %from,
-                        serial = self.discovery.serial(),
-                        answer_serial = discovery::serial_of(datagram),
-                        bytes = datagram.len(),
-                        ignored = %self.ignored_answers.since_accepted,
-                        "name service answers ignored"
-                    );
-                }
-            }
+            Err(reason) => self.record_ignored_answer(reason, from, datagram),
+        }
+    }
+
+    fn record_ignored_answer(&mut self, reason: IgnoredAnswer, from: SocketAddr, datagram: &[u8]) {
+        if self.ignored_answers.record(reason) {
+            info!(
+                %reason,
+                service = %from,
+                serial = self.discovery.serial(),
+                answer_serial = discovery::serial_of(datagram),
+                bytes = datagram.len(),
+                ignored = %self.ignored_answers.since_accepted,
+                "name service answers ignored"
+            );
         }
     }
 
