platform: an executor with missing records does not make a whole list unusable

Callers' requests went to a drained executor for as long as one record of another could not be read: 362 in 2 s past the grace.

Cause: parse_executors gave up the whole answer at the first SRV record whose address or kind was missing. Such an executor now keeps what was known of it, with the state of its SRV record, or is left out if nothing was; an answer of which no executor can be read is ignored as before. 'executor list replaced' tells the number of unreadable ones.

--- a/crates/platform/src/discovery/answer.rs
+++ b/crates/platform/src/discovery/answer.rs
@@ -61,17 +61,32 @@
     }
 }
 
-/// Parses the executors in an answer; `None` if a record is missing or there are too many executors. An executor that is listed
-/// twice is draining if either record says so.
-pub fn parse_executors(message: &Message) -> Option<Vec<ExecutorEndpoint>> {
+/// The executors in an answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ParsedExecutors {
+    /// The executors, in the order of the answer.
+    pub executors: Vec<ExecutorEndpoint>,
+    /// Number of executors whose records are missing or malformed.
+    pub unreadable: usize,
+}
+
+/// Parses the executors in an answer. An executor whose records are missing or malformed keeps its entry in `known` with the status
+/// that the answer states, and is left out if it has none. An executor that is listed twice is draining if either record says so.
+/// Returns `None` if no executor can be read, or if there are too many.
+pub fn parse_executors(message: &Message, known: &[ExecutorEndpoint]) -> Option<ParsedExecutors> {
     let hosts = HostRecords::collect(message);
+    let mut unreadable = 0;
     let mut executors: Vec<ExecutorEndpoint> = Vec::new();
     let mut positions: BTreeMap<String, usize> = BTreeMap::new();
     for record in &message.answers {
         let RData::SRV(service) = &record.data else {
             continue;
         };
-        let executor = parse_executor(service, &hosts)?;
+        let executor = parse_executor(service, &hosts);
+        unreadable += usize::from(executor.is_none());
+        let Some(executor) = executor.or_else(|| known_executor(service, known)) else {
+            continue;
+        };
         match positions.get(&executor.name) {
             Some(_) if executor.status == Status::Up => {}
             Some(position) => executors[*position] = executor,
@@ -81,7 +96,34 @@
             }
         }
     }
-    (executors.len() <= MAX_EXECUTORS).then_some(executors)
+    let is_unreadable = executors.is_empty() && unreadable > 0;
+    let is_usable = executors.len() <= MAX_EXECUTORS && !is_unreadable;
+    is_usable.then_some(ParsedExecutors {
+        executors,
+        unreadable,
+    })
+}
+
+/// Returns the known entry of an executor, with the status that a record states.
+fn known_executor(service: &SRV, known: &[ExecutorEndpoint]) -> Option<ExecutorEndpoint> {
+    let name = name_of(service)?;
+    let entry = known.iter().find(|executor| executor.name == name)?;
+    Some(ExecutorEndpoint {
+        status: status_of(service),
+        ..entry.clone()
+    })
+}
+
+fn name_of(service: &SRV) -> Option<String> {
+    let label = service.target.iter().next()?;
+    Some(String::from_utf8_lossy(label).into_owned())
+}
+
+fn status_of(service: &SRV) -> Status {
+    match service.priority {
+        0 => Status::Up,
+        _ => Status::Draining,
+    }
 }
 
 fn parse_executor(service: &SRV, hosts: &HostRecords) -> Option<ExecutorEndpoint> {
@@ -111,11 +153,7 @@
         zone,
         kind: property("kind")?.to_string(),
         cell: number("cell"),
-        status: if service.priority == 0 {
-            Status::Up
-        } else {
-            Status::Draining
-        },
+        status: status_of(service),
         started_at: start_time(number("started")),
     })
 }
--- a/crates/platform/src/discovery/list_tracker.rs
+++ b/crates/platform/src/discovery/list_tracker.rs
@@ -119,6 +119,11 @@
         self.revision
     }
 
+    /// The executors of the list in force, as the name service reported them.
+    pub fn listed(&self) -> &[ExecutorEndpoint] {
+        &self.list.executors
+    }
+
     /// The list in force. Executors that must not get new requests are draining in it.
     pub fn executors(&self) -> Vec<ExecutorEndpoint> {
         let mut executors = self.list.executors.clone();
--- a/crates/platform/src/discovery/mod.rs
+++ b/crates/platform/src/discovery/mod.rs
@@ -56,7 +56,7 @@
     /// The response code reports a failure, or the answer is truncated.
     #[error("failure response or truncated answer")]
     Failed,
-    /// A record is missing or malformed, or the list is too long.
+    /// The serial number is missing, no executor can be read, or the list is too long.
     #[error("missing records")]
     Incomplete,
     /// Its serial number is lower than that of the current list.
@@ -102,6 +102,8 @@
     tracker: ListTracker,
     /// The last answer that contained the list in force, without its id. An answer that is equal need not be parsed.
     last_accepted: Vec<u8>,
+    /// Number of executors in it whose records are missing or malformed.
+    unreadable_executors: usize,
     /// Time at which an answer last confirmed or replaced the current list, in microseconds.
     confirmed_at: i64,
     /// The name service that sent this answer.
@@ -120,6 +122,7 @@
             resolver,
             tracker: ListTracker::new(list),
             last_accepted: Vec::new(),
+            unreadable_executors: 0,
             confirmed_at: now,
             confirmed_by: resolver,
             queries_since_confirmed: 0,
@@ -153,6 +156,11 @@
         self.tracker.serial()
     }
 
+    /// Returns the number of executors in the current list whose records are missing or malformed.
+    pub fn unreadable_executors(&self) -> usize {
+        self.unreadable_executors
+    }
+
     /// Returns the name service that last confirmed or replaced the current list.
     pub fn confirmed_by(&self) -> SocketAddr {
         self.confirmed_by
@@ -222,8 +230,10 @@
             return Err(IgnoredAnswer::Failed);
         }
         let serial = answer::find_serial(&message).ok_or(IgnoredAnswer::Incomplete)?;
-        let executors = answer::parse_executors(&message).ok_or(IgnoredAnswer::Incomplete)?;
+        let parsed = answer::parse_executors(&message, self.tracker.listed())
+            .ok_or(IgnoredAnswer::Incomplete)?;
         let is_lower = serial < self.serial();
+        let executors = parsed.executors;
         let list = NumberedList { serial, executors };
         match self.tracker.handle_list(now, list, is_in_use) {
             ListVerdict::Older => return Err(IgnoredAnswer::Older),
@@ -235,6 +245,7 @@
             }
             ListVerdict::Replaced => {}
         }
+        self.unreadable_executors = parsed.unreadable;
         self.last_accepted = content.to_vec();
         Ok(query_sent_at)
     }
--- a/crates/platform/src/dispatcher/topology.rs
+++ b/crates/platform/src/dispatcher/topology.rs
@@ -92,6 +92,7 @@
             serial = self.discovery.serial(),
             service = %self.discovery.confirmed_by(),
             listed,
+            unreadable = self.discovery.unreadable_executors(),
             added = change.added,
             readmitted = change.readmitted,
             moved = change.moved,
--- a/crates/platform/tests/discovery.rs
+++ b/crates/platform/tests/discovery.rs
@@ -3,6 +3,8 @@
 mod common;
 use common::*;
 use hickory_proto::op::{Message, ResponseCode};
+use hickory_proto::rr::RecordType;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use wheelfield_sans_io::{DatagramSocket, IoEvent};
 
@@ -267,3 +269,22 @@
         );
     }
 }
+
+/// One unreadable record made the whole answer unusable, so that the drain of another executor was not seen while it stayed.
+#[test]
+fn an_executor_without_address_or_kind_does_not_hide_changes_of_others() {
+    for missing in [RecordType::A, RecordType::TXT] {
+        let mut harness = Harness::new(2);
+        let query = next_query(&mut harness, RESOLVER);
+        let mut answer = dns_answer(&query, 9, &[("e1", 1, 1), ("e2", 2, 0), ("e3", 3, 0)]);
+        answer.additionals.retain(|record| {
+            let host = record.name.to_string();
+            host.starts_with("e1") || record.record_type() != missing
+        });
+        receive(&mut harness, RESOLVER, &answer.to_vec().expect("bytes"));
+        // e1 drains, e2 is known already, and nothing is known of e3.
+        let used: BTreeSet<_> = (1..40).map(|n| forwarded_to(&mut harness, n)).collect();
+        let expected = Some(address("127.1.0.2:6565"));
+        assert_eq!(used, BTreeSet::from([expected]), "{missing}");
+    }
+}
