platform: what a truncated answer reports as draining gets no new requests

Cause: a truncated answer was dropped whole. Its SRV records tell what drains, although others may be missing, so these executors get nothing new until a complete answer confirms the list without the drain. Nothing else of it is used.

--- a/crates/platform/src/discovery/answer.rs
+++ b/crates/platform/src/discovery/answer.rs
@@ -104,6 +104,21 @@
     })
 }
 
+/// The names of the executors that are draining in an answer, which need not be complete.
+pub fn draining_names(message: &Message) -> Vec<String> {
+    let services = message
+        .answers
+        .iter()
+        .filter_map(|record| match &record.data {
+            RData::SRV(service) => Some(service),
+            _ => None,
+        });
+    services
+        .filter(|service| status_of(service) != Status::Up)
+        .filter_map(name_of)
+        .collect()
+}
+
 /// Returns the known entry of an executor, with the status that a record states.
 fn known_executor(service: &SRV, known: &[ExecutorEndpoint]) -> Option<ExecutorEndpoint> {
     let name = name_of(service)?;
--- a/crates/platform/src/discovery/list_tracker.rs
+++ b/crates/platform/src/discovery/list_tracker.rs
@@ -183,7 +183,7 @@
     }
 
     /// Stops new requests to these executors until an answer confirms the list.
-    fn suspect(&mut self, names: Vec<String>) {
+    pub fn suspect(&mut self, names: Vec<String>) {
         let ready = self.list.ready_names();
         let names: Vec<String> = names
             .into_iter()
--- a/crates/platform/src/discovery/mod.rs
+++ b/crates/platform/src/discovery/mod.rs
@@ -226,7 +226,11 @@
         let query_sent_at = query_sent_at
             .filter(|_| self.is_answer(&message))
             .ok_or(IgnoredAnswer::Unsolicited)?;
-        if message.metadata.response_code != ResponseCode::NoError || message.metadata.truncation {
+        if message.metadata.response_code != ResponseCode::NoError {
+            return Err(IgnoredAnswer::Failed);
+        }
+        if message.metadata.truncation {
+            self.tracker.suspect(answer::draining_names(&message));
             return Err(IgnoredAnswer::Failed);
         }
         let serial = answer::find_serial(&message).ok_or(IgnoredAnswer::Incomplete)?;
