platform: a list of executors that is not confirmed in time is no longer used

Cause: the age of the list was known, but bounded nothing. Holds ended after a second and the last list was used from then on; a silence and slow answers held nothing at all.

Now list_validity.rs says until when a list may be used, from the platform's words alone: 1.5 s and the grace after the query that was answered; 4.5 s and the grace in a silence; 4 s and the grace after SIGHUP. Each write to an executor asks it, first attempts and retries alike. After that new requests wait for 1 s at most; then the policy rejects them at once and answers what is at no executor.

A truncated answer that names every listed executor counts as complete, since a name service that always truncates would end service.

--- a/crates/platform/src/discovery/list_tracker.rs
+++ b/crates/platform/src/discovery/list_tracker.rs
@@ -124,6 +124,13 @@
         &self.list.executors
     }
 
+    /// Whether these executors include all that are listed.
+    pub fn is_covered_by(&self, executors: &[ExecutorEndpoint]) -> bool {
+        let names: BTreeSet<&str> = executors.iter().map(|e| e.name.as_str()).collect();
+        let mut listed = self.list.executors.iter();
+        listed.all(|executor| names.contains(executor.name.as_str()))
+    }
+
     /// The list in force. Executors that must not get new requests are draining in it.
     pub fn executors(&self) -> Vec<ExecutorEndpoint> {
         let mut executors = self.list.executors.clone();
--- a/crates/platform/src/discovery/mod.rs
+++ b/crates/platform/src/discovery/mod.rs
@@ -81,6 +81,14 @@
     /// Number of reasons.
     pub const COUNT: usize = IgnoredAnswer::ALL.len();
 
+    /// Returns whether an answer that is ignored for this reason shows that the name service answers.
+    pub fn shows_service_is_reachable(self) -> bool {
+        !matches!(
+            self,
+            IgnoredAnswer::UnknownSender | IgnoredAnswer::Unsolicited
+        )
+    }
+
     /// Returns the value of the `reason` label in metrics.
     pub fn name(self) -> &'static str {
         match self {
@@ -229,13 +237,16 @@
         if message.metadata.response_code != ResponseCode::NoError {
             return Err(IgnoredAnswer::Failed);
         }
-        if message.metadata.truncation {
+        let Some(parsed) = answer::parse_executors(&message, self.tracker.listed()) else {
+            self.tracker.suspect(answer::draining_names(&message));
+            return Err(IgnoredAnswer::Incomplete);
+        };
+        // What a truncated answer lacks may be gone or may have been cut off.
+        if message.metadata.truncation && !self.tracker.is_covered_by(&parsed.executors) {
             self.tracker.suspect(answer::draining_names(&message));
             return Err(IgnoredAnswer::Failed);
         }
         let serial = answer::find_serial(&message).ok_or(IgnoredAnswer::Incomplete)?;
-        let parsed = answer::parse_executors(&message, self.tracker.listed())
-            .ok_or(IgnoredAnswer::Incomplete)?;
         let is_lower = serial < self.serial();
         let executors = parsed.executors;
         let list = NumberedList { serial, executors };
--- a/crates/platform/src/dispatcher/held_requests.rs
+++ b/crates/platform/src/dispatcher/held_requests.rs
@@ -2,7 +2,8 @@
 
 use super::Dispatcher;
 use crate::http_server::QueryRequest;
-use crate::list_freshness::{GapOutcome, Inactivity, PollingGap};
+use crate::list_freshness::{Inactivity, PollingGap};
+use crate::list_validity::ListUse;
 use crate::planted::InjectedFault;
 use crate::timer_event::TimerEvent;
 use bytes::Bytes;
@@ -31,8 +32,12 @@
     pub gaps: u64,
     /// Number of these gaps after which the name service did not answer in time.
     pub gaps_unanswered: u64,
+    /// Number of times that the list became too old to be used.
+    pub expirations: u64,
     /// Number of requests that were held.
     pub requests: u64,
+    /// Number of requests that arrived, or were held, while the list was too old to be used.
+    pub requests_without_list: u64,
     /// Number of queries for the list that could not be sent.
     pub unsent_queries: u64,
 }
@@ -41,6 +46,8 @@
 #[derive(Debug, Default)]
 pub(super) struct HeldRequests {
     waiting: VecDeque<HeldRequest>,
+    /// When requests were last held from, in microseconds.
+    held_since: i64,
     pub counters: HoldCounters,
 }
 
@@ -71,35 +78,117 @@
             return;
         }
         let inactivity = self.list_freshness.record_activity(now);
-        if inactivity.is_none() {
-            return;
-        }
         if let Some(Inactivity::ListTooOld(gap)) = inactivity {
-            self.begin_hold(gap);
+            self.record_gap(gap);
+        }
+        if inactivity.is_some() {
+            self.query_discovery();
+        }
+        self.update_list_use();
+    }
+
+    fn record_gap(&mut self, gap: PollingGap) {
+        self.held_requests.counters.gaps += 1;
+        info!(
+            list_age_ms = gap.list_age_us / 1_000,
+            "the name service could not be queried"
+        );
+    }
+
+    /// Determines what may be done with requests by the list from now on.
+    pub(super) fn update_list_use(&mut self) {
+        let now = self.out.now;
+        let list_use = self.list_freshness.list_use(now);
+        let previous = std::mem::replace(&mut self.list_use, list_use);
+        match (previous, list_use) {
+            (ListUse::Usable, ListUse::Usable) | (ListUse::Expired, ListUse::Expired) => {}
+            (ListUse::Held { .. }, ListUse::Held { .. }) => {}
+            (_, ListUse::Held { until }) => self.begin_hold(until),
+            (_, ListUse::Expired) => self.expire_list(),
+            (_, ListUse::Usable) => self.resume_list_use(),
+        }
+    }
+
+    /// Determines whether requests are still held, and if so sets the timer again, as the hold may have been extended.
+    pub(super) fn handle_hold_timer(&mut self) {
+        self.update_list_use();
+        if let ListUse::Held { until } = self.list_use {
+            self.out.set_timer_at(until, TimerEvent::EndHold);
         }
-        self.query_discovery();
     }
 
     /// Starts holding new requests. Requests that were routed by the outdated list but not written yet are withdrawn from the
     /// output buffers, so that they are checked again before they are written.
-    fn begin_hold(&mut self, gap: PollingGap) {
-        self.held_requests.counters.gaps += 1;
+    fn begin_hold(&mut self, until: i64) {
+        self.held_requests.held_since = self.out.now;
         warn!(
-            list_age_ms = gap.list_age_us / 1_000,
+            list_age_ms = self.list_freshness.list_age_us(self.out.now) / 1_000,
             serial = self.discovery.serial(),
             "executor list too old; requests wait for the name service"
         );
         self.executors.requeue_all_unwritten();
-        self.out.set_timer_at(gap.hold_until(), TimerEvent::EndHold);
+        self.out.set_timer_at(until, TimerEvent::EndHold);
+    }
+
+    /// Stops using the list. The policy answers the queries that are not at an executor, and every new one at once.
+    fn expire_list(&mut self) {
+        self.held_requests.counters.expirations += 1;
+        warn!(
+            list_age_ms = self.list_freshness.list_age_us(self.out.now) / 1_000,
+            serial = self.discovery.serial(),
+            held = self.held_requests.waiting.len(),
+            "executor list expired; requests are rejected until the name service confirms it"
+        );
+        self.executors.requeue_all_unwritten();
+        self.answer_waiting_queries();
+        self.submit_held_requests();
+    }
+
+    /// Has the policy answer the queries that are not at an executor.
+    fn answer_waiting_queries(&mut self) {
+        for query in self.in_flight.queries() {
+            let is_waiting = self.in_flight.get(query).is_some_and(|q| !q.is_at_executor);
+            if is_waiting {
+                self.driver
+                    .handle_input(self.out.now, Input::ShutdownDeadline(query));
+            }
+        }
+    }
+
+    /// Uses the list again and submits the held requests.
+    fn resume_list_use(&mut self) {
+        let held_since = self.held_requests.held_since;
+        let is_confirmed = self.list_freshness.is_answered_since(held_since);
+        self.held_requests.counters.gaps_unanswered += u64::from(!is_confirmed);
+        info!(
+            is_confirmed,
+            held = self.held_requests.waiting.len(),
+            serial = self.discovery.serial(),
+            "executor list in use again; held requests submitted"
+        );
+        self.submit_held_requests();
     }
 
     /// Whether new requests are held.
-    pub(super) fn is_holding_requests(&self) -> bool {
-        self.list_freshness.hold_until().is_some()
+    fn is_holding_requests(&self) -> bool {
+        matches!(self.list_use, ListUse::Held { .. })
+    }
+
+    /// Whether the list must not be used, for lack of confirmation.
+    pub(super) fn has_no_list(&self) -> bool {
+        self.list_use == ListUse::Expired
+    }
+
+    /// Whether requests may be routed by the list.
+    pub(super) fn is_list_usable(&self) -> bool {
+        self.list_use == ListUse::Usable
     }
 
     /// Holds a request if new requests are held and its deadline has not passed; otherwise returns it.
     pub(super) fn hold_if_list_too_old(&mut self, request: HeldRequest) -> Option<HeldRequest> {
+        if self.has_no_list() {
+            self.held_requests.counters.requests_without_list += 1;
+        }
         if !self.is_holding_requests() {
             return Some(request);
         }
@@ -152,35 +241,9 @@
     pub fn handle_query_unsent(&mut self) {
         self.held_requests.counters.unsent_queries += 1;
         if let Some(gap) = self.list_freshness.record_unsent_query(self.out.now) {
-            self.begin_hold(gap);
+            self.record_gap(gap);
         }
-    }
-
-    /// Stops holding requests if the maximum time has passed. Otherwise sets the timer again, as the hold may have been extended.
-    pub(super) fn end_expired_hold(&mut self) {
-        let end = self.list_freshness.end_expired_gap(self.out.now);
-        self.end_hold(end);
-        if let Some(until) = self.list_freshness.hold_until() {
-            self.out.set_timer_at(until, TimerEvent::EndHold);
-        }
-    }
-
-    /// Submits the held requests if the gap has ended.
-    pub(super) fn end_hold(&mut self, end: Option<GapOutcome>) {
-        let Some(end) = end else {
-            return;
-        };
-        let held = std::mem::take(&mut self.held_requests.waiting);
-        if end == GapOutcome::Unanswered {
-            self.held_requests.counters.gaps_unanswered += 1;
-        }
-        info!(
-            ?end,
-            held = held.len(),
-            serial = self.discovery.serial(),
-            "executor list in use again; held requests submitted"
-        );
-        self.submit_requests(held);
+        self.update_list_use();
     }
 
     /// Submits all held requests, whether the list is confirmed or not.
--- a/crates/platform/src/dispatcher/lifecycle.rs
+++ b/crates/platform/src/dispatcher/lifecycle.rs
@@ -20,7 +20,7 @@
     pub fn handle_timer(&mut self, event: TimerEvent) {
         match event {
             TimerEvent::QueryDiscovery => self.query_discovery(),
-            TimerEvent::EndHold => self.end_expired_hold(),
+            TimerEvent::EndHold => self.handle_hold_timer(),
             TimerEvent::ExpireHeld => self.expire_held_requests(),
             TimerEvent::AnswerBeforeSuspension => self.answer_before_suspension(),
             TimerEvent::CheckConnections => {
--- a/crates/platform/src/dispatcher/mod.rs
+++ b/crates/platform/src/dispatcher/mod.rs
@@ -20,6 +20,7 @@
 use crate::in_flight::InFlightQueries;
 use crate::invariants::{SlowStartGuard, SlowStartSettings, ViolationCounts};
 use crate::list_freshness::ListFreshness;
+use crate::list_validity::ListUse;
 use crate::peers::Peers;
 use crate::planted::InjectedFault;
 use crate::shutdown::Shutdown;
@@ -89,6 +90,8 @@
     /// The timer of the next query for the list of executors.
     discovery_timer: Option<TimerKey>,
     list_freshness: ListFreshness,
+    /// What may be done with requests by the list now.
+    list_use: ListUse,
     suspensions: SuspensionSeries,
     held_requests: HeldRequests,
     peers: Peers,
@@ -153,6 +156,7 @@
             discovery,
             discovery_timer: None,
             list_freshness: ListFreshness::new(now, limits.drain_grace_us),
+            list_use: ListUse::Usable,
             suspensions: SuspensionSeries::new(now),
             held_requests: HeldRequests::default(),
             peers: Peers::new(&config.peers, own_index, config.peers_all),
@@ -209,7 +213,7 @@
     }
 
     /// Processes the next pending event and returns whether there was one. The order is: client input, instructions of the driver,
-    /// requests to be written, progress of attempts. No request is written while requests wait for a confirmed list of executors.
+    /// requests to be written, progress of attempts. No request is written while the list of executors must not be used.
     fn process_next(&mut self) -> bool {
         if let Some(client) = self.ready_clients.pop_front() {
             self.read_client(client);
@@ -225,9 +229,9 @@
         true
     }
 
-    /// A connection that is ready and has attempts queued to be written; `None` while requests are held.
+    /// A connection that is ready and has attempts queued to be written; `None` while the list must not be used.
     fn next_writable_connection(&mut self) -> Option<ConnId> {
-        if self.is_holding_requests() {
+        if !self.is_list_usable() {
             return None;
         }
         self.executors.next_ready()
--- a/crates/platform/src/dispatcher/requests.rs
+++ b/crates/platform/src/dispatcher/requests.rs
@@ -161,11 +161,12 @@
     }
 
     /// The time by which a query must be answered that arrived at `arrived_at` with this timeout. If it is due in a suspension that is
-    /// about to begin, that is now.
+    /// about to begin, or if there is no list by which it could be routed, that is now.
     pub(super) fn response_deadline(&self, arrived_at: i64, timeout_us: i64) -> Micros {
         let deadline = arrived_at + (timeout_us - RESPONSE_MARGIN_US).max(1);
         let deadline = deadline.min(self.shutdown.response_deadline().unwrap_or(i64::MAX));
-        Micros(match self.is_due_in_suspension(deadline) {
+        let is_due_now = self.is_due_in_suspension(deadline) || self.has_no_list();
+        Micros(match is_due_now {
             true => deadline.min(self.out.now),
             false => deadline,
         })
--- a/crates/platform/src/dispatcher/topology.rs
+++ b/crates/platform/src/dispatcher/topology.rs
@@ -182,10 +182,9 @@
                     self.log_late_confirmation(previous);
                 }
                 self.ignored_answers.end_series();
-                let end = self
-                    .list_freshness
+                self.list_freshness
                     .record_answer(self.out.now, query_sent_at);
-                self.end_hold(end);
+                self.update_list_use();
                 self.schedule_discovery();
             }
             Err(reason) => self.record_ignored_answer(reason, from, datagram),
@@ -193,6 +192,9 @@
     }
 
     fn record_ignored_answer(&mut self, reason: IgnoredAnswer, from: SocketAddr, datagram: &[u8]) {
+        if reason.shows_service_is_reachable() {
+            self.list_freshness.record_unusable_answer();
+        }
         if self.ignored_answers.record(reason) {
             info!(
                 %reason,
@@ -225,6 +227,7 @@
     pub fn use_resolver(&mut self, resolver: SocketAddr) {
         info!(%resolver, "name service changed");
         self.discovery.use_resolver(resolver);
+        self.list_freshness.record_reload(self.out.now);
         self.query_discovery();
     }
 
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -25,6 +25,7 @@
 mod in_flight;
 mod invariants;
 mod list_freshness;
+mod list_validity;
 mod metrics;
 mod peers;
 mod planted;
--- a/crates/platform/src/list_freshness.rs
+++ b/crates/platform/src/list_freshness.rs
@@ -5,7 +5,9 @@
 //! learned of it. A list that is confirmed four times per second is normally much younger. It can become older without a fault of
 //! the name service if this process was suspended, took long to start, or could not send its queries, so that the list was not
 //! refreshed. In that case new requests are held, for a bounded time, until the first answer to a query sent afterwards. If the
-//! name service itself does not answer, requests are routed by the last list, as the outage may be long.
+//! name service itself does not answer, requests are routed by the last list as long as `list_validity` allows.
+
+use crate::list_validity::{ListUse, ListValidity, MAX_HOLD_US};
 
 /// Interval between an answered query and the next one, in microseconds.
 pub const POLL_INTERVAL_US: i64 = 250_000;
@@ -28,7 +30,7 @@
 const BURST_DURATION_US: i64 = 500_000;
 /// Minimum time between the beginnings of two bursts, in microseconds, as the name service may be overloaded.
 const BURST_SPACING_US: i64 = 10_000_000;
-/// Time after which a query is repeated while requests are held, in microseconds, as answers may be lost or slow.
+/// Time after which a query is repeated while requests are held after a gap, in microseconds, as answers may be lost or slow.
 const RETRY_WHILE_HOLDING_US: i64 = 25_000;
 /// Time without activity after which the process is considered to have been suspended or starved of CPU time, in microseconds. It
 /// is normally active at least ten times per second.
@@ -39,9 +41,6 @@
 /// Time without send failures after which the next one counts as a new incident, in microseconds. It is much longer than requests
 /// are held, so that occasional failures do not cause requests to be held repeatedly.
 const UNSENT_RECOVERY_US: i64 = 10_000_000;
-/// Maximum time for which new requests are held until the list is confirmed, in microseconds. Several queries may be lost in this
-/// time. Every client of the platform waits longer than this for a response, or is answered at its own deadline.
-const MAX_HOLD_US: i64 = 1_000_000;
 
 /// A period in which the name service could not be queried and the list became too old.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -54,20 +53,11 @@
 
 impl PollingGap {
     /// Time until which new requests are held at most, in microseconds.
-    pub fn hold_until(self) -> i64 {
+    fn hold_until(self) -> i64 {
         self.ended_at + MAX_HOLD_US
     }
 }
 
-/// How the hold after a gap ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum GapOutcome {
-    /// The name service confirmed or replaced the list.
-    Confirmed,
-    /// The name service did not answer in time.
-    Unanswered,
-}
-
 /// The state of the list after a period of inactivity of the process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Inactivity {
@@ -121,8 +111,9 @@
     gap: Option<PollingGap>,
     /// Whether it was reported since the last answer that the list is overdue.
     is_overdue_reported: bool,
-    /// Maximum age at which the list may be used without being confirmed.
+    /// Maximum age at which the list may be used without being confirmed after a time in which this process could not refresh it.
     max_list_age_us: i64,
+    validity: ListValidity,
 }
 
 impl ListFreshness {
@@ -144,6 +135,7 @@
             gap: None,
             is_overdue_reported: false,
             max_list_age_us: drain_grace_us,
+            validity: ListValidity::new(read_at, drain_grace_us),
         }
     }
 
@@ -181,6 +173,7 @@
             ended_at: now,
         };
         self.gap = Some(gap);
+        self.validity.record_other_cause();
         Some(gap)
     }
 
@@ -210,12 +203,13 @@
     /// Records that a query could not be sent. Returns the gap if this starts one. If there is a gap already, its end is moved to
     /// now.
     pub fn record_unsent_query(&mut self, now: i64) -> Option<PollingGap> {
+        self.validity.record_other_cause();
         let unsent = UnsentQueries::add(self.unsent, now);
         self.unsent = Some(unsent);
         if now - unsent.first_at > MAX_UNSENT_HOLD_US {
             return None;
         }
-        let has_gap = self.gap.is_some();
+        let has_gap = self.active_gap(now).is_some();
         self.record_gap_if_list_too_old(now).filter(|_| !has_gap)
     }
 
@@ -228,9 +222,8 @@
         }
     }
 
-    /// Records an answer that confirms or replaces the list, to the query sent at `query_sent_at`. Returns the outcome of the gap
-    /// if the answer ends one.
-    pub fn record_answer(&mut self, now: i64, query_sent_at: i64) -> Option<GapOutcome> {
+    /// Records an answer that confirms or replaces the list, to the query sent at `query_sent_at`.
+    pub fn record_answer(&mut self, now: i64, query_sent_at: i64) {
         self.answer_gaps_us[self.answers % ROUND_TRIPS] = now - self.answered_at;
         self.answered_at = now;
         self.unanswered = 0;
@@ -239,25 +232,48 @@
         self.round_trips_us[self.answers % ROUND_TRIPS] = now - query_sent_at;
         self.answers = self.answers.wrapping_add(1);
         self.confirmed_at = self.confirmed_at.max(query_sent_at);
-        self.gap.take_if(|gap| query_sent_at >= gap.ended_at)?;
-        Some(GapOutcome::Confirmed)
+        self.validity.record_answer(now, self.confirmed_at);
+        self.gap.take_if(|gap| query_sent_at >= gap.ended_at);
+    }
+
+    /// Records an answer of the name service that neither confirms nor replaces the list.
+    pub fn record_unusable_answer(&mut self) {
+        self.validity.record_other_cause();
+    }
+
+    /// Records a switch to another name service.
+    pub fn record_reload(&mut self, now: i64) {
+        self.validity.record_reload(now);
+    }
+
+    /// What may be done with requests by the list now.
+    pub fn list_use(&self, now: i64) -> ListUse {
+        if let Some(gap) = self.active_gap(now) {
+            return ListUse::Held {
+                until: gap.hold_until(),
+            };
+        }
+        let mut validity = self.validity;
+        if let Some(gap) = self.gap {
+            validity.record_hold(gap.ended_at);
+        }
+        validity.list_use(now)
     }
 
-    /// Ends the gap if requests were held for the maximum time.
-    pub fn end_expired_gap(&mut self, now: i64) -> Option<GapOutcome> {
-        self.gap.take_if(|gap| now >= gap.hold_until())?;
-        Some(GapOutcome::Unanswered)
+    /// The gap after which requests are held now, if any.
+    fn active_gap(&self, now: i64) -> Option<PollingGap> {
+        self.gap.filter(|gap| now < gap.hold_until())
     }
 
-    /// Time until which new requests are held at most; `None` if they may be routed by the list.
-    pub fn hold_until(&self) -> Option<i64> {
-        self.gap.map(PollingGap::hold_until)
+    /// Whether the last accepted answer arrived at `since` or later.
+    pub fn is_answered_since(&self, since: i64) -> bool {
+        self.answered_at >= since
     }
 
     /// Time at which the next query is due.
     pub fn next_query_at(&self) -> i64 {
         let delay_us = match self.unanswered.checked_sub(1) {
-            _ if self.gap.is_some() => RETRY_WHILE_HOLDING_US,
+            _ if self.active_gap(self.last_query_at).is_some() => RETRY_WHILE_HOLDING_US,
             None => POLL_INTERVAL_US,
             Some(retries) => self.retry_delay_us(retries),
         };
--- a/crates/platform/src/metrics.rs
+++ b/crates/platform/src/metrics.rs
@@ -202,6 +202,16 @@
             "Requests that waited for a list that is confirmed.",
             hold_counters.requests,
         );
+        writer.write_counter(
+            "executor_list_expirations_total",
+            "Times that the list became too old to be used.",
+            hold_counters.expirations,
+        );
+        writer.write_counter(
+            "requests_without_list_total",
+            "Requests for which there was no list that may be used.",
+            hold_counters.requests_without_list,
+        );
         writer.write_counter(
             "executor_list_queries_unsent_total",
             "Queries for the list that this machine could not send.",
--- a/crates/platform/src/timer_event.rs
+++ b/crates/platform/src/timer_event.rs
@@ -8,7 +8,7 @@
 pub enum TimerEvent {
     /// Query the name service for the list of executors.
     QueryDiscovery,
-    /// Stop holding requests: the maximum wait for a confirmed list of executors has passed.
+    /// Determine whether requests are still held: the maximum wait for a confirmed list of executors has passed.
     EndHold,
     /// Submit held requests whose deadline has passed.
     ExpireHeld,
