platform: a name service whose answers this host cannot read does not count as silent

Cause: the event loop kept failing reads to itself, so that they looked like silence. Counted in failed_reads, in the log and at /metrics.

--- a/crates/controller/src/event_loop/datagrams.rs
+++ b/crates/controller/src/event_loop/datagrams.rs
@@ -104,15 +104,17 @@
                 // An undeliverable datagram that was sent earlier is reported as an error of the socket here. The next call
                 // receives the next datagram.
                 Err(e) if !is_transient(&e) && errors < MAX_ERRORS_PER_ITERATION => errors += 1,
-                Err(_) => return self.delay_receive(io.now),
+                Err(_) => return self.delay_receive(io),
             }
         }
     }
 
     /// Delays receiving, because a call that failed for lack of memory would fail again immediately.
-    fn delay_receive(&mut self, now: i64) {
+    fn delay_receive(&mut self, io: &mut IoContext<'_>) {
         self.is_pending = false;
-        self.retry_at = Some(now + RETRY_DELAY_US);
+        self.retry_at = Some(io.now + RETRY_DELAY_US);
+        io.protocol
+            .handle_datagram_receive_failure(io.now, self.name);
     }
 }
 
--- a/crates/platform/src/dispatcher/held_requests.rs
+++ b/crates/platform/src/dispatcher/held_requests.rs
@@ -40,6 +40,8 @@
     pub requests_without_list: u64,
     /// Number of queries for the list that could not be sent.
     pub unsent_queries: u64,
+    /// Number of failures to read answers of the name service.
+    pub failed_reads: u64,
 }
 
 /// The held requests, in order of arrival.
@@ -240,7 +242,17 @@
     /// Handles a query for the list that could not be sent.
     pub fn handle_query_unsent(&mut self) {
         self.held_requests.counters.unsent_queries += 1;
-        if let Some(gap) = self.list_freshness.record_unsent_query(self.out.now) {
+        self.record_failed_call();
+    }
+
+    /// Handles a failure to read the answers of the name service.
+    pub fn handle_answers_unreadable(&mut self) {
+        self.held_requests.counters.failed_reads += 1;
+        self.record_failed_call();
+    }
+
+    fn record_failed_call(&mut self) {
+        if let Some(gap) = self.list_freshness.record_failed_call(self.out.now) {
             self.record_gap(gap);
         }
         self.update_list_use();
--- a/crates/platform/src/dispatcher/topology.rs
+++ b/crates/platform/src/dispatcher/topology.rs
@@ -145,6 +145,7 @@
             silence_ms = self.list_freshness.silence_us(now) / 1_000,
             queries = self.discovery.queries_since_confirmed(),
             unsent_queries = self.hold_counters().unsent_queries,
+            failed_reads = self.hold_counters().failed_reads,
             ignored = %self.ignored_answers.since_accepted,
             "executor list overdue"
         );
--- a/crates/platform/src/gateway.rs
+++ b/crates/platform/src/gateway.rs
@@ -177,6 +177,13 @@
         }
     }
 
+    fn handle_datagram_receive_failure(&mut self, now: i64, socket: DatagramSocket) {
+        self.dispatcher.set_time(now);
+        if socket == DatagramSocket::Discovery {
+            self.dispatcher.handle_answers_unreadable();
+        }
+    }
+
     fn begin_shutdown(&mut self, now: i64) {
         self.dispatcher.set_time(now);
         self.dispatcher.begin_shutdown();
--- a/crates/platform/src/list_freshness.rs
+++ b/crates/platform/src/list_freshness.rs
@@ -35,12 +35,11 @@
 /// Time without activity after which the process is considered to have been suspended or starved of CPU time, in microseconds. It
 /// is normally active at least ten times per second.
 const MAX_INACTIVITY_US: i64 = 300_000;
-/// Maximum time for which failures to send queries cause new requests to be held, in microseconds. After that, requests are
-/// routed by the last list.
-const MAX_UNSENT_HOLD_US: i64 = 2_000_000;
-/// Time without send failures after which the next one counts as a new incident, in microseconds. It is much longer than requests
+/// Maximum time for which failures to send queries or to read answers extend the hold of new requests, in microseconds.
+const MAX_FAILURE_HOLD_US: i64 = 2_000_000;
+/// Time without such failures after which the next one counts as a new incident, in microseconds. It is much longer than requests
 /// are held, so that occasional failures do not cause requests to be held repeatedly.
-const UNSENT_RECOVERY_US: i64 = 10_000_000;
+const FAILURE_RECOVERY_US: i64 = 10_000_000;
 
 /// A period in which the name service could not be queried and the list became too old.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -67,19 +66,19 @@
     ListTooOld(PollingGap),
 }
 
-/// An incident of consecutive queries that could not be sent; times are in microseconds.
+/// An incident of queries that could not be sent, or answers that could not be read; times are in microseconds.
 #[derive(Clone, Copy, Debug)]
-struct UnsentQueries {
+struct FailedCalls {
     first_at: i64,
     last_at: i64,
 }
 
-impl UnsentQueries {
-    /// Adds a failed query to the previous incident, or starts a new one if that was too long ago.
-    fn add(previous: Option<UnsentQueries>, now: i64) -> UnsentQueries {
-        let recent = previous.filter(|unsent| now - unsent.last_at < UNSENT_RECOVERY_US);
-        UnsentQueries {
-            first_at: recent.map_or(now, |unsent| unsent.first_at),
+impl FailedCalls {
+    /// Adds a failed call to the previous incident, or starts a new one if that was too long ago.
+    fn add(previous: Option<FailedCalls>, now: i64) -> FailedCalls {
+        let recent = previous.filter(|failed| now - failed.last_at < FAILURE_RECOVERY_US);
+        FailedCalls {
+            first_at: recent.map_or(now, |failed| failed.first_at),
             last_at: now,
         }
     }
@@ -105,8 +104,8 @@
     answers: usize,
     /// When the last burst of queries began, if there was one.
     burst_began_at: Option<i64>,
-    /// The current incident of queries that could not be sent, if any occurred since the last answer.
-    unsent: Option<UnsentQueries>,
+    /// The current incident of queries that could not be sent or answers that could not be read, if any since the last answer.
+    failed_calls: Option<FailedCalls>,
     /// The gap after which requests are being held, if any.
     gap: Option<PollingGap>,
     /// Whether it was reported since the last answer that the list is overdue.
@@ -131,7 +130,7 @@
             answer_gaps_us: [0; ROUND_TRIPS],
             answers: 0,
             burst_began_at: None,
-            unsent: None,
+            failed_calls: None,
             gap: None,
             is_overdue_reported: false,
             max_list_age_us: drain_grace_us,
@@ -200,13 +199,13 @@
         self.list_age_us(now) > self.max_list_age_us
     }
 
-    /// Records that a query could not be sent. Returns the gap if this starts one. If there is a gap already, its end is moved to
+    /// Records that a query could not be sent, or answers could not be read. Returns the gap if this starts one. If there is a gap already, its end is moved to
     /// now.
-    pub fn record_unsent_query(&mut self, now: i64) -> Option<PollingGap> {
+    pub fn record_failed_call(&mut self, now: i64) -> Option<PollingGap> {
         self.validity.record_other_cause();
-        let unsent = UnsentQueries::add(self.unsent, now);
-        self.unsent = Some(unsent);
-        if now - unsent.first_at > MAX_UNSENT_HOLD_US {
+        let failed = FailedCalls::add(self.failed_calls, now);
+        self.failed_calls = Some(failed);
+        if now - failed.first_at > MAX_FAILURE_HOLD_US {
             return None;
         }
         let has_gap = self.active_gap(now).is_some();
@@ -227,7 +226,7 @@
         self.answer_gaps_us[self.answers % ROUND_TRIPS] = now - self.answered_at;
         self.answered_at = now;
         self.unanswered = 0;
-        self.unsent = None;
+        self.failed_calls = None;
         self.is_overdue_reported = false;
         self.round_trips_us[self.answers % ROUND_TRIPS] = now - query_sent_at;
         self.answers = self.answers.wrapping_add(1);
--- a/crates/platform/src/metrics.rs
+++ b/crates/platform/src/metrics.rs
@@ -217,6 +217,11 @@
             "Queries for the list that this machine could not send.",
             hold_counters.unsent_queries,
         );
+        writer.write_counter(
+            "executor_list_reads_failed_total",
+            "Failures of this machine to read answers of the name service.",
+            hold_counters.failed_reads,
+        );
         writer.write_gauge(
             "executor_list_age_milliseconds",
             "Time since the name service last confirmed the list of executors.",
--- a/crates/platform/tests/list_age.rs
+++ b/crates/platform/tests/list_age.rs
@@ -578,3 +578,27 @@
         assert_eq!(status_of(&mut harness, client), 0);
     }
 }
+
+/// Answers that could not be read passed for a silence of the name service, in which the last list is used for longer.
+#[test]
+fn a_name_service_whose_answers_cannot_be_read_is_not_silent() {
+    let mut harness = Harness::new(1);
+    let mut used_until = 0;
+    let began_at = harness.now;
+    for n in 0..80 {
+        harness
+            .platform
+            .handle_datagram_receive_failure(harness.now, DatagramSocket::Discovery);
+        let client = send_query(&mut harness, "look", n, 100);
+        harness.complete_connects();
+        if let Some((executor, _)) = harness.take_request() {
+            used_until = harness.now - began_at;
+            let answer = format!("{} HIT pages=1 0\r\n\r\n", request_id(n));
+            harness.receive(executor, &answer);
+        }
+        harness.advance(100 * MILLISECOND);
+        assert_ne!(status_of(&mut harness, client), 0, "answered in time");
+    }
+    // The grace period of draining executors.
+    assert!(used_until <= SECOND, "used until {used_until} us");
+}
--- a/crates/sans-io/src/protocol.rs
+++ b/crates/sans-io/src/protocol.rs
@@ -72,6 +72,10 @@
     fn handle_datagram_send_failure(&mut self, now: i64, socket: DatagramSocket) {
         let _ = (now, socket);
     }
+    /// Handles a failure to receive datagrams because of an error on this host. Receiving is retried, and datagrams may be waiting.
+    fn handle_datagram_receive_failure(&mut self, now: i64, socket: DatagramSocket) {
+        let _ = (now, socket);
+    }
     /// Begins a graceful shutdown. The controller emits [`Effect::Stopped`] when it is complete.
     fn begin_shutdown(&mut self, now: i64);
     /// Called after [`Effect::StopListening`] once listening for clients has stopped and all connections that were made until
