platform: one unusable answer after a silence does not end the use of the list

Cause: any answer that could not be used meant that the name service was not silent, so that the longer time of an outage did not apply; the first answer after a silence was malformed. Four such answers without an accepted one between them are needed now: fewer come with the beginning and the end of an outage.

Test: with one such answer the waiting request is sent, with eight it is rejected. It failed before for one.

--- a/crates/platform/src/list_freshness.rs
+++ b/crates/platform/src/list_freshness.rs
@@ -237,7 +237,7 @@
 
     /// Records an answer of the name service that neither confirms nor replaces the list.
     pub fn record_unusable_answer(&mut self) {
-        self.validity.record_other_cause();
+        self.validity.record_unusable_answer();
     }
 
     /// Records a switch to another name service.
--- a/crates/platform/src/list_validity.rs
+++ b/crates/platform/src/list_validity.rs
@@ -17,6 +17,9 @@
 /// Maximum time for which new requests are held until the list is confirmed, in microseconds. Several queries may be lost in this
 /// time. Every client of the platform waits longer than this for a response, or is answered at its own deadline.
 pub const MAX_HOLD_US: i64 = 1_000_000;
+/// Number of answers without an accepted one between them that can't be used, from which on the name service does not count as silent.
+/// Single ones arrive at the beginning and the end of an outage.
+const MIN_UNUSABLE_ANSWERS: u32 = 4;
 /// Time without an accepted answer after which the name service is taken for silent, in microseconds.
 const SILENCE_US: i64 = 1_000_000;
 
@@ -45,8 +48,10 @@
     reloaded_at: Option<i64>,
     /// Since when the list has been too old without interruption, if it was too old at the last accepted answer.
     overdue_since: Option<i64>,
-    /// Whether something other than a silent name service has kept this process from confirming the list since the last answer.
+    /// Whether something other than the name service has kept this process from confirming the list since the last answer.
     has_other_cause: bool,
+    /// Number of answers since the last accepted one that could not be used.
+    unusable_answers: u32,
     drain_grace_us: i64,
 }
 
@@ -59,6 +64,7 @@
             reloaded_at: None,
             overdue_since: None,
             has_other_cause: false,
+            unusable_answers: 0,
             drain_grace_us,
         }
     }
@@ -70,11 +76,17 @@
         self.answered_at = now;
         self.reloaded_at = None;
         self.has_other_cause = false;
+        self.unusable_answers = 0;
         self.overdue_since = (now > self.usable_until()).then_some(overdue_since);
     }
 
-    /// Records that this process could not query the name service or use its answers, so that a missing confirmation does not show that
-    /// the name service is silent.
+    /// Records an answer of the name service that neither confirms nor replaces the list.
+    pub fn record_unusable_answer(&mut self) {
+        self.unusable_answers = self.unusable_answers.saturating_add(1);
+    }
+
+    /// Records that this process could not query the name service or read its answers, so that a missing confirmation does not show
+    /// that the name service is silent.
     pub fn record_other_cause(&mut self) {
         self.has_other_cause = true;
     }
@@ -112,6 +124,7 @@
     /// are no outage, as answers may merely be lost.
     fn is_usable_in_outage(&self, now: i64) -> bool {
         let is_outage = !self.has_other_cause
+            && self.unusable_answers < MIN_UNUSABLE_ANSWERS
             && now - self.answered_at >= SILENCE_US
             && now >= self.overdue_since() + MAX_HOLD_US;
         is_outage && now <= self.confirmed_at + OUTAGE_PUBLICATION_DELAY_US + self.drain_grace_us
--- a/crates/platform/tests/list_age.rs
+++ b/crates/platform/tests/list_age.rs
@@ -3,6 +3,7 @@
 
 mod common;
 use common::*;
+use hickory_proto::op::ResponseCode;
 use std::collections::VecDeque;
 use wheelfield_sans_io::{ConnId, DatagramSocket, Protocol as _};
 
@@ -602,3 +603,25 @@
     // The grace period of draining executors.
     assert!(used_until <= SECOND, "used until {used_until} us");
 }
+
+/// The first answer after a silence was spoilt, and 17 waiting requests were rejected, 38 ms before the next answer.
+#[test]
+fn a_single_unusable_answer_after_a_silence_does_not_end_the_use_of_the_list() {
+    for (unusable, is_rejected) in [(1, false), (8, true)] {
+        let mut harness = Harness::with_name_service(1);
+        harness.advance(SECOND);
+        harness.confirmed_executors = None;
+        harness.advance(3 * SECOND);
+        let client = send_query(&mut harness, "look", 1, 2_000);
+        assert!(harness.connects.is_empty(), "the request must wait");
+        for _ in 0..unusable {
+            let mut answer = dns_answer(&last_query(&harness), 3, &[("e1", 1, 0)]);
+            answer.metadata.response_code = ResponseCode::ServFail;
+            harness.receive_discovery_answer(&answer);
+        }
+        harness.advance(SECOND);
+        assert_eq!(harness.connects.is_empty(), is_rejected, "{unusable}");
+        let expected = if is_rejected { 503 } else { 0 };
+        assert_eq!(status_of(&mut harness, client), expected, "{unusable}");
+    }
+}
