platform: an executor that left is used again once a second answer lists it

Names that left the list are remembered, 1,024 at most, and come back once the list is confirmed, as those that drained. A list that one answer alone has brought is asked for again after 50 ms in place of 250. The time granted after SIGHUP counts from the signal where the process was stopped since.

--- a/crates/platform/src/discovery/list_tracker.rs
+++ b/crates/platform/src/discovery/list_tracker.rs
@@ -10,7 +10,7 @@
 //! the list in force, in which it is not draining, is current.
 
 use crate::bootstrap::{BootstrapConfig, ExecutorEndpoint};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use wheelfield::interface::Status;
 
@@ -22,6 +22,9 @@
 /// Number of answers in a row that contradict an unconfirmed list and replace it.
 const MIN_CONTRADICTIONS: u32 = 2;
 
+/// Maximum number of removed executors that are remembered.
+const MAX_REMOVED_NAMES: usize = 1_024;
+
 /// A list of executors with its serial number.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct NumberedList {
@@ -93,6 +96,8 @@
     /// Executors that get no new requests although the list says that they are ready, until an answer confirms the list at or after
     /// this time, in microseconds.
     suspected: BTreeMap<String, i64>,
+    /// Executors that an earlier list contained and the list in force does not, the latest last.
+    removed: VecDeque<String>,
     /// Number of changes of the list or of the suspected executors.
     revision: u64,
 }
@@ -105,6 +110,7 @@
             is_confirmed: true,
             contradictions: None,
             suspected: BTreeMap::new(),
+            removed: VecDeque::new(),
             revision: 0,
         }
     }
@@ -208,28 +214,32 @@
         if is_service_in_use {
             self.contradictions = None;
         }
+        if !self.is_confirmed {
+            let listed = self.listed_names();
+            self.removed.retain(|name| !listed.contains(name));
+        }
         self.is_confirmed = true;
         let before = self.suspected.len();
         self.suspected.retain(|_, until| *until > now);
         self.revision += u64::from(self.suspected.len() != before);
     }
 
-    /// Replaces the list. An executor that was draining becomes ready only once the new list is confirmed.
+    /// Replaces the list. An executor that was draining or removed becomes ready only once the new list is confirmed.
     fn replace(&mut self, list: NumberedList, is_service_in_use: bool) {
         if is_service_in_use {
             self.contradictions = None;
         }
-        let ready_before: BTreeSet<String> = self.usable_names();
-        let known_before: Vec<String> =
-            self.list.executors.iter().map(|e| e.name.clone()).collect();
-        let drained_before = known_before
-            .into_iter()
-            .filter(|name| !ready_before.contains(name));
-        let drained_before = drained_before.collect();
-        self.list = list;
+        let usable_before = self.usable_names();
+        let before = std::mem::replace(&mut self.list, list);
         self.is_confirmed = false;
         self.revision += 1;
-        self.suspect(drained_before);
+        let removed_before = self.removed.iter().cloned();
+        let listed_before = before.executors.iter().map(|e| e.name.clone());
+        let unusable_before = removed_before
+            .chain(listed_before)
+            .filter(|name| !usable_before.contains(name));
+        self.suspect(unusable_before.collect());
+        self.remember_removed(before);
         let ready: BTreeSet<String> = self
             .list
             .ready_names()
@@ -262,6 +272,26 @@
         }
     }
 
+    /// Remembers the executors of the list before that are not in the list in force.
+    fn remember_removed(&mut self, before: NumberedList) {
+        let listed = self.listed_names();
+        let names = before.executors.into_iter().map(|e| e.name);
+        let removed: Vec<String> = names.filter(|name| !listed.contains(name)).collect();
+        self.removed.retain(|name| !removed.contains(name));
+        self.removed.extend(removed);
+        let excess = self.removed.len().saturating_sub(MAX_REMOVED_NAMES);
+        self.removed.drain(..excess);
+    }
+
+    fn listed_names(&self) -> BTreeSet<String> {
+        self.list.executors.iter().map(|e| e.name.clone()).collect()
+    }
+
+    /// Whether a second answer, or the configuration, has confirmed the list.
+    pub fn is_confirmed(&self) -> bool {
+        self.is_confirmed
+    }
+
     /// The names of the executors that get new requests.
     fn usable_names(&self) -> BTreeSet<String> {
         let ready = self.list.ready_names().into_iter();
--- a/crates/platform/src/discovery/mod.rs
+++ b/crates/platform/src/discovery/mod.rs
@@ -164,6 +164,11 @@
         self.tracker.serial()
     }
 
+    /// Returns whether a second answer, or the configuration, has confirmed the current list.
+    pub fn is_list_confirmed(&self) -> bool {
+        self.tracker.is_confirmed()
+    }
+
     /// Returns the number of executors in the current list whose records are missing or malformed.
     pub fn unreadable_executors(&self) -> usize {
         self.unreadable_executors
--- a/crates/platform/src/dispatcher/topology.rs
+++ b/crates/platform/src/dispatcher/topology.rs
@@ -19,6 +19,9 @@
 /// answered.
 const LATE_CONFIRMATION_US: i64 = 4 * list_freshness::POLL_INTERVAL_US;
 
+/// Time after which a query for a list is repeated that only one answer has contained, in microseconds.
+const CONFIRMATION_DELAY_US: i64 = 50_000;
+
 /// When the list was last confirmed before the current answer, and how many queries were sent since.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct PreviousConfirmation {
@@ -156,6 +159,10 @@
             true => self.out.now + list_freshness::POLL_INTERVAL_US,
             false => self.list_freshness.next_query_at(),
         };
+        let at = match self.discovery.is_list_confirmed() {
+            true => at,
+            false => at.min(self.out.now + CONFIRMATION_DELAY_US),
+        };
         self.out.cancel_timer(&mut self.discovery_timer);
         self.discovery_timer = Some(self.out.set_timer_at(at, TimerEvent::QueryDiscovery));
     }
@@ -228,7 +235,7 @@
     pub fn use_resolver(&mut self, resolver: SocketAddr) {
         info!(%resolver, "name service changed");
         self.discovery.use_resolver(resolver);
-        self.list_freshness.record_reload(self.out.now);
+        self.list_freshness.record_reload(self.arrival_time());
         self.query_discovery();
     }
 
--- a/crates/platform/tests/discovery.rs
+++ b/crates/platform/tests/discovery.rs
@@ -250,9 +250,12 @@
     let mut harness = Harness::new(1);
     let mut serial = 4;
     let mut publish = |harness: &mut Harness, executors: &[(&str, u8, u16)]| {
-        let query = next_query(harness, RESOLVER);
-        let answer = dns_answer(&query, serial, executors);
-        receive(harness, RESOLVER, &answer.to_vec().expect("bytes"));
+        // The second answer confirms the list.
+        for _ in 0..2 {
+            let query = next_query(harness, RESOLVER);
+            let answer = dns_answer(&query, serial, executors);
+            receive(harness, RESOLVER, &answer.to_vec().expect("bytes"));
+        }
         serial += 1;
     };
     for round in 0..3 {
