platform: a wrong list is not confirmed by an outdated answer between right ones

Controller 6 took a wrong list, then one right answer, then the wrong list again: that confirmed it, and the right answers had to wait for 5 s.

An unconfirmed list that was contradicted needs two answers in a row. One that was given up for a lower number is not in force again before four in a row. A further attempt of a query that is at an executor waits while there is no list, as the policy might otherwise start another at once, again and again. Test: wrong and right answers in turn; it failed before.

--- a/crates/platform/src/discovery/list_tracker.rs
+++ b/crates/platform/src/discovery/list_tracker.rs
@@ -21,6 +21,10 @@
 const MAX_LAG_US: i64 = 4_500_000;
 /// Number of answers in a row that contradict an unconfirmed list and replace it.
 const MIN_CONTRADICTIONS: u32 = 2;
+/// Number of answers that confirm a list after others have contradicted it, without one that contradicts it between them.
+const MIN_AGREEMENTS: u32 = 2;
+/// Number of answers in a row with a list that was given up, after which it is in force again.
+const MIN_RETURNS: u32 = 4;
 
 /// Maximum number of removed executors that are remembered.
 const MAX_REMOVED_NAMES: usize = 1_024;
@@ -93,6 +97,10 @@
     /// Whether the configuration or a second answer has confirmed the list.
     is_confirmed: bool,
     contradictions: Option<Contradictions>,
+    /// Number of answers that contained the list since it was last contradicted.
+    agreements: u32,
+    /// The last list that was given up for one with a lower number, and the number of answers with it since another one.
+    given_up: Option<(NumberedList, u32)>,
     /// Executors that get no new requests although the list says that they are ready, until an answer confirms the list at or after
     /// this time, in microseconds.
     suspected: BTreeMap<String, i64>,
@@ -109,6 +117,8 @@
             list,
             is_confirmed: true,
             contradictions: None,
+            agreements: 0,
+            given_up: None,
             suspected: BTreeMap::new(),
             removed: VecDeque::new(),
             revision: 0,
@@ -157,6 +167,10 @@
         is_service_in_use: bool,
     ) -> ListVerdict {
         if list.serial > self.list.serial {
+            if self.is_given_up(&list) {
+                self.suspect_draining(&list);
+                return ListVerdict::Conflicting;
+            }
             self.replace(list, is_service_in_use);
             return ListVerdict::Replaced;
         }
@@ -209,8 +223,28 @@
         self.revision += u64::from(self.suspected.len() != before);
     }
 
+    /// Whether this list was given up, and has not returned often enough since.
+    fn is_given_up(&mut self, list: &NumberedList) -> bool {
+        let Some((given_up, returns)) = &mut self.given_up else {
+            return false;
+        };
+        if given_up.serial != list.serial || !given_up.has_same_executors(list) {
+            return false;
+        }
+        *returns += 1;
+        *returns < MIN_RETURNS
+    }
+
     /// Handles an answer that contains the list in force.
     pub fn confirm(&mut self, now: i64, is_service_in_use: bool) {
+        self.agreements += 1;
+        if let Some((_, returns)) = &mut self.given_up {
+            *returns = 0;
+        }
+        let is_contested = !self.is_confirmed && self.contradictions.is_some();
+        if is_contested && self.agreements < MIN_AGREEMENTS {
+            return;
+        }
         if is_service_in_use {
             self.contradictions = None;
         }
@@ -232,6 +266,7 @@
         let usable_before = self.usable_names();
         let before = std::mem::replace(&mut self.list, list);
         self.is_confirmed = false;
+        self.agreements = 0;
         self.revision += 1;
         let removed_before = self.removed.iter().cloned();
         let listed_before = before.executors.iter().map(|e| e.name.clone());
@@ -254,6 +289,7 @@
     fn return_to(&mut self, now: i64, list: NumberedList) {
         let was_confirmed = self.is_confirmed;
         let ready_before = self.usable_names();
+        self.given_up = Some((self.list.clone(), 0));
         self.replace(list, true);
         if was_confirmed {
             return;
@@ -303,6 +339,7 @@
 
     /// Records an answer that contradicts the list in force. Returns whether its list is to replace that.
     fn record_contradiction(&mut self, now: i64, list: &NumberedList) -> bool {
+        self.agreements = 0;
         let contradictions = self.contradictions.get_or_insert_with(|| Contradictions {
             since: now,
             repetitions: 0,
--- a/crates/platform/src/dispatcher/attempts.rs
+++ b/crates/platform/src/dispatcher/attempts.rs
@@ -45,12 +45,16 @@
         }
     }
 
+    /// Starts an attempt. If the list of executors must not be used, the policy answers the query instead, unless another attempt of it
+    /// is at an executor; then this one waits.
     fn start_attempt(&mut self, attempt: AttemptId, engine: EngineId, options: AttemptOptions) {
         let Some(in_flight) = self.in_flight.get(attempt.query) else {
             return self.end_attempt(attempt, Outcome::NeverSent);
         };
-        if self.has_no_list() {
-            return self.end_attempt_without_list(attempt);
+        if self.has_no_list() && !in_flight.is_at_executor {
+            return self
+                .driver
+                .handle_input(self.out.now, Input::ShutdownDeadline(attempt.query));
         }
         if attempt.number > 0 {
             let last_outcome = in_flight.history.last_outcome;
@@ -60,17 +64,6 @@
         self.executors.launch(engine, pending, &mut self.out);
     }
 
-    /// Ends an attempt that can't be sent because the list of executors must not be used. The policy answers its query, unless
-    /// another attempt is at an executor.
-    fn end_attempt_without_list(&mut self, attempt: AttemptId) {
-        let in_flight = self.in_flight.get(attempt.query);
-        if in_flight.is_some_and(|query| query.is_at_executor) {
-            return self.end_attempt(attempt, Outcome::NeverSent);
-        }
-        self.driver
-            .handle_input(self.out.now, Input::ShutdownDeadline(attempt.query));
-    }
-
     /// Sends the response to a query that was rejected or failed.
     fn answer_query(&mut self, query: QueryId, answer: &Answer) {
         let Some(in_flight) = self.in_flight.remove(query) else {
--- a/crates/platform/tests/list_numbers.rs
+++ b/crates/platform/tests/list_numbers.rs
@@ -166,3 +166,22 @@
     );
     assert!(used_executors(&mut harness, 100).contains(&3), "accepted");
 }
+
+/// A second outdated answer arrived between two right ones and confirmed the wrong list, which stayed in force for five seconds.
+#[test]
+fn outdated_answers_that_alternate_with_right_ones_do_not_confirm_a_wrong_list() {
+    let mut harness = Harness::new(2);
+    answer(&mut harness, 4, FIRST_GONE);
+    answer(&mut harness, 4, FIRST_GONE);
+    for n in 0..8 {
+        answer(&mut harness, 9, BOTH_READY);
+        assert_eq!(used_executors(&mut harness, 1 + 200 * n), only_second());
+        answer(&mut harness, 4, FIRST_GONE);
+        assert_eq!(used_executors(&mut harness, 101 + 200 * n), only_second());
+    }
+    // A list that returns often enough is in force again.
+    for _ in 0..6 {
+        answer(&mut harness, 9, BOTH_READY);
+    }
+    assert_eq!(used_executors(&mut harness, 5_000), both());
+}
