platform: a reload grants no time for an old list while answers cannot be read

Cause: the time for which a new name service may lag behind was granted although answers may have been sent and waited unread. Where this process can't ask or read, the grace alone counts. Test: a_reload_grants_no_time_while_answers_cannot_be_read failed before.

--- a/crates/platform/src/list_validity.rs
+++ b/crates/platform/src/list_validity.rs
@@ -113,8 +113,12 @@
         }
     }
 
-    /// Until when the list may be used if the name service is not silent.
+    /// Until when the list may be used if the name service is not silent. Answers that this process could not read may have been sent
+    /// in time, so nothing is granted for their publication.
     fn usable_until(&self) -> i64 {
+        if self.has_other_cause {
+            return self.confirmed_at + self.drain_grace_us;
+        }
         let published_at = self.confirmed_at + PUBLICATION_DELAY_US;
         let reload_published_at = self.reloaded_at.map(|at| at + RELOAD_PUBLICATION_DELAY_US);
         published_at.max(reload_published_at.unwrap_or(published_at)) + self.drain_grace_us
--- a/crates/platform/tests/list_age.rs
+++ b/crates/platform/tests/list_age.rs
@@ -625,3 +625,28 @@
         assert_eq!(status_of(&mut harness, client), expected, "{unusable}");
     }
 }
+
+/// The time that a new name service may lag behind was granted although the answers could not be read, and 48 requests followed.
+#[test]
+fn a_reload_grants_no_time_while_answers_cannot_be_read() {
+    let mut harness = Harness::new(1);
+    let began_at = harness.now;
+    let resolver = "127.9.0.3:1053".parse().expect("an address");
+    for n in 0..50 {
+        if n == 5 {
+            harness.platform.use_resolver(harness.now, resolver);
+        }
+        harness
+            .platform
+            .handle_datagram_receive_failure(harness.now, DatagramSocket::Discovery);
+        send_query(&mut harness, "look", n, 100);
+        harness.complete_connects();
+        if let Some((executor, _)) = harness.take_request() {
+            let answer = format!("{} HIT pages=1 0\r\n\r\n", request_id(n));
+            harness.receive(executor, &answer);
+            let age = harness.now - began_at;
+            assert!(age <= SECOND, "used at {age} us");
+        }
+        harness.advance(100 * MILLISECOND);
+    }
+}
