platform: a reload does not bring an expired list back into use

The name service was silent from 12.164 s, the list expired at 17.7 s, and a reload at 18.59 s granted it another 5 s.

Cause: each reload put off the publication of changes, also of those that counted as published long before. Only one within the 1.5 s after the last confirmation does so now. Test: a_reload_does_not_bring_an_expired_list_back_into_use failed before.

--- a/crates/platform/src/list_validity.rs
+++ b/crates/platform/src/list_validity.rs
@@ -91,9 +91,12 @@
         self.has_other_cause = true;
     }
 
-    /// Records a switch to another name service, whose list may be outdated for a while.
+    /// Records a switch to another name service, whose list may be outdated for a while. It puts off the publication of changes only if
+    /// they did not count as published before.
     pub fn record_reload(&mut self, now: i64) {
-        self.reloaded_at.get_or_insert(now);
+        if now <= self.confirmed_at + PUBLICATION_DELAY_US {
+            self.reloaded_at.get_or_insert(now);
+        }
     }
 
     /// Records that requests have been held since `held_since`, so that they are not held again before the list is confirmed.
--- a/crates/platform/tests/list_age.rs
+++ b/crates/platform/tests/list_age.rs
@@ -650,3 +650,19 @@
         harness.advance(100 * MILLISECOND);
     }
 }
+
+/// A reload in a long silence brought a list back into use that had expired, and 16 requests followed.
+#[test]
+fn a_reload_does_not_bring_an_expired_list_back_into_use() {
+    let mut harness = Harness::with_name_service(1);
+    harness.advance(SECOND);
+    harness.confirmed_executors = None;
+    harness.advance(6 * SECOND);
+    let client = send_query(&mut harness, "look", 1, 400);
+    assert_eq!(status_of(&mut harness, client), 503);
+    let resolver = "127.9.0.3:1053".parse().expect("an address");
+    harness.platform.use_resolver(harness.now, resolver);
+    let client = send_query(&mut harness, "look", 2, 400);
+    assert_eq!(status_of(&mut harness, client), 503);
+    assert!(harness.connects.is_empty(), "sent by an expired list");
+}
