platform: an unusable answer ends a silence, and requests wait for the next one

Answers were lost or reported a failure; the controller took the failures between lost answers for a part of a silence, in which the platform grants more time.

Cause: the rule of four unusable answers of today, made for one that came 38 ms before the end of a silence. One such answer shows that the name service is not silent, so that nothing more is granted; the next may confirm the list, so that requests wait for it, for 1 s at most, also after the wait before. The test of the four answers asks for this in their place: it must wait, is sent once the list is confirmed, and rejected if it is not.

--- a/crates/platform/src/dispatcher/topology.rs
+++ b/crates/platform/src/dispatcher/topology.rs
@@ -201,7 +201,8 @@
 
     fn record_ignored_answer(&mut self, reason: IgnoredAnswer, from: SocketAddr, datagram: &[u8]) {
         if reason.shows_service_is_reachable() {
-            self.list_freshness.record_unusable_answer();
+            self.list_freshness.record_unusable_answer(self.out.now);
+            self.update_list_use();
         }
         if self.ignored_answers.record(reason) {
             info!(
--- a/crates/platform/src/list_freshness.rs
+++ b/crates/platform/src/list_freshness.rs
@@ -236,8 +236,8 @@
     }
 
     /// Records an answer of the name service that neither confirms nor replaces the list.
-    pub fn record_unusable_answer(&mut self) {
-        self.validity.record_unusable_answer();
+    pub fn record_unusable_answer(&mut self, now: i64) {
+        self.validity.record_unusable_answer(now);
     }
 
     /// Records a switch to another name service.
--- a/crates/platform/src/list_validity.rs
+++ b/crates/platform/src/list_validity.rs
@@ -17,9 +17,6 @@
 /// Maximum time for which new requests are held until the list is confirmed, in microseconds. Several queries may be lost in this
 /// time. Every client of the platform waits longer than this for a response, or is answered at its own deadline.
 pub const MAX_HOLD_US: i64 = 1_000_000;
-/// Number of answers without an accepted one between them that can't be used, from which on the name service does not count as silent.
-/// Single ones arrive at the beginning and the end of an outage.
-const MIN_UNUSABLE_ANSWERS: u32 = 4;
 /// Time without an accepted answer after which the name service is taken for silent, in microseconds.
 const SILENCE_US: i64 = 1_000_000;
 
@@ -50,8 +47,8 @@
     overdue_since: Option<i64>,
     /// Whether something other than the name service has kept this process from confirming the list since the last answer.
     has_other_cause: bool,
-    /// Number of answers since the last accepted one that could not be used.
-    unusable_answers: u32,
+    /// When the first answer since the last accepted one arrived that could not be used, if any did.
+    unusable_answer_at: Option<i64>,
     drain_grace_us: i64,
 }
 
@@ -64,7 +61,7 @@
             reloaded_at: None,
             overdue_since: None,
             has_other_cause: false,
-            unusable_answers: 0,
+            unusable_answer_at: None,
             drain_grace_us,
         }
     }
@@ -76,13 +73,14 @@
         self.answered_at = now;
         self.reloaded_at = None;
         self.has_other_cause = false;
-        self.unusable_answers = 0;
+        self.unusable_answer_at = None;
         self.overdue_since = (now > self.usable_until()).then_some(overdue_since);
     }
 
-    /// Records an answer of the name service that neither confirms nor replaces the list.
-    pub fn record_unusable_answer(&mut self) {
-        self.unusable_answers = self.unusable_answers.saturating_add(1);
+    /// Records an answer of the name service that neither confirms nor replaces the list. It shows that the name service is not silent,
+    /// and that the next answer may confirm the list.
+    pub fn record_unusable_answer(&mut self, now: i64) {
+        self.unusable_answer_at.get_or_insert(now);
     }
 
     /// Records that this process could not query the name service or read its answers, so that a missing confirmation does not show
@@ -109,7 +107,10 @@
         if now <= self.usable_until() || self.is_usable_in_outage(now) {
             return ListUse::Usable;
         }
-        let until = self.overdue_since() + MAX_HOLD_US;
+        let held_since = self
+            .overdue_since()
+            .max(self.unusable_answer_at.unwrap_or(0));
+        let until = held_since + MAX_HOLD_US;
         match now < until {
             true => ListUse::Held { until },
             false => ListUse::Expired,
@@ -131,7 +132,7 @@
     /// are no outage, as answers may merely be lost.
     fn is_usable_in_outage(&self, now: i64) -> bool {
         let is_outage = !self.has_other_cause
-            && self.unusable_answers < MIN_UNUSABLE_ANSWERS
+            && self.unusable_answer_at.is_none()
             && now - self.answered_at >= SILENCE_US
             && now >= self.overdue_since() + MAX_HOLD_US;
         is_outage && now <= self.confirmed_at + OUTAGE_PUBLICATION_DELAY_US + self.drain_grace_us
--- a/crates/platform/tests/list_age.rs
+++ b/crates/platform/tests/list_age.rs
@@ -604,25 +604,29 @@
     assert!(used_until <= SECOND, "used until {used_until} us");
 }
 
-/// The first answer after a silence was spoilt, and 17 waiting requests were rejected, 38 ms before the next answer.
+/// The first answer after a silence was spoilt, and 17 waiting requests were rejected, 38 ms before the next answer. Later, such an
+/// answer between lost ones passed for a part of the silence, and requests went to a drained executor.
 #[test]
-fn a_single_unusable_answer_after_a_silence_does_not_end_the_use_of_the_list() {
-    for (unusable, is_rejected) in [(1, false), (8, true)] {
+fn an_unusable_answer_ends_a_silence_and_lets_requests_wait_for_the_next_one() {
+    for (silent_ms, is_confirmed) in [(3_000, true), (3_000, false), (4_500, true), (4_500, false)]
+    {
         let mut harness = Harness::with_name_service(1);
         harness.advance(SECOND);
         harness.confirmed_executors = None;
-        harness.advance(3 * SECOND);
+        harness.advance(silent_ms * MILLISECOND);
+        let mut answer = dns_answer(&last_query(&harness), 3, &[("e1", 1, 0)]);
+        answer.metadata.response_code = ResponseCode::ServFail;
+        harness.receive_discovery_answer(&answer);
         let client = send_query(&mut harness, "look", 1, 2_000);
+        harness.advance(MAX_HOLD - 200 * MILLISECOND);
         assert!(harness.connects.is_empty(), "the request must wait");
-        for _ in 0..unusable {
-            let mut answer = dns_answer(&last_query(&harness), 3, &[("e1", 1, 0)]);
-            answer.metadata.response_code = ResponseCode::ServFail;
-            harness.receive_discovery_answer(&answer);
-        }
-        harness.advance(SECOND);
-        assert_eq!(harness.connects.is_empty(), is_rejected, "{unusable}");
-        let expected = if is_rejected { 503 } else { 0 };
-        assert_eq!(status_of(&mut harness, client), expected, "{unusable}");
+        assert_eq!(status_of(&mut harness, client), 0, "the request must wait");
+        harness.confirmed_executors = is_confirmed.then_some(1);
+        harness.advance(300 * MILLISECOND);
+        let case = format!("silent for {silent_ms} ms, confirmed: {is_confirmed}");
+        assert_eq!(harness.connects.is_empty(), !is_confirmed, "{case}");
+        let expected = if is_confirmed { 0 } else { 503 };
+        assert_eq!(status_of(&mut harness, client), expected, "{case}");
     }
 }
 
