platform: a silence that may have begun before the start grants no time

Controllers that started 0.3 s into a silence counted the time that the platform grants in one from their start.

Until the first answer, nothing is granted for an outage now. Open: a process that starts more than 3 s into a silence still uses the list of its start for 2.5 s, of which the last 1.4 s may be past the grace of what drains at once. Test: a_silence_that_began_before_the_start_grants_no_time failed before.

--- a/crates/platform/src/list_validity.rs
+++ b/crates/platform/src/list_validity.rs
@@ -41,6 +41,8 @@
     confirmed_at: i64,
     /// When the last accepted answer arrived.
     answered_at: i64,
+    /// Whether any answer was accepted since the start.
+    has_answer: bool,
     /// The first switch to another name service since the list was last confirmed, if any.
     reloaded_at: Option<i64>,
     /// Since when the list has been too old without interruption, if it was too old at the last accepted answer.
@@ -58,6 +60,7 @@
         ListValidity {
             confirmed_at: read_at,
             answered_at: read_at,
+            has_answer: false,
             reloaded_at: None,
             overdue_since: None,
             has_other_cause: false,
@@ -71,6 +74,7 @@
         let overdue_since = self.overdue_since();
         self.confirmed_at = confirmed_at;
         self.answered_at = now;
+        self.has_answer = true;
         self.reloaded_at = None;
         self.has_other_cause = false;
         self.unusable_answer_at = None;
@@ -129,9 +133,10 @@
     }
 
     /// Whether the list may be used because the name service has been silent since the last answer. The first moments of a silence
-    /// are no outage, as answers may merely be lost.
+    /// are no outage, as answers may merely be lost. Nor is a silence that may have begun before the start of this process.
     fn is_usable_in_outage(&self, now: i64) -> bool {
-        let is_outage = !self.has_other_cause
+        let is_outage = self.has_answer
+            && !self.has_other_cause
             && self.unusable_answer_at.is_none()
             && now - self.answered_at >= SILENCE_US
             && now >= self.overdue_since() + MAX_HOLD_US;
--- a/crates/platform/tests/list_age.rs
+++ b/crates/platform/tests/list_age.rs
@@ -670,3 +670,13 @@
     assert_eq!(status_of(&mut harness, client), 503);
     assert!(harness.connects.is_empty(), "sent by an expired list");
 }
+
+/// A controller that started in a silence counted the time of an outage from its own start, and requests went to a drained executor.
+#[test]
+fn a_silence_that_began_before_the_start_grants_no_time() {
+    let mut harness = Harness::new(1);
+    harness.advance(3_600 * MILLISECOND);
+    let client = send_query(&mut harness, "look", 1, 400);
+    assert_eq!(status_of(&mut harness, client), 503);
+    assert!(harness.connects.is_empty(), "sent by the list of the start");
+}
