--- a/crates/platform/tests/clients.rs
+++ b/crates/platform/tests/clients.rs
@@ -494,6 +494,7 @@
 #[test]
 fn new_clients_have_time_to_send_a_request_when_all_connections_are_taken() {
     let mut harness = Harness::with_config(&config(vec![executor_entry("e1", 1, "ready")], 64));
+    harness.confirmed_executors = Some(1);
     let idle_clients: Vec<ConnId> = (0..16)
         .map(|n| {
             let client = harness.connect_client();
