platform: an answer from before a suspension does not make the time after it a silence

Its log: an answer to a query of 18.016 s had waited in the socket while the process was stopped; it confirmed the old list at 21.109 s, the wait ended at 22.110 s by 'in use again', and the list of 4.1 s ago was used as in an outage.

Cause: any accepted answer cleared the mark that something else than the name service had kept this process from asking. An answer to a query sent since does that now. Test without sockets: an_answer_from_before_a_suspension_grants_no_time_after_it failed before.

--- a/crates/platform/src/list_freshness.rs
+++ b/crates/platform/src/list_freshness.rs
@@ -172,7 +172,7 @@
             ended_at: now,
         };
         self.gap = Some(gap);
-        self.validity.record_other_cause();
+        self.validity.record_other_cause(now);
         Some(gap)
     }
 
@@ -202,7 +202,7 @@
     /// Records that a query could not be sent, or answers could not be read. Returns the gap if this starts one. If there is a gap already, its end is moved to
     /// now.
     pub fn record_failed_call(&mut self, now: i64) -> Option<PollingGap> {
-        self.validity.record_other_cause();
+        self.validity.record_other_cause(now);
         let failed = FailedCalls::add(self.failed_calls, now);
         self.failed_calls = Some(failed);
         if now - failed.first_at > MAX_FAILURE_HOLD_US {
--- a/crates/platform/src/list_validity.rs
+++ b/crates/platform/src/list_validity.rs
@@ -47,8 +47,8 @@
     reloaded_at: Option<i64>,
     /// Since when the list has been too old without interruption, if it was too old at the last accepted answer.
     overdue_since: Option<i64>,
-    /// Whether something other than the name service has kept this process from confirming the list since the last answer.
-    has_other_cause: bool,
+    /// When something other than the name service last kept this process from confirming the list, unless a query sent since was answered.
+    other_cause_at: Option<i64>,
     /// When the first answer since the last accepted one arrived that could not be used, if any did.
     unusable_answer_at: Option<i64>,
     drain_grace_us: i64,
@@ -63,7 +63,7 @@
             has_answer: false,
             reloaded_at: None,
             overdue_since: None,
-            has_other_cause: false,
+            other_cause_at: None,
             unusable_answer_at: None,
             drain_grace_us,
         }
@@ -76,7 +76,8 @@
         self.answered_at = now;
         self.has_answer = true;
         self.reloaded_at = None;
-        self.has_other_cause = false;
+        // An answer to an earlier query may have waited in the socket meanwhile.
+        self.other_cause_at.take_if(|at| confirmed_at >= *at);
         self.unusable_answer_at = None;
         self.overdue_since = (now > self.usable_until()).then_some(overdue_since);
     }
@@ -89,8 +90,8 @@
 
     /// Records that this process could not query the name service or read its answers, so that a missing confirmation does not show
     /// that the name service is silent.
-    pub fn record_other_cause(&mut self) {
-        self.has_other_cause = true;
+    pub fn record_other_cause(&mut self, now: i64) {
+        self.other_cause_at = Some(now);
     }
 
     /// Records a switch to another name service, whose list may be outdated for a while. It puts off the publication of changes only if
@@ -124,7 +125,7 @@
     /// Until when the list may be used if the name service is not silent. Answers that this process could not read may have been sent
     /// in time, so nothing is granted for their publication.
     fn usable_until(&self) -> i64 {
-        if self.has_other_cause {
+        if self.other_cause_at.is_some() {
             return self.confirmed_at + self.drain_grace_us;
         }
         let published_at = self.confirmed_at + PUBLICATION_DELAY_US;
@@ -136,7 +137,7 @@
     /// are no outage, as answers may merely be lost. Nor is a silence that may have begun before the start of this process.
     fn is_usable_in_outage(&self, now: i64) -> bool {
         let is_outage = self.has_answer
-            && !self.has_other_cause
+            && self.other_cause_at.is_none()
             && self.unusable_answer_at.is_none()
             && now - self.answered_at >= SILENCE_US
             && now >= self.overdue_since() + MAX_HOLD_US;
--- a/crates/platform/tests/list_age.rs
+++ b/crates/platform/tests/list_age.rs
@@ -680,3 +680,19 @@
     assert_eq!(status_of(&mut harness, client), 503);
     assert!(harness.connects.is_empty(), "sent by the list of the start");
 }
+
+/// An answer that had waited in the socket during a suspension made the time since then look like a silence of the name service, and 38
+/// requests followed.
+#[test]
+fn an_answer_from_before_a_suspension_grants_no_time_after_it() {
+    let mut harness = Harness::with_name_service(1);
+    harness.advance(SECOND);
+    harness.confirmed_executors = None;
+    let query = harness.next_discovery_query();
+    harness.now += 3 * SECOND;
+    let client = send_query(&mut harness, "look", 1, 2_000);
+    harness.receive_discovery_answer(&dns_answer(&query, 3, &[("e1", 1, 0)]));
+    harness.advance(MAX_HOLD + 10 * MILLISECOND);
+    assert_eq!(status_of(&mut harness, client), 503);
+    assert!(harness.connects.is_empty(), "sent by an outdated list");
+}
