Show batch-loads that run twice after a stall during which an executor drains

A controller is stopped for 1 s while it writes a burst, and an executor that has got some of it begins to drain meanwhile. Requests that ran there are refused as never run, and their clients' second tries load the same batch again.

--- /dev/null
+++ b/review/2/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+NAME=order
+. "$(dirname "$0")/../case.sh"
--- a/review/standin/common.rs
+++ b/review/standin/common.rs
@@ -151,6 +151,10 @@
 pub struct NameService {
     pub state: Arc<Mutex<ListState>>,
     pub address: SocketAddr,
+    /// Time that an answer takes, in milliseconds.
+    pub latency_ms: Arc<AtomicU64>,
+    /// Number of queries that have come.
+    pub queries: Arc<AtomicU64>,
 }
 
 impl NameService {
@@ -158,11 +162,14 @@
         let socket = UdpSocket::bind((host(n).as_str(), 0)).unwrap_or_else(|e| cannot_run(&format!("name service: {e}")));
         let address = socket.local_addr().expect("bound");
         let state = Arc::new(Mutex::new(ListState { serial: 1, entries, told_at: BTreeMap::new() }));
-        let service = NameService { state: state.clone(), address };
+        let service = NameService { state: state.clone(), address, latency_ms: Arc::default(), queries: Arc::default() };
+        let (latency_ms, queries) = (service.latency_ms.clone(), service.queries.clone());
         let record = record.clone();
         thread::spawn(move || {
             let mut buffer = [0u8; 2048];
             while let Ok((length, from)) = socket.recv_from(&mut buffer) {
+                queries.fetch_add(1, SeqCst);
+                sleep_ms(latency_ms.load(SeqCst));
                 let mut state = state.lock().unwrap();
                 if let Some(answer) = encode_answer(&buffer[..length], &state) {
                     let serial = state.serial;
@@ -321,8 +328,12 @@
     pub state: Arc<Mutex<ExecutorState>>,
     pub options: ExecutorOptions,
     pub is_down: Arc<AtomicBool>,
+    /// Is called as a request has come whole, with the executor's name and the class.
+    pub on_request: Arc<Mutex<Option<OnRequest>>>,
 }
 
+pub type OnRequest = Arc<dyn Fn(&str, &str) + Send + Sync>;
+
 impl Executor {
     pub fn start(name: &str, host_number: u8, options: ExecutorOptions, record: &Record) -> Executor {
         let listener =
@@ -340,6 +351,7 @@
             })),
             options,
             is_down: Arc::new(AtomicBool::new(false)),
+            on_request: Arc::default(),
         };
         let ticking = executor.clone();
         let tick_record = record.clone();
@@ -465,6 +477,10 @@
     fn take(&self, number: u64, id: &str, fields: &str, writer: &Arc<Mutex<TcpStream>>, record: &Record) {
         let field = |name: &str| fields.split(',').find_map(|f| f.split_once('=').filter(|(k, _)| *k == name)).map(|(_, v)| v);
         let class = field("cls").unwrap_or("").to_string();
+        let on_request = self.on_request.lock().unwrap().clone();
+        if let Some(call) = on_request {
+            call(&self.name, &class);
+        }
         let work = self.options.work.get(&class).copied().unwrap_or(0.01);
         let mut state = self.state.lock().unwrap();
         let shed = state.running.len() >= self.options.sessions;
@@ -559,9 +575,6 @@
         }
     }
 
-    pub fn signal(&self, name: &str) {
-        let _ = Command::new("kill").arg(format!("-{name}")).arg(self.pid().to_string()).status();
-    }
 
     /// Whether the process has ended by itself.
     pub fn has_ended(&mut self) -> bool {
@@ -575,6 +588,20 @@
     }
 }
 
+extern "C" {
+    #[link_name = "kill"]
+    fn c_kill(pid: i32, signal: i32) -> i32;
+}
+
+pub const SIGCONT: i32 = 18;
+pub const SIGSTOP: i32 = 19;
+
+/// Sends a signal to a process that this program has started.
+pub fn send_signal(pid: u32, signal: i32) {
+    // SAFETY: the call has no memory effects.
+    unsafe { c_kill(pid as i32, signal) };
+}
+
 /// The status with which `/health` answers.
 pub fn health(at: SocketAddr) -> Option<u16> {
     let mut stream = TcpStream::connect_timeout(&at, Duration::from_millis(500)).ok()?;
