Stall one of two controllers, in the middle of a burst

Change: review/1 has a second controller, which does not stall; the stall begins as half of the burst has reached executors.

--- a/review/case.sh
+++ b/review/case.sh
@@ -9,7 +9,9 @@
 fi
 temp=$(mktemp -d) || exit 2
 end() {
-    if [ -f "$temp/controller.pid" ]; then kill -9 "$(cat "$temp/controller.pid")" 2>/dev/null; fi
+    for file in "$temp/controller.pid" "$temp/other/controller.pid"; do
+        if [ -f "$file" ]; then kill -9 "$(cat "$file")" 2>/dev/null; fi
+    done
     rm -rf "$temp"
 }
 trap end EXIT
--- a/review/standin/common.rs
+++ b/review/standin/common.rs
@@ -153,8 +153,8 @@
     pub address: SocketAddr,
     /// Time that an answer takes, in milliseconds.
     pub latency_ms: Arc<AtomicU64>,
-    /// Number of queries that have come.
-    pub queries: Arc<AtomicU64>,
+    /// Number of queries that have come, by the host that asked.
+    pub queries: Arc<Mutex<BTreeMap<String, u64>>>,
 }
 
 impl NameService {
@@ -168,22 +168,32 @@
         thread::spawn(move || {
             let mut buffer = [0u8; 2048];
             while let Ok((length, from)) = socket.recv_from(&mut buffer) {
-                queries.fetch_add(1, SeqCst);
-                sleep_ms(latency_ms.load(SeqCst));
-                let mut state = state.lock().unwrap();
-                if let Some(answer) = encode_answer(&buffer[..length], &state) {
-                    let serial = state.serial;
-                    state.told_at.entry(serial).or_insert_with(|| {
-                        record.line(&format!("name service: list {serial} told to {from}"));
-                        now_us()
-                    });
-                    let _ = socket.send_to(&answer, from);
-                }
+                *queries.lock().unwrap().entry(from.ip().to_string()).or_default() += 1;
+                let (query, state, record) = (buffer[..length].to_vec(), state.clone(), record.clone());
+                let latency = latency_ms.load(SeqCst);
+                let Ok(socket) = socket.try_clone() else { continue };
+                thread::spawn(move || {
+                    sleep_ms(latency);
+                    let mut state = state.lock().unwrap();
+                    if let Some(answer) = encode_answer(&query, &state) {
+                        let serial = state.serial;
+                        state.told_at.entry(serial).or_insert_with(|| {
+                            record.line(&format!("name service: list {serial} told to {from}"));
+                            now_us()
+                        });
+                        let _ = socket.send_to(&answer, from);
+                    }
+                });
             }
         });
         service
     }
 
+    /// Number of queries that a host has sent.
+    pub fn queries_of(&self, host: &str) -> u64 {
+        self.queries.lock().unwrap().get(host).copied().unwrap_or(0)
+    }
+
     /// Changes the list, which is a new event.
     pub fn change(&self, change: impl FnOnce(&mut Vec<Entry>)) -> u32 {
         let mut state = self.state.lock().unwrap();
--- a/review/standin/twice.rs
+++ b/review/standin/twice.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst};
 use std::sync::{Arc, Barrier, Mutex};
 use std::thread;
 
@@ -16,20 +16,22 @@
 const BETWEEN_MS: u64 = 2_500;
 /// Requests that come at once, each from a client of its own.
 const BURST: usize = 64;
+/// The stall begins as this many requests of the burst have reached executors.
+const STALL_AT: usize = 32;
 const TIMEOUT_MS: u64 = 6_000;
 /// Time that an answer of the name service takes.
 const NAME_SERVICE_MS: u64 = 20;
 
-fn config(listen: SocketAddr, resolver: SocketAddr, known: &str) -> String {
+fn config(me: usize, listen: SocketAddr, resolver: SocketAddr, known: &str) -> String {
     let class = |name: &str, effect: &str| {
         format!(
             r#"{{"name":"{name}","effect":"{effect}","dedup_scope":"all","window_us":5000000,"gain":1.0,"late_value":0.3,"on_time_us":1500000,"aim_stretch":2.0,"give_up_us":20000000,"streamed":false}}"#
         )
     };
     format!(
-        r#"{{"name":"n0","listen":"{listen}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},
+        r#"{{"name":"n{me}","listen":"{listen}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},
 "peers":[],"resolver":"{resolver}","known":{known},
-"settings":{{"balancers":1,"me":0,"my_zone":"kigali-dc","zones":["kigali-dc"],"skus":["std-a"],"tenants":[],
+"settings":{{"balancers":2,"me":{me},"my_zone":"kigali-dc","zones":["kigali-dc"],"skus":["std-a"],"tenants":[],
 "grades":[{},{}],
 "ceilings":{{"cancel":true,"conn_idle_us":30000000,"connect_timeout_us":250000,"max_retry_after_us":2000000,"max_streams":32,"most_held":29225,"peer_messages":false,"probes":false,"retry_after":true,"second_copies":false,"send_cap":3}},
 "charges":{{"waste":0.05,"late_fail":0.03}},
@@ -58,18 +60,36 @@
     let executors: Vec<Executor> = (1..=EXECUTORS as u8).map(|n| Executor::start(&format!("s-{n}"), 10 + n, options.clone(), &record)).collect();
     let names = NameService::start(2, executors.iter().map(|e| Entry::ready(&e.name, e.address, "std-a")).collect(), &record);
     names.latency_ms.store(NAME_SERVICE_MS, SeqCst);
+    // Two controllers, of which one stalls.
     let listen = free_address(1);
     let mut controller = Controller::new(listen, &temp);
-    controller.start(&config(listen, names.address, &names.known()));
+    controller.start(&config(0, listen, names.address, &names.known()));
     let pid = controller.pid();
+    let other_temp = temp.join("other");
+    let _ = std::fs::create_dir(&other_temp);
+    let other_listen = free_address(3);
+    let mut other = Controller::new(other_listen, &other_temp);
+    other.start(&config(1, other_listen, names.address, &names.known()));
+    let stop = Arc::new(AtomicBool::new(false));
+    let others_clients = {
+        let stop = stop.clone();
+        thread::spawn(move || {
+            let pool = Pool::default();
+            while !stop.load(SeqCst) {
+                pool.call(other_listen, "sim-check", &new_request_id(), 3_000, 50.0, "SELECT count(*), 1, 2 FROM sales_3.orders");
+                sleep_ms(100);
+            }
+        })
+    };
 
-    // While it is armed, the first request of a burst to reach an executor begins a stall, in which this executor begins to drain.
+    // While it is armed, the stall begins as half of a burst has reached executors; the one that got the last of it begins to drain.
     let armed = Arc::new(AtomicBool::new(false));
+    let come = Arc::new(AtomicUsize::new(0));
     let drained: Arc<Mutex<Option<String>>> = Arc::default();
     for executor in &executors {
-        let (armed, drained, names, record) = (armed.clone(), drained.clone(), names.clone(), record.clone());
+        let (armed, come, drained, names, record) = (armed.clone(), come.clone(), drained.clone(), names.clone(), record.clone());
         *executor.on_request.lock().unwrap() = Some(Arc::new(move |name: &str, class: &str| {
-            if class != "batch-load" || !armed.swap(false, SeqCst) {
+            if class != "batch-load" || come.fetch_add(1, SeqCst) + 1 != STALL_AT || !armed.swap(false, SeqCst) {
                 return;
             }
             if trouble {
@@ -131,10 +151,11 @@
         let (start, calls) = burst("batch-load", &record);
         sleep_ms(50);
         // The burst comes while a query of the controller is on its way.
-        let asked = names.queries.load(SeqCst);
-        while names.queries.load(SeqCst) == asked {
+        let asked = names.queries_of(&host(1));
+        while names.queries_of(&host(1)) == asked {
             thread::yield_now();
         }
+        come.store(0, SeqCst);
         armed.store(true, SeqCst);
         start.wait();
         let begin = std::time::Instant::now();
@@ -150,6 +171,8 @@
         calls.into_iter().for_each(|call| drop(call.join()));
     }
     sleep_ms(500);
+    stop.store(true, SeqCst);
+    let _ = others_clients.join();
 
     // The rule: a batch of this class is loaded once, and a call is refused only if it has not run.
     let mut runs: BTreeMap<String, Vec<String>> = BTreeMap::new();
@@ -187,5 +210,6 @@
     record.say(if is_broken { "the rule was broken" } else { "the rule held" });
     record.flush();
     controller.kill();
+    other.kill();
     std::process::exit(i32::from(is_broken))
 }
