platform: log and count responses that an earlier, cancelled attempt may have caused

Change: the debug line "attempt ended" has the number of attempts under the same request id that were cancelled on the connection before, a new debug line has the outcome that is reported to the driver, and a counter and a metric count such responses. No decision changes.

--- a/crates/platform/src/dispatcher/attempts.rs
+++ b/crates/platform/src/dispatcher/attempts.rs
@@ -284,6 +284,7 @@
         } else {
             outcome
         };
+        debug!(%attempt, ?outcome, "attempt end reported");
         let input = Input::AttemptEnded {
             attempt,
             outcome,
--- a/crates/platform/src/executors/connection.rs
+++ b/crates/platform/src/executors/connection.rs
@@ -62,9 +62,9 @@
     pub is_dispatched: bool,
     /// The partial result; `None` until the first page of a result with several pages has arrived.
     pub result: Option<PartialResult>,
-    /// Whether an earlier attempt under the same request id was cancelled on this connection, so that a response under this id may
-    /// belong to the earlier attempt.
-    pub reuses_cancelled_id: bool,
+    /// Number of earlier attempts under the same request id that were cancelled on this connection. A response under this id may
+    /// be that of any of them.
+    pub cancelled_before: usize,
 }
 
 /// A connection to an executor and the attempts assigned to it.
@@ -131,6 +131,12 @@
             && self.buffer.output.len() < MAX_OUTPUT_BYTES
     }
 
+    /// Returns how many attempts under this request id were cancelled on the connection.
+    pub fn count_cancelled(&self, request: RequestId) -> usize {
+        let is_same = |cancelled: &&RequestId| **cancelled == request;
+        self.cancelled_ids.iter().filter(is_same).count()
+    }
+
     /// Returns whether the connection is idle, has nothing left to write and accepts no new attempts, because it remembers too many
     /// cancelled ids or the executor is closing it.
     pub fn is_retired(&self) -> bool {
--- a/crates/platform/src/executors/requests.rs
+++ b/crates/platform/src/executors/requests.rs
@@ -54,7 +54,7 @@
             request_bytes: start..connection.bytes_queued,
             is_dispatched: false,
             result: None,
-            reuses_cancelled_id: connection.cancelled_ids.contains(&attempt.request),
+            cancelled_before: connection.count_cancelled(attempt.request),
             attempt,
         };
         self.locations.insert(running.attempt.id, location);
--- a/crates/platform/src/executors/responses.rs
+++ b/crates/platform/src/executors/responses.rs
@@ -127,7 +127,8 @@
             connection.append(|output| executor_protocol::encode_release(request, output));
             connection.buffer.flush(id, out);
         }
-        if running.reuses_cancelled_id {
+        if running.cancelled_before > 0 {
+            self.counters.ambiguous_responses += 1;
             // The response may have been that of the earlier, cancelled attempt under this id. This attempt may then still be
             // running and has to be cancelled.
             connection.append(|output| executor_protocol::encode_cancel(request, output));
@@ -138,6 +139,7 @@
             attempt = %ended.attempt,
             executor = connection.engine.0,
             response = ?kind,
+            cancelled_before = running.cancelled_before,
             "attempt ended"
         );
         // A duplicate of this response may follow. It must not be matched to a later attempt under the same id.
--- a/crates/platform/src/metrics.rs
+++ b/crates/platform/src/metrics.rs
@@ -131,6 +131,11 @@
             "Responses that belong to no running attempt.",
             counters.unmatched_responses,
         );
+        self.write_counter(
+            "executor_ambiguous_responses_total",
+            "Responses that may be those of an earlier, cancelled attempt of the same request.",
+            counters.ambiguous_responses,
+        );
         self.write_counter(
             "attempts_without_connection_total",
             "Attempts that found no connection.",
