platform: a duplicate response no longer ends the next attempt of its request

What callers saw: a request that must not run twice could be sent to its executor a third time while the second attempt was running there, and an idempotent one lost its attempts to the first one's error.

Cause: after a response without a result (FAULT, LATE, SHED) the next attempt at the same executor went out on the same connection under the same id. Executors may send a response twice, some milliseconds apart; the second copy was matched to the new attempt.

Change: such ids are kept apart from those of cancelled attempts. Only a retry after a cancellation has to follow it on its connection; after a response the former attempt is over, so the retry takes another connection, where its duplicate can't come. If no further connection may be opened, the same one is still used, as before.

--- a/crates/platform/src/executors/connection.rs
+++ b/crates/platform/src/executors/connection.rs
@@ -10,10 +10,9 @@
 use wheelfield_driver::AttemptId;
 use wheelfield_sans_io::{ConnectionBuffer, TimerKey};
 
-/// Maximum number of cancelled request ids that a connection remembers. A response that the executor sent before it received the
-/// cancellation may still arrive under such an id. A connection with this many accepts only attempts under one of these ids, and
-/// is closed once it is idle.
-pub(super) const MAX_CANCELLED_IDS: usize = 64;
+/// Maximum number of request ids that a connection remembers. A connection with this many accepts only attempts under an id that was
+/// cancelled on it, and is closed once it is idle.
+const MAX_REMEMBERED_IDS: usize = 64;
 /// Maximum size of a connection's output buffer; new attempts are assigned to other connections while it is full.
 const MAX_OUTPUT_BYTES: usize = 256 << 10;
 
@@ -62,9 +61,9 @@
     pub is_dispatched: bool,
     /// The partial result; `None` until the first page of a result with several pages has arrived.
     pub result: Option<PartialResult>,
-    /// Number of earlier attempts under the same request id that were cancelled on this connection. A response under this id may
-    /// be that of any of them.
-    pub cancelled_before: usize,
+    /// Number of earlier attempts under the same request id that were cancelled or failed on this connection. A response under this
+    /// id may belong to any of them.
+    pub earlier_attempts: usize,
 }
 
 /// A connection to an executor and the attempts assigned to it.
@@ -84,8 +83,10 @@
     pub queued: Vec<PendingAttempt>,
     /// Attempts whose requests were appended to the output buffer, by request id.
     pub running: BTreeMap<RequestId, RunningAttempt>,
-    /// Request ids of attempts that were cancelled or that ended without a result; late responses may still arrive under them.
+    /// Request ids of cancelled attempts. A response that the executor sent before it received the cancellation may still arrive.
     pub cancelled_ids: Vec<RequestId>,
+    /// Request ids of attempts that a response without a result ended. A duplicate of the response may still arrive.
+    pub failed_ids: Vec<RequestId>,
     /// Total number of bytes appended to the output buffer, less those removed before they were written.
     pub bytes_queued: u64,
     /// Total number of bytes written to the socket.
@@ -108,6 +109,7 @@
             queued: Vec::new(),
             running: BTreeMap::new(),
             cancelled_ids: Vec::new(),
+            failed_ids: Vec::new(),
             bytes_queued: 0,
             bytes_written: 0,
             idle_since: now,
@@ -124,24 +126,27 @@
     /// `max_streams` attempts at a time.
     pub fn accepts(&self, request: RequestId, max_streams: usize) -> bool {
         !self.running.contains_key(&request)
-            && (self.cancelled_ids.len() < MAX_CANCELLED_IDS
-                || self.cancelled_ids.contains(&request))
+            && (!self.remembers_too_many_ids() || self.cancelled_ids.contains(&request))
             && !self.buffer.peer_closing
             && self.attempt_count() < max_streams
             && self.buffer.output.len() < MAX_OUTPUT_BYTES
     }
 
-    /// Returns how many attempts under this request id were cancelled on the connection.
-    pub fn count_cancelled(&self, request: RequestId) -> usize {
-        let is_same = |cancelled: &&RequestId| **cancelled == request;
-        self.cancelled_ids.iter().filter(is_same).count()
+    /// Returns how many attempts under this request id were cancelled or failed on the connection.
+    pub fn count_earlier_attempts(&self, request: RequestId) -> usize {
+        let remembered = self.cancelled_ids.iter().chain(&self.failed_ids);
+        remembered.filter(|id| **id == request).count()
+    }
+
+    fn remembers_too_many_ids(&self) -> bool {
+        self.cancelled_ids.len() + self.failed_ids.len() >= MAX_REMEMBERED_IDS
     }
 
     /// Returns whether the connection is idle, has nothing left to write and accepts no new attempts, because it remembers too many
-    /// cancelled ids or the executor is closing it.
+    /// ids or the executor is closing it.
     pub fn is_retired(&self) -> bool {
         let is_done = self.attempt_count() == 0 && self.buffer.output.is_empty();
-        is_done && (self.cancelled_ids.len() >= MAX_CANCELLED_IDS || self.buffer.peer_closing)
+        is_done && (self.remembers_too_many_ids() || self.buffer.peer_closing)
     }
 
     /// Appends a message to the output buffer and counts its bytes.
--- a/crates/platform/src/executors/mod.rs
+++ b/crates/platform/src/executors/mod.rs
@@ -74,7 +74,7 @@
     pub protocol_errors: u64,
     /// Responses that do not belong to a running attempt.
     pub unmatched_responses: u64,
-    /// Responses that ended an attempt, but may be those of an earlier, cancelled attempt under the same request id.
+    /// Responses that ended an attempt, but may belong to an earlier one under the same request id.
     pub ambiguous_responses: u64,
     /// Attempts rejected because all connections were in use.
     pub no_connection: u64,
--- a/crates/platform/src/executors/pool.rs
+++ b/crates/platform/src/executors/pool.rs
@@ -89,10 +89,12 @@
             .iter()
             .find(|(_, c)| c.cancelled_ids.contains(&request));
         // Otherwise prefer an idle connection, on which an invalid response to another attempt can't affect this one. Among the
-        // idle ones, use the one that became idle last, so that the others reach their idle timeout.
+        // idle ones, use the one that became idle last, so that the others reach their idle timeout. A connection on which an
+        // attempt under the same id failed is the last choice: a duplicate of that response would be matched to this attempt.
+        let has_failed = |c: &Connection| c.failed_ids.contains(&request);
         let idle = accepting
             .iter()
-            .filter(|(_, c)| c.is_connected && c.attempt_count() == 0)
+            .filter(|(_, c)| c.is_connected && c.attempt_count() == 0 && !has_failed(c))
             .max_by_key(|(_, c)| c.idle_since);
         if let Some((id, _)) = with_cancellation.or(idle) {
             return Some(*id);
@@ -102,7 +104,7 @@
         }
         accepting
             .iter()
-            .min_by_key(|(_, c)| (!c.is_connected, c.attempt_count()))
+            .min_by_key(|(_, c)| (has_failed(c), !c.is_connected, c.attempt_count()))
             .map(|(id, _)| *id)
     }
 
--- a/crates/platform/src/executors/requests.rs
+++ b/crates/platform/src/executors/requests.rs
@@ -54,7 +54,7 @@
             request_bytes: start..connection.bytes_queued,
             is_dispatched: false,
             result: None,
-            cancelled_before: connection.count_cancelled(attempt.request),
+            earlier_attempts: connection.count_earlier_attempts(attempt.request),
             attempt,
         };
         self.locations.insert(running.attempt.id, location);
--- a/crates/platform/src/executors/responses.rs
+++ b/crates/platform/src/executors/responses.rs
@@ -127,9 +127,9 @@
             connection.append(|output| executor_protocol::encode_release(request, output));
             connection.buffer.flush(id, out);
         }
-        if running.cancelled_before > 0 {
+        if running.earlier_attempts > 0 {
             self.counters.ambiguous_responses += 1;
-            // The response may have been that of the earlier, cancelled attempt under this id. This attempt may then still be
+            // The response may have been that of an earlier attempt under this id. This attempt may then still be
             // running and has to be cancelled.
             connection.append(|output| executor_protocol::encode_cancel(request, output));
             connection.buffer.flush(id, out);
@@ -139,12 +139,13 @@
             attempt = %ended.attempt,
             executor = connection.engine.0,
             response = ?kind,
-            cancelled_before = running.cancelled_before,
+            earlier_attempts = running.earlier_attempts,
             "attempt ended"
         );
-        // A duplicate of this response may follow. It must not be matched to a later attempt under the same id.
-        if !is_served {
+        if running.earlier_attempts > 0 {
             connection.cancelled_ids.push(request);
+        } else if !is_served {
+            connection.failed_ids.push(request);
         }
         connection.idle_since = out.now;
         self.locations.remove(&ended.attempt);
--- a/crates/platform/src/metrics.rs
+++ b/crates/platform/src/metrics.rs
@@ -133,7 +133,7 @@
         );
         self.write_counter(
             "executor_ambiguous_responses_total",
-            "Responses that may be those of an earlier, cancelled attempt of the same request.",
+            "Responses that may belong to an earlier attempt of the same request.",
             counters.ambiguous_responses,
         );
         self.write_counter(
