platform: a key rests after a response that may be that of a cancelled attempt

Where machines stop at a cancellation nothing is lost, but the rest of the key was left out as well.

Cause: a retry after a cancellation has the id and the connection of the cancelled attempt. A late response of that attempt ended the present one: it was cancelled, but reported as ended by the response, so the policy, which lets a key rest after attempts that may still be running, knew of none. The next request of the key left in the same write.

Change: a result that may be that of an earlier attempt serves the query, and the present attempt ends as cancelled (a new input of the driver; the policy module is unchanged). Errors and rejections that may be those of an earlier attempt end it as cancelled, too. Why it works: the outcome of the attempt says now what is known of it, that it was cancelled and may run, and all that hangs on this (the rest of the key, whether it may run again) follows as for any other cancellation.

Evidence: the new test, with the platform's sources before, finds "STOP ...1, REQ ...2" in one write for HIT, FAULT and LATE; with SHED the next request was refused, as the executor counted as full.

--- a/crates/driver/src/driver/mod.rs
+++ b/crates/driver/src/driver/mod.rs
@@ -192,6 +192,9 @@
                 };
                 self.handle_attempt_end(now, attempt, result, out);
             }
+            Input::ServedByEarlierAttempt { attempt, report } => {
+                self.handle_served_by_earlier_attempt(now, attempt, report, out);
+            }
             Input::Abandoned(query) => {
                 if self.table.mark_answered(query) {
                     self.counters.abandoned += 1;
@@ -420,6 +423,26 @@
         }
     }
 
+    /// Marks the query of an attempt as served, and then ends the attempt as cancelled, so that the module takes it for one that may
+    /// still be running.
+    fn handle_served_by_earlier_attempt(
+        &mut self,
+        now: Micros,
+        attempt: AttemptId,
+        report: LoadReport,
+        out: &mut Vec<Instruction>,
+    ) {
+        if self.table.is_in_flight(attempt) && self.table.mark_answered(attempt.query) {
+            self.counters.served += 1;
+            self.events.push_back(Event::AnswerStarted(attempt.query));
+        }
+        let result = AttemptResult {
+            report,
+            ..AttemptResult::without_report(Outcome::Cancelled)
+        };
+        self.handle_attempt_end(now, attempt, result, out);
+    }
+
     /// Records the outcome of an attempt, marks its query as answered if that outcome is final, and informs the module.
     fn end_attempt(
         &mut self,
--- a/crates/driver/src/input.rs
+++ b/crates/driver/src/input.rs
@@ -92,6 +92,14 @@
     },
     /// The controller is shutting down and the query must be answered now.
     ShutdownDeadline(QueryId),
+    /// A result arrived that may be that of an earlier, cancelled attempt of the same query. It serves the query. The attempt that
+    /// was in flight is cancelled without waiting for a confirmation, and may still be running.
+    ServedByEarlierAttempt {
+        /// The attempt in flight.
+        attempt: AttemptId,
+        /// The engine's load, if reported.
+        report: LoadReport,
+    },
 }
 
 /// The driver has no capacity for another query: [`DriverLimits::max_queries`] is reached, or the query id is in use.
--- a/crates/driver/tests/single_cases.rs
+++ b/crates/driver/tests/single_cases.rs
@@ -342,3 +342,23 @@
         .iter()
         .any(|instruction| matches!(instruction, Instruction::Start { .. })));
 }
+
+/// Regression test: a result that may be that of an earlier attempt counted as the end of the present one, so that the next query of
+/// the key did not wait until the present one can no longer be running.
+#[test]
+fn a_result_of_an_earlier_attempt_serves_the_query_and_cancels_the_attempt_in_flight() {
+    let mut harness = Harness::new(ExecutionSemantics::Idempotent, 1);
+    let (query, out) = harness.submit();
+    let (attempt, _) = attempts_started(&out)[0];
+    harness.handle_input(Input::Dispatched(attempt));
+    let report = LoadReport::default();
+    let out = harness.handle_input(Input::ServedByEarlierAttempt { attempt, report });
+    assert_eq!(out, []);
+    assert!(!harness.driver.awaits_answer(query) && !harness.driver.is_in_flight(attempt));
+    assert_eq!(harness.driver.queries_held(), 0);
+    let counters = harness.driver.counters();
+    assert_eq!((counters.served, counters.failed), (1, 0));
+    // A second end of the attempt changes nothing.
+    assert_eq!(harness.end_attempt(attempt, Outcome::Served), []);
+    assert_eq!(harness.driver.counters().late_endings, 1);
+}
--- a/crates/invariant-check/src/history_builder.rs
+++ b/crates/invariant-check/src/history_builder.rs
@@ -301,6 +301,12 @@
                     self.end_query(attempt.query, step.at, ClientOutcome::Served);
                 }
             }
+            RecordedInput::Input(Input::ServedByEarlierAttempt { attempt, .. }) => {
+                self.end_attempt(step.at, *attempt, Outcome::Cancelled);
+                if self.is_open(attempt.query) {
+                    self.end_query(attempt.query, step.at, ClientOutcome::Served);
+                }
+            }
             RecordedInput::Input(Input::Abandoned(query)) => {
                 self.end_query(*query, step.at, ClientOutcome::Left)
             }
--- a/crates/platform/src/dispatcher/attempts.rs
+++ b/crates/platform/src/dispatcher/attempts.rs
@@ -11,7 +11,9 @@
 use crate::planted::InjectedFault;
 use crate::result_pages;
 use tracing::{debug, info};
-use wheelfield::interface::{EngineId, LoadReport, Micros, Outcome, QueryId, SlowStartShare};
+use wheelfield::interface::{
+    AttemptUpdate, EngineId, LoadReport, Micros, Outcome, QueryId, SlowStartShare,
+};
 use wheelfield_driver::{Answer, AttemptId, AttemptOptions, Input, Instruction};
 use wheelfield_sans_io::ConnId;
 
@@ -262,11 +264,7 @@
     /// Passes the end of an attempt to the driver, and the result of a served query to its client.
     fn handle_ended_attempt(&mut self, ended: EndedAttempt) {
         let EndedAttempt {
-            attempt,
-            outcome,
-            billed_work,
-            report,
-            pages,
+            attempt, outcome, ..
         } = ended;
         self.written_work.forget_unwritten(attempt);
         self.in_flight.mark_attempt_ended(attempt.query, outcome);
@@ -277,25 +275,47 @@
         } else {
             None
         };
+        self.report_ended_attempt(&ended);
+        if let Some(in_flight) = answered {
+            debug!(id = %in_flight.id, "query served");
+            let rows = result_pages::rows_to_json(&ended.pages);
+            self.respond(in_flight.client, &Reply::Rows(rows));
+        }
+    }
+
+    /// Passes the end of an attempt to the driver.
+    fn report_ended_attempt(&mut self, ended: &EndedAttempt) {
+        let EndedAttempt {
+            attempt,
+            outcome,
+            billed_work: reported_work,
+            report,
+            is_ambiguous,
+            ..
+        } = *ended;
+        debug!(%attempt, ?outcome, is_ambiguous, "attempt end reported");
+        let now = self.out.now;
+        if is_ambiguous {
+            // Whichever attempt the response belongs to, it shows that the executor is alive.
+            let update = Input::AttemptUpdated(attempt, AttemptUpdate::Other);
+            self.driver.handle_input(now, update);
+        }
+        if is_ambiguous && outcome == Outcome::Served {
+            let input = Input::ServedByEarlierAttempt { attempt, report };
+            return self.driver.handle_input(now, input);
+        }
         let is_repeated =
             outcome == Outcome::Reset && self.has_injected(InjectedFault::RepeatAfterReset);
-        let outcome = if is_repeated {
-            Outcome::NeverSent
-        } else {
-            outcome
-        };
-        debug!(%attempt, ?outcome, "attempt end reported");
         let input = Input::AttemptEnded {
             attempt,
-            outcome,
-            reported_work: billed_work,
+            outcome: if is_repeated {
+                Outcome::NeverSent
+            } else {
+                outcome
+            },
+            reported_work,
             report,
         };
-        self.driver.handle_input(self.out.now, input);
-        if let Some(in_flight) = answered {
-            debug!(id = %in_flight.id, "query served");
-            let rows = result_pages::rows_to_json(&pages);
-            self.respond(in_flight.client, &Reply::Rows(rows));
-        }
+        self.driver.handle_input(now, input);
     }
 }
--- a/crates/platform/src/executors/attempts.rs
+++ b/crates/platform/src/executors/attempts.rs
@@ -63,11 +63,23 @@
     pub billed_work: Option<f64>,
     /// Load metrics of the executor that the response contains.
     pub report: LoadReport,
+    /// Whether the response that ended the attempt may be that of an earlier attempt under the same request id. The attempt was
+    /// cancelled then and may still be running. Its outcome is [`Outcome::Served`] or [`Outcome::Cancelled`].
+    pub is_ambiguous: bool,
     /// All pages of the result, in order; empty unless the outcome is [`Outcome::Served`].
     pub pages: Vec<Bytes>,
 }
 
 impl EndedAttempt {
+    /// Records that the response may be that of an earlier attempt. A result serves the query whichever attempt it belongs to, but
+    /// an error or a rejection says nothing about this attempt.
+    pub(super) fn mark_ambiguous(&mut self) {
+        self.is_ambiguous = true;
+        if self.outcome != Outcome::Served {
+            self.outcome = Outcome::Cancelled;
+        }
+    }
+
     /// Creates an ended attempt for which the executor reported neither work nor load.
     pub(super) fn without_report(attempt: AttemptId, outcome: Outcome) -> EndedAttempt {
         EndedAttempt {
@@ -75,6 +87,7 @@
             outcome,
             billed_work: None,
             report: LoadReport::default(),
+            is_ambiguous: false,
             pages: Vec::new(),
         }
     }
--- a/crates/platform/src/executors/responses.rs
+++ b/crates/platform/src/executors/responses.rs
@@ -113,7 +113,7 @@
         id: ConnId,
         request: RequestId,
         kind: ResponseKind,
-        ended: EndedAttempt,
+        mut ended: EndedAttempt,
         out: &mut EffectQueue<TimerEvent>,
     ) {
         let Some(connection) = self.connections.get_mut(id) else {
@@ -127,10 +127,11 @@
             connection.append(|output| executor_protocol::encode_release(request, output));
             connection.buffer.flush(id, out);
         }
-        if running.earlier_attempts > 0 {
+        let is_ambiguous = running.earlier_attempts > 0;
+        if is_ambiguous {
             self.counters.ambiguous_responses += 1;
-            // The response may have been that of an earlier attempt under this id. This attempt may then still be
-            // running and has to be cancelled.
+            // This attempt may still be running and has to be cancelled.
+            ended.mark_ambiguous();
             connection.append(|output| executor_protocol::encode_cancel(request, output));
             connection.buffer.flush(id, out);
         }
@@ -142,7 +143,7 @@
             earlier_attempts = running.earlier_attempts,
             "attempt ended"
         );
-        if running.earlier_attempts > 0 {
+        if is_ambiguous {
             connection.cancelled_ids.push(request);
         } else if !is_served {
             connection.failed_ids.push(request);
@@ -263,6 +264,7 @@
             outcome: Outcome::Served,
             billed_work,
             report,
+            is_ambiguous: false,
             pages,
         }
     }
--- a/crates/platform/tests/reused_request_ids.rs
+++ b/crates/platform/tests/reused_request_ids.rs
@@ -2,6 +2,87 @@
 
 mod common;
 use common::*;
+use wheelfield_sans_io::ConnId;
+
+/// How long a key rests after an attempt that may still be running, in microseconds.
+const KEY_REST_US: i64 = 800_000;
+const RESULT: &str = "HIT pages=1,cost=100.0,meter=util:0.3 6\r\na\t1\tx\n\r\n";
+
+/// A controller with one executor and a class `look` whose queries run in order by key.
+fn harness_with_ordered_class() -> Harness {
+    let mut config: serde_json::Value =
+        serde_json::from_str(&config(vec![executor_entry("e1", 1, "ready")], 256)).expect("JSON");
+    config["settings"]["grades"][0]["in_order"] = true.into();
+    config["settings"]["safety"]["order_pause_us"] = KEY_REST_US.into();
+    let mut harness = Harness::with_config(&config.to_string());
+    harness.confirmed_executors = Some(1);
+    harness
+}
+
+/// Sends query `n` from a new client. All have the same key.
+fn send_ordered_query(harness: &mut Harness, n: u64) -> ConnId {
+    let client = harness.connect_client();
+    let request = query_request("look", &request_id(n), "X-Object: item-1\r\n");
+    harness.receive(client, &request.replace("2000", "20000"));
+    client
+}
+
+/// Lets the executor be silent until the last attempt of query 1 that the settings allow was written. Returns the client of the query
+/// and the connection to the executor.
+fn start_last_attempt(harness: &mut Harness) -> (ConnId, ConnId) {
+    let client = send_ordered_query(harness, 1);
+    let executor = harness.complete_connects()[0];
+    let mut written = harness.take_written(executor);
+    while written.matches("REQ ").count() < 3 {
+        harness.advance(100_000);
+        written += &harness.take_written(executor);
+    }
+    let retry = format!("STOP {0}\r\nREQ {0} ", request_id(1));
+    assert_eq!(written.matches(&retry).count(), 2, "{written}");
+    (client, executor)
+}
+
+/// Regression test: a response that an executor had sent before it read the cancellation of an earlier attempt counted as the end of
+/// the present one, which was cancelled too. The next query of the key was sent at once, while that attempt could still be running.
+#[test]
+fn a_key_rests_after_a_response_that_may_belong_to_a_cancelled_attempt() {
+    for (response, expected) in [
+        (RESULT, 200),
+        ("FAULT - 0\r\n\r\n", 503),
+        ("SHED - 0\r\n\r\n", 503),
+        ("LATE - 0\r\n\r\n", 503),
+    ] {
+        // An executor that stops at a cancellation sends nothing more; another one may send the result of the present attempt.
+        for goes_on in [false, true] {
+            let mut harness = harness_with_ordered_class();
+            let (client, executor) = start_last_attempt(&mut harness);
+            // The rest after the earlier cancellations is over.
+            harness.advance(KEY_REST_US);
+            send_ordered_query(&mut harness, 2);
+            harness.receive(executor, &format!("{} {response}", request_id(1)));
+            assert_eq!(
+                status(&harness.take_written(client)),
+                expected,
+                "{response}"
+            );
+            let cancellation = format!("STOP {}\r\n", request_id(1));
+            assert_eq!(harness.take_written(executor), cancellation, "{response}");
+            harness.advance(KEY_REST_US / 2);
+            if goes_on {
+                harness.receive(executor, &format!("{} {RESULT}", request_id(1)));
+            }
+            harness.advance(KEY_REST_US / 2 - 1);
+            assert_eq!(harness.take_request(), None, "{response}");
+            harness.advance(1);
+            let next = harness.take_request().map(|(_, written)| written);
+            let request = format!("REQ {} ", request_id(2));
+            assert!(
+                next.is_some_and(|next| next.starts_with(&request)),
+                "{response}"
+            );
+        }
+    }
+}
 
 /// Regression test: a duplicate of the response that had ended an attempt ended the next one too, which was at the executor. A query
 /// that must not run twice was sent a third time.
@@ -22,8 +103,7 @@
         harness.receive(first, &response);
         harness.complete_connects();
         assert_eq!(harness.take_request(), None, "{class} {word}");
-        let result = "HIT pages=1,cost=100.0,meter=util:0.3 6\r\na\t1\tx\n\r\n";
-        harness.receive(second, &format!("{} {result}", request_id(1)));
+        harness.receive(second, &format!("{} {RESULT}", request_id(1)));
         assert_eq!(status(&harness.take_written(client)), 200, "{class} {word}");
     }
 }
--- a/crates/replay/src/commands/explain.rs
+++ b/crates/replay/src/commands/explain.rs
@@ -9,7 +9,7 @@
 };
 use wheelfield_capture::RecordedInput;
 use wheelfield_console::outln;
-use wheelfield_driver::{Input, Instruction};
+use wheelfield_driver::{AttemptId, Input, Instruction};
 use wheelfield_replay::describe::{describe_load_report, Names};
 use wheelfield_replay::{feed, Player, Snapshots, Step};
 
@@ -88,6 +88,7 @@
         RecordedInput::Input(
             Input::AttemptEnded { attempt, .. }
             | Input::AttemptMeasured { attempt, .. }
+            | Input::ServedByEarlierAttempt { attempt, .. }
             | Input::AttemptUpdated(attempt, _)
             | Input::AnswerStarted(attempt)
             | Input::Dispatched(attempt),
@@ -184,20 +185,14 @@
                 report,
                 ..
             } => {
-                let ended = self
-                    .engine_of_attempt
-                    .remove(&(attempt.query, attempt.number));
-                if let Some(id) = ended {
-                    let engine = self.engine(id);
-                    engine.in_flight -= 1;
-                    if *report != LoadReport::default() {
-                        engine.report = Some((at, *report));
-                    }
-                    if !matches!(outcome, AttemptOutcome::Served) {
-                        engine.failed_at = Some(at);
-                    }
+                let engine = self.learn_from_end(at, *attempt, report);
+                if let Some(engine) = engine.filter(|_| *outcome != AttemptOutcome::Served) {
+                    engine.failed_at = Some(at);
                 }
             }
+            Input::ServedByEarlierAttempt { attempt, report } => {
+                self.learn_from_end(at, *attempt, report);
+            }
             Input::ProbeEnded { engine, report, .. } => {
                 self.engine(*engine).report = Some((at, *report))
             }
@@ -210,6 +205,23 @@
         }
     }
 
+    /// Records the end of an attempt and returns its engine.
+    fn learn_from_end(
+        &mut self,
+        at: Micros,
+        attempt: AttemptId,
+        report: &LoadReport,
+    ) -> Option<&mut EngineView> {
+        let ended = (attempt.query, attempt.number);
+        let id = self.engine_of_attempt.remove(&ended)?;
+        let engine = self.engine(id);
+        engine.in_flight -= 1;
+        if *report != LoadReport::default() {
+            engine.report = Some((at, *report));
+        }
+        Some(engine)
+    }
+
     fn learn_from_instruction(&mut self, at: Micros, instruction: &Instruction) {
         match instruction {
             Instruction::Start {
--- a/crates/replay/src/commands/stats.rs
+++ b/crates/replay/src/commands/stats.rs
@@ -87,7 +87,9 @@
         RecordedInput::Arrive { .. } | RecordedInput::ArriveWithId { .. } => "arrivals",
         RecordedInput::TimersDue | RecordedInput::TimerFired(_) => "timers",
         RecordedInput::Input(input) => match input {
-            Input::AttemptEnded { .. } | Input::AttemptMeasured { .. } => "attempts ended",
+            Input::AttemptEnded { .. }
+            | Input::AttemptMeasured { .. }
+            | Input::ServedByEarlierAttempt { .. } => "attempts ended",
             Input::AttemptUpdated(..) => "attempt updates",
             Input::Dispatched(_) => "attempts sent",
             Input::AnswerStarted(_) => "answers started",
--- a/crates/replay/src/describe.rs
+++ b/crates/replay/src/describe.rs
@@ -104,6 +104,13 @@
                 describe_load_report(report)
             )
         }
+        Input::ServedByEarlierAttempt { attempt, report } => {
+            format!(
+                "query {} was served, perhaps by an attempt before {attempt}, which was cancelled; {}",
+                attempt.query.0,
+                describe_load_report(report)
+            )
+        }
         Input::Abandoned(query) => format!("query {} was abandoned by its client", query.0),
         Input::ShutdownDeadline(query) => {
             format!(
