platform: pages of different attempts are not joined to one result

What callers saw: rows of two runs of a statement in one answer, where the table changed between them.

An executor writes the first page of a result before it reads a request for another one, so further pages that come after it belong to it. Where the first page of the present attempt is lost on the way, the mixture is still possible.

Evidence: before, the test gets [["a","one","x"],["b","two","x"]] from the results one (cancelled attempt) and two (present); with the change [["a","two","x"],["b","two","x"]].

--- a/crates/platform/src/executors/connection.rs
+++ b/crates/platform/src/executors/connection.rs
@@ -36,6 +36,8 @@
 /// The result of a served attempt of which not all pages have arrived yet.
 #[derive(Debug)]
 pub(super) struct PartialResult {
+    /// Number of results of earlier attempts under the same request id that this one has replaced.
+    pub replaced: usize,
     /// Work in seconds of one thread, from the response with the first page.
     pub billed_work: Option<f64>,
     /// Load metrics of the executor, from the response with the first page.
--- a/crates/platform/src/executors/responses.rs
+++ b/crates/platform/src/executors/responses.rs
@@ -173,6 +173,11 @@
                 Ok(ResponseEffect::Updated(parse_attempt_update(&response)))
             }
             (ResponseKind::Hit, None) => self.handle_first_page(response, now),
+            // The former first page was that of an earlier attempt, whose further pages can't be had any more. The pages that arrive
+            // from here on are those of the later result, as an executor writes its first page before it reads requests for others.
+            (ResponseKind::Hit, Some(former)) if former.replaced < self.earlier_attempts => {
+                self.handle_first_page(response, now)
+            }
             (ResponseKind::Part, Some(_)) => self.handle_further_page(response, now),
             // A fault after the first page means that the executor no longer has the remaining pages.
             (ResponseKind::Fault, _) => ended_with(Outcome::Error, &response),
@@ -205,7 +210,9 @@
                 vec![response.body],
             )));
         }
+        let former = self.result.take();
         let mut result = PartialResult {
+            replaced: former.map_or(0, |former| former.replaced + 1),
             billed_work,
             report,
             pages: vec![None; pages],
--- a/crates/platform/tests/reused_request_ids.rs
+++ b/crates/platform/tests/reused_request_ids.rs
@@ -128,3 +128,25 @@
     );
     assert!(connections.contains(&retried_on));
 }
+
+/// Regression test: the first page of a cancelled attempt's result was joined with the further pages of the present one's.
+#[test]
+fn pages_of_different_attempts_are_not_joined_to_one_result() {
+    let mut harness = Harness::new(1);
+    harness.confirmed_executors = Some(1);
+    let (client, executor, _) = harness.forward_query("look", &request_id(1));
+    let id = request_id(1);
+    let mut written = String::new();
+    while !written.contains("REQ ") {
+        harness.advance(100_000);
+        written += &harness.take_written(executor);
+    }
+    // Both attempts have run before the executor reads the request for the second page, which it answers from the present result.
+    harness.receive(executor, &format!("{id} HIT pages=2 8\r\na\tone\tx\n\r\n"));
+    assert_eq!(harness.take_written(executor), format!("FETCH {id} 1\r\n"));
+    harness.receive(executor, &format!("{id} HIT pages=2 8\r\na\ttwo\tx\n\r\n"));
+    harness.receive(executor, &format!("{id} PART page=1 8\r\nb\ttwo\tx\n\r\n"));
+    let answer = harness.take_written(client);
+    let expected = r#"{"batch":[["a","two","x"],["b","two","x"]]}"#;
+    assert!(answer.ends_with(expected), "{answer}");
+}
