platform: what was written is known before anything else can end its attempt

A key did not rest when its client left right after its request was written, so the next request could run beside it (new test).

Cause: the events that requests were written waited until the next step of the dispatcher, behind client input and instructions. A list or a departure that was read first met attempts that the driver took for unwritten, and ended them as never sent.

Change: these events go to the driver as the write is recorded. Why it works: nothing can be reported between the two any more.

--- a/crates/platform/src/dispatcher/attempts.rs
+++ b/crates/platform/src/dispatcher/attempts.rs
@@ -233,6 +233,15 @@
         }
     }
 
+    /// Records that output was written to an executor. The driver learns at once which requests were sent with it, so that no later
+    /// event, such as a new list or the departure of a client, ends their attempts as never sent.
+    pub fn handle_executor_output_written(&mut self, connection: ConnId, count: usize) {
+        self.executors.bytes_written(connection, count);
+        while let Some(event) = self.executors.next_event() {
+            self.handle_attempt_event(event);
+        }
+    }
+
     /// Passes the progress or end of an attempt to the driver.
     pub(super) fn handle_attempt_event(&mut self, event: AttemptEvent) {
         match event {
--- a/crates/platform/src/gateway.rs
+++ b/crates/platform/src/gateway.rs
@@ -217,15 +217,10 @@
 
     fn bytes_written(&mut self, now: i64, id: ConnId, count: usize) {
         self.dispatcher.set_time(now);
-        let Dispatcher {
-            out,
-            clients,
-            executors,
-            ..
-        } = &mut self.dispatcher;
+        let Dispatcher { out, clients, .. } = &mut self.dispatcher;
         match id.owner() {
             clients::OWNER => clients.bytes_written(id, count, out),
-            _ => executors.bytes_written(id, count),
+            _ => self.dispatcher.handle_executor_output_written(id, count),
         }
     }
 
--- a/crates/platform/tests/crossings.rs
+++ b/crates/platform/tests/crossings.rs
@@ -7,7 +7,7 @@
 use hickory_proto::rr::rdata::TXT;
 use hickory_proto::rr::RData;
 use std::net::SocketAddr;
-use wheelfield_sans_io::{ConnId, DatagramSocket, IoEvent, Protocol};
+use wheelfield_sans_io::{ConnId, DatagramSocket, Effect, IoEvent, Protocol};
 
 const SECOND: i64 = 1_000_000;
 
@@ -443,3 +443,71 @@
     assert_eq!(status(&harness.take_written(client)), 503);
     assert_eq!(harness.platform.violation_counts().total(), 0);
 }
+
+/// Sends a request from a new client, and writes it to an executor. The controller processes nothing after that write.
+fn forward_without_processing(harness: &mut Harness, request: &str) -> (ConnId, ConnId) {
+    let client = harness.connect_client();
+    harness.receive(client, request);
+    let (executor, _) = harness.connects.remove(0);
+    let now = harness.now;
+    harness
+        .platform
+        .handle_io(now, IoEvent::Connected(executor));
+    let mut effects = Vec::new();
+    harness.platform.take_effects(&mut effects);
+    for effect in effects {
+        if let Effect::Write(id) = effect {
+            let count = harness.platform.output(id).len();
+            harness.platform.bytes_written(now, id, count);
+        }
+    }
+    (client, executor)
+}
+
+/// Regression test: a list that was read right after a request was written took it for one that was never sent. The query was rejected
+/// as one that had not run, and its client's second try ran it twice.
+#[test]
+fn a_request_written_right_before_its_executor_drains_may_have_run() {
+    let mut harness = Harness::new(2);
+    let query = harness.next_discovery_query();
+    let (client, executor) =
+        forward_without_processing(&mut harness, &query_request("load", &request_id(1), ""));
+    let is_first = harness.executor_address(executor) == Some(address("127.1.0.1:6565"));
+    let draining = [
+        ("e1", 1, u16::from(is_first)),
+        ("e2", 2, u16::from(!is_first)),
+    ];
+    harness.receive_discovery_answer(&dns_answer(&query, 9, &draining));
+    assert!(harness.connects.is_empty(), "a second attempt");
+    assert_eq!(harness.take_written(client), "");
+    let result = "HIT pages=1,cost=100.0,meter=util:0.3 6\r\na\t1\tx\n\r\n";
+    harness.receive(executor, &format!("{} {result}", request_id(1)));
+    assert_eq!(status(&harness.take_written(client)), 200);
+}
+
+/// Regression test: a client that left right after its request was written ended the attempt as one that was never sent. The next query
+/// of the key did not wait until the attempt can no longer be running.
+#[test]
+fn a_key_rests_if_its_client_leaves_right_after_the_request_was_written() {
+    let mut config: serde_json::Value =
+        serde_json::from_str(&config(vec![executor_entry("e1", 1, "ready")], 256)).expect("JSON");
+    config["settings"]["grades"][0]["in_order"] = true.into();
+    config["settings"]["safety"]["order_pause_us"] = 800_000.into();
+    let mut harness = Harness::with_config(&config.to_string());
+    let key = "X-Object: item-1\r\n";
+    let (client, executor) =
+        forward_without_processing(&mut harness, &query_request("look", &request_id(1), key));
+    harness
+        .platform
+        .handle_io(harness.now, IoEvent::ReadClosed(client));
+    let next = harness.connect_client();
+    harness.receive(next, &query_request("look", &request_id(2), key));
+    assert_eq!(
+        harness.take_written(executor),
+        format!("STOP {}\r\n", request_id(1))
+    );
+    harness.advance(799_999);
+    assert_eq!(harness.take_request(), None);
+    harness.advance(1);
+    assert!(harness.take_request().is_some(), "not sent after the rest");
+}
