policy: a restarted controller does not spend its slow-start budget a second time

Cause: what a process has sent within the window is known to it alone, and a new one used its whole share at once.

Change: for one window after its start the policy has no budget at engines in slow start that were up when it started. Engines that start later are used at once. Why it works: after a window nothing that the former process sent counts any more.

--- a/crates/core/src/policy/slow_start.rs
+++ b/crates/core/src/policy/slow_start.rs
@@ -1,5 +1,6 @@
 //! Slow start: limits what an engine whose process started recently gets from all gateways together.
 
+use super::TICK_INTERVAL;
 use crate::gateway::Gateway;
 use crate::interface::{Micros, QueryId, SlowStartShare};
 use crate::state::*;
@@ -30,6 +31,9 @@
         if warmup >= 1.0 || s.overload_multiple <= 0.0 {
             return None;
         }
+        if self.may_have_been_spent(engine, now) {
+            return Some(SlowStartBudget { work: 0.0, weight_multiplier: 1.0, by_time_slot: false });
+        }
         let total_budget =
             s.overload_multiple * warmup * engine.cores * s.overload_window.as_secs_f64() * USABLE_FRACTION;
         let heaviest = self.conditions.heaviest_work;
@@ -52,6 +56,15 @@
         })
     }
 
+    /// Whether a former process of this gateway may have spent its budget at an engine within the current
+    /// window: the engine was up when this process started, less than a window ago.
+    fn may_have_been_spent(&self, engine: &Engine, now: Micros) -> bool {
+        let uptime = Micros(TICK_INTERVAL.0 * i64::from(self.ticks));
+        let age = engine.slow_start.started_at.map(|started| now - started);
+        let was_up_before = age.is_some_and(|age| age >= uptime);
+        uptime < self.settings.overload_window && was_up_before
+    }
+
     /// Whether a query fits the slow-start budget of an engine. True if the engine is not in slow start.
     pub(crate) fn fits_slow_start(&self, now: Micros, query: &ActiveQuery, engine: &Engine) -> bool {
         let Some(budget) = self.slow_start_budget(now, engine) else { return true };
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -62,6 +62,17 @@
         harness
     }
 
+    /// A gateway that has been up for an overload window, so that no former process of it can have used its slow-start
+    /// budgets. Engines of these numbers then start.
+    pub fn with_starting_engines(settings: Settings, starting: &[u64], warm: Vec<EngineEntry>) -> Harness {
+        let mut harness = Harness::new(settings.clone(), warm);
+        harness.ticks((settings.overload_window.0 / 250_000) as usize);
+        let started_at = Some(harness.now);
+        let entries = starting.iter().map(|n| EngineEntry { started_at, ..engine(*n) }).collect();
+        harness.deliver(Event::EngineChanges(entries));
+        harness
+    }
+
     pub fn deliver(&mut self, event: Event) -> Vec<Action> {
         let mut out = Vec::new();
         self.gateway.handle(self.now, event, &mut out);
