platform: large requests together stay within a share of the memory limit

Cause: limits.memory_mb was read and not used; up to 72 KB of input in a doubling buffer were held for each of up to 496 clients.

Change: up to 16 KB of a request are received from each client. More needs a permit until the request is answered, and there are as many as a quarter of the limit holds at 256 KB each. The rest stays in the socket; who waits for over 2 s gets 408 as before. Input behind a response that ends its connection is dropped at once, and 16 KB at a time (64 KB before). Why it works: what clients may have in memory is bounded by their number at 16 KB and by the permits, and both follow from the configured limits.

--- a/crates/platform/src/clients/connection.rs
+++ b/crates/platform/src/clients/connection.rs
@@ -1,6 +1,7 @@
 //! The state of a client connection, and its timeouts.
 
 use super::arrival_times::ArrivalTimes;
+use super::large_requests::SMALL_REQUEST_BYTES;
 use crate::http_server::{MAX_BODY_BYTES, MAX_HEAD_BYTES};
 use crate::invariants::{CloseContext, CloseReason};
 use wheelfield_sans_io::ConnectionBuffer;
@@ -20,7 +21,7 @@
 /// Bytes that are read while a request is being processed, as the client may pipeline the next one.
 const READ_AHEAD_BYTES: usize = 4 << 10;
 /// Bytes that are read at a time while input is discarded.
-const DRAIN_READ_BYTES: usize = 64 << 10;
+const DRAIN_READ_BYTES: usize = SMALL_REQUEST_BYTES;
 
 /// The state of a client connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -51,6 +52,8 @@
     pub buffer: ConnectionBuffer,
     /// The state of the connection.
     pub state: ClientState,
+    /// Whether the request that is being processed is a large one, which needs a permit (see [`super::large_requests`]).
+    pub is_request_large: bool,
     /// Whether the client has sent a valid request.
     pub has_sent_request: bool,
     /// Time at which the connection was accepted, or of the last request or response, in microseconds.
@@ -101,6 +104,7 @@
         ClientConnection {
             buffer: ConnectionBuffer::default(),
             state: ClientState::AwaitingRequest,
+            is_request_large: false,
             has_sent_request: false,
             last_active_at: now,
             request_started_at: None,
@@ -124,6 +128,24 @@
         }
     }
 
+    /// Whether all of a small request's size has been received, and the request is still incomplete.
+    pub fn awaits_rest_of_large_request(&self) -> bool {
+        self.state == ClientState::AwaitingRequest && self.buffer.input.len() >= SMALL_REQUEST_BYTES
+    }
+
+    /// Whether a large request is being received or processed.
+    pub fn has_large_request(&self) -> bool {
+        self.is_request_large || self.awaits_rest_of_large_request()
+    }
+
+    /// Discards the input and returns its length.
+    pub fn discard_input(&mut self) -> usize {
+        let length = self.buffer.input.len();
+        self.buffer.input.clear();
+        self.arrival_times.record_consumed(length);
+        length
+    }
+
     /// Whether the client has closed its side of the connection.
     pub fn has_disconnected(&self) -> bool {
         self.buffer.read_closed || self.buffer.peer_closing
--- a/crates/platform/src/clients/mod.rs
+++ b/crates/platform/src/clients/mod.rs
@@ -2,12 +2,14 @@
 
 mod arrival_times;
 mod connection;
+mod large_requests;
 
 use crate::http_server::{self, Reply, RequestError, RequestHead, RequestKind};
 use crate::invariants::{check_closing, CloseReason, ClosingViolation};
 use crate::timer_event::TimerEvent;
 use bytes::{Buf, Bytes};
 use connection::{ClientConnection, ClientState, ExpiredTimeout};
+use large_requests::{LargeRequests, SMALL_REQUEST_BYTES};
 use tracing::debug;
 use wheelfield_sans_io::{ConnId, ConnectionBuffer, ConnectionTable, Effect, EffectQueue};
 
@@ -43,6 +45,8 @@
     pub invalid: u64,
     /// Connections rejected because the limit was reached and no open connection could be evicted.
     pub rejected: u64,
+    /// Requests that had to wait because the large requests in progress took all the memory that they may take.
+    pub delayed: u64,
     /// Closed connections, indexed by [`CloseReason`].
     pub closed: [u64; CloseReason::ALL.len()],
 }
@@ -52,6 +56,7 @@
 pub struct Clients {
     max_clients: usize,
     connections: ConnectionTable<ClientConnection>,
+    large_requests: LargeRequests,
     /// Violations of the closing invariant that have not been taken yet, with the connection that was closed.
     closing_violations: Vec<(ConnId, ClosingViolation)>,
     /// Counters since the start of the process.
@@ -59,11 +64,12 @@
 }
 
 impl Clients {
-    /// Creates an empty table of at most `max_clients` connections.
-    pub fn new(max_clients: usize) -> Clients {
+    /// Creates an empty table of at most `max_clients` connections in a process with this memory limit.
+    pub fn new(max_clients: usize, memory_limit_bytes: usize) -> Clients {
         Clients {
             max_clients,
             connections: ConnectionTable::new(OWNER),
+            large_requests: LargeRequests::new(memory_limit_bytes),
             closing_violations: Vec::new(),
             counters: ClientCounters::default(),
         }
@@ -115,16 +121,67 @@
 
     /// Number of bytes that may be read from a connection.
     pub fn read_capacity(&mut self, id: ConnId, now: i64) -> usize {
+        let Some(client) = self.connections.get(id) else {
+            return 0;
+        };
+        let is_large = client.awaits_rest_of_large_request();
+        let has_permit =
+            self.large_requests.is_held_by(id) || (is_large && self.acquire_permit(id));
         let Some(client) = self.connections.get_mut(id) else {
             return 0;
         };
-        let capacity = client.buffer.read_capacity(client.state.max_input_bytes());
-        if capacity == 0 {
-            client.read_paused_since.get_or_insert(now);
+        let max_input = match has_permit {
+            true => client.state.max_input_bytes(),
+            false => client.state.max_input_bytes().min(SMALL_REQUEST_BYTES),
+        };
+        let capacity = client.buffer.read_capacity(max_input);
+        if capacity == 0 && client.read_paused_since.is_none() {
+            client.read_paused_since = Some(now);
+            self.counters.delayed += u64::from(is_large);
         }
         capacity
     }
 
+    /// Gives a client a permit for a large request if one is free. Returns whether it has one now.
+    fn acquire_permit(&mut self, id: ConnId) -> bool {
+        if self.large_requests.free_permits() == 0 {
+            self.take_back_permits();
+        }
+        self.large_requests.acquire(id)
+    }
+
+    /// Takes back the permits of clients whose large request has been answered or whose connection is closed.
+    fn take_back_permits(&mut self) {
+        let connections = &self.connections;
+        self.large_requests.retain(|id| {
+            let client = connections.get(id);
+            client.is_some_and(ClientConnection::has_large_request)
+        });
+    }
+
+    /// Resumes reading for as many clients with large requests as there are free permits. Those that have sent a request before come
+    /// first, and then those that have waited for longest.
+    fn resume_large_requests(&mut self, out: &mut EffectQueue<TimerEvent>) {
+        self.take_back_permits();
+        let mut waiting: Vec<(bool, i64, ConnId)> = self
+            .connections
+            .iter()
+            .filter(|(id, client)| {
+                client.awaits_rest_of_large_request() && !self.large_requests.is_held_by(*id)
+            })
+            .filter_map(|(id, client)| {
+                Some((!client.has_sent_request, client.read_paused_since?, id))
+            })
+            .collect();
+        waiting.sort_unstable();
+        for (_, _, id) in waiting.into_iter().take(self.large_requests.free_permits()) {
+            if let Some(client) = self.connections.get_mut(id) {
+                let max_input = client.state.max_input_bytes();
+                client.buffer.resume_reading(id, max_input, out);
+            }
+        }
+    }
+
     /// Records that `count` bytes were received, which arrived at `arrived_at` at the earliest. If reading was paused because the
     /// buffer was full, they may have arrived since the pause began.
     pub fn record_received(&mut self, id: ConnId, count: usize, arrived_at: i64) {
@@ -219,9 +276,7 @@
         let Some(client) = self.connections.get_mut(id) else {
             return;
         };
-        let received = client.buffer.input.len();
-        client.buffer.input.clear();
-        client.arrival_times.record_consumed(received);
+        let received = client.discard_input();
         client.state = ClientState::Draining {
             until,
             bytes_left: bytes_left.saturating_sub(received),
@@ -246,6 +301,7 @@
         client.request_started_at = None;
         client.close_after_response = head.close;
         client.state = ClientState::Processing;
+        client.is_request_large = head.total_length > SMALL_REQUEST_BYTES;
         client.last_active_at = out.now;
         let arrived_at = client.arrival_times.record_consumed(head.total_length);
         client
@@ -300,7 +356,9 @@
         );
         client.last_active_at = out.now;
         client.last_write_progress_at = out.now;
+        client.is_request_large = false;
         client.state = if client.close_after_response {
+            client.discard_input();
             ClientState::Draining {
                 until: out.now + DRAIN_TIME_US,
                 bytes_left: MAX_DRAIN_BYTES,
@@ -355,8 +413,10 @@
         std::mem::take(&mut self.closing_violations)
     }
 
-    /// Rejects incomplete requests that timed out, and closes connections whose timeout has expired.
+    /// Rejects incomplete requests that timed out, closes connections whose timeout has expired, and lets large requests that wait go
+    /// on.
     pub fn check_timeouts(&mut self, out: &mut EffectQueue<TimerEvent>) {
+        self.resume_large_requests(out);
         let now = out.now;
         let expired: Vec<(ConnId, ExpiredTimeout)> = self
             .connections
--- a/crates/platform/src/dispatcher/mod.rs
+++ b/crates/platform/src/dispatcher/mod.rs
@@ -44,6 +44,9 @@
 /// Share of the connection descriptors that clients may use, in tenths; the rest is for connections to executors.
 const CLIENT_SHARE_TENTHS: usize = 5;
 
+/// Bytes in a megabyte of the configured memory limit.
+const BYTES_PER_MB: f64 = 1024.0 * 1024.0;
+
 /// Execution semantics of a class: how often its queries may run.
 #[derive(Clone, Copy, Debug)]
 struct ClassRules {
@@ -115,6 +118,7 @@
             .saturating_sub(RESERVED_DESCRIPTORS)
             .max(MIN_CONNECTION_DESCRIPTORS);
         let max_clients = descriptors * CLIENT_SHARE_TENTHS / 10;
+        let memory_limit_bytes = (config.limits.memory_mb * BYTES_PER_MB) as usize;
         let limits = config.protocol_limits;
         let initial_list = NumberedList::initial(&config);
         let driver_limits = DriverLimits {
@@ -134,7 +138,7 @@
         Dispatcher {
             out: EffectQueue::new(now),
             earliest_arrival_at: None,
-            clients: Clients::new(max_clients),
+            clients: Clients::new(max_clients, memory_limit_bytes),
             executors: Executors::new(ConnectionLimits {
                 max_connections: descriptors - max_clients,
                 max_streams: limits.max_streams.max(1),
--- a/crates/platform/src/metrics.rs
+++ b/crates/platform/src/metrics.rs
@@ -107,6 +107,11 @@
             "Invalid requests.",
             counters.invalid,
         );
+        self.write_counter(
+            "client_requests_delayed_total",
+            "Requests that waited because large requests took all the memory that they may take.",
+            counters.delayed,
+        );
         self.write_labelled_counter(
             "client_connections_closed_total",
             "Connections of clients closed, by reason.",
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -26,6 +26,8 @@
     pub addresses: BTreeMap<ConnId, SocketAddr>,
     /// Connections that the controller has closed, in order.
     pub closed: Vec<ConnId>,
+    /// Connections on which the controller has resumed reading, in order.
+    pub resumed: Vec<ConnId>,
     /// Datagrams sent.
     pub datagrams: Vec<(DatagramSocket, SocketAddr, Vec<u8>)>,
     /// Whether the controller accepts clients.
@@ -104,6 +106,7 @@
             connects: Vec::new(),
             addresses: BTreeMap::new(),
             closed: Vec::new(),
+            resumed: Vec::new(),
             datagrams: Vec::new(),
             listening: true,
             stopped: false,
@@ -137,7 +140,7 @@
                         self.platform.bytes_written(self.now, id, bytes.len());
                         self.written.entry(id).or_default().extend(bytes);
                     }
-                    Effect::ResumeReading(_) => {}
+                    Effect::ResumeReading(id) => self.resumed.push(id),
                     Effect::Close(id) => self.closed.push(id),
                     Effect::Send(socket, to, bytes) => {
                         self.confirm_list(socket, &bytes);
