endpoints-cli: a test's lock is not held by a child of another test

Cause, forced: a child process has a copy of the lock until it executes its program.

Change: the test program starts the tool by child_process::start, and closes the lock while no process is being started, as the rig of the controllers does. Checks and product are unchanged.

--- a/crates/endpoints-cli/tests/program.rs
+++ b/crates/endpoints-cli/tests/program.rs
@@ -5,13 +5,13 @@
 use std::net::TcpListener;
 use std::path::Path;
 use std::process::{Command, Stdio};
+use wheelfield_child_process::{self as child_process, Unshared};
 
 fn run_program(args: &[&str]) -> (Option<i32>, String) {
-    let output = Command::new(env!("CARGO_BIN_EXE_wheelfield-endpoints"))
-        .args(args)
-        .stdin(Stdio::null())
-        .output()
-        .expect("the program starts");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_wheelfield-endpoints"));
+    command.args(args).stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped());
+    let program = child_process::start(&mut command).expect("the program starts");
+    let output = program.wait_with_output().expect("its output");
     let output_text = [output.stdout, output.stderr].concat();
     (output.status.code(), String::from_utf8_lossy(&output_text).into_owned())
 }
@@ -83,7 +83,8 @@
     assert_eq!(code, Some(1));
     assert!(output_text.contains("version 2 is active, not 1"), "{output_text}");
     // While one process holds the lock, no other can apply a file.
-    let lock = fs::File::create(format!("{target}.lock")).expect("a file");
+    // A child that another test starts has a copy of the lock until it executes its program.
+    let lock = Unshared::new(fs::File::create(format!("{target}.lock")).expect("a file"));
     lock.lock().expect("locked");
     let (code, output_text) = run_program(&["apply", &second_change, &target, "--expect", "2"]);
     assert!(code == Some(1) && output_text.contains("locked"), "{output_text}");
