endpoints-cli: a test replaces its file at once, so that it is never read empty

Cause, forced: fs::write empties the file first, and the watcher reads what has not changed for 20 ms.

Change: the test renames a complete file into place and asks for the same events in the same order.

--- a/crates/endpoints-cli/tests/disk.rs
+++ b/crates/endpoints-cli/tests/disk.rs
@@ -28,6 +28,14 @@
     format!("version = {version}\n{}\n[end]\nengines = {count}\n", ids.map(engine).collect::<String>())
 }
 
+/// Replaces a file at once, as deployment tools do. A file that is written in place is empty for as long as the disk takes, and is
+/// read as such if that is longer than a file has to stay unchanged.
+fn replace_file(path: &Path, text: &str) {
+    let temporary = path.with_extension("new");
+    fs::write(&temporary, text).expect("written");
+    fs::rename(&temporary, path).expect("renamed");
+}
+
 struct TestWatcher {
     watcher: EngineFileWatcher,
     /// Kept open, so that writes to the other end succeed.
@@ -88,9 +96,7 @@
         let watcher = TestWatcher::start(&path, None, poll);
         assert_eq!(watcher.next_active_set(), (1, 3));
         // Written to another file and renamed.
-        let temporary = dir.path().join("engines.toml.new");
-        fs::write(&temporary, file(2, 0..4)).expect("written");
-        fs::rename(&temporary, &path).expect("renamed");
+        replace_file(&path, &file(2, 0..4));
         assert_eq!(watcher.next_active_set(), (2, 4));
         // Written in place.
         fs::write(&path, file(3, 0..5)).expect("written");
@@ -214,10 +220,10 @@
     fs::write(&path, file(1, 0..10)).expect("written");
     let watcher = TestWatcher::start(&path, None, SHORT_POLL_INTERVAL);
     assert_eq!(watcher.next_active_set(), (1, 10));
-    fs::write(&path, file(2, 0..4)).expect("written");
+    replace_file(&path, &file(2, 0..4));
     assert!(matches!(watcher.next_event(), EngineFileEvent::Held(why, None) if why.starts_with("60%")));
-    fs::write(&path, file(1, 0..10)).expect("written");
+    replace_file(&path, &file(1, 0..10));
     assert_eq!(watcher.next_event(), EngineFileEvent::FaultCleared);
-    fs::write(&path, file(3, 0..4).replacen('\n', "\nconfirmed = true\n", 1)).expect("written");
+    replace_file(&path, &file(3, 0..4).replacen('\n', "\nconfirmed = true\n", 1));
     assert_eq!(watcher.next_active_set(), (3, 4));
 }
