policy: the state of a key is forgotten once its rest is over

A key whose last query was cancelled, timed out or reset kept its entry in Gateway::keys for good, unless it was used again: a map without a bound.

Cause: an entry was removed only with its last query, and only if the key did not rest then.

Change: at the end of each period, keys without queries whose rest is over are forgotten. No decision depends on such an entry.

Evidence: with 100 keys, each with one cancelled query, the new test finds 100 entries after the rest without the change, 0 with it.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -96,6 +96,11 @@
         self.engines.len()
     }
 
+    /// The number of keys about which it keeps state: those with queries, and those in their cooldown.
+    pub fn key_count(&self) -> usize {
+        self.keys.len()
+    }
+
     fn start(&mut self, out: &mut Vec<Action>) {
         out.push(Action::SetTimer { token: TICK_TOKEN, after: TICK_INTERVAL });
         if self.settings.subscribe {
--- a/crates/core/src/lifecycle.rs
+++ b/crates/core/src/lifecycle.rs
@@ -118,6 +118,11 @@
         }
     }
 
+    /// Forgets the keys of which no query is left and whose cooldown is over.
+    pub(crate) fn forget_idle_keys(&mut self, now: Micros) {
+        self.keys.retain(|_, queue| !queue.waiting.is_empty() || queue.cooldown_until > now);
+    }
+
     /// The time at which to admit a query again that has to wait for earlier queries of its key. None if it
     /// need not wait.
     pub(crate) fn waits_for_key_until(&self, now: Micros, query: &ActiveQuery) -> Option<Micros> {
--- a/crates/core/src/policy/health.rs
+++ b/crates/core/src/policy/health.rs
@@ -57,6 +57,7 @@
         self.selections.mean += EWMA_WEIGHT * (self.selections.this_period - self.selections.mean);
         self.selections.this_period = 0.0;
         self.admission.end_period();
+        self.forget_idle_keys(now);
         self.query_errors.recovered *= 1.0 - EWMA_WEIGHT;
         self.query_errors.repeated *= 1.0 - EWMA_WEIGHT;
         let longest = self.settings.retry_budget.map_or(Micros(0), |budget| budget.window);
--- a/crates/core/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -189,6 +189,25 @@
     assert_eq!(next(&harness.deliver(Event::TimerFired(timer(&actions)))), Some(ids[2]));
 }
 
+/// Regression test: a key whose last query was cancelled kept its state for good.
+#[test]
+fn rule_5_a_key_is_forgotten_after_its_cooldown() {
+    let ordered = Class { ordered_by_key: true, ..class(ExecutionSemantics::Idempotent) };
+    let s = Settings { key_cooldown: Micros::from_secs_f64(1.0), ..settings(vec![ordered]) };
+    let mut harness = Harness::new(s, vec![engine(1), engine(2)]);
+    for n in 0..100 {
+        let query = Query { key: Some(format!("key {n}")), ..harness.new_query(0) };
+        let id = query.id;
+        harness.deliver(Event::Arrived(query));
+        harness.deliver(Event::Abandoned(id));
+        harness.end_attempt(id, 0, Outcome::Cancelled);
+    }
+    harness.ticks(2);
+    assert_eq!(harness.gateway.key_count(), 100, "the keys rest");
+    harness.ticks(6);
+    assert_eq!(harness.gateway.key_count(), 0);
+}
+
 #[test]
 fn rule_6_restricted_classes_run_only_where_permitted() {
     let restricted = |zones: Vec<usize>, kinds: Vec<usize>| Class {
