platform: permits for large requests go to those who wait, not to newcomers

Change: permits are taken back at the periodic check alone, which passes them on in order; a newcomer gets one only if some are left.

--- a/crates/platform/src/clients/large_requests.rs
+++ b/crates/platform/src/clients/large_requests.rs
@@ -1,7 +1,7 @@
 //! Bounds the memory that large requests take together.
 //!
 //! Each client may send a small request at any time. A larger one needs a permit for as long as it is received or processed; until one
-//! is free, the rest of the request stays in the socket.
+//! is free, the rest of the request stays in the socket. Permits are taken back at the periodic check of all clients, which passes them on.
 
 use std::collections::BTreeSet;
 use wheelfield_sans_io::ConnId;
@@ -38,7 +38,7 @@
 
     /// Gives a client a permit if one is free. Returns whether the client has one now.
     pub fn acquire(&mut self, client: ConnId) -> bool {
-        if self.free_permits() > 0 {
+        if self.holders.len() < self.max_permits {
             self.holders.insert(client);
         }
         self.is_held_by(client)
@@ -48,9 +48,4 @@
     pub fn retain(&mut self, needs_permit: impl Fn(ConnId) -> bool) {
         self.holders.retain(|client| needs_permit(*client));
     }
-
-    /// Number of permits that nobody has.
-    pub fn free_permits(&self) -> usize {
-        self.max_permits - self.holders.len()
-    }
 }
--- a/crates/platform/src/clients/mod.rs
+++ b/crates/platform/src/clients/mod.rs
@@ -126,7 +126,7 @@
         };
         let is_large = client.awaits_rest_of_large_request();
         let has_permit =
-            self.large_requests.is_held_by(id) || (is_large && self.acquire_permit(id));
+            self.large_requests.is_held_by(id) || (is_large && self.large_requests.acquire(id));
         let Some(client) = self.connections.get_mut(id) else {
             return 0;
         };
@@ -142,29 +142,15 @@
         capacity
     }
 
-    /// Gives a client a permit for a large request if one is free. Returns whether it has one now.
-    fn acquire_permit(&mut self, id: ConnId) -> bool {
-        if self.large_requests.free_permits() == 0 {
-            self.take_back_permits();
-        }
-        self.large_requests.acquire(id)
-    }
-
-    /// Takes back the permits of clients whose large request has been answered or whose connection is closed.
-    fn take_back_permits(&mut self) {
+    /// Passes permits for large requests on to clients that wait for one: first those that have sent a request before, and then those
+    /// that have waited for longest.
+    fn pass_on_permits(&mut self, out: &mut EffectQueue<TimerEvent>) {
         let connections = &self.connections;
         self.large_requests.retain(|id| {
             let client = connections.get(id);
             client.is_some_and(ClientConnection::has_large_request)
         });
-    }
-
-    /// Resumes reading for as many clients with large requests as there are free permits. Those that have sent a request before come
-    /// first, and then those that have waited for longest.
-    fn resume_large_requests(&mut self, out: &mut EffectQueue<TimerEvent>) {
-        self.take_back_permits();
-        let mut waiting: Vec<(bool, i64, ConnId)> = self
-            .connections
+        let mut waiting: Vec<(bool, i64, ConnId)> = connections
             .iter()
             .filter(|(id, client)| {
                 client.awaits_rest_of_large_request() && !self.large_requests.is_held_by(*id)
@@ -174,8 +160,11 @@
             })
             .collect();
         waiting.sort_unstable();
-        for (_, _, id) in waiting.into_iter().take(self.large_requests.free_permits()) {
-            if let Some(client) = self.connections.get_mut(id) {
+        for (_, _, id) in waiting {
+            let Some(client) = self.connections.get_mut(id) else {
+                continue;
+            };
+            if self.large_requests.acquire(id) {
                 let max_input = client.state.max_input_bytes();
                 client.buffer.resume_reading(id, max_input, out);
             }
@@ -416,7 +405,7 @@
     /// Rejects incomplete requests that timed out, closes connections whose timeout has expired, and lets large requests that wait go
     /// on.
     pub fn check_timeouts(&mut self, out: &mut EffectQueue<TimerEvent>) {
-        self.resume_large_requests(out);
+        self.pass_on_permits(out);
         let now = out.now;
         let expired: Vec<(ConnId, ExpiredTimeout)> = self
             .connections
