--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -6,6 +6,7 @@
 mod controller;
 mod endless_answer;
 mod executor;
+mod large_statements;
 mod names;
 mod pipelined_calls;
 mod refused_keyed;
@@ -54,6 +55,7 @@
     let play: fn(&Scene) -> std::io::Result<Verdict> = match case.as_str() {
         "pipelined-calls" => pipelined_calls::play,
         "endless-answer" => endless_answer::play,
+        "large-statements" => large_statements::play,
         "refused-keyed" => refused_keyed::play,
         _ => {
             eprintln!("no case {case}");
