platform: log which large requests wait for memory, and who has it

Change: debug lines for a large request that waits and for one that goes on, with the time that it waited, and at each check the number of permits in use and how many of them belong to incomplete requests.

--- a/crates/platform/src/clients/large_requests.rs
+++ b/crates/platform/src/clients/large_requests.rs
@@ -36,6 +36,11 @@
         self.holders.contains(&client)
     }
 
+    /// Number of permits in use.
+    pub fn len(&self) -> usize {
+        self.holders.len()
+    }
+
     /// Gives a client a permit if one is free. Returns whether the client has one now.
     pub fn acquire(&mut self, client: ConnId) -> bool {
         if self.holders.len() < self.max_permits {
--- a/crates/platform/src/clients/mod.rs
+++ b/crates/platform/src/clients/mod.rs
@@ -138,6 +138,13 @@
         if capacity == 0 && client.read_paused_since.is_none() {
             client.read_paused_since = Some(now);
             self.counters.delayed += u64::from(is_large);
+            if is_large {
+                debug!(
+                    connection = id.as_u64(),
+                    received = client.buffer.input.len(),
+                    "large request waits for memory"
+                );
+            }
         }
         capacity
     }
@@ -150,6 +157,16 @@
             let client = connections.get(id);
             client.is_some_and(ClientConnection::has_large_request)
         });
+        if self.large_requests.len() > 0 {
+            let incomplete = self.connections.iter().filter(|(id, client)| {
+                self.large_requests.is_held_by(*id) && !client.is_request_large
+            });
+            debug!(
+                permits = self.large_requests.len(),
+                incomplete = incomplete.count(),
+                "permits for large requests in use"
+            );
+        }
         let mut waiting: Vec<(bool, i64, ConnId)> = connections
             .iter()
             .filter(|(id, client)| {
@@ -165,6 +182,11 @@
                 continue;
             };
             if self.large_requests.acquire(id) {
+                let waited_us = client.read_paused_since.map(|since| out.now - since);
+                debug!(
+                    connection = id.as_u64(),
+                    waited_us, "large request received further"
+                );
                 let max_input = client.state.max_input_bytes();
                 client.buffer.resume_reading(id, max_input, out);
             }
