platform: half requests no longer hold the memory that other clients wait for

Cause: a permit stood for 256 KB whatever a request needed, a half request kept one for 2 s, and the wait for one knew nothing of the client's time.

Change: memory is counted in bytes over all clients (reservations for requests that are received, statements in progress), a third of the limit. A reservation covers the whole request. If others wait, requests that are incomplete after 250 ms are refused, the oldest first; a request that waits is refused before its client's time is up.

--- a/crates/platform/src/clients/connection.rs
+++ b/crates/platform/src/clients/connection.rs
@@ -1,8 +1,7 @@
 //! The state of a client connection, and its timeouts.
 
 use super::arrival_times::ArrivalTimes;
-use super::large_requests::SMALL_REQUEST_BYTES;
-use crate::http_server::{MAX_BODY_BYTES, MAX_HEAD_BYTES};
+use super::memory::{MemoryCharge, MemoryWait, GUARANTEED_INPUT_BYTES};
 use crate::invariants::{CloseContext, CloseReason};
 use wheelfield_sans_io::ConnectionBuffer;
 
@@ -18,10 +17,6 @@
 const FIRST_REQUEST_GRACE_US: i64 = 50_000;
 /// Time after which clients close an idle connection themselves according to the protocol, in microseconds.
 const CLIENT_IDLE_TIMEOUT_US: i64 = 4_000_000;
-/// Bytes that are read while a request is being processed, as the client may pipeline the next one.
-const READ_AHEAD_BYTES: usize = 4 << 10;
-/// Bytes that are read at a time while input is discarded.
-const DRAIN_READ_BYTES: usize = SMALL_REQUEST_BYTES;
 
 /// The state of a client connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -34,17 +29,6 @@
     Draining { until: i64, bytes_left: usize },
 }
 
-impl ClientState {
-    /// Maximum number of bytes in the input buffer.
-    pub fn max_input_bytes(self) -> usize {
-        match self {
-            ClientState::AwaitingRequest => MAX_HEAD_BYTES + MAX_BODY_BYTES,
-            ClientState::Processing => READ_AHEAD_BYTES,
-            ClientState::Draining { .. } => DRAIN_READ_BYTES,
-        }
-    }
-}
-
 /// A client connection.
 #[derive(Debug)]
 pub(super) struct ClientConnection {
@@ -52,8 +36,12 @@
     pub buffer: ConnectionBuffer,
     /// The state of the connection.
     pub state: ClientState,
-    /// Whether the request that is being processed is a large one, which needs a permit (see [`super::large_requests`]).
-    pub is_request_large: bool,
+    /// The memory that the connection has taken.
+    pub charge: MemoryCharge,
+    /// Time at which memory was reserved for the request that is being received, in microseconds.
+    pub reserved_at: Option<i64>,
+    /// The wait of the request that is being received for memory.
+    pub memory_wait: Option<MemoryWait>,
     /// Whether the client has sent a valid request.
     pub has_sent_request: bool,
     /// Time at which the connection was accepted, or of the last request or response, in microseconds.
@@ -104,7 +92,9 @@
         ClientConnection {
             buffer: ConnectionBuffer::default(),
             state: ClientState::AwaitingRequest,
-            is_request_large: false,
+            charge: MemoryCharge::default(),
+            reserved_at: None,
+            memory_wait: None,
             has_sent_request: false,
             last_active_at: now,
             request_started_at: None,
@@ -128,14 +118,18 @@
         }
     }
 
-    /// Whether all of a small request's size has been received, and the request is still incomplete.
-    pub fn awaits_rest_of_large_request(&self) -> bool {
-        self.state == ClientState::AwaitingRequest && self.buffer.input.len() >= SMALL_REQUEST_BYTES
+    /// Maximum number of bytes in the input buffer. While a request is being processed, the client may pipeline the next one.
+    pub fn max_input_bytes(&self) -> usize {
+        match self.state {
+            ClientState::AwaitingRequest => self.charge.reserved_input.max(GUARANTEED_INPUT_BYTES),
+            ClientState::Processing | ClientState::Draining { .. } => GUARANTEED_INPUT_BYTES,
+        }
     }
 
-    /// Whether a large request is being received or processed.
-    pub fn has_large_request(&self) -> bool {
-        self.is_request_large || self.awaits_rest_of_large_request()
+    /// Whether a request is expected, and the input buffer has no room for more of it.
+    pub fn is_input_full(&self) -> bool {
+        self.state == ClientState::AwaitingRequest
+            && self.buffer.input.len() >= self.max_input_bytes()
     }
 
     /// Discards the input and returns its length.
@@ -199,6 +193,7 @@
             }
             ClientState::AwaitingRequest
                 if !self.is_read_delayed
+                    && self.memory_wait.is_none()
                     && request_due_since.is_some_and(|since| now - since > REQUEST_TIMEOUT_US) =>
             {
                 match self.request_started_at {
--- a/crates/platform/src/clients/mod.rs
+++ b/crates/platform/src/clients/mod.rs
@@ -2,14 +2,17 @@
 
 mod arrival_times;
 mod connection;
-mod large_requests;
+mod memory;
+mod receiving;
 
-use crate::http_server::{self, Reply, RequestError, RequestHead, RequestKind};
+use crate::http_server::{
+    self, Reply, RequestError, RequestHead, RequestKind, MAX_BODY_BYTES, MAX_HEAD_BYTES,
+};
 use crate::invariants::{check_closing, CloseReason, ClosingViolation};
 use crate::timer_event::TimerEvent;
 use bytes::{Buf, Bytes};
 use connection::{ClientConnection, ClientState, ExpiredTimeout};
-use large_requests::{LargeRequests, SMALL_REQUEST_BYTES};
+use memory::{MemoryBudget, MemoryCharge};
 use tracing::debug;
 use wheelfield_sans_io::{ConnId, ConnectionBuffer, ConnectionTable, Effect, EffectQueue};
 
@@ -45,8 +48,10 @@
     pub invalid: u64,
     /// Connections rejected because the limit was reached and no open connection could be evicted.
     pub rejected: u64,
-    /// Requests that had to wait because the large requests in progress took all the memory that they may take.
+    /// Requests that had to wait because the connections of clients took all the memory that they may take.
     pub delayed: u64,
+    /// Requests that were refused because they could not be received in time for lack of memory.
+    pub refused_for_memory: u64,
     /// Closed connections, indexed by [`CloseReason`].
     pub closed: [u64; CloseReason::ALL.len()],
 }
@@ -56,7 +61,7 @@
 pub struct Clients {
     max_clients: usize,
     connections: ConnectionTable<ClientConnection>,
-    large_requests: LargeRequests,
+    memory: MemoryBudget,
     /// Violations of the closing invariant that have not been taken yet, with the connection that was closed.
     closing_violations: Vec<(ConnId, ClosingViolation)>,
     /// Counters since the start of the process.
@@ -69,7 +74,7 @@
         Clients {
             max_clients,
             connections: ConnectionTable::new(OWNER),
-            large_requests: LargeRequests::new(memory_limit_bytes),
+            memory: MemoryBudget::new(memory_limit_bytes, MAX_HEAD_BYTES + MAX_BODY_BYTES),
             closing_violations: Vec::new(),
             counters: ClientCounters::default(),
         }
@@ -119,80 +124,6 @@
         }
     }
 
-    /// Number of bytes that may be read from a connection.
-    pub fn read_capacity(&mut self, id: ConnId, now: i64) -> usize {
-        let Some(client) = self.connections.get(id) else {
-            return 0;
-        };
-        let is_large = client.awaits_rest_of_large_request();
-        let has_permit =
-            self.large_requests.is_held_by(id) || (is_large && self.large_requests.acquire(id));
-        let Some(client) = self.connections.get_mut(id) else {
-            return 0;
-        };
-        let max_input = match has_permit {
-            true => client.state.max_input_bytes(),
-            false => client.state.max_input_bytes().min(SMALL_REQUEST_BYTES),
-        };
-        let capacity = client.buffer.read_capacity(max_input);
-        if capacity == 0 && client.read_paused_since.is_none() {
-            client.read_paused_since = Some(now);
-            self.counters.delayed += u64::from(is_large);
-            if is_large {
-                debug!(
-                    connection = id.as_u64(),
-                    received = client.buffer.input.len(),
-                    "large request waits for memory"
-                );
-            }
-        }
-        capacity
-    }
-
-    /// Passes permits for large requests on to clients that wait for one: first those that have sent a request before, and then those
-    /// that have waited for longest.
-    fn pass_on_permits(&mut self, out: &mut EffectQueue<TimerEvent>) {
-        let connections = &self.connections;
-        self.large_requests.retain(|id| {
-            let client = connections.get(id);
-            client.is_some_and(ClientConnection::has_large_request)
-        });
-        if self.large_requests.len() > 0 {
-            let incomplete = self.connections.iter().filter(|(id, client)| {
-                self.large_requests.is_held_by(*id) && !client.is_request_large
-            });
-            debug!(
-                permits = self.large_requests.len(),
-                incomplete = incomplete.count(),
-                "permits for large requests in use"
-            );
-        }
-        let mut waiting: Vec<(bool, i64, ConnId)> = connections
-            .iter()
-            .filter(|(id, client)| {
-                client.awaits_rest_of_large_request() && !self.large_requests.is_held_by(*id)
-            })
-            .filter_map(|(id, client)| {
-                Some((!client.has_sent_request, client.read_paused_since?, id))
-            })
-            .collect();
-        waiting.sort_unstable();
-        for (_, _, id) in waiting {
-            let Some(client) = self.connections.get_mut(id) else {
-                continue;
-            };
-            if self.large_requests.acquire(id) {
-                let waited_us = client.read_paused_since.map(|since| out.now - since);
-                debug!(
-                    connection = id.as_u64(),
-                    waited_us, "large request received further"
-                );
-                let max_input = client.state.max_input_bytes();
-                client.buffer.resume_reading(id, max_input, out);
-            }
-        }
-    }
-
     /// Records that `count` bytes were received, which arrived at `arrived_at` at the earliest. If reading was paused because the
     /// buffer was full, they may have arrived since the pause began.
     pub fn record_received(&mut self, id: ConnId, count: usize, arrived_at: i64) {
@@ -260,7 +191,7 @@
             client.request_started_at = None;
             client
                 .buffer
-                .resume_reading(id, client.state.max_input_bytes(), out);
+                .resume_reading(id, client.max_input_bytes(), out);
             return None;
         }
         client.request_started_at = client.request_started_at.or(Some(out.now));
@@ -297,7 +228,7 @@
         } else {
             client
                 .buffer
-                .resume_reading(id, client.state.max_input_bytes(), out);
+                .resume_reading(id, client.max_input_bytes(), out);
         }
     }
 
@@ -312,7 +243,7 @@
         client.request_started_at = None;
         client.close_after_response = head.close;
         client.state = ClientState::Processing;
-        client.is_request_large = head.total_length > SMALL_REQUEST_BYTES;
+        client.reserved_at = None;
         client.last_active_at = out.now;
         let arrived_at = client.arrival_times.record_consumed(head.total_length);
         client
@@ -321,9 +252,15 @@
             .advance(head.total_length - head.body_length);
         // Copied, so that the memory of the input buffer can be reused.
         let body = Bytes::copy_from_slice(&client.buffer.input.split_to(head.body_length));
+        let charge = MemoryCharge {
+            reserved_input: 0,
+            // One copy is kept for retries, and one is written to the executor.
+            statement: 2 * body.len(),
+        };
+        self.memory.change_charge(&mut client.charge, charge);
         client
             .buffer
-            .resume_reading(id, client.state.max_input_bytes(), out);
+            .resume_reading(id, client.max_input_bytes(), out);
         match head.kind {
             Ok(kind) => {
                 client.has_sent_request = true;
@@ -357,6 +294,7 @@
 
     /// Writes the response to the current request.
     pub fn respond(&mut self, id: ConnId, reply: &Reply, out: &mut EffectQueue<TimerEvent>) {
+        self.end_memory_wait(id, out);
         let Some(client) = self.connections.get_mut(id) else {
             return;
         };
@@ -367,7 +305,9 @@
         );
         client.last_active_at = out.now;
         client.last_write_progress_at = out.now;
-        client.is_request_large = false;
+        client.reserved_at = None;
+        self.memory
+            .change_charge(&mut client.charge, MemoryCharge::default());
         client.state = if client.close_after_response {
             client.discard_input();
             ClientState::Draining {
@@ -380,7 +320,7 @@
         client.buffer.flush(id, out);
         client
             .buffer
-            .resume_reading(id, client.state.max_input_bytes(), out);
+            .resume_reading(id, client.max_input_bytes(), out);
     }
 
     /// Whether a request of this client is being processed.
@@ -404,9 +344,12 @@
 
     /// Closes a connection. All closes go through this method, so that each is checked and counted.
     pub fn close(&mut self, id: ConnId, reason: CloseReason, out: &mut EffectQueue<TimerEvent>) {
-        let Some(client) = self.connections.remove(id) else {
+        self.end_memory_wait(id, out);
+        let Some(mut client) = self.connections.remove(id) else {
             return;
         };
+        self.memory
+            .change_charge(&mut client.charge, MemoryCharge::default());
         if let Err(violation) = check_closing(&client.close_context(reason)) {
             self.closing_violations.push((id, violation));
         }
@@ -424,10 +367,10 @@
         std::mem::take(&mut self.closing_violations)
     }
 
-    /// Rejects incomplete requests that timed out, closes connections whose timeout has expired, and lets large requests that wait go
-    /// on.
+    /// Rejects incomplete requests that timed out, closes connections whose timeout has expired, and refuses incomplete
+    /// requests that others wait for.
     pub fn check_timeouts(&mut self, out: &mut EffectQueue<TimerEvent>) {
-        self.pass_on_permits(out);
+        self.reclaim_memory(out);
         let now = out.now;
         let expired: Vec<(ConnId, ExpiredTimeout)> = self
             .connections
--- /dev/null
+++ b/crates/platform/src/clients/receiving.rs
@@ -0,0 +1,228 @@
+//! Reserves memory for long requests before they are received, and refuses those that cannot get any in time.
+
+use super::connection::{ClientConnection, ClientState};
+use super::memory::{MemoryCharge, MemoryWait, Waiter, MAX_INCOMPLETE_HOLD_US, MAX_MEMORY_WAIT_US};
+use super::Clients;
+use crate::http_server::{
+    self, Reply, RequestHead, RequestKind, MAX_HEAD_BYTES, RESPONSE_MARGIN_US,
+};
+use crate::timer_event::TimerEvent;
+use tracing::debug;
+use wheelfield_sans_io::{ConnId, EffectQueue};
+
+/// The memory that a request needs, and for how long it may wait for it.
+struct MemoryDemand {
+    /// Size of the reservation in bytes.
+    bytes: usize,
+    /// Maximum time that the request may wait, in microseconds.
+    max_wait_us: i64,
+}
+
+impl MemoryDemand {
+    /// The demand of the incomplete request at the start of a client's input; `None` if it is complete or invalid, so that parsing
+    /// it does not need more input.
+    fn of_input(input: &[u8]) -> Option<MemoryDemand> {
+        match http_server::parse_head(input) {
+            Ok(Some(head)) if input.len() >= head.total_length => None,
+            Ok(Some(head)) => Some(MemoryDemand {
+                bytes: head.total_length,
+                max_wait_us: max_wait_us(&head),
+            }),
+            Ok(None) => Some(MemoryDemand {
+                bytes: MAX_HEAD_BYTES,
+                max_wait_us: MAX_MEMORY_WAIT_US,
+            }),
+            Err(_) => None,
+        }
+    }
+}
+
+/// Maximum time that a request may wait for memory, in microseconds. The rest of it may have arrived when the wait began, so that
+/// the client's timeout may run since then.
+fn max_wait_us(head: &RequestHead) -> i64 {
+    match &head.kind {
+        Ok(RequestKind::Query(query)) => {
+            let timeout_us = (query.timeout_us - RESPONSE_MARGIN_US).max(1);
+            timeout_us.min(MAX_MEMORY_WAIT_US)
+        }
+        _ => MAX_MEMORY_WAIT_US,
+    }
+}
+
+impl Clients {
+    /// Number of bytes that may be read from a connection.
+    pub fn read_capacity(&mut self, id: ConnId, out: &mut EffectQueue<TimerEvent>) -> usize {
+        self.reserve_if_needed(id, out);
+        let Some(client) = self.connections.get_mut(id) else {
+            return 0;
+        };
+        let capacity = client.buffer.read_capacity(client.max_input_bytes());
+        if capacity == 0 && client.read_paused_since.is_none() {
+            client.read_paused_since = Some(out.now);
+        }
+        capacity
+    }
+
+    /// Reserves the memory for a request that has filled what its client may send without a reservation. If there is not enough,
+    /// the client waits.
+    fn reserve_if_needed(&mut self, id: ConnId, out: &mut EffectQueue<TimerEvent>) {
+        let Some(client) = self.connections.get(id) else {
+            return;
+        };
+        if !client.is_input_full() || client.memory_wait.is_some() {
+            return;
+        }
+        let Some(demand) = MemoryDemand::of_input(&client.buffer.input) else {
+            return;
+        };
+        let more_bytes = demand.bytes.saturating_sub(client.charge.reserved_input);
+        if self.memory.first_waiter().is_none() && self.memory.fits(more_bytes) {
+            self.reserve(id, demand.bytes, out.now);
+        } else {
+            self.begin_memory_wait(id, &demand, out);
+        }
+    }
+
+    fn reserve(&mut self, id: ConnId, bytes: usize, now: i64) {
+        let Some(client) = self.connections.get_mut(id) else {
+            return;
+        };
+        let charge = MemoryCharge {
+            reserved_input: bytes,
+            ..client.charge
+        };
+        self.memory.change_charge(&mut client.charge, charge);
+        client.reserved_at = Some(now);
+        let more_bytes = bytes.saturating_sub(client.buffer.input.len());
+        client.buffer.input.reserve(more_bytes);
+    }
+
+    fn begin_memory_wait(
+        &mut self,
+        id: ConnId,
+        demand: &MemoryDemand,
+        out: &mut EffectQueue<TimerEvent>,
+    ) {
+        let Some(client) = self.connections.get_mut(id) else {
+            return;
+        };
+        self.counters.delayed += 1;
+        debug!(
+            connection = id.as_u64(),
+            received = client.buffer.input.len(),
+            needed = demand.bytes,
+            used = self.memory.used_bytes(),
+            waiting = self.memory.waiting_count(),
+            "request waits for memory"
+        );
+        let waiter = Waiter {
+            is_new_client: !client.has_sent_request,
+            since: out.now,
+            client: id,
+        };
+        self.memory.add_waiter(waiter);
+        let timer = out.set_timer_after(demand.max_wait_us, TimerEvent::EndMemoryWait(id));
+        client.memory_wait = Some(MemoryWait {
+            waiter,
+            needed_bytes: demand.bytes,
+            timer: Some(timer),
+        });
+    }
+
+    /// Ends the wait of a client for memory, if it waits.
+    pub(super) fn end_memory_wait(&mut self, id: ConnId, out: &mut EffectQueue<TimerEvent>) {
+        let wait = self.connections.get_mut(id);
+        if let Some(mut wait) = wait.and_then(|client| client.memory_wait.take()) {
+            self.memory.remove_waiter(wait.waiter);
+            out.cancel_timer(&mut wait.timer);
+        }
+    }
+
+    /// Gives memory that has become free to the clients that wait.
+    pub fn distribute_memory(&mut self, out: &mut EffectQueue<TimerEvent>) {
+        while let Some(waiter) = self.memory.first_waiter() {
+            let id = waiter.client;
+            let Some((bytes, more_bytes)) = self.demand_of_waiter(id) else {
+                self.memory.remove_waiter(waiter);
+                continue;
+            };
+            if !self.memory.fits(more_bytes) {
+                return;
+            }
+            debug!(
+                connection = id.as_u64(),
+                waited_us = out.now - waiter.since,
+                "request received further"
+            );
+            self.end_memory_wait(id, out);
+            self.reserve(id, bytes, out.now);
+            if let Some(client) = self.connections.get_mut(id) {
+                let max_input = client.max_input_bytes();
+                client.buffer.resume_reading(id, max_input, out);
+            }
+        }
+    }
+
+    /// The reservation that a waiting client needs, and the number of bytes by which it exceeds the present one.
+    fn demand_of_waiter(&self, id: ConnId) -> Option<(usize, usize)> {
+        let client = self.connections.get(id)?;
+        let bytes = client.memory_wait.as_ref()?.needed_bytes;
+        Some((bytes, bytes.saturating_sub(client.charge.reserved_input)))
+    }
+
+    /// Refuses a request that could not be received in time for lack of memory. Nothing of it went anywhere.
+    pub fn refuse_waiting_request(&mut self, id: ConnId, out: &mut EffectQueue<TimerEvent>) {
+        let is_waiting = self.connections.get(id);
+        if is_waiting.is_some_and(|client| client.memory_wait.is_some()) {
+            self.refuse_incomplete_request(id, out);
+        }
+    }
+
+    fn refuse_incomplete_request(&mut self, id: ConnId, out: &mut EffectQueue<TimerEvent>) {
+        self.counters.refused_for_memory += 1;
+        if let Some(client) = self.connections.get_mut(id) {
+            // Where the next request begins is not known.
+            client.close_after_response = true;
+        }
+        self.respond(id, &Reply::Rejected { retry_after_ms: 0 }, out);
+    }
+
+    /// If clients wait for memory, refuses as many requests as needed that have been incomplete for too long, the oldest first.
+    pub(super) fn reclaim_memory(&mut self, out: &mut EffectQueue<TimerEvent>) {
+        let demands = self.memory.waiters();
+        let demands = demands.filter_map(|waiter| self.demand_of_waiter(waiter.client));
+        let wanted_bytes = demands.map(|(_, more_bytes)| more_bytes).sum();
+        if wanted_bytes == 0 {
+            return;
+        }
+        for (_, id) in self.overdue_holders(out.now) {
+            if self.memory.missing_bytes(wanted_bytes) == 0 {
+                break;
+            }
+            debug!(
+                connection = id.as_u64(),
+                "incomplete request refused as others wait for memory"
+            );
+            self.refuse_incomplete_request(id, out);
+        }
+        self.distribute_memory(out);
+    }
+
+    /// The clients whose reservation others may claim, with the time at which they got it, in order of that time.
+    fn overdue_holders(&self, now: i64) -> Vec<(i64, ConnId)> {
+        let is_overdue = |client: &ClientConnection, at: i64| {
+            client.state == ClientState::AwaitingRequest
+                && client.memory_wait.is_none()
+                && now - at >= MAX_INCOMPLETE_HOLD_US
+        };
+        let mut holders: Vec<(i64, ConnId)> = self
+            .connections
+            .iter()
+            .filter_map(|(id, client)| Some((client.reserved_at?, id, client)))
+            .filter(|(at, _, client)| is_overdue(client, *at))
+            .map(|(at, id, _)| (at, id))
+            .collect();
+        holders.sort_unstable();
+        holders
+    }
+}
--- a/crates/platform/src/dispatcher/lifecycle.rs
+++ b/crates/platform/src/dispatcher/lifecycle.rs
@@ -41,6 +41,9 @@
                         .handle_input(self.out.now, Input::ShutdownDeadline(query));
                 }
             }
+            TimerEvent::EndMemoryWait(client) => {
+                self.clients.refuse_waiting_request(client, &mut self.out);
+            }
             TimerEvent::CloseIdleClients => {
                 if self.has_injected(InjectedFault::CloseBusyClients) {
                     self.clients.close_all(&mut self.out);
--- a/crates/platform/src/dispatcher/mod.rs
+++ b/crates/platform/src/dispatcher/mod.rs
@@ -201,6 +201,7 @@
     /// Processes events until none is pending, and stops the process once the shutdown is complete.
     pub fn process_events(&mut self) {
         while self.process_next() {}
+        self.clients.distribute_memory(&mut self.out);
         for (id, violation) in self.clients.take_closing_violations() {
             self.violations.record(id.as_u64(), violation.into());
         }
--- a/crates/platform/src/dispatcher/requests.rs
+++ b/crates/platform/src/dispatcher/requests.rs
@@ -4,7 +4,7 @@
 use super::Dispatcher;
 use crate::abandonment::QueryLocation;
 use crate::clients::ClientRequest;
-use crate::http_server::{Reply, RequestError, RequestKind};
+use crate::http_server::{Reply, RequestError, RequestKind, RESPONSE_MARGIN_US};
 use crate::in_flight::{AttemptHistory, InFlightQuery};
 use crate::invariants::CloseReason;
 use crate::planted::InjectedFault;
@@ -15,9 +15,6 @@
 use wheelfield_sans_io::ConnId;
 use wheelfield_settings::position;
 
-/// Time before the client's timeout at which a response must be sent, in microseconds, to allow for network latency.
-const RESPONSE_MARGIN_US: i64 = 20_000;
-
 impl Dispatcher {
     /// Records that input of a client arrived, or that the client closed its side of the connection. The input is parsed after all
     /// other events of this turn of the event loop, so that no query is started for a client that has disconnected.
--- a/crates/platform/src/gateway.rs
+++ b/crates/platform/src/gateway.rs
@@ -204,8 +204,8 @@
     fn read_capacity(&mut self, id: ConnId) -> usize {
         match id.owner() {
             clients::OWNER => {
-                let now = self.dispatcher.out.now;
-                self.dispatcher.clients.read_capacity(id, now)
+                let Dispatcher { out, clients, .. } = &mut self.dispatcher;
+                clients.read_capacity(id, out)
             }
             _ => self.dispatcher.executors.read_capacity(id),
         }
--- a/crates/platform/src/http_server.rs
+++ b/crates/platform/src/http_server.rs
@@ -11,6 +11,8 @@
 const MAX_HEADERS: usize = 48;
 /// Maximum length of a request body, which is the SQL statement, in bytes.
 pub const MAX_BODY_BYTES: usize = 64 << 10;
+/// Time before the client's timeout at which a response must be sent, in microseconds, to allow for network latency.
+pub const RESPONSE_MARGIN_US: i64 = 20_000;
 /// Maximum timeout of a request in milliseconds: one hour.
 const MAX_TIMEOUT_MS: f64 = 3_600_000.0;
 /// Maximum length of a name in a header in bytes: a tenant, an ordering key or an idempotency key.
--- a/crates/platform/src/metrics.rs
+++ b/crates/platform/src/metrics.rs
@@ -109,9 +109,14 @@
         );
         self.write_counter(
             "client_requests_delayed_total",
-            "Requests that waited because large requests took all the memory that they may take.",
+            "Requests that waited because the connections of clients took all the memory that they may take.",
             counters.delayed,
         );
+        self.write_counter(
+            "client_requests_refused_for_memory_total",
+            "Requests that were refused as they could not be received in time for lack of memory.",
+            counters.refused_for_memory,
+        );
         self.write_labelled_counter(
             "client_connections_closed_total",
             "Connections of clients closed, by reason.",
--- a/crates/platform/src/timer_event.rs
+++ b/crates/platform/src/timer_event.rs
@@ -16,6 +16,8 @@
     AnswerBeforeSuspension,
     /// Check the timeouts of all connections.
     CheckConnections,
+    /// The maximum wait of a client's request for memory has passed.
+    EndMemoryWait(ConnId),
     /// A connection to an executor was not established in time.
     ConnectTimeout(ConnId),
     /// Release an attempt that was delayed until its executor has noticed the end of a connection.
