platform: an executor that goes on sending responses without a request is disconnected

Cause: copies were counted and dropped, as many as came, and took the event loop. Evidence: 1,000 copies leave the connection open.

Change: a connection on which 256 responses in a row belong to no running attempt is closed as broken. Each attempt that ended may leave some, 64 at most are remembered by a connection. Attempts of others that share it may have run.

Test: an_executor_that_repeats_a_response_without_end_is_disconnected, which failed before.

--- a/crates/platform/src/executor_protocol.rs
+++ b/crates/platform/src/executor_protocol.rs
@@ -130,6 +130,9 @@
     /// The stated body length exceeds the maximum length of a page.
     #[error("body length exceeds the maximum of a page")]
     InvalidLength,
+    /// Too many responses in a row belong to no running attempt.
+    #[error("too many responses without a request")]
+    TooManyUnmatched,
     /// The body is not followed by CR LF at its stated length.
     #[error("body does not end at its stated length")]
     LengthMismatch,
--- a/crates/platform/src/executors/connection.rs
+++ b/crates/platform/src/executors/connection.rs
@@ -1,7 +1,7 @@
 //! The state of one connection to an executor.
 
 use super::attempts::PendingAttempt;
-use crate::executor_protocol::RequestId;
+use crate::executor_protocol::{ProtocolError, RequestId};
 use bytes::{Bytes, BytesMut};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -15,6 +15,9 @@
 const MAX_REMEMBERED_IDS: usize = 64;
 /// Maximum size of a connection's output buffer; new attempts are assigned to other connections while it is full.
 const MAX_OUTPUT_BYTES: usize = 256 << 10;
+/// Maximum number of responses in a row that belong to no running attempt. Each attempt that ended may leave some, but an executor that
+/// goes on sending them is at fault.
+const MAX_UNMATCHED_IN_A_ROW: usize = 256;
 
 /// The reason for closing a connection to an executor.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -97,6 +100,8 @@
     pub idle_since: i64,
     /// Time since which the input buffer holds an incomplete response, in microseconds; `None` if it holds none.
     pub partial_response_since: Option<i64>,
+    /// Number of responses that belong to no running attempt since the last one that does.
+    unmatched_in_a_row: usize,
 }
 
 impl Connection {
@@ -116,6 +121,7 @@
             bytes_written: 0,
             idle_since: now,
             partial_response_since: None,
+            unmatched_in_a_row: 0,
         }
     }
 
@@ -151,6 +157,21 @@
         is_done && (self.remembers_too_many_ids() || self.buffer.peer_closing)
     }
 
+    /// Records whether a response belongs to a running attempt.
+    ///
+    /// # Errors
+    /// If too many in a row do not.
+    pub fn record_response(&mut self, is_matched: bool) -> Result<(), ProtocolError> {
+        self.unmatched_in_a_row = match is_matched {
+            true => 0,
+            false => self.unmatched_in_a_row + 1,
+        };
+        if self.unmatched_in_a_row > MAX_UNMATCHED_IN_A_ROW {
+            return Err(ProtocolError::TooManyUnmatched);
+        }
+        Ok(())
+    }
+
     /// Appends a message to the output buffer and counts its bytes.
     pub fn append(&mut self, encode: impl FnOnce(&mut BytesMut)) {
         let before = self.buffer.output.len();
--- a/crates/platform/src/executors/responses.rs
+++ b/crates/platform/src/executors/responses.rs
@@ -84,14 +84,18 @@
             request.and_then(|r| Some((r, connection.running.get_mut(&r)?)))
         else {
             self.counters.unmatched_responses += u64::from(response.kind != ResponseKind::Pong);
-            return Ok(());
+            return connection.record_response(false);
         };
         let kind = response.kind;
-        match running.handle_response(response, out.now)? {
+        let attempt = running.attempt.id;
+        let effect = running.handle_response(response, out.now)?;
+        let is_matched = !matches!(effect, ResponseEffect::Unmatched);
+        connection.record_response(is_matched)?;
+        match effect {
             ResponseEffect::Unmatched => self.counters.unmatched_responses += 1,
             ResponseEffect::Updated(update) => {
                 self.events
-                    .push_back(AttemptEvent::Updated(running.attempt.id, update));
+                    .push_back(AttemptEvent::Updated(attempt, update));
             }
             ResponseEffect::FirstPage(pages) => {
                 // Request all further pages at once, so that the result takes one more round trip instead of one per page.
--- a/crates/platform/tests/executors.rs
+++ b/crates/platform/tests/executors.rs
@@ -97,6 +97,24 @@
     assert!(harness.take_written(executor).starts_with("REQ "));
 }
 
+/// Regression test: copies of a response were read as long as they came, so that one executor took the whole event loop.
+#[test]
+fn an_executor_that_repeats_a_response_without_end_is_disconnected() {
+    let mut harness = Harness::new(1);
+    let (client, executor, _) = harness.forward_query("look", &request_id(1));
+    let mut copies = 0;
+    while !harness.closed.contains(&executor) {
+        harness.receive(executor, &hit(1));
+        copies += 1;
+        assert!(copies < 1_000, "{copies} copies");
+    }
+    assert_eq!(status(&harness.take_written(client)), 200);
+    // Another connection is opened for the next query.
+    harness.receive(client, &query_request("look", &request_id(2), ""));
+    let reconnected = harness.complete_connects();
+    assert!(harness.take_written(reconnected[0]).starts_with("REQ "));
+}
+
 #[test]
 fn queries_that_did_not_run_are_rejected_and_failed_ones_get_an_error() {
     for (word, expected) in [("SHED", 503), ("LATE", 503), ("FAULT", 500)] {
