controller: a peer that sends without end no longer takes the whole event loop

Cause: a connection was read until its socket was empty. Responses of executors are handled as they are read, so that a peer that sends faster never leaves it empty. Evidence: with the polls logged, the longest gaps between two polls are 12.25 s and 2.33 s, where the executor sent for 12.247 s and 2.333 s; all others are 0.2 s at most.

Change: in one iteration of the event loop at most 64 KB are read from each connection, the rest in the next ones, which begin without waiting. Both protocols run in this loop. Output needs no limit: what waits is bounded, and nothing is added while it is written.

--- a/crates/controller/src/event_loop/connections.rs
+++ b/crates/controller/src/event_loop/connections.rs
@@ -13,6 +13,9 @@
 const MAX_OWNERS: usize = 8;
 /// Size of the read buffer that all connections share.
 const READ_BUFFER_BYTES: usize = 64 << 10;
+/// Maximum number of bytes that are read from one connection in one iteration of the event loop, so that a peer that sends without
+/// end delays no other. What a connection may write is bounded by the output that the controller holds for it.
+const MAX_READ_BYTES_PER_ITERATION: usize = READ_BUFFER_BYTES;
 /// Delay before a call is retried that failed for lack of memory, in microseconds.
 const RETRY_DELAY_US: i64 = 5_000;
 
@@ -22,6 +25,22 @@
     socket: Socket,
     /// Since when reads have failed with transient errors, in microseconds. The data read next may have arrived since then.
     read_failing_since: Option<i64>,
+    /// Bytes read in the iteration of the event loop with the number `read_iteration`.
+    read_bytes: usize,
+    read_iteration: u64,
+    /// Whether the connection is in [`ConnectionSockets::deferred_reads`].
+    is_read_deferred: bool,
+}
+
+impl Connection {
+    /// Number of bytes that may still be read in this iteration.
+    fn read_allowance(&mut self, iteration: u64) -> usize {
+        if self.read_iteration != iteration {
+            self.read_iteration = iteration;
+            self.read_bytes = 0;
+        }
+        MAX_READ_BYTES_PER_ITERATION.saturating_sub(self.read_bytes)
+    }
 }
 
 /// All connections, by owner and slot. The controller assigns the slots and thereby limits their number.
@@ -32,6 +51,11 @@
     pending_retries: Vec<ConnId>,
     /// When to retry these calls. The poll does not report this.
     retry_at: Option<i64>,
+    /// The number of the current iteration of the event loop.
+    iteration: u64,
+    /// Connections from which as much was read in an iteration as is allowed, without duplicates. They may hold more data, which the
+    /// poll does not report again.
+    deferred_reads: Vec<ConnId>,
 }
 
 impl ConnectionSockets {
@@ -42,6 +66,28 @@
             read_buffer: vec![0; READ_BUFFER_BYTES],
             pending_retries: Vec::new(),
             retry_at: None,
+            iteration: 0,
+            deferred_reads: Vec::new(),
+        }
+    }
+
+    /// Begins an iteration of the event loop.
+    pub fn begin_iteration(&mut self) {
+        self.iteration += 1;
+    }
+
+    /// Returns whether reads were deferred to the next iteration.
+    pub fn has_deferred_reads(&self) -> bool {
+        !self.deferred_reads.is_empty()
+    }
+
+    /// Continues the reads that an earlier iteration deferred.
+    pub fn continue_reads(&mut self, io: &mut IoContext<'_>) {
+        for id in std::mem::take(&mut self.deferred_reads) {
+            if let Some(connection) = self.connection_mut(id) {
+                connection.is_read_deferred = false;
+                self.read(id, io);
+            }
         }
     }
 
@@ -119,16 +165,21 @@
         self.write(id, io);
     }
 
-    /// Reads the data that has arrived, as long as the controller has capacity for it.
+    /// Reads the data that has arrived, as long as the controller has capacity for it and the connection may read in this iteration.
     pub fn read(&mut self, id: ConnId, io: &mut IoContext<'_>) {
         loop {
             if !self.get_mut(id).is_some_and(|socket| socket.is_readable()) {
                 return;
             }
-            let capacity = io.protocol.read_capacity(id).min(READ_BUFFER_BYTES);
+            let capacity = io.protocol.read_capacity(id);
             if capacity == 0 {
                 return;
             }
+            let allowance = self.read_allowance(id);
+            if allowance == 0 {
+                return self.defer_read(id);
+            }
+            let capacity = capacity.min(allowance).min(READ_BUFFER_BYTES);
             let mut buffer = std::mem::take(&mut self.read_buffer);
             let Some(connection) = self.connection_mut(id) else {
                 return;
@@ -139,6 +190,7 @@
                 Ok(0) if has_ended => io.protocol.handle_io(io.now, IoEvent::ReadClosed(id)),
                 Ok(0) => {}
                 Ok(length) => {
+                    connection.read_bytes += length;
                     let failed_since = connection.read_failing_since.take().unwrap_or(io.now);
                     let event = IoEvent::Received(id, &buffer[..length]);
                     io.with_earliest_arrival(failed_since, |io| {
@@ -159,6 +211,20 @@
         }
     }
 
+    fn read_allowance(&mut self, id: ConnId) -> usize {
+        let iteration = self.iteration;
+        self.connection_mut(id)
+            .map_or(0, |connection| connection.read_allowance(iteration))
+    }
+
+    fn defer_read(&mut self, id: ConnId) {
+        if let Some(connection) = self.connection_mut(id) {
+            if !std::mem::replace(&mut connection.is_read_deferred, true) {
+                self.deferred_reads.push(id);
+            }
+        }
+    }
+
     /// Writes the output of the controller, as long as the peer accepts it.
     pub fn write(&mut self, id: ConnId, io: &mut IoContext<'_>) {
         loop {
@@ -210,6 +276,9 @@
             id,
             socket,
             read_failing_since: None,
+            read_bytes: 0,
+            read_iteration: self.iteration,
+            is_read_deferred: false,
         });
     }
 }
--- a/crates/controller/src/event_loop/mod.rs
+++ b/crates/controller/src/event_loop/mod.rs
@@ -195,9 +195,10 @@
                 false => self.apply_effects_until_poll(),
             };
             self.lateness.begin_poll(self.clock.now(), timeout);
+            self.connections.begin_iteration();
             self.now = poll_until_current(self, timeout)?;
             self.receive_pending();
-            self.retry_connections();
+            self.continue_connections();
             self.accept_pending();
             for handler in &mut self.iteration_handlers {
                 handler(&mut self.protocol, self.now);
@@ -221,7 +222,8 @@
     fn apply_effects_until_poll(&mut self) -> Duration {
         let remaining = self.apply_effects();
         let has_datagrams = self.datagram_ports.iter().any(DatagramPort::is_pending);
-        if remaining == Remaining::Possibly || has_datagrams {
+        let has_input = has_datagrams || self.connections.has_deferred_reads();
+        if remaining == Remaining::Possibly || has_input {
             Duration::ZERO
         } else {
             self.poll_timeout()
@@ -262,14 +264,15 @@
         }
     }
 
-    /// Retries calls on connections that failed with transient errors.
-    fn retry_connections(&mut self) {
+    /// Continues reads that an earlier iteration deferred, and retries calls on connections that failed with transient errors.
+    fn continue_connections(&mut self) {
         let mut io = IoContext {
             registry: self.poll.registry(),
             protocol: &mut self.protocol,
             now: self.now,
             earliest_arrival: self.earliest_arrival,
         };
+        self.connections.continue_reads(&mut io);
         self.connections.retry(&mut io);
     }
 
