sans-io, net: an output buffer releases its memory once it is written

Seen by callers: 300 clients that ask for results of 48 KB and do not read take the process to 30 MB of its 32 MB, and to 35 MB beside 100 half requests; over the limit it is killed.

Cause: an empty buffer was to release its memory above 2 KB of capacity, but the capacity of a buffer that is written from the front counts what is left of it, so that it never did. Evidence: a heap profile of the picture has 17.6 of 21.1 MB at its peak in response buffers, while 77 responses of 4.5 MB waited; each connection held the memory of its last response.

Change: the memory is released whenever the output is empty, in both kinds of buffer.

Test: an_output_buffer_releases_its_memory_once_all_of_it_is_written, which failed before.

--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -7,9 +7,6 @@
 use std::io;
 use std::net::SocketAddr;
 
-/// Maximum capacity in bytes that an empty output buffer keeps allocated; the memory of a larger one is released.
-const MAX_RETAINED_OUTPUT_BYTES: usize = 2048;
-
 /// A [`Socket`] with input and output buffers. The caller limits the size of both: of the input by the limit that it passes to
 /// [`Stream::fill`], of the output by the amount of data that it appends.
 #[derive(Debug)]
@@ -88,10 +85,12 @@
                 length => self.output.advance(length),
             }
         }
-        if self.output.is_empty() && self.output.capacity() > MAX_RETAINED_OUTPUT_BYTES {
+        let is_empty = self.output.is_empty();
+        if is_empty {
+            // An empty buffer keeps its memory, and its capacity does not tell how much that is.
             self.output = BytesMut::new();
         }
-        Ok(self.output.is_empty())
+        Ok(is_empty)
     }
 
     /// Releases the memory of the input buffer if it is empty.
--- a/crates/sans-io/src/connection_buffer.rs
+++ b/crates/sans-io/src/connection_buffer.rs
@@ -5,9 +5,6 @@
 use bytes::{Buf, BytesMut};
 use std::ops::Range;
 
-/// Maximum capacity in bytes that an empty output buffer keeps allocated; the memory of a larger one is released.
-const MAX_RETAINED_OUTPUT_BYTES: usize = 2048;
-
 /// Input and output buffers of a connection, and whether the peer has closed its side. The event loop owns the socket; the
 /// protocol implementation owns the buffers and requests reads and writes by effects.
 #[derive(Debug, Default)]
@@ -85,10 +82,13 @@
         let all_written = self.output.is_empty();
         if all_written {
             self.write_requested = false;
-            if self.output.capacity() > MAX_RETAINED_OUTPUT_BYTES {
-                self.output = BytesMut::new();
-            }
+            // An empty buffer keeps its memory, and its capacity does not tell how much that is.
+            self.output = BytesMut::new();
         }
         all_written
     }
 }
+
+#[cfg(test)]
+#[path = "connection_buffer_tests.rs"]
+mod tests;
