platform: results are fetched as far as the share of memory of all clients allows

Need: responses that wait for clients which do not read were bounded each and not in all (320 results of 48 KB: 19.0 MB without sockets, at a limit of 32 MB).

Change: after the first page of a result the others are requested only when the memory of all clients has room for it; until then the executor keeps them, and the time for a page does not run. The memory counts until the result is answered, then the response does until it is written. While results or requests wait for memory, clients that have taken nothing of their response for 0.5 s are closed, the oldest first. New gauges: memory of clients, requests and results that wait for some.

Test: results_that_nobody_reads_stay_within_the_share_of_the_memory_limit, which failed before (19,024,960 bytes), and a client that reads gets its result within a second beside them.

--- a/crates/platform/src/clients/memory.rs
+++ b/crates/platform/src/clients/memory.rs
@@ -11,8 +11,12 @@
 pub(super) const GUARANTEED_INPUT_BYTES: usize = 4 << 10;
 /// Share of the memory limit that the connections of clients may take together: one part in this many.
 const MEMORY_SHARE_DIVISOR: usize = 3;
+/// Minimum of what they may take together, in bytes, so that a request and a result of maximum length always fit.
+const MIN_LIMIT_BYTES: usize = 256 << 10;
 /// Time for which a request may hold its reservation while it is incomplete and others wait for memory, in microseconds.
 pub(super) const MAX_INCOMPLETE_HOLD_US: i64 = 250_000;
+/// Time for which a client may take nothing of its response while others wait for memory, in microseconds.
+pub(super) const MAX_UNREAD_HOLD_US: i64 = 500_000;
 /// Maximum time for which a request waits for memory, in microseconds. It is refused earlier if its client stops waiting.
 pub(super) const MAX_MEMORY_WAIT_US: i64 = 2_000_000;
 
@@ -46,13 +50,15 @@
     pub reserved_input: usize,
     /// The statement of the request that is being processed, and its copy in the output to an executor.
     pub statement: usize,
+    /// The result that is being fetched.
+    pub result: usize,
     /// The response that is being written.
     pub response: usize,
 }
 
 impl MemoryCharge {
     fn total(self) -> usize {
-        self.reserved_input + self.statement + self.response
+        self.reserved_input + self.statement + self.result + self.response
     }
 }
 
@@ -65,10 +71,10 @@
 }
 
 impl MemoryBudget {
-    /// Creates the budget of a process with this memory limit. One request of at most `max_request_bytes` always fits.
-    pub fn new(memory_limit_bytes: usize, max_request_bytes: usize) -> MemoryBudget {
+    /// Creates the budget of a process with this memory limit.
+    pub fn new(memory_limit_bytes: usize) -> MemoryBudget {
         MemoryBudget {
-            limit_bytes: (memory_limit_bytes / MEMORY_SHARE_DIVISOR).max(max_request_bytes),
+            limit_bytes: (memory_limit_bytes / MEMORY_SHARE_DIVISOR).max(MIN_LIMIT_BYTES),
             used_bytes: 0,
             waiting: BTreeSet::new(),
         }
--- a/crates/platform/src/clients/mod.rs
+++ b/crates/platform/src/clients/mod.rs
@@ -5,9 +5,7 @@
 mod memory;
 mod receiving;
 
-use crate::http_server::{
-    self, Reply, RequestError, RequestHead, RequestKind, MAX_BODY_BYTES, MAX_HEAD_BYTES,
-};
+use crate::http_server::{self, Reply, RequestError, RequestHead, RequestKind};
 use crate::invariants::{check_closing, CloseReason, ClosingViolation};
 use crate::timer_event::TimerEvent;
 use bytes::{Buf, Bytes};
@@ -78,7 +76,7 @@
         Clients {
             max_clients,
             connections: ConnectionTable::new(OWNER),
-            memory: MemoryBudget::new(memory_limit_bytes, MAX_HEAD_BYTES + MAX_BODY_BYTES),
+            memory: MemoryBudget::new(memory_limit_bytes),
             turn: 0,
             deferred: Vec::new(),
             closing_violations: Vec::new(),
@@ -307,6 +305,7 @@
             reserved_input: 0,
             // One copy is kept for retries, and one is written to the executor.
             statement: 2 * body.len(),
+            result: 0,
             response: 0,
         };
         self.memory.change_charge(&mut client.charge, charge);
@@ -424,8 +423,9 @@
 
     /// Rejects incomplete requests that timed out, closes connections whose timeout has expired, and refuses incomplete
     /// requests that others wait for.
-    pub fn check_timeouts(&mut self, out: &mut EffectQueue<TimerEvent>) {
-        self.reclaim_memory(out);
+    /// `wanted_bytes` is the memory for which results wait.
+    pub fn check_timeouts(&mut self, wanted_bytes: usize, out: &mut EffectQueue<TimerEvent>) {
+        self.reclaim_memory(wanted_bytes, out);
         let now = out.now;
         let expired: Vec<(ConnId, ExpiredTimeout)> = self
             .connections
--- a/crates/platform/src/clients/receiving.rs
+++ b/crates/platform/src/clients/receiving.rs
@@ -1,11 +1,15 @@
 //! Reserves memory for long requests before they are received, and refuses those that cannot get any in time.
 
 use super::connection::{ClientConnection, ClientState};
-use super::memory::{MemoryCharge, MemoryWait, Waiter, MAX_INCOMPLETE_HOLD_US, MAX_MEMORY_WAIT_US};
+use super::memory::{
+    MemoryCharge, MemoryWait, Waiter, MAX_INCOMPLETE_HOLD_US, MAX_MEMORY_WAIT_US,
+    MAX_UNREAD_HOLD_US,
+};
 use super::Clients;
 use crate::http_server::{
     self, Reply, RequestHead, RequestKind, MAX_HEAD_BYTES, RESPONSE_MARGIN_US,
 };
+use crate::invariants::CloseReason;
 use crate::timer_event::TimerEvent;
 use tracing::debug;
 use wheelfield_sans_io::{ConnId, EffectQueue};
@@ -50,6 +54,16 @@
 }
 
 impl Clients {
+    /// Memory that the connections of all clients take, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        self.memory.used_bytes()
+    }
+
+    /// Number of clients whose request waits for memory.
+    pub fn waiting_count(&self) -> usize {
+        self.memory.waiting_count()
+    }
+
     /// Number of bytes that may be read from a connection.
     pub fn read_capacity(&mut self, id: ConnId, out: &mut EffectQueue<TimerEvent>) -> usize {
         self.reserve_if_needed(id, out);
@@ -187,17 +201,51 @@
         self.respond(id, &Reply::Rejected { retry_after_ms: 0 }, out);
     }
 
-    /// If clients wait for memory, refuses as many requests as needed that have been incomplete for too long, the oldest first.
-    pub(super) fn reclaim_memory(&mut self, out: &mut EffectQueue<TimerEvent>) {
+    /// Reserves the memory for the result of a client's query. Returns whether there is enough.
+    pub fn reserve_result(&mut self, id: ConnId, bytes: usize) -> bool {
+        let Some(client) = self.connections.get_mut(id) else {
+            return true;
+        };
+        let charge = MemoryCharge {
+            result: bytes,
+            ..client.charge
+        };
+        let more_bytes = bytes.saturating_sub(client.charge.result);
+        let fits = self.memory.fits(more_bytes);
+        if fits {
+            self.memory.change_charge(&mut client.charge, charge);
+        }
+        fits
+    }
+
+    /// Releases the memory for the result of a client's query.
+    pub fn release_result(&mut self, id: ConnId) {
+        if let Some(client) = self.connections.get_mut(id) {
+            let charge = MemoryCharge {
+                result: 0,
+                ..client.charge
+            };
+            self.memory.change_charge(&mut client.charge, charge);
+        }
+    }
+
+    /// If clients or results wait for memory, takes back as much as they need from those who make no use of it: requests that have
+    /// been incomplete for too long are refused, and clients that do not read their response are disconnected, the oldest first.
+    pub(super) fn reclaim_memory(
+        &mut self,
+        wanted_by_results: usize,
+        out: &mut EffectQueue<TimerEvent>,
+    ) {
         let demands = self.memory.waiters();
         let demands = demands.filter_map(|waiter| self.demand_of_waiter(waiter.client));
-        let wanted_bytes = demands.map(|(_, more_bytes)| more_bytes).sum();
+        let wanted_by_requests: usize = demands.map(|(_, more_bytes)| more_bytes).sum();
+        let wanted_bytes = wanted_by_results + wanted_by_requests;
         if wanted_bytes == 0 {
             return;
         }
         for (_, id) in self.overdue_holders(out.now) {
             if self.memory.missing_bytes(wanted_bytes) == 0 {
-                break;
+                return;
             }
             debug!(
                 connection = id.as_u64(),
@@ -205,7 +253,27 @@
             );
             self.refuse_incomplete_request(id, out);
         }
-        self.distribute_memory(out);
+        for (_, id) in self.overdue_readers(out.now) {
+            if self.memory.missing_bytes(wanted_bytes) == 0 {
+                return;
+            }
+            self.counters.evicted += 1;
+            self.close(id, CloseReason::WriteStalled, out);
+        }
+    }
+
+    /// The clients that do not read their response and whose memory others may claim, with the time at which they last took some of
+    /// it, in order of that time.
+    fn overdue_readers(&self, now: i64) -> Vec<(i64, ConnId)> {
+        let mut readers: Vec<(i64, ConnId)> = self
+            .connections
+            .iter()
+            .filter(|(_, client)| !client.buffer.output.is_empty())
+            .map(|(id, client)| (client.last_write_progress_at, id))
+            .filter(|(at, _)| now - at >= MAX_UNREAD_HOLD_US)
+            .collect();
+        readers.sort_unstable();
+        readers
     }
 
     /// The clients whose reservation others may claim, with the time at which they got it, in order of that time.
--- a/crates/platform/src/dispatcher/attempts.rs
+++ b/crates/platform/src/dispatcher/attempts.rs
@@ -91,6 +91,7 @@
     /// Reports to the driver that an attempt ended without a response, unless the driver already considers it ended.
     fn end_attempt(&mut self, attempt: AttemptId, outcome: Outcome) {
         self.written_work.forget_unwritten(attempt);
+        self.release_result(attempt);
         self.in_flight.mark_attempt_ended(attempt.query, outcome);
         if self.driver.decision_engine().is_in_flight(attempt) {
             let report = LoadReport::default();
@@ -266,6 +267,9 @@
                 self.driver
                     .handle_input(self.out.now, Input::AttemptUpdated(attempt, update));
             }
+            AttemptEvent::ResultBegun { attempt, pages } => {
+                self.queue_result(attempt, pages);
+            }
             AttemptEvent::Ended(ended) => self.handle_ended_attempt(*ended),
         }
     }
@@ -276,6 +280,7 @@
             attempt, outcome, ..
         } = ended;
         self.written_work.forget_unwritten(attempt);
+        self.release_result(attempt);
         self.in_flight.mark_attempt_ended(attempt.query, outcome);
         let is_answer =
             outcome == Outcome::Served && self.driver.decision_engine().may_answer(attempt);
--- a/crates/platform/src/dispatcher/lifecycle.rs
+++ b/crates/platform/src/dispatcher/lifecycle.rs
@@ -62,7 +62,8 @@
     }
 
     fn check_connections(&mut self) {
-        self.clients.check_timeouts(&mut self.out);
+        let wanted_bytes = self.waiting_results.wanted_bytes();
+        self.clients.check_timeouts(wanted_bytes, &mut self.out);
         self.executors.check_connections(&mut self.out);
         self.slow_start_guard.remove_warmed_up(self.out.now);
         if self.shutdown.is_grace_period_over(self.out.now) {
--- a/crates/platform/src/dispatcher/mod.rs
+++ b/crates/platform/src/dispatcher/mod.rs
@@ -2,13 +2,14 @@
 //!
 //! The methods of the dispatcher are grouped by concern: `requests` turns client requests into queries, `held_requests` delays
 //! them while the list of executors is out of date, `attempts` carries out the driver's instructions and reports the progress of
-//! attempts to it, `topology` handles the list of executors and the messages of other controllers, and `lifecycle` handles
+//! attempts to it, `results` fetches results as far as there is memory for them, `topology` handles the list of executors and the messages of other controllers, and `lifecycle` handles
 //! timers, the shutdown and the log of counters.
 
 mod attempts;
 mod held_requests;
 mod lifecycle;
 mod requests;
+mod results;
 mod topology;
 
 use crate::abandonment::{AbandonmentCounts, Abandonments};
@@ -30,6 +31,7 @@
 use crate::written_work::WrittenWork;
 use held_requests::{HeldRequests, HoldCounters};
 use lifecycle::{CHECK_INTERVAL_US, MAX_POLICY_LOG_LINES};
+use results::WaitingResults;
 use std::collections::VecDeque;
 use wheelfield::interface::{Class, ExecutionSemantics};
 use wheelfield_driver::{Driver, DriverLimits, Input};
@@ -97,6 +99,7 @@
     list_use: ListUse,
     suspensions: SuspensionSeries,
     held_requests: HeldRequests,
+    pub(crate) waiting_results: WaitingResults,
     peers: Peers,
     shutdown: Shutdown,
     initial_executors: Vec<ExecutorEndpoint>,
@@ -163,6 +166,7 @@
             list_use: ListUse::Usable,
             suspensions: SuspensionSeries::new(now),
             held_requests: HeldRequests::default(),
+            waiting_results: WaitingResults::default(),
             peers: Peers::new(&config.peers, own_index, config.peers_all),
             shutdown: Shutdown::new(longest_deadline.unwrap_or(0)),
             initial_executors: config.executors,
@@ -201,6 +205,7 @@
     /// Processes events until none is pending, and stops the process once the shutdown is complete.
     pub fn process_events(&mut self) {
         while self.process_next() {}
+        self.fetch_waiting_results();
         self.clients.distribute_memory(&mut self.out);
         for (id, violation) in self.clients.take_closing_violations() {
             self.violations.record(id.as_u64(), violation.into());
--- a/crates/platform/src/executors/attempts.rs
+++ b/crates/platform/src/executors/attempts.rs
@@ -48,6 +48,13 @@
     },
     /// The executor reported the progress of the attempt.
     Updated(AttemptId, AttemptUpdate),
+    /// The first page of a result has arrived, and the others have to be fetched by [`super::Executors::fetch_pages`].
+    ResultBegun {
+        /// Identifier of the attempt.
+        attempt: AttemptId,
+        /// Number of pages of the result.
+        pages: usize,
+    },
     /// The attempt has ended.
     Ended(Box<EndedAttempt>),
 }
--- a/crates/platform/src/executors/connection.rs
+++ b/crates/platform/src/executors/connection.rs
@@ -51,8 +51,9 @@
     pub missing_pages: usize,
     /// Total size of the pages that have arrived, in bytes.
     pub received_bytes: usize,
-    /// Time at which the most recent page arrived, in microseconds.
-    pub last_page_at: i64,
+    /// Time at which the further pages were requested, or the most recent one arrived, in microseconds; `None` while they have not
+    /// been requested.
+    pub fetched_since: Option<i64>,
 }
 
 /// An attempt whose request was appended to the connection's output buffer.
--- a/crates/platform/src/executors/responses.rs
+++ b/crates/platform/src/executors/responses.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use tracing::debug;
 use wheelfield::interface::{AttemptUpdate, LoadReport, Outcome};
+use wheelfield_driver::AttemptId;
 use wheelfield_sans_io::{ConnId, EffectQueue};
 use wheelfield_settings::set_load_metric;
 
@@ -98,12 +99,8 @@
                     .push_back(AttemptEvent::Updated(attempt, update));
             }
             ResponseEffect::FirstPage(pages) => {
-                // Request all further pages at once, so that the result takes one more round trip instead of one per page.
-                for page in 1..pages {
-                    connection
-                        .append(|output| executor_protocol::encode_fetch(request, page, output));
-                }
-                connection.buffer.flush(id, out);
+                self.events
+                    .push_back(AttemptEvent::ResultBegun { attempt, pages });
             }
             ResponseEffect::FurtherPage => {}
             ResponseEffect::Ended(ended) => self.end_running_attempt(id, request, kind, ended, out),
@@ -111,6 +108,27 @@
         Ok(())
     }
 
+    /// Requests the further pages of a result all at once, so that it takes one more round trip instead of one per page. Does nothing
+    /// if the attempt has ended.
+    pub fn fetch_pages(&mut self, attempt: AttemptId, out: &mut EffectQueue<TimerEvent>) {
+        let Some(location) = self.locations.get(&attempt).copied() else {
+            return;
+        };
+        let Some(connection) = self.connections.get_mut(location.connection) else {
+            return;
+        };
+        let running = connection.running.get_mut(&location.request);
+        let Some(result) = running.and_then(|running| running.result.as_mut()) else {
+            return;
+        };
+        result.fetched_since = Some(out.now);
+        for page in 1..result.pages.len() {
+            connection
+                .append(|output| executor_protocol::encode_fetch(location.request, page, output));
+        }
+        connection.buffer.flush(location.connection, out);
+    }
+
     /// Ends a running attempt. `kind` is the kind of its last response.
     fn end_running_attempt(
         &mut self,
@@ -176,11 +194,11 @@
             (ResponseKind::Info, None) => {
                 Ok(ResponseEffect::Updated(parse_attempt_update(&response)))
             }
-            (ResponseKind::Hit, None) => self.handle_first_page(response, now),
+            (ResponseKind::Hit, None) => self.handle_first_page(response),
             // The former first page was that of an earlier attempt, whose further pages can't be had any more. The pages that arrive
             // from here on are those of the later result, as an executor writes its first page before it reads requests for others.
             (ResponseKind::Hit, Some(former)) if former.replaced < self.earlier_attempts => {
-                self.handle_first_page(response, now)
+                self.handle_first_page(response)
             }
             (ResponseKind::Part, Some(_)) => self.handle_further_page(response, now),
             // A fault after the first page means that the executor no longer has the remaining pages.
@@ -191,11 +209,7 @@
         }
     }
 
-    fn handle_first_page(
-        &mut self,
-        response: Response,
-        now: i64,
-    ) -> Result<ResponseEffect, ProtocolError> {
+    fn handle_first_page(&mut self, response: Response) -> Result<ResponseEffect, ProtocolError> {
         let pages = match response.field("pages") {
             None => 1,
             Some(_) => response
@@ -222,7 +236,7 @@
             pages: vec![None; pages],
             missing_pages: pages - 1,
             received_bytes: response.body.len(),
-            last_page_at: now,
+            fetched_since: None,
         };
         result.pages[0] = Some(response.body);
         self.result = Some(result);
@@ -251,7 +265,7 @@
         }
         *page = Some(response.body);
         result.missing_pages -= 1;
-        result.last_page_at = now;
+        result.fetched_since = Some(now);
         if result.missing_pages > 0 {
             return Ok(ResponseEffect::FurtherPage);
         }
--- a/crates/platform/src/executors/timeouts.rs
+++ b/crates/platform/src/executors/timeouts.rs
@@ -55,10 +55,10 @@
         let is_overdue = |since: i64| now - since > STALL_TIMEOUT_US;
         self.partial_response_since.is_some_and(is_overdue)
             || self.running.values().any(|running| {
-                running
-                    .result
-                    .as_ref()
-                    .is_some_and(|result| is_overdue(result.last_page_at))
+                let result = running.result.as_ref();
+                result
+                    .and_then(|result| result.fetched_since)
+                    .is_some_and(is_overdue)
             })
     }
 }
--- a/crates/platform/src/metrics.rs
+++ b/crates/platform/src/metrics.rs
@@ -179,6 +179,21 @@
             "Connections of clients.",
             self.clients.len(),
         );
+        writer.write_gauge(
+            "client_memory_bytes",
+            "Memory that the connections of clients take.",
+            self.clients.memory_bytes(),
+        );
+        writer.write_gauge(
+            "client_requests_waiting_for_memory",
+            "Requests that wait for memory before they are received further.",
+            self.clients.waiting_count(),
+        );
+        writer.write_gauge(
+            "results_waiting_for_memory",
+            "Results that wait for memory before they are fetched.",
+            self.waiting_results.len(),
+        );
         writer.write_gauge(
             "executor_connections",
             "Connections to executors.",
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -4,7 +4,7 @@
 use hickory_proto::op::{Message, MessageType, OpCode, Query, ResponseCode};
 use hickory_proto::rr::rdata::{A, SOA, SRV, TXT};
 use hickory_proto::rr::{Name, RData, Record, RecordType};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use wheelfield_platform::{BootstrapConfig, Platform};
 use wheelfield_sans_io::{ConnId, DatagramSocket, Effect, IoEvent, Listener, Protocol};
@@ -40,6 +40,8 @@
     pub accepted_late: Vec<ConnId>,
     /// Maximum number of bytes that each write accepts; `None` for no limit.
     pub write_limit: Option<usize>,
+    /// Connections whose peer reads nothing.
+    pub unread: BTreeSet<ConnId>,
     /// Number of executors in the list with which each query to the name service is answered at once; `None` if it is not.
     pub confirmed_executors: Option<u8>,
 }
@@ -113,6 +115,7 @@
             backlog: Vec::new(),
             accepted_late: Vec::new(),
             write_limit: None,
+            unread: BTreeSet::new(),
             confirmed_executors: None,
         };
         harness.platform.handle_start(now);
@@ -164,6 +167,9 @@
 
     fn write_limited(&mut self, id: ConnId) {
         let mut bytes = self.platform.output(id).to_vec();
+        if self.unread.contains(&id) {
+            return;
+        }
         bytes.truncate(self.write_limit.unwrap_or(bytes.len()));
         self.platform.bytes_written(self.now, id, bytes.len());
         self.written.entry(id).or_default().extend(bytes);
--- a/crates/platform/tests/memory_limit.rs
+++ b/crates/platform/tests/memory_limit.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use wheelfield_sans_io::{ConnId, IoEvent};
+use wheelfield_sans_io::{ConnId, IoEvent, Protocol};
 
 /// The memory limit in the configuration of the tests, in bytes.
 const MEMORY_LIMIT_BYTES: usize = 32 << 20;
@@ -137,3 +137,66 @@
         "{complete} complete, {taken_bytes} bytes"
     );
 }
+
+/// The pages of a result of maximum length, and their number.
+const PAGE: &str = "0123456789\t0123456789\t0123456789\n";
+const PAGES: usize = 8;
+
+/// Answers everything that was sent to executors with results of several pages, until nothing more is asked for.
+fn serve_large_results(harness: &mut Harness) {
+    let page = PAGE.repeat(6_000 / PAGE.len());
+    loop {
+        let executors: Vec<ConnId> = harness.addresses.keys().copied().collect();
+        let mut has_answered = false;
+        for executor in executors {
+            for line in harness.take_written(executor).lines() {
+                let words: Vec<&str> = line.split(' ').collect();
+                let response = match words[..] {
+                    ["REQ", id, ..] => format!("{id} HIT pages={PAGES}"),
+                    ["FETCH", id, number] => format!("{id} PART page={number}"),
+                    _ => continue,
+                };
+                let response = format!("{response} {}\r\n{page}\r\n", page.len());
+                harness.receive(executor, &response);
+                has_answered = true;
+            }
+        }
+        if !has_answered {
+            return;
+        }
+    }
+}
+
+/// Regression test: responses that wait for clients that do not read were bounded each, and not all together.
+#[test]
+fn results_that_nobody_reads_stay_within_the_share_of_the_memory_limit() {
+    let mut harness = harness(40);
+    let clients: Vec<ConnId> = (0..320).map(|_| harness.connect_client()).collect();
+    harness.unread.extend(&clients);
+    for (client, n) in clients.iter().zip(1..) {
+        harness.receive(*client, &query_request("look", &request_id(n), ""));
+        harness.complete_connects();
+    }
+    serve_large_results(&mut harness);
+    let waiting: Vec<usize> = clients
+        .iter()
+        .map(|client| harness.platform.output(*client).len())
+        .collect();
+    let waiting_bytes: usize = waiting.iter().sum();
+    let results = waiting.iter().filter(|length| **length > 6_000).count();
+    assert!(
+        results > 0 && waiting_bytes <= MEMORY_LIMIT_BYTES / 3,
+        "{results} results, {waiting_bytes} bytes"
+    );
+    // A client that reads gets its result soon nevertheless.
+    let reader = harness.connect_client();
+    harness.receive(reader, &query_request("look", &request_id(400), ""));
+    for _ in 0..10 {
+        harness.complete_connects();
+        serve_large_results(&mut harness);
+        harness.advance(100_000);
+    }
+    let response = harness.take_written(reader);
+    assert_eq!(status(&response), 200, "{response:.100}");
+    assert!(response.len() > PAGES * 5_000, "{} bytes", response.len());
+}
