--- a/crates/platform/src/dispatcher/mod.rs
+++ b/crates/platform/src/dispatcher/mod.rs
@@ -142,12 +142,7 @@
             out: EffectQueue::new(now),
             earliest_arrival_at: None,
             clients: Clients::new(max_clients, memory_limit_bytes),
-            executors: Executors::new(ConnectionLimits {
-                max_connections: descriptors - max_clients,
-                max_streams: limits.max_streams.max(1),
-                connect_timeout_us: limits.connect_timeout_us,
-                executor_idle_timeout_us: limits.executor_idle_timeout_us,
-            }),
+            executors: Executors::new(ConnectionLimits::of(&limits, descriptors - max_clients)),
             driver: RecordingDriver::new(Box::new(driver), None),
             ready_clients: VecDeque::new(),
             names: config.names,
--- a/crates/platform/src/executors/mod.rs
+++ b/crates/platform/src/executors/mod.rs
@@ -15,6 +15,7 @@
 
 pub use attempts::{AttemptEvent, EndedAttempt, PendingAttempt};
 
+use crate::bootstrap::ProtocolLimits;
 use crate::executor_protocol::{RequestId, MAX_RESPONSE_BYTES};
 use crate::invariants::ListedState;
 use crate::timer_event::TimerEvent;
@@ -95,6 +96,18 @@
     pub executor_idle_timeout_us: i64,
 }
 
+impl ConnectionLimits {
+    /// The limits of the settings, with this maximum number of connections.
+    pub fn of(limits: &ProtocolLimits, max_connections: usize) -> ConnectionLimits {
+        ConnectionLimits {
+            max_connections,
+            max_streams: limits.max_streams.max(1),
+            connect_timeout_us: limits.connect_timeout_us,
+            executor_idle_timeout_us: limits.executor_idle_timeout_us,
+        }
+    }
+}
+
 /// The connection that an attempt is assigned to, and its request id there.
 #[derive(Clone, Copy, Debug)]
 struct AttemptLocation {
