net, controller: a client that left in the accept queue is known to have left before it is read

Evidence: in the log of such a turn the request is received and written in the turn of the accept, and the next poll reports the reset.

Change: an accepted socket is asked for its state, one call of poll without waiting, and the controller is told of the close before it gets any data.

--- a/crates/controller/src/event_loop/connections.rs
+++ b/crates/controller/src/event_loop/connections.rs
@@ -122,13 +122,18 @@
         self.retry_at = self.retry_at.or(Some(now + RETRY_DELAY_US));
     }
 
-    /// Adds an accepted connection and reads the data that has already arrived on it.
+    /// Adds an accepted connection and reads the data that has already arrived on it. The peer may have closed it while it was in the
+    /// accept queue, which the poll reports only after this data is handled; the controller must know it before.
     pub fn add_accepted(&mut self, id: ConnId, stream: TcpStream, io: &mut IoContext<'_>) {
-        let socket = Socket::from_accepted(stream, io.registry, token_of(id));
+        let mut socket = Socket::from_accepted(stream, io.registry, token_of(id));
         if !socket.is_registered() {
             self.schedule_retry(id, io.now);
         }
+        let is_peer_closed = socket.check_peer_closed();
         self.insert(id, socket);
+        if is_peer_closed {
+            io.protocol.handle_io(io.now, IoEvent::PeerClosing(id));
+        }
         self.read(id, io);
     }
 
--- a/crates/controller/tests/standing_terms.rs
+++ b/crates/controller/tests/standing_terms.rs
@@ -11,6 +11,9 @@
 /// Number of pipelined requests: more than the program reads ahead of the one in progress.
 const PIPELINED: u64 = 60;
 
+/// Number of pipelined requests that are larger than all that is read of a connection in a turn of the event loop.
+const PIPELINED_IN_MANY_READS: u64 = 1_000;
+
 /// Time from the signal until a shutdown has answered all requests: the longest deadline of the settings plus 0.6 s.
 const ANSWERED_WITHIN: Duration = Duration::from_millis(3_600);
 
@@ -47,7 +50,11 @@
 }
 
 fn pipelined_requests(first: u64) -> String {
-    (first..first + PIPELINED)
+    many_pipelined_requests(first, PIPELINED)
+}
+
+fn many_pipelined_requests(first: u64, count: u64) -> String {
+    (first..first + count)
         .map(|n| query_request("look", n, "SELECT 1"))
         .collect()
 }
@@ -165,6 +172,30 @@
     );
 }
 
+/// Regression test: the first request of a client that had left while it was in the accept queue was forwarded if the client had sent
+/// more than is read at once, as its departure was heard only after that.
+#[test]
+fn nothing_is_forwarded_for_a_client_that_left_in_the_accept_queue_with_much_unread() {
+    let (executor, name_service) = (Executor::new(), AutomaticNameService::of_configuration());
+    let (program, mut client, mut conn) =
+        start_with_idle_connection(&executor, name_service.address);
+    for (how, first) in [(Disconnect::Close, 2_000), (Disconnect::Reset, 4_000)] {
+        program.suspend();
+        let mut disconnecting = Client::connect(program.listen);
+        disconnecting.send(&many_pipelined_requests(first, PIPELINED_IN_MANY_READS));
+        disconnecting.disconnect(how);
+        program.resume();
+        assert_nothing_was_forwarded_before(
+            &mut client,
+            &mut conn,
+            first + 1_901,
+            &format!("{how:?}"),
+        );
+        // Nor on another connection.
+        assert!(executor.try_accept().is_none(), "{how:?}");
+    }
+}
+
 /// A failure that would cause a retry is processed in the same turn of the event loop as the disconnect of the client, before or after
 /// it.
 #[test]
--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -7,6 +7,7 @@
 use mio::net::TcpStream;
 use mio::unix::SourceFd;
 use mio::{Interest, Registry, Token};
+use rustix::event::{PollFd, PollFlags, Timespec};
 use socket2::{Domain, Protocol, Type};
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
@@ -17,6 +18,11 @@
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(60);
 /// Interval between TCP keepalive probes to a peer that does not answer.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(15);
+/// Timeout of a call that does not wait.
+const NO_WAIT: Timespec = Timespec {
+    tv_sec: 0,
+    tv_nsec: 0,
+};
 /// Linux error number of a non-blocking connect that has not completed yet.
 const EINPROGRESS: i32 = 115;
 /// Linux error number for a temporary lack of buffer space.
@@ -150,6 +156,18 @@
         self.peer_closed |= event.is_read_closed() || event.is_error();
     }
 
+    /// Asks the operating system whether the peer has closed its sending side or the connection has failed, which the poll may not
+    /// have reported yet. If it can't be asked, the poll reports it later.
+    pub fn check_peer_closed(&mut self) -> bool {
+        let closed = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+        let mut entry = [PollFd::new(&self.stream, PollFlags::RDHUP)];
+        let has_events = rustix::event::poll(&mut entry, Some(&NO_WAIT));
+        if has_events.is_ok_and(|count| count > 0) && entry[0].revents().intersects(closed) {
+            self.peer_closed = true;
+        }
+        self.peer_closed
+    }
+
     /// Returns whether the connection is established. If a connect is in progress and the socket is writable, asks the
     /// operating system for its result.
     ///
