platform: a new process at a known address is not taken for the former one

Seen by callers: where a machine vanishes and a new process comes up at its name and address, with another start time, cell or kind in the list, every request still goes to the former process on connections that stay open and silent, and is unanswered until its time is up. A request bound to a kind that waits for a connection goes to a process of another kind; a keyed request whose connection breaks after the list gave its name to another cell runs a second time there.

Cause: an executor was identified by its name alone. Connections were kept while the address was the same, and the place of an earlier attempt was looked up after the list had changed it. Evidence: with another name at the same address, the same connections are closed and nothing goes wrong.

Change: a new listed start time retires the connections to the former process, as a new address does. A name in another zone, kind or cell gets a number of its own, so that the former executor counts as removed. Numbers of names whose place never changed stay.

The answers of the name service in the tests' harness gave another cell than the configuration for the same executor; they give the same now.

--- a/crates/platform/src/bootstrap.rs
+++ b/crates/platform/src/bootstrap.rs
@@ -3,7 +3,7 @@
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use wheelfield::interface::{EngineEntry, Micros, Settings, Status};
+use wheelfield::interface::{EngineEntry, EngineId, Micros, Settings, Status};
 use wheelfield_settings::{parse_settings, Names, SettingsError};
 
 /// The reason why a configuration is invalid.
@@ -133,11 +133,17 @@
 }
 
 impl ExecutorEndpoint {
-    /// Converts the executor to an entry of the policy's engine list, and registers its name in `names`. `started_at` is its start
-    /// time by the clock of this process.
-    pub fn to_engine_entry(&self, names: &mut Names, started_at: Option<Micros>) -> EngineEntry {
+    /// Converts the executor to an entry of the policy's engine list with the number `engine`, and registers its name in `names`.
+    /// `started_at` is its start time by the clock of this process.
+    pub fn to_engine_entry(
+        &self,
+        engine: EngineId,
+        names: &mut Names,
+        started_at: Option<Micros>,
+    ) -> EngineEntry {
+        names.engines.insert(engine, self.name.clone());
         EngineEntry {
-            engine: names.register_engine(&self.name),
+            engine,
             zone: names.zone_position(&self.zone),
             kind: names.kind_position(&self.kind),
             cell: self.cell,
--- a/crates/platform/src/dispatcher/mod.rs
+++ b/crates/platform/src/dispatcher/mod.rs
@@ -16,6 +16,7 @@
 use crate::bootstrap::{BootstrapConfig, ExecutorEndpoint};
 use crate::clients::Clients;
 use crate::discovery::{DiscoveryClient, NumberedList};
+use crate::engine_identities::EngineIdentities;
 use crate::executors::{ConnectionLimits, Executors};
 use crate::ignored_answers::{IgnoredAnswers, IgnoredCounts};
 use crate::in_flight::InFlightQueries;
@@ -84,6 +85,7 @@
     /// Number of cores of an executor, by kind.
     cores_by_kind: Vec<f64>,
     start_times: StartTimes,
+    engine_identities: EngineIdentities,
     written_work: WrittenWork,
     slow_start_guard: SlowStartGuard,
     violations: ViolationCounts,
@@ -149,6 +151,7 @@
             class_rules,
             cores_by_kind,
             start_times: StartTimes::default(),
+            engine_identities: EngineIdentities::default(),
             written_work,
             slow_start_guard,
             violations: ViolationCounts::default(),
--- a/crates/platform/src/dispatcher/topology.rs
+++ b/crates/platform/src/dispatcher/topology.rs
@@ -43,14 +43,16 @@
         let started_at = self
             .start_times
             .update(executors, confirmed_at, self.out.now);
+        let engines = self.engine_identities.update(executors, self.out.now);
         let ignores_starts = self.has_injected(InjectedFault::IgnoreStarts);
         let entries: Vec<EngineEntry> = executors
             .iter()
+            .zip(engines)
             .zip(started_at)
-            .map(|(executor, started_at)| {
+            .map(|((executor, engine), started_at)| {
                 // With this fault, every start is so long ago that slow start is over.
                 let started_at = started_at.map(|at| if ignores_starts { Micros(1) } else { at });
-                executor.to_engine_entry(&mut self.names, started_at)
+                executor.to_engine_entry(engine, &mut self.names, started_at)
             })
             .collect();
         for entry in &entries {
@@ -63,6 +65,7 @@
                 engine: entry.engine,
                 address: executor.address,
                 status: entry.status,
+                started_at: executor.started_at,
             })
             .collect();
         let change = self.executors.replace_list(listed, &mut self.out);
@@ -99,6 +102,7 @@
             added = change.added,
             readmitted = change.readmitted,
             moved = change.moved,
+            restarted = change.restarted,
             draining = ?names(&change.draining),
             gone = ?names(&change.removed),
             unconfirmed_ms = previous.map(|previous| (self.out.now - previous.confirmed_at) / 1_000),
--- a/crates/platform/src/executors/failures.rs
+++ b/crates/platform/src/executors/failures.rs
@@ -64,8 +64,8 @@
         self.handle_connection_loss(id, ConnectionLoss::Broken, out);
     }
 
-    /// Reassigns attempts after an executor's address has changed: those of which nothing was written leave the connections to the
-    /// former address; those already dispatched may still complete there.
+    /// Reassigns attempts after an executor's address or process has changed: those of which nothing was written leave the connections
+    /// to the former one; those already dispatched may still complete there.
     pub(super) fn reassign_after_move(
         &mut self,
         engine: EngineId,
--- a/crates/platform/src/executors/mod.rs
+++ b/crates/platform/src/executors/mod.rs
@@ -22,7 +22,7 @@
 use connection::{CloseReason, Connection};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
-use wheelfield::interface::{EngineId, Outcome, Status};
+use wheelfield::interface::{EngineId, Micros, Outcome, Status};
 use wheelfield_driver::AttemptId;
 use wheelfield_sans_io::{ConnId, ConnectionBuffer, ConnectionTable, EffectQueue};
 
@@ -38,6 +38,8 @@
     connections: Vec<ConnId>,
     /// Status in the latest executor list; `None` if the list does not contain it.
     listed_status: Option<Status>,
+    /// Start time of its process as listed last.
+    started_at: Option<Micros>,
 }
 
 /// An entry of the executor list.
@@ -49,6 +51,19 @@
     pub address: SocketAddr,
     /// Whether it accepts new work.
     pub status: Status,
+    /// Start time of its process as the list states it; `None` if the list states none.
+    pub started_at: Option<Micros>,
+}
+
+/// How an entry of the executor list differs from the previous one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum EntryChange {
+    /// The same process is at the same address.
+    None,
+    /// The address has changed.
+    Moved,
+    /// Another process has started at the same address.
+    Restarted,
 }
 
 /// The differences between an executor list and the previous one.
@@ -60,6 +75,8 @@
     pub readmitted: usize,
     /// Number of executors whose address changed.
     pub moved: usize,
+    /// Number of executors whose process was replaced by another one at the same address.
+    pub restarted: usize,
     /// Executors that have started to drain.
     pub draining: Vec<EngineId>,
     /// Executors that the new list no longer contains.
@@ -188,8 +205,10 @@
             change.added += usize::from(state_before.is_none());
             change.readmitted +=
                 usize::from(state_before == Some(Status::Draining) && listed.status == Status::Up);
-            if self.update_executor(listed) {
-                change.moved += 1;
+            let entry_change = self.update_executor(listed);
+            change.moved += usize::from(entry_change == EntryChange::Moved);
+            change.restarted += usize::from(entry_change == EntryChange::Restarted);
+            if entry_change != EntryChange::None {
                 self.reassign_after_move(listed.engine, out);
             }
         }
@@ -215,21 +234,30 @@
         change
     }
 
-    /// Adds or updates an executor of the list. Returns whether its address changed.
-    fn update_executor(&mut self, listed: ListedExecutor) -> bool {
+    /// Adds or updates an executor of the list.
+    fn update_executor(&mut self, listed: ListedExecutor) -> EntryChange {
         let ListedExecutor {
             engine,
             address,
             status,
+            started_at,
         } = listed;
         let executor = self.by_engine.entry(engine).or_insert_with(|| Executor {
             address,
             connections: Vec::new(),
             listed_status: None,
+            started_at,
         });
-        let has_moved = executor.address != address;
-        if has_moved {
-            // The former address may now belong to another executor, so no new attempt may be sent there.
+        let change = if executor.address != address {
+            EntryChange::Moved
+        } else if started_at.is_some() && executor.started_at != started_at {
+            EntryChange::Restarted
+        } else {
+            EntryChange::None
+        };
+        if change != EntryChange::None {
+            // The former address may now belong to another executor, and connections to a former process may stay open and silent, so
+            // no new attempt may be sent there.
             for id in &executor.connections {
                 if let Some(connection) = self.connections.get_mut(*id) {
                     connection.buffer.peer_closing = true;
@@ -238,7 +266,8 @@
         }
         executor.address = address;
         executor.listed_status = Some(status);
-        has_moved
+        executor.started_at = started_at.or(executor.started_at);
+        change
     }
 
     /// Returns the state of an executor in the latest list.
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -17,6 +17,7 @@
 mod clients;
 mod discovery;
 mod dispatcher;
+mod engine_identities;
 mod executor_protocol;
 mod executors;
 mod gateway;
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -354,24 +354,65 @@
         .unwrap_or(0)
 }
 
+/// An executor as the name service lists it.
+#[derive(Clone, Copy, Debug)]
+pub struct ListedExecutor<'a> {
+    pub name: &'a str,
+    /// The last byte of its address.
+    pub last: u8,
+    /// 0: up, 1: draining.
+    pub priority: u16,
+    pub kind: &'a str,
+    pub cell: i64,
+    /// Unix time of its start in milliseconds, or 0.
+    pub started_ms: i64,
+}
+
+impl<'a> ListedExecutor<'a> {
+    /// An executor as in the configuration of the tests.
+    pub fn new(name: &'a str, last: u8) -> ListedExecutor<'a> {
+        ListedExecutor {
+            name,
+            last,
+            priority: 0,
+            kind: "std",
+            cell: 0,
+            started_ms: 0,
+        }
+    }
+}
+
 /// An answer of the name service to a query, with a serial number; each executor has a name, the last byte of its address and a
 /// priority (0: up, 1: draining).
 pub fn dns_answer(query_bytes: &[u8], serial: u32, executors: &[(&str, u8, u16)]) -> Message {
+    let listed: Vec<ListedExecutor> = executors
+        .iter()
+        .map(|(name, last, priority)| ListedExecutor {
+            priority: *priority,
+            ..ListedExecutor::new(name, *last)
+        })
+        .collect();
+    dns_answer_of(query_bytes, serial, &listed)
+}
+
+/// An answer of the name service to a query, with a serial number and these executors.
+pub fn dns_answer_of(query_bytes: &[u8], serial: u32, executors: &[ListedExecutor]) -> Message {
     let request = Message::from_vec(query_bytes).expect("a DNS query");
     let mut answer = Message::new(request.metadata.id, MessageType::Response, OpCode::Query);
     answer.metadata.response_code = ResponseCode::NoError;
     let service = request.queries[0].name.clone();
     answer.add_query(Query::query(service.clone(), RecordType::SRV));
-    for (name, last, priority) in executors {
-        let target = Name::from_ascii(format!("{name}.z.hosts.")).expect("a name");
-        let srv = SRV::new(*priority, 80, 6565, target.clone());
+    for executor in executors {
+        let target = Name::from_ascii(format!("{}.z.hosts.", executor.name)).expect("a name");
+        let srv = SRV::new(executor.priority, 80, 6565, target.clone());
         answer.add_answer(Record::from_rdata(service.clone(), 1, RData::SRV(srv)));
-        answer.add_additional(Record::from_rdata(
-            target.clone(),
-            1,
-            RData::A(A::new(127, 1, 0, *last)),
-        ));
-        let text = TXT::new(vec!["kind=std".into(), "cell=2".into(), "started=0".into()]);
+        let address = A::new(127, 1, 0, executor.last);
+        let text = TXT::new(vec![
+            format!("kind={}", executor.kind),
+            format!("cell={}", executor.cell),
+            format!("started={}", executor.started_ms),
+        ]);
+        answer.add_additional(Record::from_rdata(target.clone(), 1, RData::A(address)));
         answer.add_additional(Record::from_rdata(target, 1, RData::TXT(text)));
     }
     let zone = Name::from_ascii("mesh.local.").expect("a name");
