platform: an executor that is listed in its first place again has its first number again

Need: a list that is wrong about a place for one answer would have given an executor a third number, and with it a slow start under an empty record.

Change: the number depends on the name alone in the place in which the executor was listed first, and on name and place in any other.

Test: an_executor_keeps_its_number_until_its_place_changes asks for it. 134 tests of the crate pass.

--- a/crates/platform/src/engine_identities.rs
+++ b/crates/platform/src/engine_identities.rs
@@ -34,23 +34,24 @@
     }
 }
 
-/// The number of an executor in a place.
+/// What is remembered of an executor.
 #[derive(Clone, Debug)]
-struct Identity {
-    place: Place,
-    engine: EngineId,
+struct KnownExecutor {
+    /// The place in which it was listed first.
+    first_place: Place,
+    /// Time at which it was last listed, in microseconds.
     listed_at: i64,
 }
 
 /// The numbers of all executors that are or were listed lately, by name.
 #[derive(Debug, Default)]
 pub struct EngineIdentities {
-    by_name: BTreeMap<String, Identity>,
+    by_name: BTreeMap<String, KnownExecutor>,
 }
 
 impl EngineIdentities {
-    /// Returns the numbers of the executors of a list received at `now`, in their order. The number follows from the name, and from
-    /// the place as well once that has changed, so that all controllers that have seen the change use the same.
+    /// Returns the numbers of the executors of a list received at `now`, in their order. The number follows from the name, and in
+    /// another place than the first one from the place as well, so that all controllers that have seen the change use the same.
     pub fn update(&mut self, executors: &[ExecutorEndpoint], now: i64) -> Vec<EngineId> {
         let engines = executors
             .iter()
@@ -62,29 +63,29 @@
 
     fn identify(&mut self, executor: &ExecutorEndpoint, now: i64) -> EngineId {
         let place = Place::of(executor);
-        let known = self.by_name.get(&executor.name);
-        let engine = match known {
-            None => engine_id(&executor.name),
-            Some(known) if known.place == place => known.engine,
-            Some(_) => engine_id(&name_in_place(&executor.name, &place)),
-        };
-        let identity = Identity {
-            place,
-            engine,
-            listed_at: now,
-        };
-        self.by_name.insert(executor.name.clone(), identity);
-        engine
+        let known = self
+            .by_name
+            .entry(executor.name.clone())
+            .or_insert_with(|| KnownExecutor {
+                first_place: place.clone(),
+                listed_at: now,
+            });
+        known.listed_at = now;
+        if known.first_place == place {
+            engine_id(&executor.name)
+        } else {
+            engine_id(&name_in_place(&executor.name, &place))
+        }
     }
 
     /// Forgets executors that have not been listed for long, or are too many.
     fn forget(&mut self, now: i64) {
         self.by_name
-            .retain(|_, identity| now - identity.listed_at <= MEMORY_US);
+            .retain(|_, known| now - known.listed_at <= MEMORY_US);
         let unlisted = self.by_name.iter();
-        let unlisted = unlisted.filter(|(_, identity)| identity.listed_at < now);
+        let unlisted = unlisted.filter(|(_, known)| known.listed_at < now);
         let mut by_age: Vec<(i64, String)> = unlisted
-            .map(|(name, identity)| (identity.listed_at, name.clone()))
+            .map(|(name, known)| (known.listed_at, name.clone()))
             .collect();
         by_age.sort_unstable();
         let excess = by_age.len().saturating_sub(MAX_UNLISTED);
--- a/crates/platform/src/engine_identities/tests.rs
+++ b/crates/platform/src/engine_identities/tests.rs
@@ -25,6 +25,8 @@
     identities.update(&[executor("e2", 0)], 3);
     assert_eq!(identities.update(&[executor("e1", 1)], 4), [moved[0]]);
     assert_ne!(identities.update(&[executor("e1", 2)], 5), [moved[0]]);
+    // Back in its first place it is known as before.
+    assert_eq!(identities.update(&[executor("e1", 0)], 6), [first[0]]);
 }
 
 #[test]
