--- a/crates/driver/src/driver/mod.rs
+++ b/crates/driver/src/driver/mod.rs
@@ -1,39 +1,21 @@
 //! The driver: converts inputs to events of the policy module, and the module's actions to instructions.
 
 mod actions;
+mod attempt_ends;
+mod inspection;
 
-use crate::attempts::{AttemptId, AttemptTable, EndedAttempt};
+use crate::attempts::{AttemptId, AttemptTable};
 use crate::timers::TimerKind;
-use crate::{Answer, Arrival, CapacityExceeded, DriverCounters, DriverLimits, Input, Instruction};
+use crate::{Arrival, CapacityExceeded, DriverCounters, DriverLimits, Input, Instruction};
+use attempt_ends::AttemptResult;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use wheelfield::interface::{
-    Action, AttemptEnd, EngineEntry, EngineId, Event, LoadReport, Micros, Outcome, PeerLoadReport,
-    Query, QueryId, Settings, SlowStartShare, Status,
+    Action, EngineEntry, EngineId, Event, Micros, Outcome, PeerLoadReport, Query, QueryId,
+    Settings, Status,
 };
 use wheelfield::Gateway;
 
-/// The outcome of an attempt and what was reported with it.
-struct AttemptResult {
-    outcome: Outcome,
-    reported_work: Option<f64>,
-    report: LoadReport,
-    /// Duration of the attempt, if the protocol layer measures it.
-    elapsed: Option<Micros>,
-}
-
-impl AttemptResult {
-    /// The result of an attempt whose end the protocol layer did not report.
-    fn without_report(outcome: Outcome) -> AttemptResult {
-        AttemptResult {
-            outcome,
-            reported_work: None,
-            report: LoadReport::default(),
-            elapsed: None,
-        }
-    }
-}
-
 /// A policy module with the state of its queries, attempts and timers.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Driver {
@@ -256,43 +238,6 @@
         any_due
     }
 
-    fn handle_attempt_timeout(
-        &mut self,
-        now: Micros,
-        attempt: AttemptId,
-        out: &mut Vec<Instruction>,
-    ) {
-        if !self.table.is_in_flight(attempt) || self.table.answer_started(attempt) {
-            return;
-        }
-        let written = self.table.is_written(attempt);
-        let outcome = if written {
-            Outcome::TimedOut
-        } else {
-            Outcome::ConnectTimedOut
-        };
-        out.push(Instruction::Cancel(attempt));
-        self.handle_attempt_end(now, attempt, AttemptResult::without_report(outcome), out);
-    }
-
-    /// Ends a cancelled attempt whose engine did not confirm the cancellation in time. If its answer has started nevertheless,
-    /// because it crossed the cancellation on the network, the answer is still delivered to the client.
-    fn handle_unconfirmed_cancel(
-        &mut self,
-        now: Micros,
-        attempt: AttemptId,
-        out: &mut Vec<Instruction>,
-    ) {
-        if self.table.is_in_flight(attempt) && !self.table.answer_started(attempt) {
-            self.handle_attempt_end(
-                now,
-                attempt,
-                AttemptResult::without_report(Outcome::Cancelled),
-                out,
-            );
-        }
-    }
-
     /// Handles a timer of the module on the report of a protocol layer that keeps the timers itself. Returns false if no such
     /// timer is set.
     pub fn fire_timer(&mut self, now: Micros, token: u64, out: &mut Vec<Instruction>) -> bool {
@@ -304,70 +249,6 @@
         is_set
     }
 
-    /// Whether an attempt has been started and has no outcome yet.
-    pub fn is_in_flight(&self, attempt: AttemptId) -> bool {
-        self.table.is_in_flight(attempt)
-    }
-
-    /// Whether an attempt's answer may be sent to the client: the attempt is in flight, its query is unanswered, and no other
-    /// attempt has started its answer. The protocol layer checks this before it forwards any byte of the answer.
-    pub fn may_answer(&self, attempt: AttemptId) -> bool {
-        self.table.may_answer(attempt)
-    }
-
-    /// Whether an attempt may be written now: it is in flight and not cancelled, its engine accepts work, and it is not a retry
-    /// that must no longer run. The module approved the attempt when it started it, but time may have passed since, for example
-    /// while a connection was opened. The protocol layer therefore checks this right before it writes.
-    pub fn may_write(&self, now: Micros, attempt: AttemptId) -> bool {
-        let is_up = |engine: EngineId| self.engines.get(&engine) == Some(&Status::Up);
-        self.table.engine_if_unwritten(attempt).is_some_and(is_up)
-            && self
-                .gateway
-                .may_still_write(now, attempt.query, attempt.number)
-    }
-
-    /// The work that an attempt adds to an engine in slow start, with the engine's current budget; `None` if its engine is not
-    /// in slow start.
-    pub fn slow_start_share(&self, now: Micros, attempt: AttemptId) -> Option<SlowStartShare> {
-        self.gateway
-            .slow_start_share(now, attempt.query, attempt.number)
-    }
-
-    /// Whether a query is waiting for its final answer.
-    pub fn awaits_answer(&self, query: QueryId) -> bool {
-        self.table.awaits_answer(query)
-    }
-
-    /// Time by which a query must be answered; `None` if the query is no longer in the table.
-    pub fn deadline_of(&self, query: QueryId) -> Option<Micros> {
-        self.table.deadline_of(query)
-    }
-
-    /// When an attempt times out; `None` once it has ended, or if the protocol layer reports timeouts.
-    pub fn timeout_at(&self, attempt: AttemptId) -> Option<Micros> {
-        self.table.timeout_at(attempt)
-    }
-
-    /// Number of queries in the table, including answered ones that still have an attempt in flight.
-    pub fn queries_held(&self) -> usize {
-        self.table.queries_held()
-    }
-
-    /// Counters since the driver was created.
-    pub fn counters(&self) -> DriverCounters {
-        self.counters
-    }
-
-    /// Whether an engine list has named an engine, and it is not forgotten.
-    pub fn knows_engine(&self, engine: EngineId) -> bool {
-        self.engines.contains_key(&engine)
-    }
-
-    /// The number of engines that are known, including removed ones.
-    pub fn engine_count(&self) -> usize {
-        self.engines.len()
-    }
-
     /// Forgets the removed engines that the policy has forgotten.
     fn forget_engines(&mut self) {
         let gateway = &self.gateway;
@@ -408,81 +289,4 @@
             );
         }
     }
-
-    fn handle_attempt_end(
-        &mut self,
-        now: Micros,
-        attempt: AttemptId,
-        result: AttemptResult,
-        out: &mut Vec<Instruction>,
-    ) {
-        if self.table.is_in_flight(attempt) {
-            self.end_attempt(now, attempt, result, out);
-        } else {
-            self.counters.late_endings += 1;
-        }
-    }
-
-    /// Marks the query of an attempt as served, and then ends the attempt as cancelled, so that the module takes it for one that may
-    /// still be running.
-    fn handle_served_by_earlier_attempt(
-        &mut self,
-        now: Micros,
-        attempt: AttemptId,
-        report: LoadReport,
-        out: &mut Vec<Instruction>,
-    ) {
-        if self.table.is_in_flight(attempt) && self.table.mark_answered(attempt.query) {
-            self.counters.served += 1;
-            self.events.push_back(Event::AnswerStarted(attempt.query));
-        }
-        let result = AttemptResult {
-            report,
-            ..AttemptResult::without_report(Outcome::Cancelled)
-        };
-        self.handle_attempt_end(now, attempt, result, out);
-    }
-
-    /// Records the outcome of an attempt, marks its query as answered if that outcome is final, and informs the module.
-    fn end_attempt(
-        &mut self,
-        now: Micros,
-        attempt: AttemptId,
-        result: AttemptResult,
-        out: &mut Vec<Instruction>,
-    ) {
-        let AttemptResult {
-            outcome,
-            reported_work,
-            report,
-            elapsed,
-        } = result;
-        let Some(EndedAttempt {
-            sent_at,
-            answer_started,
-            query_unanswered,
-        }) = self.table.record_outcome(attempt, outcome)
-        else {
-            return;
-        };
-        let served = query_unanswered && outcome == Outcome::Served;
-        let interrupted = query_unanswered && !served && answer_started;
-        if served {
-            self.table.mark_answered(attempt.query);
-            self.counters.served += 1;
-        } else if interrupted {
-            self.table.mark_answered(attempt.query);
-            self.counters.failed += 1;
-            out.push(Instruction::Answer(attempt.query, Answer::Interrupted));
-        }
-        self.events.push_back(Event::AttemptEnded(AttemptEnd {
-            query: attempt.query,
-            attempt: attempt.number,
-            outcome,
-            query_over: !query_unanswered || served || interrupted,
-            elapsed: elapsed.unwrap_or((now - sent_at).max(Micros(0))),
-            reported_work,
-            report,
-        }));
-    }
 }
