platform: a large request that is pipelined behind another is received once that is answered

Cause: memory is reserved when the input is full and a request is expected. While the request before is processed or its response waits, nothing is reserved, and once it is answered nothing asked again, as no more input arrives.

Change: an incomplete request at the front of the input asks for its reservation and resumes reading when it is parsed.

--- a/crates/platform/src/clients/mod.rs
+++ b/crates/platform/src/clients/mod.rs
@@ -223,7 +223,10 @@
             Ok(Some(head)) if client.buffer.input.len() >= head.total_length => {
                 self.take_request(id, head, out)
             }
-            Ok(_) => None,
+            Ok(_) => {
+                self.continue_receiving(id, out);
+                None
+            }
             Err(error) => {
                 self.reject_request(id, error, out);
                 None
--- a/crates/platform/src/clients/receiving.rs
+++ b/crates/platform/src/clients/receiving.rs
@@ -73,6 +73,16 @@
         capacity
     }
 
+    /// Continues to read an incomplete request. Reading may have been paused while the request before it was processed or answered, when
+    /// nothing could be reserved for this one.
+    pub(super) fn continue_receiving(&mut self, id: ConnId, out: &mut EffectQueue<TimerEvent>) {
+        self.reserve_if_needed(id, out);
+        if let Some(client) = self.connections.get_mut(id) {
+            let max_input = client.max_input_bytes();
+            client.buffer.resume_reading(id, max_input, out);
+        }
+    }
+
     /// Reserves the memory for a request that has filled what its client may send without a reservation. If there is not enough,
     /// the client waits.
     fn reserve_if_needed(&mut self, id: ConnId, out: &mut EffectQueue<TimerEvent>) {
--- a/crates/platform/tests/memory_limit.rs
+++ b/crates/platform/tests/memory_limit.rs
@@ -138,6 +138,33 @@
     );
 }
 
+/// Regression test: the rest of a large request that was pipelined behind another was never read.
+#[test]
+fn a_large_request_behind_another_is_received_once_that_is_answered() {
+    for is_read_late in [false, true] {
+        let mut harness = harness(1);
+        let (client, executor, _) = harness.forward_query("look", &request_id(1));
+        let request = large_request(2, 60_000);
+        let taken = harness.deliver(client, request.as_bytes());
+        assert!(taken < request.len(), "{taken} bytes");
+        harness.resumed.clear();
+        if is_read_late {
+            harness.unread.insert(client);
+        }
+        let response = format!("{} HIT pages=1 0\r\n\r\n", request_id(1));
+        harness.receive(executor, &response);
+        if is_read_late {
+            harness.unread.clear();
+            harness.write_output(client);
+        }
+        harness.advance(0);
+        assert!(harness.resumed.contains(&client));
+        harness.deliver(client, &request.as_bytes()[taken..]);
+        let (_, written) = harness.take_request().expect("forwarded");
+        assert!(written.starts_with(&format!("REQ {} ", request_id(2))));
+    }
+}
+
 /// The pages of a result of maximum length, and their number.
 const PAGE: &str = "0123456789\t0123456789\t0123456789\n";
 const PAGES: usize = 8;
