controller: a test checks that the executor still sends, which it could not fail to find

Cause: an_executor_that_sends_notes_without_end_delays_no_other_client asserted that a flag which only the test itself sets was not set yet. If the sending thread had ended early, the test would have passed without its fault.

Change: it asks whether that thread has ended, before it ends it.

--- a/crates/controller/tests/endless_responses.rs
+++ b/crates/controller/tests/endless_responses.rs
@@ -51,7 +51,8 @@
         }
         assert_eq!(other.read_status(), 200);
     }
-    assert!(!is_over.swap(true, Ordering::SeqCst));
+    assert!(!sender.is_finished(), "the executor has stopped sending");
+    is_over.store(true, Ordering::SeqCst);
     let _connection = sender.join().expect("no panic");
     assert_eq!(client.read_status(), 200);
 }
