--- a/crates/platform/src/dispatcher/mod.rs
+++ b/crates/platform/src/dispatcher/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! The methods of the dispatcher are grouped by concern: `requests` turns client requests into queries, `held_requests` delays
 //! them while the list of executors is out of date, `attempts` carries out the driver's instructions and reports the progress of
-//! attempts to it, `results` fetches results as far as there is memory for them, `topology` handles the list of executors and the messages of other controllers, and `lifecycle` handles
-//! timers, the shutdown and the log of counters.
+//! attempts to it, `results` fetches results as far as there is memory for them, `topology` handles the list of executors and the
+//! messages of other controllers, and `lifecycle` handles timers, the shutdown and the log of counters.
 
 mod attempts;
 mod held_requests;
--- a/crates/platform/src/dispatcher/results.rs
+++ b/crates/platform/src/dispatcher/results.rs
@@ -16,7 +16,8 @@
     memory_bytes: usize,
 }
 
-/// Results that wait for memory, in the order in which they began: at most one for each attempt in progress.
+/// Results that wait for memory, in the order in which they began. An attempt has one entry, and one more for each time that its first
+/// page was replaced by that of another attempt on the connection, which remembers a bounded number of those.
 #[derive(Debug, Default)]
 pub(crate) struct WaitingResults {
     waiting: VecDeque<WaitingResult>,
